Add the replicated log as a pure state machine

Cause: tables, orders and leadership need one agreed history that survives kills, cuts and lost disks, without a ready-made consensus library. Ruled out: I/O inside the algorithm, since then neither time nor disk faults can be tested at will; joint membership changes, since single steps do here. Conclusion: usable by the control daemon, not proved yet.

--- /dev/null
+++ b/crates/consensus/src/error.rs
@@ -0,0 +1,100 @@
+//! Why the replicated log refuses a request; each message names the remedy.
+
+use derive_more::{Display, Error};
+
+use crate::{NodeId, Peer};
+
+/// A command was not taken: it is not in the log and will not run.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum ProposeError {
+    /// Another node leads, or none does.
+    #[display("this node does not lead: send the command to {}", leader_text(leader))]
+    NotLeader {
+        /// The leader as far as it is known.
+        #[error(not(source))]
+        leader: Option<Peer>,
+    },
+    /// The leader has not heard from a majority within its lease.
+    #[display("no majority answers within the lease: restore the links or retry at another node")]
+    NoLease,
+    /// The leader is handing over.
+    #[display("leadership is moving to another node: retry there")]
+    Transferring,
+}
+
+/// A read cannot be served from this node's state.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum ReadError {
+    /// Another node leads, or none does.
+    #[display("this node does not lead: read from {}", leader_text(leader))]
+    NotLeader {
+        /// The leader as far as it is known.
+        #[error(not(source))]
+        leader: Option<Peer>,
+    },
+    /// The lease is over or not won yet.
+    #[display("the lease is not held: retry after the next heartbeat")]
+    NoLease,
+    /// The leader does not yet know which entries earlier terms committed.
+    #[display("the leader has committed nothing in its own term yet: retry soon")]
+    NotCaughtUp,
+}
+
+/// A change of members was refused as unsafe or impossible.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeError {
+    /// The leader takes no commands now.
+    #[display("{_0}")]
+    Propose(ProposeError),
+    /// The leader has not committed an entry of its own term.
+    #[display("the leader is not caught up: retry soon")]
+    NotCaughtUp,
+    /// An earlier change is not committed yet.
+    #[display("another membership change is under way: retry when it is committed")]
+    ChangeUnderWay,
+    /// The peer is a member already.
+    #[display("{_0} is a member already: nothing to do")]
+    AlreadyMember(#[error(not(source))] Peer),
+    /// The peer is not among the learners.
+    #[display("{_0} is not a learner: add it as a learner first")]
+    NotLearner(#[error(not(source))] Peer),
+    /// The peer is not a member.
+    #[display("{_0} is not a member: read the member list again")]
+    NotMember(#[error(not(source))] Peer),
+    /// The learner lacks committed entries or has been silent.
+    #[display("{_0} is not synced: wait until its lag is 0")]
+    NotSynced(#[error(not(source))] Peer),
+    /// The node still votes under its lost disk.
+    #[display("node {_0} votes under an older disk: remove that member first")]
+    OlderDiskVotes(#[error(not(source))] NodeId),
+    /// The leader cannot remove itself.
+    #[display("{_0} leads: transfer the leadership first")]
+    RemovesLeader(#[error(not(source))] Peer),
+    /// The members that would be left include no synced majority.
+    #[display("too few synced voters would be left: repair another member first")]
+    LosesMajority,
+}
+
+/// Leadership cannot move to the target.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum TransferError {
+    /// This node does not lead.
+    #[display("this node does not lead: ask the leader")]
+    NotLeader,
+    /// The target is this node or cannot vote.
+    #[display("{_0} is no other voter: choose another target")]
+    NotVoter(#[error(not(source))] Peer),
+    /// The target has been silent.
+    #[display("{_0} does not answer: choose another target")]
+    Silent(#[error(not(source))] Peer),
+    /// A transfer is under way.
+    #[display("a transfer is under way: wait for its end")]
+    UnderWay,
+}
+
+fn leader_text(leader: &Option<Peer>) -> String {
+    match leader {
+        Some(peer) => format!("node {}", peer.node),
+        None => "a majority, when one has elected a leader".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,266 @@
+//! The log of one member in memory, and which part of it is on disk.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use crate::{Entry, HardState, LogIndex, Members, Payload, Recovered, Snapshot, Term, Writes};
+
+/// Entries after `base`, with the changes that storage has not saved yet.
+#[derive(Debug)]
+pub(crate) struct Log {
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    snapshot: Arc<Snapshot>,
+    members: Members,
+    members_index: LogIndex,
+    saved: LogIndex,
+    handed: LogIndex,
+    unsaved: Unsaved,
+    in_flight: Option<InFlight>,
+    restore: Option<Arc<Snapshot>>,
+}
+
+#[derive(Debug, Default)]
+struct Unsaved {
+    snapshot: Option<Arc<Snapshot>>,
+    compact_to: Option<LogIndex>,
+    truncate_from: Option<LogIndex>,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    last: LogIndex,
+    installs: bool,
+}
+
+impl Log {
+    pub(crate) fn new(recovered: Recovered) -> Log {
+        let snapshot = Arc::new(recovered.snapshot);
+        let entries: VecDeque<_> =
+            recovered.entries.into_iter().filter(|it| it.index > snapshot.index).collect();
+        let saved = entries.back().map_or(snapshot.index, |it| it.index);
+        let mut log = Log {
+            base_index: snapshot.index,
+            base_term: snapshot.term,
+            entries,
+            members: Members::default(),
+            members_index: LogIndex(0),
+            saved,
+            handed: saved,
+            unsaved: Unsaved::default(),
+            in_flight: None,
+            restore: (!snapshot.data.is_empty()).then(|| snapshot.clone()),
+            snapshot,
+        };
+        log.find_members();
+        log
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |it| it.term)
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    pub(crate) fn saved(&self) -> LogIndex {
+        self.saved
+    }
+
+    pub(crate) fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The index of the entry or snapshot that the current members come from.
+    pub(crate) fn members_index(&self) -> LogIndex {
+        self.members_index
+    }
+
+    /// The term of an entry; `None` if the entry is missing or compacted.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|it| it.term)
+    }
+
+    /// The entries from `from` to `to`, both included, as far as the log holds them.
+    pub(crate) fn range(
+        &self,
+        from: LogIndex,
+        to: LogIndex,
+    ) -> impl Iterator<Item = &Entry> + Clone {
+        let first = from.0.saturating_sub(self.base_index.0 + 1) as usize;
+        let end = to.0.saturating_sub(self.base_index.0) as usize;
+        self.entries.iter().take(end).skip(first)
+    }
+
+    pub(crate) fn push(&mut self, term: Term, payload: Payload) -> LogIndex {
+        let index = self.last_index().next();
+        self.push_entry(Entry { index, term, payload });
+        index
+    }
+
+    /// Adds a leader's entries, cutting off what conflicts; returns the last index that agrees.
+    pub(crate) fn merge(&mut self, prev_index: LogIndex, entries: Vec<Entry>) -> LogIndex {
+        let agreed = LogIndex(prev_index.0 + entries.len() as u64);
+        for entry in entries {
+            if entry.index <= self.base_index {
+                continue;
+            }
+            match self.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate(entry.index),
+                None => {}
+            }
+            self.push_entry(entry);
+        }
+        agreed
+    }
+
+    /// Replaces the whole log by a leader's snapshot.
+    pub(crate) fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.truncate(self.base_index.next());
+        self.base_index = snapshot.index;
+        self.base_term = snapshot.term;
+        self.saved = LogIndex(0);
+        self.handed = snapshot.index;
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.last = LogIndex(0);
+        }
+        self.unsaved.snapshot = Some(snapshot.clone());
+        self.unsaved.compact_to = Some(snapshot.index);
+        self.restore = Some(snapshot.clone());
+        self.snapshot = snapshot;
+        self.find_members();
+    }
+
+    /// Keeps the application's state at `index` and drops entries behind it but `kept_entries`.
+    pub(crate) fn compact(&mut self, index: LogIndex, data: Vec<u8>, kept_entries: u64) {
+        let Some(term) = self.term_at(index) else { return };
+        let members = self.members_at(index);
+        let snapshot = Arc::new(Snapshot { index, term, members, data });
+        self.snapshot = snapshot.clone();
+        self.unsaved.snapshot = Some(snapshot);
+        let base = LogIndex(index.0.saturating_sub(kept_entries));
+        if base <= self.base_index {
+            return;
+        }
+        let Some(base_term) = self.term_at(base) else { return };
+        self.entries.drain(..(base.0 - self.base_index.0) as usize);
+        self.base_index = base;
+        self.base_term = base_term;
+        self.unsaved.compact_to = Some(base);
+    }
+
+    pub(crate) fn is_write_under_way(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    /// Hands out all unsaved changes and the hard state; `None` if nothing changed.
+    pub(crate) fn take_writes(&mut self, hard_state: Option<HardState>) -> Option<Writes> {
+        let append: Vec<_> = self.range(self.handed.next(), self.last_index()).cloned().collect();
+        let unsaved = std::mem::take(&mut self.unsaved);
+        if append.is_empty() && unsaved.is_empty() && hard_state.is_none() {
+            return None;
+        }
+        self.handed = self.last_index();
+        let installs = unsaved.snapshot.is_some() && self.restore.is_some();
+        self.in_flight = Some(InFlight { last: self.handed, installs });
+        Some(Writes {
+            hard_state,
+            snapshot: unsaved.snapshot,
+            compact_to: unsaved.compact_to,
+            truncate_from: unsaved.truncate_from,
+            append,
+            ..Writes::default()
+        })
+    }
+
+    /// Notes that the write under way is synced.
+    pub(crate) fn persisted(&mut self) {
+        if let Some(in_flight) = self.in_flight.take() {
+            self.saved = self.saved.max(in_flight.last);
+        }
+    }
+
+    /// The installed snapshot, once it is synced.
+    pub(crate) fn take_restore(&mut self) -> Option<Arc<Snapshot>> {
+        let installing = self.in_flight.as_ref().is_some_and(|it| it.installs);
+        if installing || self.unsaved.snapshot.is_some() {
+            return None;
+        }
+        self.restore.take()
+    }
+
+    /// Whether an installed snapshot has not been handed to the application.
+    pub(crate) fn is_restore_due(&self) -> bool {
+        self.restore.is_some()
+    }
+
+    fn entry(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    fn push_entry(&mut self, entry: Entry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members = members.clone();
+            self.members_index = entry.index;
+        }
+        self.entries.push_back(entry);
+    }
+
+    fn truncate(&mut self, from: LogIndex) {
+        if from > self.last_index() {
+            return;
+        }
+        self.entries.truncate((from.0 - self.base_index.0 - 1) as usize);
+        let last = from.prev();
+        if self.handed >= from {
+            let earlier = self.unsaved.truncate_from.unwrap_or(from);
+            self.unsaved.truncate_from = Some(earlier.min(from));
+        }
+        self.handed = self.handed.min(last);
+        self.saved = self.saved.min(last);
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.last = in_flight.last.min(last);
+        }
+        if self.members_index >= from {
+            self.find_members();
+        }
+    }
+
+    fn find_members(&mut self) {
+        self.members = self.members_at(self.last_index());
+        self.members_index = self
+            .entries
+            .iter()
+            .rev()
+            .find(|it| matches!(it.payload, Payload::Members(_)))
+            .map_or(self.snapshot.index, |it| it.index);
+    }
+
+    fn members_at(&self, index: LogIndex) -> Members {
+        let newest = self.range(self.base_index.next(), index).filter_map(|it| match &it.payload {
+            Payload::Members(members) => Some(members),
+            Payload::Empty | Payload::Command(_) => None,
+        });
+        newest.last().unwrap_or(&self.snapshot.members).clone()
+    }
+}
+
+impl Unsaved {
+    fn is_empty(&self) -> bool {
+        self.snapshot.is_none() && self.compact_to.is_none() && self.truncate_from.is_none()
+    }
+}
