Keep the replicated log in a redb file under one data folder

Cause: a member must not forget what it has promised, and must not start from damaged data. Ruled out: cutting off a record whose checksum fails: redb commits are all or nothing, so such a record was once acknowledged, and cutting it would break a promise under the old identity. Only a commit that was cut off is dropped. Change: crate storage: format (makes the disk id), LogFile (open, bootstrap, load, save) with a bounded cache, crc32 over key and content, integrity check on open, one or two syncs a commit.

--- /dev/null
+++ b/crates/storage/src/log_file.rs
@@ -0,0 +1,229 @@
+//! The log of one member in a redb file.
+
+use std::path::{Path, PathBuf};
+
+use consensus::{
+    DiskId, Entry, HardState, LogIndex, Recovered, Snapshot, Storage, StorageError, Writes,
+};
+use redb::{
+    Builder, Database, ReadableDatabase, ReadableTable, StorageBackend, Table, TableDefinition,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{CommitPhases, Settings, folder, record};
+
+const SINGLES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("singles");
+const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
+const DISK_KEY: u64 = 0;
+const HARD_STATE_KEY: u64 = 1;
+const SNAPSHOT_KEY: u64 = 2;
+
+/// A formatted data folder that a member keeps its state in.
+#[derive(Debug)]
+pub struct LogFile {
+    path: PathBuf,
+    database: Database,
+    disk: DiskId,
+    phases: CommitPhases,
+}
+
+impl LogFile {
+    /// Opens a formatted folder; a commit that was cut off by a crash is dropped.
+    ///
+    /// # Errors
+    /// Fails if the folder is not formatted, is in use, or holds damaged data.
+    pub fn open(folder: &Path, settings: &Settings) -> Result<LogFile, StorageError> {
+        let path = folder::log_path(folder)?;
+        let database = builder(settings).open(&path).map_err(|err| open_error(&path, err))?;
+        LogFile::start(path, database, settings)
+    }
+
+    /// Opens a store on another medium than a file, or makes it under `disk` if it is empty.
+    ///
+    /// # Errors
+    /// Fails if the medium cannot be used or holds damaged data.
+    pub fn with_backend(
+        backend: impl StorageBackend,
+        settings: &Settings,
+        disk: DiskId,
+    ) -> Result<LogFile, StorageError> {
+        let path = PathBuf::from("backend");
+        let created = builder(settings).create_with_backend(backend);
+        let database = created.map_err(|err| open_error(&path, err))?;
+        if is_empty(&database).map_err(|err| open_error(&path, err))? {
+            write_disk(&path, &database, disk)?;
+        }
+        LogFile::start(path, database, settings)
+    }
+
+    /// Saves the start of a new cluster, for its first members only.
+    ///
+    /// # Errors
+    /// Fails if the folder holds state of a cluster already or cannot be written.
+    pub fn bootstrap(&mut self, snapshot: Snapshot) -> Result<(), StorageError> {
+        if self.load()? != Recovered::default() {
+            return Err(StorageError::AlreadyFormatted { path: self.path.clone() });
+        }
+        let snapshot = Some(snapshot.into());
+        self.save(&Writes { snapshot, ..Writes::default() })
+    }
+
+    pub(crate) fn create(
+        path: &Path,
+        settings: &Settings,
+        disk: DiskId,
+    ) -> Result<(), StorageError> {
+        let database = builder(settings).create(path).map_err(|err| open_error(path, err))?;
+        write_disk(path, &database, disk)
+    }
+
+    fn start(
+        path: PathBuf,
+        database: Database,
+        settings: &Settings,
+    ) -> Result<LogFile, StorageError> {
+        let disk = DiskId(0);
+        let mut log = LogFile { path, database, disk, phases: settings.commit_phases };
+        let found = log.read_single(DISK_KEY)?;
+        log.disk = found.ok_or_else(|| log.corrupt("the disk id is missing".to_owned()))?;
+        Ok(log)
+    }
+
+    fn read_single<T: DeserializeOwned>(&self, key: u64) -> Result<Option<T>, StorageError> {
+        let read = || -> Result<_, redb::Error> {
+            let table = self.database.begin_read()?.open_table(SINGLES)?;
+            Ok(table.get(key)?.map(|it| it.value().to_vec()))
+        };
+        let bytes = read().map_err(|err| self.fault(err))?;
+        bytes.map(|it| record::open(key, &it).map_err(|what| self.corrupt(what))).transpose()
+    }
+
+    fn read_entries(&self) -> Result<Vec<Entry>, StorageError> {
+        let read = || -> Result<Vec<_>, redb::Error> {
+            let table = self.database.begin_read()?.open_table(ENTRIES)?;
+            let mut records = Vec::new();
+            for item in table.iter()? {
+                let (key, value) = item?;
+                records.push((key.value(), value.value().to_vec()));
+            }
+            Ok(records)
+        };
+        let records = read().map_err(|err| self.fault(err))?;
+        let entries = records.into_iter().map(|(key, bytes)| record::open::<Entry>(key, &bytes));
+        entries.collect::<Result<_, _>>().map_err(|what| self.corrupt(what))
+    }
+
+    fn check_order(&self, snapshot: &Snapshot, entries: &[Entry]) -> Result<(), StorageError> {
+        let first = entries.first().map_or(snapshot.index, |it| it.index);
+        if first > snapshot.index.next() {
+            return Err(self.corrupt(format!("entries before {first} are missing")));
+        }
+        let gap = entries.windows(2).find(|it| it[1].index != it[0].index.next());
+        match gap {
+            Some(pair) => Err(self.corrupt(format!("entries after {} are missing", pair[0].index))),
+            None => Ok(()),
+        }
+    }
+
+    fn write(&self, writes: &Writes) -> Result<(), redb::Error> {
+        let mut transaction = self.database.begin_write()?;
+        transaction.set_two_phase_commit(self.phases == CommitPhases::Two);
+        {
+            let mut singles = transaction.open_table(SINGLES)?;
+            if let Some(hard_state) = &writes.hard_state {
+                insert(&mut singles, HARD_STATE_KEY, hard_state)?;
+            }
+            if let Some(snapshot) = &writes.snapshot {
+                insert(&mut singles, SNAPSHOT_KEY, &**snapshot)?;
+            }
+            let mut entries = transaction.open_table(ENTRIES)?;
+            if let Some(LogIndex(last)) = writes.compact_to {
+                entries.retain_in(..=last, |_, _| false)?;
+            }
+            if let Some(LogIndex(first)) = writes.truncate_from {
+                entries.retain_in(first.., |_, _| false)?;
+            }
+            for entry in &writes.append {
+                insert(&mut entries, entry.index.0, entry)?;
+            }
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+
+    fn fault(&self, err: redb::Error) -> StorageError {
+        redb_error(&self.path, err)
+    }
+
+    fn corrupt(&self, what: String) -> StorageError {
+        StorageError::Corrupt { path: self.path.clone(), what }
+    }
+}
+
+impl Storage for LogFile {
+    fn disk(&self) -> DiskId {
+        self.disk
+    }
+
+    fn load(&self) -> Result<Recovered, StorageError> {
+        let hard_state: Option<HardState> = self.read_single(HARD_STATE_KEY)?;
+        let snapshot: Option<Snapshot> = self.read_single(SNAPSHOT_KEY)?;
+        let snapshot = snapshot.unwrap_or_default();
+        let entries = self.read_entries()?;
+        self.check_order(&snapshot, &entries)?;
+        Ok(Recovered { hard_state: hard_state.unwrap_or_default(), snapshot, entries })
+    }
+
+    fn save(&mut self, writes: &Writes) -> Result<(), StorageError> {
+        self.write(writes).map_err(|err| self.fault(err))
+    }
+}
+
+fn builder(settings: &Settings) -> Builder {
+    let mut builder = Database::builder();
+    builder.set_cache_size(settings.cache_bytes);
+    builder.set_check_integrity_on_open(true);
+    builder
+}
+
+fn is_empty(database: &Database) -> Result<bool, redb::DatabaseError> {
+    let storage_error = |err| match err {
+        redb::TransactionError::Storage(err) => redb::DatabaseError::Storage(err),
+        err => redb::DatabaseError::Storage(redb::StorageError::Corrupted(err.to_string())),
+    };
+    let transaction = database.begin_read().map_err(storage_error)?;
+    Ok(transaction.open_table(SINGLES).is_err())
+}
+
+fn write_disk(path: &Path, database: &Database, disk: DiskId) -> Result<(), StorageError> {
+    let write = || -> Result<(), redb::Error> {
+        let transaction = database.begin_write()?;
+        insert(&mut transaction.open_table(SINGLES)?, DISK_KEY, &disk)?;
+        transaction.open_table(ENTRIES)?;
+        transaction.commit()?;
+        Ok(())
+    };
+    write().map_err(|err| redb_error(path, err))
+}
+
+fn insert<T: Serialize>(
+    table: &mut Table<'_, u64, &'static [u8]>,
+    key: u64,
+    value: &T,
+) -> Result<(), redb::Error> {
+    let bytes = record::seal(key, value).map_err(redb::Error::Corrupted)?;
+    table.insert(key, bytes.as_slice())?;
+    Ok(())
+}
+
+fn open_error(path: &Path, err: redb::DatabaseError) -> StorageError {
+    redb_error(path, err.into())
+}
+
+fn redb_error(path: &Path, err: redb::Error) -> StorageError {
+    let path = path.to_owned();
+    match err {
+        redb::Error::Corrupted(what) => StorageError::Corrupt { path, what },
+        err => StorageError::Io { path, reason: err.to_string() },
+    }
+}
--- /dev/null
+++ b/crates/storage/tests/data_folder.rs
@@ -0,0 +1,119 @@
+//! A folder is formatted once, keeps what was saved, and names the remedy for what it refuses.
+
+#[path = "support/sample.rs"]
+mod sample;
+
+use std::fs;
+
+use consensus::{Members, Recovered, Snapshot, Storage, StorageError};
+use redb::{Database, ReadableTable, TableDefinition};
+use sample::{append, truncate};
+use storage::{LogFile, Settings, format};
+use tempfile::TempDir;
+
+const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
+
+fn formatted() -> (TempDir, LogFile) {
+    let folder = TempDir::new().unwrap();
+    format(folder.path(), &Settings::default()).unwrap();
+    let log = open(&folder).unwrap();
+    (folder, log)
+}
+
+fn open(folder: &TempDir) -> Result<LogFile, StorageError> {
+    LogFile::open(folder.path(), &Settings::default())
+}
+
+/// Opens the log in `folder` and gives the refusal, without the path.
+fn refusal(folder: &TempDir) -> String {
+    let err = open(folder).and_then(|it| it.load()).expect_err("the folder is refused");
+    let text = err.to_string();
+    text.rsplit_once(&folder.path().display().to_string()).unwrap().1.to_owned()
+}
+
+#[test]
+fn saved_state_returns() {
+    let (folder, mut log) = formatted();
+    log.save(&append(2, 1..=5)).unwrap();
+    log.save(&truncate(4, 3, 4..=6)).unwrap();
+    let state = log.load().unwrap();
+    let disk = log.disk();
+    drop(log);
+
+    let log = open(&folder).unwrap();
+    assert_eq!(log.load().unwrap(), state);
+    assert_eq!(log.disk(), disk);
+    let terms: Vec<_> = state.entries.iter().map(|it| (it.index.0, it.term.0)).collect();
+    assert_eq!(terms, [(1, 2), (2, 2), (3, 2), (4, 3), (5, 3), (6, 3)]);
+}
+
+#[test]
+fn lost_folder() {
+    let (folder, log) = formatted();
+    let disk = log.disk();
+    drop(log);
+    fs::remove_dir_all(folder.path()).unwrap();
+    assert_eq!(
+        refusal(&folder),
+        ": no formatted data: format it; the node then joins as a new member"
+    );
+    assert_ne!(format(folder.path(), &Settings::default()).unwrap(), disk);
+    assert_eq!(open(&folder).unwrap().load().unwrap(), Recovered::default());
+}
+
+#[test]
+fn formatted_once() {
+    let (folder, mut log) = formatted();
+    let again = format(folder.path(), &Settings::default());
+    assert!(matches!(again, Err(StorageError::AlreadyFormatted { .. })), "{again:?}");
+
+    log.bootstrap(Snapshot::bootstrap(Members::default())).unwrap();
+    let again = log.bootstrap(Snapshot::bootstrap(Members::default()));
+    assert!(matches!(again, Err(StorageError::AlreadyFormatted { .. })), "{again:?}");
+}
+
+#[test]
+fn unfinished_format() {
+    let folder = TempDir::new().unwrap();
+    fs::write(folder.path().join("log.redb.unfinished"), "cut off").unwrap();
+    format(folder.path(), &Settings::default()).unwrap();
+    open(&folder).unwrap();
+}
+
+#[test]
+fn damaged_entry() {
+    let (folder, mut log) = formatted();
+    log.save(&append(1, 1..=9)).unwrap();
+    drop(log);
+    alter(&folder, |bytes| bytes[5] ^= 1);
+    assert_eq!(
+        refusal(&folder),
+        "/log.redb: record 5 fails its checksum: move the folder away, format a new one and let \
+         the node join as a new member"
+    );
+}
+
+#[test]
+fn missing_entry() {
+    let (folder, mut log) = formatted();
+    log.save(&append(1, 1..=9)).unwrap();
+    drop(log);
+    alter(&folder, Vec::clear);
+    assert!(refusal(&folder).starts_with("/log.redb: entries after 4 are missing"));
+}
+
+/// Changes the record of entry 5 behind the back of the log; an emptied record is removed.
+fn alter(folder: &TempDir, change: impl FnOnce(&mut Vec<u8>)) {
+    let database = Database::open(folder.path().join("log.redb")).unwrap();
+    let transaction = database.begin_write().unwrap();
+    {
+        let mut table = transaction.open_table(ENTRIES).unwrap();
+        let mut bytes = table.get(5).unwrap().unwrap().value().to_vec();
+        change(&mut bytes);
+        match bytes.is_empty() {
+            true => _ = table.remove(5).unwrap(),
+            false => _ = table.insert(5, bytes.as_slice()).unwrap(),
+        }
+    }
+    transaction.commit().unwrap();
+}
--- /dev/null
+++ b/crates/storage/tests/support/medium.rs
@@ -0,0 +1,120 @@
+//! A disk in memory whose unsynced writes may be lost one by one in a crash.
+
+use std::{
+    io,
+    sync::{Arc, Mutex},
+};
+
+use redb::{BackendError, StorageBackend};
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Medium(Arc<Mutex<Content>>);
+
+#[derive(Debug, Default)]
+struct Content {
+    synced: Vec<u8>,
+    visible: Vec<u8>,
+    unsynced: Vec<Change>,
+    /// How many more calls succeed before the power goes.
+    calls_left: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+enum Change {
+    Write(usize, Vec<u8>),
+    Resize(usize),
+}
+
+impl Medium {
+    /// Lets the power go after so many more changes.
+    pub(crate) fn fail_after(&self, calls: u64) {
+        self.0.lock().unwrap().calls_left = Some(calls);
+    }
+
+    /// The medium after the crash: of the unsynced changes, those survive that `keep` chooses.
+    pub(crate) fn after_crash(&self, mut keep: impl FnMut() -> bool) -> Medium {
+        let content = self.0.lock().unwrap();
+        let mut bytes = content.synced.clone();
+        for change in &content.unsynced {
+            if keep() {
+                change.apply(&mut bytes);
+            }
+        }
+        Medium::holding(bytes)
+    }
+
+    pub(crate) fn holding(bytes: Vec<u8>) -> Medium {
+        let content = Content { synced: bytes.clone(), visible: bytes, ..Content::default() };
+        Medium(Arc::new(Mutex::new(content)))
+    }
+
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        self.0.lock().unwrap().visible.clone()
+    }
+}
+
+impl Content {
+    fn change(&mut self, change: Change) -> Result<(), BackendError> {
+        self.spend_call()?;
+        change.apply(&mut self.visible);
+        self.unsynced.push(change);
+        Ok(())
+    }
+
+    fn spend_call(&mut self) -> Result<(), BackendError> {
+        match &mut self.calls_left {
+            Some(0) => Err(BackendError::Io(io::Error::other("the power is gone"))),
+            Some(calls) => {
+                *calls -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Change {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        match self {
+            Change::Resize(len) => bytes.resize(*len, 0),
+            Change::Write(offset, data) => {
+                let end = offset + data.len();
+                bytes.resize(bytes.len().max(end), 0);
+                bytes[*offset..end].copy_from_slice(data);
+            }
+        }
+    }
+}
+
+impl StorageBackend for Medium {
+    fn len(&self) -> Result<u64, BackendError> {
+        Ok(self.0.lock().unwrap().visible.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), BackendError> {
+        let content = self.0.lock().unwrap();
+        let start = offset as usize;
+        let found = content.visible.get(start..start + out.len());
+        let Some(found) = found else {
+            return Err(BackendError::Io(io::Error::other("read past the end")));
+        };
+        out.copy_from_slice(found);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), BackendError> {
+        self.0.lock().unwrap().change(Change::Resize(len as usize))
+    }
+
+    fn sync_data(&self) -> Result<(), BackendError> {
+        let mut content = self.0.lock().unwrap();
+        content.spend_call()?;
+        content.synced = content.visible.clone();
+        content.unsynced.clear();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), BackendError> {
+        self.0.lock().unwrap().change(Change::Write(offset as usize, data.to_vec()))
+    }
+}
