Read and check the operators' tables, and carry them as row deltas

Ruled out: rust-ini alone (it drops line numbers); stopping at the first fault (three mistakes would take three tries); text diffs (a reordered row would look changed). Change: ini-settings (faults with line, name, remedy over rust-ini), tables (routes, pools, checks, canonical rows, deltas with a digest that refuses a wrong base). Conclusion: routers can take deltas and know by the digest that they hold the sender's rows.

--- /dev/null
+++ b/crates/ini-settings/src/reader.rs
@@ -0,0 +1,118 @@
+//! Typed reading of one section.
+
+use std::{collections::BTreeSet, str::FromStr};
+
+use crate::{Entry, Fault, Faults, Section};
+
+/// Reads the keys of one section and remembers which ones are known.
+///
+/// Each reading method takes the words that complete "write …" for a value that does not parse.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    source_name: &'a str,
+    section: &'a Section,
+    faults: &'a mut Faults,
+    known: BTreeSet<String>,
+}
+
+impl<'a> SectionReader<'a> {
+    pub(crate) fn new(
+        source_name: &'a str,
+        section: &'a Section,
+        faults: &'a mut Faults,
+    ) -> SectionReader<'a> {
+        SectionReader { source_name, section, faults, known: BTreeSet::new() }
+    }
+
+    /// A value that must be there; `T::default()` stands in after a fault.
+    pub fn required<T: FromStr + Default>(&mut self, key: &str, expected: &str) -> T {
+        if let Some(value) = self.optional(key, expected) {
+            return value;
+        }
+        if self.entry(key).is_none() {
+            self.fault_at(self.section.line, key, "is missing", &format!("write {expected}"));
+        }
+        T::default()
+    }
+
+    /// A value that may be left out.
+    pub fn optional<T: FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
+        self.known.insert(key.to_owned());
+        let entry = self.entry(key)?;
+        let parsed = entry.value.trim().parse().ok();
+        if parsed.is_none() {
+            let problem = format!("`{}` does not fit", entry.value);
+            self.fault_at(entry.line, key, &problem, &format!("write {expected}"));
+        }
+        parsed
+    }
+
+    /// A value with a default.
+    pub fn or_default<T: FromStr>(&mut self, key: &str, expected: &str, default: T) -> T {
+        self.optional(key, expected).unwrap_or(default)
+    }
+
+    /// Values separated by commas; an absent key gives an empty list.
+    pub fn list<T: FromStr>(&mut self, key: &str, expected: &str) -> Vec<T> {
+        self.known.insert(key.to_owned());
+        let Some(entry) = self.entry(key) else { return Vec::new() };
+        let mut values = Vec::new();
+        for item in entry.value.split(',').map(str::trim).filter(|it| !it.is_empty()) {
+            match item.parse() {
+                Ok(value) => values.push(value),
+                Err(_) => {
+                    let problem = format!("`{item}` does not fit");
+                    self.fault_at(entry.line, key, &problem, &format!("write {expected}"));
+                }
+            }
+        }
+        values
+    }
+
+    /// Adds a fault of the caller's about `key`.
+    pub fn fault(&mut self, key: &str, problem: &str, remedy: &str) {
+        let line = self.entry(key).map_or(self.section.line, |it| it.line);
+        self.fault_at(line, key, problem, remedy);
+    }
+
+    /// Ends the reading: each key that was not asked for is a fault.
+    pub fn finish(mut self) {
+        let section = self.section;
+        for entry in &section.entries {
+            if !self.known.contains(&entry.key) {
+                let remedy = self.remedy_for_unknown(&entry.key);
+                self.fault_at(entry.line, &entry.key, "unknown key", &remedy);
+            }
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.section.entries.iter().find(|it| it.key == key)
+    }
+
+    fn fault_at(&mut self, line: usize, key: &str, problem: &str, remedy: &str) {
+        self.faults.push(Fault {
+            source_name: self.source_name.to_owned(),
+            line,
+            name: format!("{}.{key}", self.section.name),
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    /// A key that differs only by its unit is the likeliest mistake, so it is named first.
+    fn remedy_for_unknown(&self, key: &str) -> String {
+        let stem = stem(key);
+        match self.known.iter().find(|it| self::stem(it) == stem) {
+            Some(near) => format!("write {near}, in the unit that its name ends in"),
+            None => {
+                let known: Vec<_> = self.known.iter().map(String::as_str).collect();
+                format!("use one of: {}", known.join(", "))
+            }
+        }
+    }
+}
+
+fn stem(key: &str) -> &str {
+    key.rsplit_once('_').map_or(key, |(stem, _)| stem)
+}
--- /dev/null
+++ b/crates/tables/src/route.rs
@@ -0,0 +1,107 @@
+//! A row of the table of routes: a class of request, what it is owed, and the pool that serves it.
+
+use std::time::Duration;
+
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+
+use crate::PoolIdx;
+
+/// One class of request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Route {
+    /// The class, which is the name of the row.
+    pub class: String,
+    /// The path of the requests; a trailing `*` stands for any rest.
+    pub path: String,
+    /// The urgency among all classes.
+    pub priority: Priority,
+    /// The pool that serves the class.
+    pub pool: PoolIdx,
+    /// The latency targets.
+    pub targets: Targets,
+    /// The time after which the caller no longer wants the answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// The part of the pool that the class is guaranteed, in thousandths.
+    pub share_permille: u32,
+    /// Whether a request may run more than once.
+    pub repeat: Repeat,
+    /// How many further attempts one request may have.
+    pub retries_max: u32,
+    /// Further attempts as a part of first attempts, in thousandths.
+    pub retry_budget_permille: u32,
+    /// How many requests may wait in one router.
+    pub queue_max: u32,
+    /// How many requests of one workspace may be in flight in one router.
+    pub workspace_in_flight_max: u32,
+    /// The workspaces that may use the class; empty for all.
+    pub workspaces: Vec<String>,
+}
+
+/// What the class is owed; a target that is not set is not measured.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Targets {
+    /// Time to the first token, in milliseconds.
+    pub first_token_ms: Option<u64>,
+    /// Time between two tokens, in milliseconds.
+    pub between_tokens_ms: Option<u64>,
+    /// Time to the whole answer, in milliseconds.
+    pub whole_ms: Option<u64>,
+}
+
+/// The urgency of a class; 0 is the most urgent.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Priority(pub u8);
+
+impl Priority {
+    /// The least urgent of the six service tiers.
+    pub const LOWEST: Priority = Priority(5);
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// The request is idempotent and may be retried.
+    Idempotent,
+    /// The request runs at most once, under an idempotency key.
+    #[default]
+    AtMostOnce,
+}
+
+impl Route {
+    /// Whether a request with this path can belong to the class.
+    pub fn fits(&self, path: &str) -> bool {
+        match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => self.path == path,
+        }
+    }
+
+    /// The time after which the caller no longer wants the answer.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// Whether `workspace` may use the class.
+    pub fn admits(&self, workspace: &str) -> bool {
+        self.workspaces.is_empty() || self.workspaces.iter().any(|it| it == workspace)
+    }
+}
