Log key=value lines, carry W3C trace context, render metrics

Cause: every daemon needs the same logs, trace context and metrics text before it can be run. Ruled out: a tracing exporter library (it brings its own HTTP and runtime); a Display on tokens. Change: telemetry crate over tracing-logfmt and prometheus; Secret hides itself in Debug. Conclusion: daemons share one set-up; a span a hop is the router's work.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,14 @@
 //! Logs, trace context and metrics for every daemon.
+//!
+//! A daemon calls [`init_logs`] once, hands a [`prometheus::Registry`] to its parts and serves
+//! [`render_metrics`] on its admin listener. Secrets are held as [`Secret`], which never prints.
+
+mod logs;
+mod metrics;
+mod secret;
+mod trace_context;
+
+pub use logs::{LogSettings, init_logs};
+pub use metrics::{register_process_metrics, render_metrics};
+pub use secret::Secret;
+pub use trace_context::{SpanId, TraceContext, TraceContextError, TraceId};
