Call between processes over capnp-rpc, with links that replace silent connections

Cause: routers, control VMs and the operators' tool need one set of typed calls, and a connection that a middle box forgot must not hold a router on old tables. Ruled out: HTTP between our own processes (capnp-rpc fits and was asked for); TCP keepalive as the only detector (its times are the kernel's and minutes long by default). Change: schema and committed code, handlers as trait objects over plain types, Link with heartbeats and addresses in order of preference, byte counters at the socket. Conclusion: the control daemon and the router can be joined; xtask codegen makes the code.

--- /dev/null
+++ b/crates/rpc/schema/control.capnp
@@ -0,0 +1,59 @@
+@0xb3f1c5d2a7e94860;
+# Calls between the system's own processes. `cargo xtask codegen` writes the Rust code.
+
+interface Control {
+  # What a control VM offers to routers and to the operators' tool.
+
+  ping @0 () -> ();
+  # Answers at once; a link without an answer in time is replaced.
+
+  fetchTables @1 (held :UInt64, digest :UInt64, waitMs :UInt32) -> (update :TablesUpdate);
+  # Waits until a revision above `held` is in force here, or until the time is over.
+
+  submit @2 (token :Text, command :Data) -> (result :SubmitResult);
+  # Puts a command into the replicated log; a VM that does not lead passes it to the leader.
+
+  status @3 () -> (json :Text);
+  # The state of this VM and what it knows of the others, for operators.
+
+  exchange @4 (summary :Data) -> (digest :Data);
+  # A router's summary of its backend servers, for the failure domain's digest.
+
+  peer @5 (token :Text) -> (peer :Peer);
+  # The interface for control VMs, for those that know the token.
+}
+
+struct TablesUpdate {
+  union {
+    unchanged @0 :Void;
+    delta @1 :Data;
+    snapshot @2 :TablesSnapshot;
+  }
+}
+
+struct TablesSnapshot {
+  revision @0 :UInt64;
+  routes @1 :Text;
+  pools @2 :Text;
+}
+
+struct SubmitResult {
+  union {
+    response @0 :Data;
+    # Committed; the response of the state machine.
+    refused @1 :Text;
+    # Not put into the log, for the reason given.
+    inDoubt @2 :Text;
+    # It may or may not be committed; the same command may be sent again.
+  }
+}
+
+interface Peer {
+  # What control VMs offer to one another.
+
+  deliver @0 (from :UInt64, message :Data) -> ();
+  # One message of the replicated log.
+
+  forward @1 (command :Data) -> (result :SubmitResult);
+  # A command for the leader.
+}
--- /dev/null
+++ b/crates/rpc/src/calls.rs
@@ -0,0 +1,190 @@
+//! The calls of the schema as functions over plain types.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use crate::{
+    RpcError, SubmitResult, TablesUpdate,
+    control_capnp::{control, peer, submit_result, tables_update},
+};
+
+/// How long a call that needs no waiting on the other side may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The calls that a control VM offers to routers and operators.
+#[derive(Clone)]
+pub struct ControlClient {
+    addr: SocketAddr,
+    inner: control::Client,
+}
+
+/// The calls that a control VM offers to its peers.
+#[derive(Clone)]
+pub struct PeerClient {
+    addr: SocketAddr,
+    inner: peer::Client,
+}
+
+impl ControlClient {
+    pub(crate) fn new(addr: SocketAddr, inner: control::Client) -> Self {
+        ControlClient { addr, inner }
+    }
+
+    /// The address of the control VM.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Asks for any answer within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// If none comes in time or the connection is broken.
+    pub async fn ping(&self, timeout: Duration) -> Result<(), RpcError> {
+        let call = self.inner.ping_request().send().promise;
+        within(self.addr, timeout, call).await.map(|_| ())
+    }
+
+    /// Waits up to `wait` for tables newer than revision `held`, whose rows have `digest`.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks or stays silent well beyond `wait`.
+    pub async fn fetch_tables(
+        &self,
+        held: u64,
+        digest: u64,
+        wait: Duration,
+    ) -> Result<TablesUpdate, RpcError> {
+        let mut request = self.inner.fetch_tables_request();
+        let mut params = request.get();
+        params.set_held(held);
+        params.set_digest(digest);
+        params.set_wait_ms(wait.as_millis() as u32);
+        let reply = within(self.addr, wait + CALL_TIMEOUT, request.send().promise).await?;
+        Ok(read_update(reply.get()?.get_update()?)?)
+    }
+
+    /// Puts an encoded command into the replicated log.
+    ///
+    /// # Errors
+    ///
+    /// If no answer comes within `timeout`: the command may or may not be committed then.
+    pub async fn submit(
+        &self,
+        token: &str,
+        command: &[u8],
+        timeout: Duration,
+    ) -> Result<SubmitResult, RpcError> {
+        let mut request = self.inner.submit_request();
+        let mut params = request.get();
+        params.set_token(token);
+        params.set_command(command);
+        let reply = within(self.addr, timeout, request.send().promise).await?;
+        Ok(read_result(reply.get()?.get_result()?)?)
+    }
+
+    /// The state of the control VM as JSON.
+    ///
+    /// # Errors
+    ///
+    /// If the call fails.
+    pub async fn status(&self) -> Result<String, RpcError> {
+        let call = self.inner.status_request().send().promise;
+        let reply = within(self.addr, CALL_TIMEOUT, call).await?;
+        Ok(reply.get()?.get_json()?.to_string().map_err(capnp::Error::from)?)
+    }
+
+    /// Gives a router's summary and takes the failure domain's digest.
+    ///
+    /// # Errors
+    ///
+    /// If the call fails.
+    pub async fn exchange(&self, summary: &[u8]) -> Result<Vec<u8>, RpcError> {
+        let mut request = self.inner.exchange_request();
+        request.get().set_summary(summary);
+        let reply = within(self.addr, CALL_TIMEOUT, request.send().promise).await?;
+        Ok(reply.get()?.get_digest()?.to_vec())
+    }
+
+    /// The interface for control VMs.
+    ///
+    /// # Errors
+    ///
+    /// If the token is wrong or the call fails.
+    pub async fn peer(&self, token: &str) -> Result<PeerClient, RpcError> {
+        let mut request = self.inner.peer_request();
+        request.get().set_token(token);
+        let reply = within(self.addr, CALL_TIMEOUT, request.send().promise).await?;
+        Ok(PeerClient { addr: self.addr, inner: reply.get()?.get_peer()? })
+    }
+}
+
+impl PeerClient {
+    /// Hands over one encoded message of the replicated log.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks or stays silent for `timeout`.
+    pub async fn deliver(
+        &self,
+        from: u64,
+        message: &[u8],
+        timeout: Duration,
+    ) -> Result<(), RpcError> {
+        let mut request = self.inner.deliver_request();
+        let mut params = request.get();
+        params.set_from(from);
+        params.set_message(message);
+        within(self.addr, timeout, request.send().promise).await.map(|_| ())
+    }
+
+    /// Passes an encoded command on to the leader.
+    ///
+    /// # Errors
+    ///
+    /// If no answer comes within `timeout`: the command may or may not be committed then.
+    pub async fn forward(
+        &self,
+        command: &[u8],
+        timeout: Duration,
+    ) -> Result<SubmitResult, RpcError> {
+        let mut request = self.inner.forward_request();
+        request.get().set_command(command);
+        let reply = within(self.addr, timeout, request.send().promise).await?;
+        Ok(read_result(reply.get()?.get_result()?)?)
+    }
+}
+
+async fn within<T>(
+    addr: SocketAddr,
+    timeout: Duration,
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, RpcError> {
+    match monoio::time::timeout(timeout, call).await {
+        Ok(result) => result.map_err(RpcError::Call),
+        Err(_) => Err(RpcError::TimedOut { addr, waited: timeout }),
+    }
+}
+
+fn read_update(update: tables_update::Reader<'_>) -> capnp::Result<TablesUpdate> {
+    match update.which()? {
+        tables_update::Unchanged(()) => Ok(TablesUpdate::Unchanged),
+        tables_update::Delta(bytes) => Ok(TablesUpdate::Delta(bytes?.to_vec())),
+        tables_update::Snapshot(snapshot) => {
+            let snapshot = snapshot?;
+            Ok(TablesUpdate::Snapshot {
+                revision: snapshot.get_revision(),
+                routes: snapshot.get_routes()?.to_string()?,
+                pools: snapshot.get_pools()?.to_string()?,
+            })
+        }
+    }
+}
+
+fn read_result(result: submit_result::Reader<'_>) -> capnp::Result<SubmitResult> {
+    match result.which()? {
+        submit_result::Response(bytes) => Ok(SubmitResult::Response(bytes?.to_vec())),
+        submit_result::Refused(reason) => Ok(SubmitResult::Refused(reason?.to_string()?)),
+        submit_result::InDoubt(reason) => Ok(SubmitResult::InDoubt(reason?.to_string()?)),
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/dial.rs
@@ -0,0 +1,58 @@
+//! Opens a connection to a control VM.
+
+use std::{net::SocketAddr, time::Duration};
+
+use capnp_rpc::{Disconnector, RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::AsyncReadExt;
+use monoio::net::TcpStream;
+use monoio_compat::TcpStreamCompat;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::{ByteCounters, ControlClient, RpcError, control_capnp, counted::Counted};
+
+/// An open connection; it is closed when dropped.
+pub struct Connection {
+    /// The calls that the other side offers.
+    pub client: ControlClient,
+    disconnector: Option<Disconnector<Side>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let Some(disconnector) = self.disconnector.take() {
+            monoio::spawn(async move {
+                // A connection that is already broken has nothing left to close.
+                let _ = disconnector.await;
+            });
+        }
+    }
+}
+
+/// Connects to `addr` within `timeout`.
+///
+/// # Errors
+///
+/// If the connection is refused or not made in time.
+pub async fn dial(
+    addr: SocketAddr,
+    timeout: Duration,
+    counters: &ByteCounters,
+) -> Result<Connection, RpcError> {
+    let connecting = monoio::time::timeout(timeout, TcpStream::connect(addr));
+    let stream = connecting
+        .await
+        .map_err(|_| RpcError::TimedOut { addr, waited: timeout })?
+        .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
+        .map_err(|source| RpcError::Connect { addr, source })?;
+    let stream = Counted::new(TcpStreamCompat::new(stream).compat(), counters.clone());
+    let (reader, writer) = stream.split();
+    let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: control_capnp::control::Client = system.bootstrap(Side::Server);
+    let disconnector = system.get_disconnector();
+    monoio::spawn(async move {
+        // The calls under way report a broken connection, so nothing is lost here.
+        let _ = system.await;
+    });
+    Ok(Connection { client: ControlClient::new(addr, client), disconnector: Some(disconnector) })
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,1 +1,51 @@
 //! Calls between the system's own processes over capnp-rpc.
+//!
+//! The crate turns the generated code into plain Rust types: a server implements
+//! [`ControlHandler`] and [`PeerHandler`], a client keeps a [`Link`] whose silent connections are
+//! replaced. It knows nothing of what the commands mean.
+
+#[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub)]
+mod control_capnp;
+
+mod calls;
+mod counted;
+mod dial;
+mod error;
+mod link;
+mod server;
+
+pub use calls::{ControlClient, PeerClient};
+pub use counted::ByteCounters;
+pub use dial::{Connection, dial};
+pub use error::RpcError;
+pub use link::{Link, LinkSettings};
+pub use server::{ControlHandler, PeerHandler, serve};
+
+/// The answer to a question for tables newer than the ones held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TablesUpdate {
+    /// Nothing newer came in the time given.
+    Unchanged,
+    /// An encoded `tables::Delta` from the revision held.
+    Delta(Vec<u8>),
+    /// Both tables whole.
+    Snapshot {
+        /// The revision of the tables.
+        revision: u64,
+        /// The table of routes as text.
+        routes: String,
+        /// The table of pools as text.
+        pools: String,
+    },
+}
+
+/// What became of a command for the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmitResult {
+    /// It is committed; the bytes are the encoded response of the state machine.
+    Response(Vec<u8>),
+    /// It was not put into the log, for the reason given.
+    Refused(String),
+    /// It may or may not be committed; the same command may be sent again.
+    InDoubt(String),
+}
--- /dev/null
+++ b/crates/rpc/src/link.rs
@@ -0,0 +1,133 @@
+//! A connection that is replaced when it breaks or goes silent.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+
+use crate::{ByteCounters, Connection, ControlClient, RpcError, dial};
+
+/// How a link is kept.
+#[derive(Debug, Clone)]
+pub struct LinkSettings {
+    /// The control VMs, the preferred one first.
+    pub addrs: Vec<SocketAddr>,
+    /// How long a connection may take to be made, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// The time between two heartbeats, in milliseconds.
+    pub heartbeat_interval_ms: u64,
+    /// How long a heartbeat may stay unanswered, in milliseconds.
+    pub heartbeat_timeout_ms: u64,
+    /// The pause after a round in which no address answered, in milliseconds.
+    pub retry_pause_ms: u64,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        LinkSettings {
+            addrs: Vec::new(),
+            connect_timeout_ms: 500,
+            heartbeat_interval_ms: 1000,
+            heartbeat_timeout_ms: 1500,
+            retry_pause_ms: 200,
+        }
+    }
+}
+
+/// A handle on the current connection; clones share it.
+#[derive(Clone)]
+pub struct Link {
+    current: Rc<RefCell<Option<Connection>>>,
+    counters: ByteCounters,
+}
+
+impl Link {
+    /// Starts keeping a connection in the background, until every handle is dropped.
+    pub fn start(settings: LinkSettings) -> Link {
+        let link = Link { current: Rc::default(), counters: ByteCounters::default() };
+        let keeper = Keeper {
+            settings,
+            current: Rc::downgrade(&link.current),
+            counters: link.counters.clone(),
+        };
+        monoio::spawn(keeper.run());
+        link
+    }
+
+    /// The calls of the control VM that is connected now.
+    ///
+    /// # Errors
+    ///
+    /// If there is no connection that answers heartbeats.
+    pub fn client(&self) -> Result<ControlClient, RpcError> {
+        let current = self.current.borrow();
+        current.as_ref().map(|it| it.client.clone()).ok_or(RpcError::NoLink)
+    }
+
+    /// Bytes over all connections of this link.
+    pub fn counters(&self) -> &ByteCounters {
+        &self.counters
+    }
+}
+
+struct Keeper {
+    settings: LinkSettings,
+    current: Weak<RefCell<Option<Connection>>>,
+    counters: ByteCounters,
+}
+
+impl Keeper {
+    /// Each round starts at the preferred address again, so that a link comes home after a repair
+    /// as soon as its present connection ends.
+    async fn run(self) {
+        while self.is_wanted() {
+            for addr in self.settings.addrs.clone() {
+                if self.connect(addr).await {
+                    self.beat().await;
+                    break;
+                }
+            }
+            monoio::time::sleep(Duration::from_millis(self.settings.retry_pause_ms)).await;
+        }
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.current.strong_count() > 0
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> bool {
+        let timeout = Duration::from_millis(self.settings.connect_timeout_ms);
+        let Ok(connection) = dial(addr, timeout, &self.counters).await else { return false };
+        if connection.client.ping(timeout).await.is_err() {
+            return false;
+        }
+        self.replace(Some(connection));
+        true
+    }
+
+    /// Sends heartbeats until one stays unanswered, then gives the connection up.
+    async fn beat(&self) {
+        let interval = Duration::from_millis(self.settings.heartbeat_interval_ms);
+        let timeout = Duration::from_millis(self.settings.heartbeat_timeout_ms);
+        while let Some(client) = self.client() {
+            if client.ping(timeout).await.is_err() {
+                break;
+            }
+            monoio::time::sleep(interval).await;
+        }
+        self.replace(None);
+    }
+
+    fn client(&self) -> Option<ControlClient> {
+        let current = self.current.upgrade()?;
+        current.borrow().as_ref().map(|it| it.client.clone())
+    }
+
+    fn replace(&self, connection: Option<Connection>) {
+        if let Some(current) = self.current.upgrade() {
+            let _previous = current.replace(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/server.rs
@@ -0,0 +1,192 @@
+//! Serves the calls of the schema by handlers over plain types.
+
+use std::{rc::Rc, time::Duration};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::{AsyncReadExt, future::LocalBoxFuture};
+use monoio::net::{TcpListener, TcpStream};
+use monoio_compat::TcpStreamCompat;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::{
+    ByteCounters, SubmitResult, TablesUpdate,
+    control_capnp::{control, peer, submit_result, tables_update},
+    counted::Counted,
+};
+
+/// How long the listener waits after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a control VM does for routers and operators.
+pub trait ControlHandler {
+    /// Waits up to `wait` for tables newer than `held`.
+    fn fetch_tables(
+        &self,
+        held: u64,
+        digest: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, TablesUpdate>;
+
+    /// Puts a command into the replicated log.
+    fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult>;
+
+    /// The state of this VM as JSON.
+    fn status(&self) -> String;
+
+    /// Takes a router's summary and gives the failure domain's digest.
+    fn exchange(&self, summary: Vec<u8>) -> Vec<u8>;
+
+    /// The handler for peers, if the token is right.
+    fn peer(&self, token: &str) -> Option<Rc<dyn PeerHandler>>;
+}
+
+/// What a control VM does for its peers.
+pub trait PeerHandler {
+    /// Takes one message of the replicated log.
+    fn deliver(&self, from: u64, message: Vec<u8>);
+
+    /// Proposes a command that a peer passed on.
+    fn forward(&self, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult>;
+}
+
+/// Accepts connections for ever; end it by dropping the future.
+pub async fn serve(listener: TcpListener, handler: Rc<dyn ControlHandler>, counters: ByteCounters) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve_one(stream, handler.clone(), counters.clone()));
+            }
+            Err(_) => monoio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_one(stream: TcpStream, handler: Rc<dyn ControlHandler>, counters: ByteCounters) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let stream = Counted::new(TcpStreamCompat::new(stream).compat(), counters);
+    let (reader, writer) = stream.split();
+    let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
+    let client: control::Client = capnp_rpc::new_client(ControlServer { handler });
+    // The caller sees a broken connection itself; there is nobody else to tell.
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
+struct ControlServer {
+    handler: Rc<dyn ControlHandler>,
+}
+
+impl control::Server for ControlServer {
+    async fn ping(
+        self: Rc<Self>,
+        _params: control::PingParams,
+        _results: control::PingResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+
+    async fn fetch_tables(
+        self: Rc<Self>,
+        params: control::FetchTablesParams,
+        mut results: control::FetchTablesResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(params.get_wait_ms().into());
+        let update = self.handler.fetch_tables(params.get_held(), params.get_digest(), wait).await;
+        write_update(results.get().init_update(), update);
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: control::SubmitParams,
+        mut results: control::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let token = params.get_token()?.to_string()?;
+        let result = self.handler.submit(token, params.get_command()?.to_vec()).await;
+        write_result(results.get().init_result(), result);
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _params: control::StatusParams,
+        mut results: control::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        results.get().set_json(self.handler.status());
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: control::ExchangeParams,
+        mut results: control::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let digest = self.handler.exchange(params.get()?.get_summary()?.to_vec());
+        results.get().set_digest(&digest);
+        Ok(())
+    }
+
+    async fn peer(
+        self: Rc<Self>,
+        params: control::PeerParams,
+        mut results: control::PeerResults,
+    ) -> Result<(), capnp::Error> {
+        let token = params.get()?.get_token()?.to_string()?;
+        let Some(handler) = self.handler.peer(&token) else {
+            let remedy = "the peer token is wrong: give every control VM the same one";
+            return Err(capnp::Error::failed(remedy.to_owned()));
+        };
+        results.get().set_peer(capnp_rpc::new_client(PeerServer { handler }));
+        Ok(())
+    }
+}
+
+struct PeerServer {
+    handler: Rc<dyn PeerHandler>,
+}
+
+impl peer::Server for PeerServer {
+    async fn deliver(
+        self: Rc<Self>,
+        params: peer::DeliverParams,
+        _results: peer::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        self.handler.deliver(params.get_from(), params.get_message()?.to_vec());
+        Ok(())
+    }
+
+    async fn forward(
+        self: Rc<Self>,
+        params: peer::ForwardParams,
+        mut results: peer::ForwardResults,
+    ) -> Result<(), capnp::Error> {
+        let result = self.handler.forward(params.get()?.get_command()?.to_vec()).await;
+        write_result(results.get().init_result(), result);
+        Ok(())
+    }
+}
+
+fn write_update(mut builder: tables_update::Builder<'_>, update: TablesUpdate) {
+    match update {
+        TablesUpdate::Unchanged => builder.set_unchanged(()),
+        TablesUpdate::Delta(bytes) => builder.set_delta(&bytes),
+        TablesUpdate::Snapshot { revision, routes, pools } => {
+            let mut snapshot = builder.init_snapshot();
+            snapshot.set_revision(revision);
+            snapshot.set_routes(routes);
+            snapshot.set_pools(pools);
+        }
+    }
+}
+
+fn write_result(mut builder: submit_result::Builder<'_>, result: SubmitResult) {
+    match result {
+        SubmitResult::Response(bytes) => builder.set_response(&bytes),
+        SubmitResult::Refused(reason) => builder.set_refused(reason),
+        SubmitResult::InDoubt(reason) => builder.set_in_doubt(reason),
+    }
+}
--- /dev/null
+++ b/crates/rpc/tests/silent_link.rs
@@ -0,0 +1,95 @@
+//! A link whose connection goes silent is replaced by one to another address.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+use rpc::{
+    ByteCounters, ControlHandler, Link, LinkSettings, PeerHandler, SubmitResult, TablesUpdate,
+    serve,
+};
+
+struct Fixed;
+
+impl ControlHandler for Fixed {
+    fn fetch_tables(
+        &self,
+        held: u64,
+        _: u64,
+        _: Duration,
+    ) -> LocalBoxFuture<'static, TablesUpdate> {
+        let snapshot = TablesUpdate::Snapshot {
+            revision: held + 1,
+            routes: "[chat]".to_owned(),
+            pools: String::new(),
+        };
+        async { snapshot }.boxed_local()
+    }
+
+    fn submit(&self, _: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
+        async { SubmitResult::Response(command) }.boxed_local()
+    }
+
+    fn status(&self) -> String {
+        "{}".to_owned()
+    }
+
+    fn exchange(&self, summary: Vec<u8>) -> Vec<u8> {
+        summary
+    }
+
+    fn peer(&self, _: &str) -> Option<Rc<dyn PeerHandler>> {
+        None
+    }
+}
+
+/// Accepts connections and never answers on them.
+fn silent_listener() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    (listener.local_addr().expect("an address"), listener)
+}
+
+fn run<T>(future: impl Future<Output = T>) -> T {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    builder.build().expect("a runtime").block_on(future)
+}
+
+async fn connected(link: &Link) -> rpc::ControlClient {
+    loop {
+        if let Ok(client) = link.client() {
+            return client;
+        }
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn replaced_when_silent() {
+    run(async {
+        let (silent, _listener) = silent_listener();
+        let healthy = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let healthy_addr = healthy.local_addr().expect("an address");
+        monoio::spawn(serve(healthy, Rc::new(Fixed), ByteCounters::default()));
+        let link = Link::start(LinkSettings {
+            addrs: vec![silent, healthy_addr],
+            connect_timeout_ms: 50,
+            ..LinkSettings::default()
+        });
+
+        let client = connected(&link).await;
+
+        assert_eq!(client.addr(), healthy_addr);
+        let update = client.fetch_tables(3, 0, Duration::ZERO).await.expect("an update");
+        assert!(matches!(update, TablesUpdate::Snapshot { revision: 4, .. }));
+        assert!(link.counters().sent_bytes() > 0);
+        assert!(client.peer("wrong").await.is_err());
+    });
+}
+
+#[test]
+fn no_link() {
+    run(async {
+        let link = Link::start(LinkSettings::default());
+        assert!(link.client().is_err());
+    });
+}
