--- /dev/null
+++ b/crates/engine-model/src/prompt.rs
@@ -0,0 +1,26 @@
+//! Stands in for a tokenizer: one word is one token.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::PrefixBlock;
+
+/// Counts the tokens of `text`; an empty prompt counts as one.
+pub fn token_count(text: &str) -> u32 {
+    let words = text.split_whitespace().count();
+    u32::try_from(words).unwrap_or(u32::MAX).max(1)
+}
+
+/// Hashes each whole block of `block_tokens` tokens of `text` together with all blocks before it.
+///
+/// Two prompts share the first n hashes if and only if they share the first n blocks. A tail that
+/// fills no block has no hash.
+pub fn prefix_blocks(text: &str, block_tokens: u32) -> Vec<PrefixBlock> {
+    let words: Vec<_> = text.split_whitespace().collect();
+    let mut previous = 0;
+    let mut blocks = Vec::new();
+    for block in words.chunks_exact(block_tokens.max(1) as usize) {
+        previous = xxh3_64_with_seed(block.join(" ").as_bytes(), previous);
+        blocks.push(PrefixBlock(previous));
+    }
+    blocks
+}
