Serve and send HTTP/1.1 within limits over monoio-http

Cause: the library's codec has no bounds, takes an answer without a length for an empty one, takes an empty chunk size for the last chunk, and holds the chunks of a stream back. Ruled out: the library's framed reader, because a read dropped by a timeout loses its buffer; its StreamPayload, because it queues without bound. Change: crate httpio with a server (two-step stop, bounded streams, the caller's leaving seen), a client with a pool (errors tell the stage), and a splitter of events. monoio-codec is named as a dependency: its Decoder trait is needed to call monoio-http's decoders; it was in the lock file.

--- /dev/null
+++ b/crates/httpio/src/client/connection.rs
@@ -0,0 +1,150 @@
+//! One connection to a server.
+
+use std::{io, net::SocketAddr};
+
+use futures::FutureExt;
+use http::{HeaderValue, StatusCode, Version, header};
+use monoio::{io::Splitable, net::TcpStream, time};
+use monoio_http::{common::response::ResponseHead, h1::codec::decoder::ResponseHeadDecoder};
+
+use super::{Body, ClientError, FailureKind, Request, Response, Stage};
+use crate::{
+    Limits,
+    framing::{self, BodyDecoder},
+    inbound::{Filled, HeadFault, Inbound},
+    outbound::Outbound,
+};
+
+/// A connection that carries one exchange at a time.
+pub struct Connection {
+    pub(super) inbound: Inbound,
+    outbound: Outbound,
+    pub(super) limits: Limits,
+    addr: SocketAddr,
+    pub(super) reused: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// [`Stage::NotConnected`] when it is refused or not opened in time.
+    pub async fn open(addr: SocketAddr, limits: Limits) -> Result<Connection, ClientError> {
+        let fail = |kind| Err(ClientError { stage: Stage::NotConnected, kind, reused: false });
+        let stream =
+            match time::timeout(limits.connect_timeout(), TcpStream::connect_addr(addr)).await {
+                Ok(Ok(stream)) => stream,
+                Ok(Err(error)) => return fail(FailureKind::Connect(error)),
+                Err(_) => return fail(FailureKind::ConnectTimeout),
+            };
+        // A failure to set it costs latency only.
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        let inbound = Inbound::new(read);
+        let outbound = Outbound::new(write, limits.write_timeout());
+        Ok(Connection { inbound, outbound, limits, addr, reused: false })
+    }
+
+    /// The address of the server.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// With the stage that the exchange had come to; the connection is closed.
+    pub async fn send(mut self, request: Request) -> Result<Response, ClientError> {
+        self.write(request).await?;
+        let head = self.read_head().await?;
+        let framing = framing::of_response(head.status, &head.headers)
+            .map_err(|fault| self.fail(Stage::HeadReceived, FailureKind::Framing(fault)))?;
+        let decoder = BodyDecoder::new(framing, &self.limits)
+            .map_err(|fault| self.fail(Stage::HeadReceived, fault.into()))?;
+        let body = Body::new(self, decoder, keeps_alive(&head));
+        Ok(Response { head, body })
+    }
+
+    async fn write(&mut self, request: Request) -> Result<(), ClientError> {
+        let Request { method, uri, mut headers, body } = request;
+        if !headers.contains_key(header::HOST) {
+            let host = HeaderValue::try_from(self.addr.to_string())
+                .expect("a socket address is made of visible characters");
+            headers.insert(header::HOST, host);
+        }
+        let result = self.outbound.request(method, uri, headers, body).await;
+        result.map_err(|error| {
+            let sent = self.outbound.sent_bytes > 0;
+            self.fail(if sent { Stage::Sent } else { Stage::NothingSent }, write_failure(error))
+        })
+    }
+
+    async fn read_head(&mut self) -> Result<ResponseHead, ClientError> {
+        let head = time::timeout(self.limits.head_timeout(), self.read_final_head())
+            .await
+            .unwrap_or(Err(FailureKind::HeadTimeout));
+        let head = head.map_err(|kind| self.fail(Stage::Sent, kind))?;
+        if head.headers.len() > self.limits.header_count {
+            return Err(self.fail(Stage::HeadReceived, FailureKind::HeadTooBig));
+        }
+        Ok(head)
+    }
+
+    /// Reads heads until one is not an interim answer.
+    async fn read_final_head(&mut self) -> Result<ResponseHead, FailureKind> {
+        loop {
+            match self.inbound.take_head(ResponseHeadDecoder, &self.limits)? {
+                Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                    let reason = "it switches to a protocol that was not asked for";
+                    return Err(FailureKind::Malformed(reason.to_owned()));
+                }
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => return Ok(head),
+                None => match self.inbound.fill().await.map_err(FailureKind::Io)? {
+                    Filled::Data => {}
+                    Filled::End => return Err(FailureKind::CutShort),
+                },
+            }
+        }
+    }
+
+    pub(super) fn fail(&self, stage: Stage, kind: FailureKind) -> ClientError {
+        ClientError { stage, kind, reused: self.reused }
+    }
+
+    /// Whether an idle connection looks usable: nothing has arrived on it, and no end either.
+    pub(super) fn is_quiet(&mut self) -> bool {
+        self.inbound.buffer.is_empty() && self.inbound.fill().now_or_never().is_none()
+    }
+}
+
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connection").field("addr", &self.addr).finish_non_exhaustive()
+    }
+}
+
+impl From<HeadFault> for FailureKind {
+    fn from(fault: HeadFault) -> Self {
+        match fault {
+            HeadFault::TooBig => FailureKind::HeadTooBig,
+            HeadFault::Malformed(error) => FailureKind::Malformed(error.to_string()),
+        }
+    }
+}
+
+fn write_failure(error: io::Error) -> FailureKind {
+    match error.kind() {
+        io::ErrorKind::TimedOut => FailureKind::WriteTimeout,
+        _ => FailureKind::Io(error),
+    }
+}
+
+fn keeps_alive(head: &ResponseHead) -> bool {
+    let closes = head
+        .headers
+        .get(header::CONNECTION)
+        .is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
+    head.version == Version::HTTP_11 && !closes
+}
--- /dev/null
+++ b/crates/httpio/src/framing.rs
@@ -0,0 +1,194 @@
+//! How a body's end is found, and the refusal of messages that leave it open.
+
+use bytes::{Bytes, BytesMut};
+use derive_more::Display;
+use http::{HeaderMap, StatusCode, header};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
+
+use crate::Limits;
+
+/// Room for a chunk's size line and line ends in the buffer.
+const CHUNK_OVERHEAD_BYTES: usize = 32;
+
+/// Why the length of a body cannot be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum FramingFault {
+    /// Both `content-length` and `transfer-encoding` are present.
+    #[display("both content-length and transfer-encoding are present; send one of them")]
+    BothLengths,
+    /// `content-length` or `transfer-encoding` is present more than once.
+    #[display("a length header is present more than once; send it once")]
+    DuplicateLength,
+    /// Neither header is present though a body must follow.
+    #[display("neither content-length nor chunked coding is present; send one of them")]
+    NoLength,
+    /// The value of `content-length` is not a whole number.
+    #[display("content-length is not a whole number")]
+    BadLength,
+    /// The transfer coding is not `chunked`.
+    #[display("the transfer coding is not `chunked`")]
+    UnknownCoding,
+}
+
+/// Where a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    Empty,
+    Fixed(usize),
+    Chunked,
+}
+
+/// Why a body could not be read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyFault {
+    TooBig,
+    ChunkTooBig,
+    Malformed,
+}
+
+/// One step of reading a body.
+pub(crate) enum Step {
+    Data(Bytes),
+    More,
+    End,
+}
+
+/// Works out the framing of a request, which may have no body.
+pub(crate) fn of_request(headers: &HeaderMap) -> Result<Framing, FramingFault> {
+    Ok(declared(headers)?.unwrap_or(Framing::Empty))
+}
+
+/// Works out the framing of a response, which must declare one.
+pub(crate) fn of_response(
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Framing, FramingFault> {
+    let declared = declared(headers)?;
+    if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Ok(Framing::Empty);
+    }
+    declared.ok_or(FramingFault::NoLength)
+}
+
+fn declared(headers: &HeaderMap) -> Result<Option<Framing>, FramingFault> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let (length, coding) = (lengths.next(), codings.next());
+    if lengths.next().is_some() || codings.next().is_some() {
+        return Err(FramingFault::DuplicateLength);
+    }
+    match (length, coding) {
+        (Some(_), Some(_)) => Err(FramingFault::BothLengths),
+        (Some(length), None) => fixed(length.as_bytes()).map(Some),
+        (None, Some(coding)) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(_)) => Err(FramingFault::UnknownCoding),
+        (None, None) => Ok(None),
+    }
+}
+
+fn fixed(value: &[u8]) -> Result<Framing, FramingFault> {
+    // A sign or white space inside is refused, which `parse` alone would not do.
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(FramingFault::BadLength);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| FramingFault::BadLength)?;
+    match text.parse().map_err(|_| FramingFault::BadLength)? {
+        0 => Ok(Framing::Empty),
+        length => Ok(Framing::Fixed(length)),
+    }
+}
+
+/// Takes the pieces of one body out of a buffer.
+pub(crate) struct BodyDecoder {
+    state: State,
+    bytes_left: usize,
+    chunk_bytes: usize,
+}
+
+enum State {
+    Fixed(usize),
+    ChunkStart(ChunkedBodyDecoder),
+    InChunk(ChunkedBodyDecoder),
+    Done,
+}
+
+impl BodyDecoder {
+    /// Starts a body; a declared length over the limit is refused at once.
+    pub(crate) fn new(framing: Framing, limits: &Limits) -> Result<BodyDecoder, BodyFault> {
+        let state = match framing {
+            Framing::Empty => State::Done,
+            Framing::Fixed(length) if length > limits.body_bytes => return Err(BodyFault::TooBig),
+            Framing::Fixed(length) => State::Fixed(length),
+            Framing::Chunked => State::ChunkStart(ChunkedBodyDecoder::default()),
+        };
+        Ok(BodyDecoder { state, bytes_left: limits.body_bytes, chunk_bytes: limits.chunk_bytes })
+    }
+
+    /// Takes the next piece from `buffer`.
+    pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
+        match std::mem::replace(&mut self.state, State::Done) {
+            State::Done => Ok(Step::End),
+            State::Fixed(left) => Ok(self.decode_fixed(left, buffer)),
+            State::ChunkStart(decoder) => self.start_chunk(decoder, buffer),
+            State::InChunk(decoder) => self.decode_chunk(decoder, buffer),
+        }
+    }
+
+    fn decode_fixed(&mut self, left: usize, buffer: &mut BytesMut) -> Step {
+        if buffer.is_empty() {
+            self.state = State::Fixed(left);
+            return Step::More;
+        }
+        let data = buffer.split_to(buffer.len().min(left)).freeze();
+        if data.len() < left {
+            self.state = State::Fixed(left - data.len());
+        }
+        Step::Data(data)
+    }
+
+    fn start_chunk(
+        &mut self,
+        decoder: ChunkedBodyDecoder,
+        buffer: &mut BytesMut,
+    ) -> Result<Step, BodyFault> {
+        let Some(first) = buffer.first() else {
+            self.state = State::ChunkStart(decoder);
+            return Ok(Step::More);
+        };
+        // The codec reads an empty size line as the last chunk, which would pass a cut body off
+        // as a whole one.
+        if !first.is_ascii_hexdigit() {
+            return Err(BodyFault::Malformed);
+        }
+        self.decode_chunk(decoder, buffer)
+    }
+
+    fn decode_chunk(
+        &mut self,
+        mut decoder: ChunkedBodyDecoder,
+        buffer: &mut BytesMut,
+    ) -> Result<Step, BodyFault> {
+        match decoder.decode(buffer).map_err(|_| BodyFault::Malformed)? {
+            Decoded::Some(None) => Ok(Step::End),
+            Decoded::Some(Some(data)) if data.len() > self.chunk_bytes => {
+                Err(BodyFault::ChunkTooBig)
+            }
+            Decoded::Some(Some(data)) => {
+                let left = self.bytes_left.checked_sub(data.len()).ok_or(BodyFault::TooBig)?;
+                self.bytes_left = left;
+                self.state = State::ChunkStart(decoder);
+                Ok(Step::Data(data))
+            }
+            _ if buffer.len() > self.chunk_bytes + CHUNK_OVERHEAD_BYTES => {
+                Err(BodyFault::ChunkTooBig)
+            }
+            _ => {
+                self.state = State::InChunk(decoder);
+                Ok(Step::More)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/httpio/src/inbound.rs
@@ -0,0 +1,104 @@
+//! The read half of a connection with a bounded buffer in front of the codec.
+//!
+//! The codec's own framed reader loses its buffer when a read is dropped by a timeout; this one
+//! keeps what has arrived, so that a read can be raced against other events.
+
+use std::{future, io};
+
+use bytes::BytesMut;
+use derive_more::Display;
+use monoio::{
+    io::{AsyncReadRent, OwnedReadHalf},
+    net::TcpStream,
+};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::DecodeError;
+
+use crate::Limits;
+
+const READ_BYTES: usize = 4 << 10;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// What one read brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Filled {
+    Data,
+    End,
+}
+
+/// Why a head could not be decoded.
+#[derive(Debug, Display)]
+pub(crate) enum HeadFault {
+    #[display("the head is larger than allowed")]
+    TooBig,
+    #[display("the head is malformed: {_0}")]
+    Malformed(DecodeError),
+}
+
+/// Reads from a connection into a buffer that survives a dropped read.
+pub(crate) struct Inbound {
+    half: OwnedReadHalf<TcpStream>,
+    spare: Vec<u8>,
+    pub(crate) buffer: BytesMut,
+}
+
+impl Inbound {
+    pub(crate) fn new(half: OwnedReadHalf<TcpStream>) -> Inbound {
+        Inbound { half, spare: Vec::new(), buffer: BytesMut::new() }
+    }
+
+    /// Reads once and appends to the buffer; dropping the future loses no data.
+    pub(crate) async fn fill(&mut self) -> io::Result<Filled> {
+        let mut spare = std::mem::take(&mut self.spare);
+        spare.clear();
+        spare.reserve(READ_BYTES);
+        let (result, spare) = self.half.read(spare).await;
+        let count = result?;
+        self.buffer.extend_from_slice(&spare[..count]);
+        self.spare = spare;
+        Ok(if count == 0 { Filled::End } else { Filled::Data })
+    }
+
+    /// Resolves when the peer has closed or broken the connection.
+    ///
+    /// Bytes of a next request are kept; once a read's worth has gathered, watching stops so that
+    /// a peer cannot fill memory.
+    pub(crate) async fn closed(&mut self) {
+        while self.buffer.len() < READ_BYTES {
+            match self.fill().await {
+                Ok(Filled::Data) => {}
+                Ok(Filled::End) | Err(_) => return,
+            }
+        }
+        future::pending().await
+    }
+
+    /// Takes a head from the buffer, or nothing when more bytes are needed.
+    pub(crate) fn take_head<D>(
+        &mut self,
+        mut decoder: D,
+        limits: &Limits,
+    ) -> Result<Option<D::Item>, HeadFault>
+    where
+        D: Decoder<Error = DecodeError>,
+    {
+        if self.buffer.len() >= limits.head_bytes && !self.has_head_within(limits.head_bytes) {
+            return Err(HeadFault::TooBig);
+        }
+        match decoder.decode(&mut self.buffer).map_err(head_fault)? {
+            Decoded::Some(head) => Ok(Some(head)),
+            Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => Ok(None),
+        }
+    }
+
+    fn has_head_within(&self, bound: usize) -> bool {
+        self.buffer[..bound].windows(HEAD_END.len()).any(|it| it == HEAD_END)
+    }
+}
+
+fn head_fault(error: DecodeError) -> HeadFault {
+    match &error {
+        DecodeError::Parse(parse) if parse.to_string() == "too many headers" => HeadFault::TooBig,
+        _ => HeadFault::Malformed(error),
+    }
+}
--- /dev/null
+++ b/crates/httpio/src/outbound.rs
@@ -0,0 +1,240 @@
+//! The write half of a connection, which counts the bytes that the kernel has taken.
+//!
+//! The library's encoder writes a streamed body without a flush between chunks. Here it writes
+//! the head only; the chunk frames are written one at a time, so that each leaves at once.
+
+use std::{convert::Infallible, io, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, Uri, header};
+use monoio::{
+    BufResult,
+    buf::{IoBuf, IoVecBuf},
+    io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, sink::Sink},
+    net::TcpStream,
+    time,
+};
+use monoio_http::{
+    common::{
+        body::{Body, StreamHint},
+        error::HttpError,
+        request::Request,
+        response::Response,
+    },
+    h1::codec::{decoder::DecodeError, encoder::EncodeError, encoder::GenericEncoder},
+};
+
+/// What the encoder writes after a stream that yields nothing.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Writes messages and chunks to a connection.
+pub(crate) struct Outbound {
+    half: OwnedWriteHalf<TcpStream>,
+    /// Bytes of the message at hand that the kernel has taken.
+    pub(crate) sent_bytes: usize,
+    timeout: Duration,
+}
+
+impl Outbound {
+    pub(crate) fn new(half: OwnedWriteHalf<TcpStream>, timeout: Duration) -> Outbound {
+        Outbound { half, sent_bytes: 0, timeout }
+    }
+
+    /// Writes a whole request.
+    pub(crate) async fn request(
+        &mut self,
+        method: Method,
+        uri: Uri,
+        mut headers: HeaderMap,
+        body: Bytes,
+    ) -> io::Result<()> {
+        declare_empty(&mut headers, &body);
+        let mut request = Request::new(WholeBody::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers;
+        self.sent_bytes = 0;
+        let timeout = self.timeout;
+        let mut encoder = GenericEncoder::new(Encoding { outbound: self, withheld_bytes: 0 });
+        bounded(timeout, async {
+            encoder.send(request).await.map_err(io_error)?;
+            Sink::<Request<WholeBody>>::flush(&mut encoder).await.map_err(io_error)
+        })
+        .await
+    }
+
+    /// Writes a whole response.
+    pub(crate) async fn response(
+        &mut self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: Bytes,
+    ) -> io::Result<()> {
+        declare_empty(&mut headers, &body);
+        self.message(response(status, headers, WholeBody::new(body)), 0).await
+    }
+
+    /// Writes the head of a response whose chunks follow one by one.
+    pub(crate) async fn stream_head(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+    ) -> io::Result<()> {
+        self.message(response(status, headers, NoChunks), LAST_CHUNK.len()).await
+    }
+
+    /// Writes one chunk; an empty one is left out because it would end the body.
+    pub(crate) async fn chunk(&mut self, data: &[u8]) -> io::Result<()> {
+        if data.is_empty() {
+            return Ok(());
+        }
+        let mut frame = format!("{:X}\r\n", data.len()).into_bytes();
+        frame.extend_from_slice(data);
+        frame.extend_from_slice(b"\r\n");
+        self.raw(frame).await
+    }
+
+    /// Writes the chunk that ends a body.
+    pub(crate) async fn last_chunk(&mut self) -> io::Result<()> {
+        self.raw(LAST_CHUNK.to_vec()).await
+    }
+
+    /// Tells the peer that its request's body may follow.
+    pub(crate) async fn go_on(&mut self) -> io::Result<()> {
+        self.raw(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await
+    }
+
+    /// Tells the peer that nothing follows.
+    pub(crate) async fn shutdown(&mut self) -> io::Result<()> {
+        self.half.shutdown().await
+    }
+
+    async fn raw(&mut self, frame: Vec<u8>) -> io::Result<()> {
+        bounded(self.timeout, async {
+            let (result, _) = self.half.write_all(frame).await;
+            result.map(drop)
+        })
+        .await
+    }
+
+    async fn message<B>(&mut self, response: Response<B>, withheld_bytes: usize) -> io::Result<()>
+    where
+        B: Body<Data = Bytes, Error = Infallible>,
+    {
+        let timeout = self.timeout;
+        let mut encoder = GenericEncoder::new(Encoding { outbound: self, withheld_bytes });
+        bounded(timeout, async {
+            encoder.send(response).await.map_err(io_error)?;
+            Sink::<Response<B>>::flush(&mut encoder).await.map_err(io_error)
+        })
+        .await
+    }
+}
+
+async fn bounded<F>(timeout: Duration, write: F) -> io::Result<()>
+where
+    F: Future<Output = io::Result<()>>,
+{
+    time::timeout(timeout, write).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+fn response<B>(status: StatusCode, headers: HeaderMap, body: B) -> Response<B> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The library leaves the length out of a message without a body unless the head names it.
+fn declare_empty(headers: &mut HeaderMap, body: &Bytes) {
+    if body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, 0.into());
+    }
+}
+
+fn io_error(error: HttpError) -> io::Error {
+    match error {
+        HttpError::IOError(error)
+        | HttpError::H1EncodeError(EncodeError::Io(error))
+        | HttpError::H1DecodeError(DecodeError::Io(error)) => error,
+        error => io::Error::other(error.to_string()),
+    }
+}
+
+/// A body that is in memory.
+struct WholeBody(Option<Bytes>);
+
+impl WholeBody {
+    fn new(body: Bytes) -> WholeBody {
+        WholeBody(Some(body).filter(|it| !it.is_empty()))
+    }
+}
+
+impl Body for WholeBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    async fn next_data(&mut self) -> Option<Result<Bytes, Infallible>> {
+        self.0.take().map(Ok)
+    }
+
+    fn stream_hint(&self) -> StreamHint {
+        match self.0 {
+            Some(_) => StreamHint::Fixed,
+            None => StreamHint::None,
+        }
+    }
+}
+
+/// A streamed body without chunks, which makes the encoder write a head for one.
+struct NoChunks;
+
+impl Body for NoChunks {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    async fn next_data(&mut self) -> Option<Result<Bytes, Infallible>> {
+        None
+    }
+
+    fn stream_hint(&self) -> StreamHint {
+        StreamHint::Stream
+    }
+}
+
+/// Passes the encoder's bytes on, but for the last `withheld_bytes` of its one flush.
+struct Encoding<'a> {
+    outbound: &'a mut Outbound,
+    withheld_bytes: usize,
+}
+
+impl AsyncWriteRent for Encoding<'_> {
+    async fn write<T: IoBuf>(&mut self, buf: T) -> BufResult<usize, T> {
+        let len = buf.bytes_init();
+        let kept = len.saturating_sub(self.withheld_bytes);
+        if kept == 0 {
+            return (Ok(len), buf);
+        }
+        let (result, slice) = self.outbound.half.write(buf.slice(..kept)).await;
+        if let Ok(count) = result {
+            self.outbound.sent_bytes += count;
+        }
+        (result, slice.into_inner())
+    }
+
+    async fn writev<T: IoVecBuf>(&mut self, bufs: T) -> BufResult<usize, T> {
+        let (result, bufs) = self.outbound.half.writev(bufs).await;
+        if let Ok(count) = result {
+            self.outbound.sent_bytes += count;
+        }
+        (result, bufs)
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        self.outbound.half.flush().await
+    }
+
+    async fn shutdown(&mut self) -> io::Result<()> {
+        self.outbound.half.shutdown().await
+    }
+}
--- /dev/null
+++ b/crates/httpio/src/server/connection.rs
@@ -0,0 +1,313 @@
+//! One accepted connection: reads a request, runs the handler, writes the reply, again and again.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures::{FutureExt, StreamExt, channel::mpsc, pin_mut, select_biased};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header, uri::Authority};
+use monoio::{io::Splitable, net::TcpStream, time};
+use monoio_http::{common::request::RequestHead, h1::codec::decoder::RequestHeadDecoder};
+
+use super::{
+    Handler, Reply, Request, StopSignals,
+    reply::{Part, ReplyBody},
+};
+use crate::{
+    Limits,
+    framing::{self, BodyDecoder, BodyFault, Step},
+    inbound::{Filled, HeadFault, Inbound},
+    outbound::Outbound,
+    signal::{Signal, signal},
+};
+
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 1 << 20;
+
+/// Why a connection ends.
+enum End {
+    /// Nothing more is to be said.
+    Close,
+    /// The request is refused, and then the connection is closed.
+    Refuse(StatusCode, String),
+}
+
+pub(super) struct Connection {
+    inbound: Inbound,
+    outbound: Outbound,
+    peer: SocketAddr,
+    limits: Limits,
+    stop: StopSignals,
+    handler: Rc<dyn Handler>,
+}
+
+impl Connection {
+    pub(super) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: Limits,
+        stop: StopSignals,
+        handler: Rc<dyn Handler>,
+    ) -> Connection {
+        // Without it small chunks wait for the acknowledgement of the one before; a failure to
+        // set it costs latency only.
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        Connection {
+            inbound: Inbound::new(read),
+            outbound: Outbound::new(write, limits.write_timeout()),
+            peer,
+            limits,
+            stop,
+            handler,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        loop {
+            let end = match self.next_request().await {
+                Ok(request) => self.answer(request).await,
+                Err(end) => Err(end),
+            };
+            match end {
+                Ok(()) => {}
+                Err(End::Close) => return,
+                Err(End::Refuse(status, remedy)) => return self.refuse(status, remedy).await,
+            }
+        }
+    }
+
+    async fn next_request(&mut self) -> Result<RequestHeadAndBody, End> {
+        self.await_first_byte().await?;
+        let head = self.read_head().await?;
+        check_host(&head)?;
+        let body = time::timeout(self.limits.head_timeout(), self.read_body(&head))
+            .await
+            .map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "send the whole body faster"))??;
+        Ok(RequestHeadAndBody { head, body })
+    }
+
+    /// Waits for a request on an idle connection, which a stop may close.
+    async fn await_first_byte(&mut self) -> Result<(), End> {
+        while self.inbound.buffer.is_empty() {
+            let closing = closing_grace(&self.stop.closing, self.limits.closing_grace()).fuse();
+            let idle = time::sleep(self.limits.keep_alive()).fuse();
+            let filled = self.inbound.fill().fuse();
+            pin_mut!(closing, idle, filled);
+            // What has arrived goes first, so that a stop does not cut off a request.
+            select_biased! {
+                filled = filled => match filled {
+                    Ok(Filled::Data) => {}
+                    Ok(Filled::End) | Err(_) => return Err(End::Close),
+                },
+                () = closing => return Err(End::Close),
+                () = idle => return Err(End::Close),
+            }
+        }
+        Ok(())
+    }
+
+    async fn read_head(&mut self) -> Result<RequestHead, End> {
+        let limits = self.limits;
+        let inbound = &mut self.inbound;
+        let head = async {
+            loop {
+                if let Some(head) =
+                    inbound.take_head(RequestHeadDecoder, &limits).map_err(head_refusal)?
+                {
+                    return Ok(head);
+                }
+                match inbound.fill().await {
+                    Ok(Filled::Data) => {}
+                    Ok(Filled::End) | Err(_) => return Err(End::Close),
+                }
+            }
+        };
+        let head = time::timeout(limits.head_timeout(), head)
+            .await
+            .map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "send the whole head faster"))??;
+        if head.headers.len() > limits.header_count {
+            return Err(head_refusal(HeadFault::TooBig));
+        }
+        Ok(head)
+    }
+
+    async fn read_body(&mut self, head: &RequestHead) -> Result<Bytes, End> {
+        let framing = framing::of_request(&head.headers)
+            .map_err(|fault| refusal(StatusCode::BAD_REQUEST, fault))?;
+        let mut decoder = BodyDecoder::new(framing, &self.limits).map_err(body_refusal)?;
+        if expects_go_on(&head.headers) && self.inbound.buffer.is_empty() {
+            self.outbound.go_on().await.map_err(|_| End::Close)?;
+        }
+        let mut body = BytesMut::new();
+        loop {
+            match decoder.decode(&mut self.inbound.buffer).map_err(body_refusal)? {
+                Step::Data(data) => body.extend_from_slice(&data),
+                Step::End => return Ok(body.freeze()),
+                Step::More => match self.inbound.fill().await {
+                    Ok(Filled::Data) => {}
+                    Ok(Filled::End) | Err(_) => return Err(End::Close),
+                },
+            }
+        }
+    }
+
+    async fn answer(&mut self, request: RequestHeadAndBody) -> Result<(), End> {
+        let RequestHeadAndBody { head, body } = request;
+        let asked_to_close = wants_close(&head.headers);
+        let (trigger, gone) = signal();
+        let request = Request {
+            method: head.method.clone(),
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            peer: self.peer,
+            gone,
+        };
+        let mut call = self.handler.call(request).fuse();
+        let early = {
+            let closed = self.inbound.closed().fuse();
+            pin_mut!(closed);
+            select_biased! {
+                reply = call => Some(reply),
+                () = closed => None,
+            }
+        };
+        let Some(reply) = early else {
+            // The handler goes on, for its work may have to be finished or taken back.
+            trigger.raise();
+            drop(call.await);
+            return Err(End::Close);
+        };
+        let closes = asked_to_close || self.is_stopping();
+        let written = self.write(reply, &head.method, closes).await;
+        if written.is_err() {
+            trigger.raise();
+        }
+        match written {
+            Ok(()) if closes => Err(End::Close),
+            written => written,
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stop.draining.is_raised() || self.stop.closing.is_raised()
+    }
+
+    async fn write(&mut self, reply: Reply, method: &Method, closes: bool) -> Result<(), End> {
+        let Reply { status, mut headers, body } = reply;
+        if closes {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        match body {
+            ReplyBody::Whole(_) if method == Method::HEAD => {
+                self.outbound.response(status, headers, Bytes::new()).await
+            }
+            ReplyBody::Whole(body) => self.outbound.response(status, headers, body).await,
+            ReplyBody::Stream(parts) => {
+                self.outbound.stream_head(status, headers).await.map_err(|_| End::Close)?;
+                return self.write_parts(parts).await;
+            }
+            ReplyBody::Abort => return Err(End::Close),
+        }
+        .map_err(|_| End::Close)
+    }
+
+    async fn write_parts(&mut self, mut parts: mpsc::Receiver<Part>) -> Result<(), End> {
+        loop {
+            let part = {
+                let closed = self.inbound.closed().fuse();
+                pin_mut!(closed);
+                select_biased! {
+                    part = parts.next() => part,
+                    () = closed => return Err(End::Close),
+                }
+            };
+            match part {
+                Some(Part::Data(data)) => self.outbound.chunk(&data).await,
+                Some(Part::End) => {
+                    return self.outbound.last_chunk().await.map_err(|_| End::Close);
+                }
+                None => return Err(End::Close),
+            }
+            .map_err(|_| End::Close)?;
+        }
+    }
+
+    async fn refuse(&mut self, status: StatusCode, remedy: String) {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        // The connection is closed in any case.
+        if self.outbound.response(status, headers, remedy.into()).await.is_ok() {
+            let _ = time::timeout(LINGER, self.linger()).await;
+        }
+    }
+
+    /// Reads on for a while, because a close with unread bytes would reset the connection and
+    /// might take the refusal away from the caller.
+    async fn linger(&mut self) {
+        let mut left_bytes = LINGER_BYTES;
+        if self.outbound.shutdown().await.is_err() {
+            return;
+        }
+        while left_bytes > 0 && matches!(self.inbound.fill().await, Ok(Filled::Data)) {
+            left_bytes = left_bytes.saturating_sub(self.inbound.buffer.len());
+            self.inbound.buffer.clear();
+        }
+    }
+}
+
+/// Resolves some time after `closing`, because a request may be on its way to an idle connection.
+async fn closing_grace(closing: &Signal, grace: Duration) {
+    closing.raised().await;
+    time::sleep(grace).await;
+}
+
+struct RequestHeadAndBody {
+    head: RequestHead,
+    body: Bytes,
+}
+
+fn check_host(head: &RequestHead) -> Result<(), End> {
+    if head.version != Version::HTTP_11 {
+        return Err(refusal(StatusCode::HTTP_VERSION_NOT_SUPPORTED, "use HTTP/1.1"));
+    }
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let (Some(host), None) = (hosts.next(), hosts.next()) else {
+        return Err(refusal(StatusCode::BAD_REQUEST, "send the host header exactly once"));
+    };
+    if Authority::try_from(host.as_bytes()).is_err() {
+        return Err(refusal(StatusCode::BAD_REQUEST, "send a host header of the form host:port"));
+    }
+    Ok(())
+}
+
+fn expects_go_on(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::EXPECT)
+        .is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+fn wants_close(headers: &HeaderMap) -> bool {
+    headers.get(header::CONNECTION).is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+fn refusal(status: StatusCode, remedy: impl ToString) -> End {
+    End::Refuse(status, remedy.to_string())
+}
+
+fn head_refusal(fault: HeadFault) -> End {
+    let status = match fault {
+        HeadFault::TooBig => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        HeadFault::Malformed(_) => StatusCode::BAD_REQUEST,
+    };
+    refusal(status, fault)
+}
+
+fn body_refusal(fault: BodyFault) -> End {
+    match fault {
+        BodyFault::TooBig => refusal(StatusCode::PAYLOAD_TOO_LARGE, "send a smaller body"),
+        BodyFault::ChunkTooBig => refusal(StatusCode::PAYLOAD_TOO_LARGE, "send smaller chunks"),
+        BodyFault::Malformed => refusal(StatusCode::BAD_REQUEST, "the chunked body is malformed"),
+    }
+}
--- /dev/null
+++ b/crates/httpio/tests/graceful_stop.rs
@@ -0,0 +1,109 @@
+//! A stop finishes what is in flight, and callers are asked to go elsewhere before it.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc};
+
+use futures::{FutureExt, StreamExt, channel::mpsc, future::LocalBoxFuture};
+use httpio::{
+    Limits, StatusCode,
+    client::Connection,
+    server::{self, Reply, Request, ServerSettings, StopSignals},
+    signal,
+};
+use monoio::{io::AsyncReadRent, net::TcpStream};
+
+const LIMITS: Limits = Limits {
+    closing_grace_ms: 0,
+    head_bytes: 4096,
+    header_count: 64,
+    body_bytes: 4096,
+    chunk_bytes: 4096,
+    connect_timeout_ms: 1_000,
+    head_timeout_ms: 30_000,
+    idle_timeout_ms: 30_000,
+    write_timeout_ms: 30_000,
+    keep_alive_ms: 60_000,
+};
+
+fn ok() -> Reply {
+    Reply::typed(StatusCode::OK, "text/plain", "done".into())
+}
+
+#[test]
+fn finishes_in_flight() {
+    support::run(async {
+        let (close, closing) = signal::signal();
+        let (started, mut starts) = mpsc::unbounded::<()>();
+        let (release, released) = signal::signal();
+        let handler = move |_: Request| -> LocalBoxFuture<'static, Reply> {
+            started.unbounded_send(()).expect("the test waits");
+            let released = released.clone();
+            async move {
+                released.raised().await;
+                ok()
+            }
+            .boxed_local()
+        };
+        let (listener, addr) = support::listen();
+        let stop = StopSignals { closing, ..StopSignals::default() };
+        let settings = ServerSettings { limits: LIMITS, ..ServerSettings::default() };
+        let ended = Rc::new(Cell::new(false));
+        let flag = Rc::clone(&ended);
+        let served = monoio::spawn(async move {
+            server::serve(listener, settings, stop, Rc::new(handler)).await;
+            flag.set(true);
+        });
+        let mut idle = TcpStream::connect_addr(addr).await.expect("a server");
+        let busy = Connection::open(addr, LIMITS).await.expect("a server");
+        let answer =
+            monoio::spawn(async move { support::text(busy.send(support::get("/")).await).await });
+        starts.next().await;
+
+        close.raise();
+        // The idle connection ends, the busy one does not.
+        assert_eq!(idle.read(vec![0; 1]).await.0.expect("an orderly end"), 0);
+        assert!(!ended.get());
+        release.raise();
+
+        assert_eq!(answer.await, "200 OK: done");
+        served.await;
+        assert!(Connection::open(addr, LIMITS).await.is_err());
+    });
+}
+
+#[test]
+fn drains_keep_alive() {
+    support::run(async {
+        let (drain, draining) = signal::signal();
+        let stop = StopSignals { draining, ..StopSignals::default() };
+        let addr = support::serve(LIMITS, stop, async |_| ok());
+        let pool = support::pool(LIMITS);
+
+        support::text(pool.send(addr, support::get("/")).await).await;
+        assert_eq!(pool.idle_count(addr), 1);
+        drain.raise();
+        assert_eq!(support::text(pool.send(addr, support::get("/")).await).await, "200 OK: done");
+        assert_eq!(pool.idle_count(addr), 0);
+    });
+}
+
+#[test]
+fn connection_bound() {
+    support::run(async {
+        let (listener, addr) = support::listen();
+        let settings = ServerSettings { limits: LIMITS, connections: server::ConnectionBound(1) };
+        let handler =
+            |_: Request| -> LocalBoxFuture<'static, Reply> { async { ok() }.boxed_local() };
+        monoio::spawn(server::serve(listener, settings, StopSignals::default(), Rc::new(handler)));
+        let first = Connection::open(addr, LIMITS).await.expect("a server");
+        let second = Connection::open(addr, LIMITS).await.expect("the backlog takes it");
+        let mut second = Box::pin(second.send(support::get("/")));
+        let answer = support::text(first.send(support::get("/")).await);
+        futures::pin_mut!(answer);
+        // The second is served only after the first has closed.
+        let early = futures::future::select(&mut second, answer).await;
+        assert!(matches!(early, futures::future::Either::Right(_)));
+        assert_eq!(support::text(second.await).await, "200 OK: done");
+    });
+}
--- /dev/null
+++ b/crates/httpio/tests/malformed_replies.rs
@@ -0,0 +1,183 @@
+//! Replies that a server gets wrong are told from whole ones.
+
+mod support;
+
+use expect_test::{Expect, expect};
+use httpio::Limits;
+
+const SMALL: Limits = Limits {
+    head_bytes: 200,
+    header_count: 8,
+    body_bytes: 100,
+    chunk_bytes: 40,
+    connect_timeout_ms: 1_000,
+    head_timeout_ms: 1_000,
+    idle_timeout_ms: 1_000,
+    write_timeout_ms: 1_000,
+    keep_alive_ms: 1_000,
+    closing_grace_ms: 0,
+};
+
+fn check(reply: &str, expected: Expect) {
+    let reply = reply.to_owned();
+    support::run(async move {
+        let (addr, _) = support::raw_server(reply);
+        let pool = support::pool(SMALL);
+        expected.assert_eq(&support::text(pool.send(addr, support::get("/")).await).await);
+        assert_eq!(pool.idle_count(addr), 0, "a connection whose end is unsure is not kept");
+    });
+}
+
+#[test]
+fn no_length() {
+    check(
+        "HTTP/1.1 200 OK\r\n\r\nlost",
+        expect![
+            "the answer is refused: neither content-length nor chunked coding is present; send one of them (head received)"
+        ],
+    );
+}
+
+#[test]
+fn both_lengths() {
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        expect![
+            "the answer is refused: both content-length and transfer-encoding are present; send one of them (head received)"
+        ],
+    );
+}
+
+#[test]
+fn two_lengths() {
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\nok",
+        expect![
+            "the answer is refused: a length header is present more than once; send it once (head received)"
+        ],
+    );
+}
+
+#[test]
+fn bad_length() {
+    for length in ["+2", "-2", "2 2", "2,2", "x", "99999999999999999999999"] {
+        let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\nok");
+        check(
+            &reply,
+            expect!["the answer is refused: content-length is not a whole number (head received)"],
+        );
+    }
+}
+
+#[test]
+fn unknown_coding() {
+    check(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok",
+        expect!["the answer is refused: the transfer coding is not `chunked` (head received)"],
+    );
+}
+
+#[test]
+fn short_fixed_body() {
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut",
+        expect!["200 OK, then the connection ended before the answer did (head received)"],
+    );
+}
+
+#[test]
+fn short_chunked_body() {
+    check(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n",
+        expect!["200 OK, then the connection ended before the answer did (head received)"],
+    );
+    check(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\ncut",
+        expect!["200 OK, then the connection ended before the answer did (head received)"],
+    );
+    check(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n0\r\n",
+        expect!["200 OK, then the connection ended before the answer did (head received)"],
+    );
+}
+
+#[test]
+fn empty_chunk_size() {
+    check(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n\r\n\r\n",
+        expect!["200 OK, then the answer is malformed: a chunk is malformed (head received)"],
+    );
+}
+
+#[test]
+fn cut_head() {
+    check("", expect!["the connection ended before the answer did (request sent)"]);
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-le",
+        expect!["the connection ended before the answer did (request sent)"],
+    );
+}
+
+#[test]
+fn malformed_head() {
+    check(
+        "SMTP ready\r\n\r\n",
+        expect!["the answer is malformed: httparse error invalid HTTP version (request sent)"],
+    );
+}
+
+#[test]
+fn big_head() {
+    let field = "x".repeat(300);
+    check(
+        &format!("HTTP/1.1 200 OK\r\nx: {field}\r\n\r\n"),
+        expect!["the head of the answer is larger than allowed (request sent)"],
+    );
+    check(
+        &format!("HTTP/1.1 200 OK\r\n{}\r\n", "a: b\r\n".repeat(9)),
+        expect!["the head of the answer is larger than allowed (head received)"],
+    );
+}
+
+#[test]
+fn big_body() {
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n",
+        expect!["the body of the answer is larger than allowed (head received)"],
+    );
+    let chunk = format!("1E\r\n{}\r\n", "x".repeat(30));
+    check(
+        &format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunk.repeat(4)),
+        expect!["200 OK, then the body of the answer is larger than allowed (head received)"],
+    );
+}
+
+#[test]
+fn big_chunk() {
+    check(
+        &format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n50\r\n{}", "x".repeat(80)),
+        expect!["200 OK, then a chunk of the answer is larger than allowed (head received)"],
+    );
+}
+
+#[test]
+fn bytes_after_end() {
+    check(
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+        expect!["200 OK: ok"],
+    );
+}
+
+#[test]
+fn interim_replies() {
+    check(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok",
+        expect!["200 OK: ok"],
+    );
+    check(
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        expect![
+            "the answer is malformed: it switches to a protocol that was not asked for (request sent)"
+        ],
+    );
+}
--- /dev/null
+++ b/crates/httpio/tests/refused_requests.rs
@@ -0,0 +1,178 @@
+//! Requests whose end or target is unclear are refused before a handler sees them.
+
+mod support;
+
+use expect_test::{Expect, expect};
+use httpio::{
+    Limits, StatusCode,
+    server::{Reply, StopSignals},
+};
+
+fn check(request: &str, expected: Expect) {
+    let request = request.to_owned();
+    support::run(async move {
+        let limits =
+            Limits { head_bytes: 200, body_bytes: 20, chunk_bytes: 10, ..Limits::default() };
+        let addr = support::serve(limits, StopSignals::default(), async |req| {
+            Reply::whole(StatusCode::OK, Default::default(), req.body)
+        });
+        expected.assert_eq(&support::raw_exchange(addr, request).await.replace('\r', ""));
+    });
+}
+
+fn check_length(fields: &str, expected: Expect) {
+    check(&format!("POST / HTTP/1.1\r\nhost: a\r\n{fields}\r\n\r\n"), expected);
+}
+
+#[test]
+fn both_lengths() {
+    check_length(
+        "content-length: 5\r\ntransfer-encoding: chunked",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 71
+        connection: close
+        content-type: text/plain
+
+        both content-length and transfer-encoding are present; send one of them"#]],
+    );
+}
+
+#[test]
+fn two_lengths() {
+    check_length(
+        "content-length: 5\r\ncontent-length: 5",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 55
+        connection: close
+        content-type: text/plain
+
+        a length header is present more than once; send it once"#]],
+    );
+    check_length(
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 55
+        connection: close
+        content-type: text/plain
+
+        a length header is present more than once; send it once"#]],
+    );
+}
+
+#[test]
+fn big_body() {
+    check_length(
+        "content-length: 21",
+        expect![[r#"
+        HTTP/1.1 413 Payload Too Large
+        content-length: 19
+        connection: close
+        content-type: text/plain
+
+        send a smaller body"#]],
+    );
+}
+
+#[test]
+fn big_chunk() {
+    check(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nB\r\n12345678901\r\n0\r\n\r\n",
+        expect![[r#"
+            HTTP/1.1 413 Payload Too Large
+            content-length: 19
+            connection: close
+            content-type: text/plain
+
+            send smaller chunks"#]],
+    );
+}
+
+#[test]
+fn big_head() {
+    check(
+        &format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "x".repeat(300)),
+        expect![[r#"
+        HTTP/1.1 431 Request Header Fields Too Large
+        content-length: 31
+        connection: close
+        content-type: text/plain
+
+        the head is larger than allowed"#]],
+    );
+}
+
+#[test]
+fn wrong_host() {
+    check(
+        "GET / HTTP/1.1\r\n\r\n",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 33
+        connection: close
+        content-type: text/plain
+
+        send the host header exactly once"#]],
+    );
+    check(
+        "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 33
+        connection: close
+        content-type: text/plain
+
+        send the host header exactly once"#]],
+    );
+    check(
+        "GET / HTTP/1.1\r\nhost: a b\r\n\r\n",
+        expect![[r#"
+        HTTP/1.1 400 Bad Request
+        content-length: 40
+        connection: close
+        content-type: text/plain
+
+        send a host header of the form host:port"#]],
+    );
+}
+
+#[test]
+fn old_version() {
+    check(
+        "GET / HTTP/1.0\r\nhost: a\r\n\r\n",
+        expect![[r#"
+        HTTP/1.1 505 HTTP Version Not Supported
+        content-length: 12
+        connection: close
+        content-type: text/plain
+
+        use HTTP/1.1"#]],
+    );
+}
+
+#[test]
+fn accepted_requests() {
+    check(
+        "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+        expect![[r#"
+        HTTP/1.1 200 OK
+        content-length: 0
+        connection: close
+
+    "#]],
+    );
+    check(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nGET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+        expect![[r#"
+            HTTP/1.1 200 OK
+            content-length: 2
+
+            okHTTP/1.1 200 OK
+            content-length: 0
+            connection: close
+
+        "#]],
+    );
+}
