Join message contents into the prompt text in one place

Cause: the stand-in and the load tool must make the same prompt text of a request's messages, or the check of answers fails. Change: engine_model::prompt_text joins contents by line breaks; PausedKv reads from text. Conclusion: callers check an answer against prompt_text of the contents that they sent.

--- a/crates/engine-model/src/prompt.rs
+++ b/crates/engine-model/src/prompt.rs
@@ -24,3 +24,8 @@
     }
     blocks
 }
+
+/// The prompt text that an engine makes of the contents of a request's messages.
+pub fn prompt_text<'a>(contents: impl IntoIterator<Item = &'a str>) -> String {
+    contents.into_iter().collect::<Vec<_>>().join("\n")
+}
--- a/crates/engine-model/src/settings.rs
+++ b/crates/engine-model/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a caller tells the engine: its settings and the requests.
 
-use derive_more::{Display, From};
+use derive_more::{Display, From, FromStr};
 use serde::{Deserialize, Serialize};
 
 use crate::PrefixBlock;
@@ -58,7 +58,8 @@
 }
 
 /// What becomes of the KV memory of a paused sequence.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum PausedKv {
     /// It stays until a sequence that could run needs the memory.
