Add the scheduler of the policy crate

Cause: the router needs one library that decides on admission, queueing, choice of backend server, retries, health and quarantine. Ruled out: one queue for each backend server, because a request then waits behind a straggler; a token bucket for each class, because it idles capacity. Change: Scheduler with configure, server events, offer, poll, events of requests, retry, hedge, quarantine exchange and set_credits. The order of calls is in the crate's documentation.

--- /dev/null
+++ b/crates/policy/src/backend.rs
@@ -0,0 +1,185 @@
+//! What the scheduler knows about one backend server: health, capacity and speed.
+
+use std::time::{Duration, Instant};
+
+use crate::{estimate::Ewma, keys::PoolKey, settings::Settings};
+
+const GAP_WEIGHT: f64 = 0.1;
+const FIRST_TOKEN_WEIGHT: f64 = 0.2;
+const SLOW_START_FLOOR: f64 = 0.1;
+/// A straggler keeps this many slots, so that its recovery is seen.
+const STRAGGLER_SLOTS: u32 = 1;
+
+/// A server as the platform's list shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sighting<'a> {
+    /// The server's name, unique over all pools.
+    pub name: &'a str,
+    /// The pool that it serves.
+    pub pool: PoolKey,
+    /// A number that rises with each start of the server.
+    pub incarnation: u64,
+}
+
+/// A lagging report from a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// The incarnation that reports.
+    pub incarnation: u64,
+    /// Requests that it ran, from all routers.
+    pub running: u32,
+    /// Requests that waited inside it.
+    pub waiting: u32,
+    /// Requests that it can run at once; zero if not known.
+    pub batch_max: u32,
+    /// Cache memory in use.
+    pub kv_used_permille: u32,
+    /// Age of the figures when they arrived.
+    pub age: Duration,
+}
+
+/// Whether a server gets new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It does.
+    Up,
+    /// One of its connections fell silent; a probe decides.
+    Suspect,
+    /// It crashed or refused connections; a probe or a newer incarnation brings it back.
+    Out,
+    /// It is leaving: streams finish, no new work.
+    Leaving,
+    /// It has left.
+    Gone,
+}
+
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) name_hash: u64,
+    pub(crate) pool: PoolKey,
+    pub(crate) incarnation: u64,
+    pub(crate) health: Health,
+    pub(crate) next_probe: Option<Instant>,
+    /// Start of the slow start, if there is one.
+    pub(crate) ramp_from: Option<Instant>,
+    pub(crate) in_flight: u32,
+    pub(crate) credits: Option<Credits>,
+    /// Time between two tokens in milliseconds.
+    pub(crate) gap_ms: Ewma,
+    pub(crate) first_token_ms: Ewma,
+    /// When the last gap was measured.
+    pub(crate) last_gap: Option<Instant>,
+    /// Time for which all streams here have been without a token.
+    pub(crate) stall_ms: Option<f64>,
+    /// The gap as a multiple of the peers' median.
+    pub(crate) slowness: f64,
+    /// The incarnation whose crash was booked.
+    pub(crate) crashed_incarnation: Option<u64>,
+    slots: u32,
+    others: u32,
+}
+
+/// A leased part of a server's capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Credits {
+    pub(crate) slots: u32,
+    pub(crate) expires: Instant,
+}
+
+impl Backend {
+    pub(crate) fn new(name_hash: u64, pool: PoolKey, incarnation: u64, slots: u32) -> Self {
+        Self {
+            name_hash,
+            pool,
+            incarnation,
+            health: Health::Up,
+            next_probe: None,
+            ramp_from: None,
+            in_flight: 0,
+            credits: None,
+            gap_ms: Ewma::new(GAP_WEIGHT),
+            first_token_ms: Ewma::new(FIRST_TOKEN_WEIGHT),
+            last_gap: None,
+            stall_ms: None,
+            slowness: 1.0,
+            crashed_incarnation: None,
+            slots,
+            others: 0,
+        }
+    }
+
+    /// Starts over as a newer incarnation; requests of the older one are still counted.
+    pub(crate) fn restart(&mut self, incarnation: u64) {
+        self.incarnation = incarnation;
+        self.forget_speed();
+        self.others = 0;
+    }
+
+    /// Forgets what was measured, because the server may have changed.
+    pub(crate) fn forget_speed(&mut self) {
+        self.gap_ms = Ewma::new(GAP_WEIGHT);
+        self.first_token_ms = Ewma::new(FIRST_TOKEN_WEIGHT);
+        self.slowness = 1.0;
+    }
+
+    pub(crate) fn observe_gap(&mut self, now: Instant, gap: Duration) {
+        self.gap_ms.add(gap.as_secs_f64() * 1e3);
+        self.last_gap = Some(now);
+    }
+
+    /// The measured gap, or the present stall if that is longer.
+    pub(crate) fn gap_with_stall_ms(&self) -> Option<f64> {
+        let gap_ms = self.gap_ms.value()?;
+        Some(gap_ms.max(self.stall_ms.unwrap_or(0.0)))
+    }
+
+    pub(crate) fn is_usable(&self) -> bool {
+        matches!(self.health, Health::Up | Health::Suspect)
+    }
+
+    pub(crate) fn apply_report(&mut self, report: &LoadReport) {
+        if report.batch_max > 0 {
+            self.slots = report.batch_max;
+        }
+        self.others = (report.running + report.waiting).saturating_sub(self.in_flight);
+    }
+
+    /// Requests that this router may have in flight here.
+    pub(crate) fn limit(&self, now: Instant, settings: &Settings) -> u32 {
+        if !self.is_usable() {
+            return 0;
+        }
+        let share = self.shared_slots(now, settings);
+        if self.is_straggler(settings) {
+            return share.min(STRAGGLER_SLOTS);
+        }
+        let Some(from) = self.ramp_from else { return share };
+        let elapsed = now.saturating_duration_since(from).as_secs_f64();
+        let part = (elapsed / settings.slow_start.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0);
+        (f64::from(share) * part).ceil() as u32
+    }
+
+    pub(crate) fn free(&self, now: Instant, settings: &Settings) -> u32 {
+        self.limit(now, settings).saturating_sub(self.in_flight)
+    }
+
+    pub(crate) fn is_straggler(&self, settings: &Settings) -> bool {
+        self.slowness >= settings.straggler_ratio
+    }
+
+    /// Requests on the server as a part of its slots, as far as this router knows.
+    pub(crate) fn load(&self) -> f64 {
+        let others = if self.credits.is_some() { 0 } else { self.others };
+        let slots = self.credits.map_or(self.slots, |it| it.slots).max(1);
+        f64::from(self.in_flight + others) / f64::from(slots)
+    }
+
+    fn shared_slots(&self, now: Instant, settings: &Settings) -> u32 {
+        match (self.credits, settings.others) {
+            (Some(credits), _) if credits.expires > now => credits.slots,
+            (Some(_), _) => self.slots / settings.routers.max(1),
+            (None, crate::OtherLoad::FromReports) => self.slots.saturating_sub(self.others),
+            (None, crate::OtherLoad::Ignored) => self.slots,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler.rs
@@ -0,0 +1,242 @@
+//! The state of one router's decisions; its folder holds them by matter.
+
+mod accounts;
+mod events;
+mod membership;
+mod offers;
+mod outcomes;
+mod poll;
+mod preempt;
+mod watch;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use crate::{
+    backend::Backend,
+    keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey},
+    pool::Pool,
+    quarantine::Quarantine,
+    request::{Refusal, Request},
+    settings::Settings,
+    spec::{ClassSpec, Spec, SpecError, WorkspaceSpec},
+};
+
+pub use events::ProbeResult;
+pub use watch::Figures;
+
+/// What the router does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to the server.
+    Dispatch {
+        /// The request.
+        ticket: Ticket,
+        /// The server.
+        backend: BackendKey,
+    },
+    /// Answer the caller now; the ticket is closed.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+    /// Pause the stream at the server.
+    Pause {
+        /// The stream.
+        ticket: Ticket,
+        /// Its server.
+        backend: BackendKey,
+    },
+    /// Resume the paused stream at the server.
+    Resume {
+        /// The stream.
+        ticket: Ticket,
+        /// Its server.
+        backend: BackendKey,
+    },
+    /// Send the request a second time, as a ticket of its own; the first token decides.
+    Hedge {
+        /// The request that is slow.
+        ticket: Ticket,
+        /// The ticket of the second attempt.
+        hedge: Ticket,
+        /// The server of the second attempt.
+        backend: BackendKey,
+    },
+    /// Cancel the attempt at the server, because its twin was faster; the ticket is closed.
+    Cancel {
+        /// The attempt.
+        ticket: Ticket,
+        /// Its server.
+        backend: BackendKey,
+    },
+    /// Open a new connection to the server, ask for its health, and report by `probe_result`.
+    Probe {
+        /// The server.
+        backend: BackendKey,
+    },
+}
+
+/// All decisions of one router; see the crate's documentation for the order of calls.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: Settings,
+    rng: ChaCha8Rng,
+    revision: u64,
+    classes: SlotMap<ClassKey, Class>,
+    /// The classes in force, most urgent first.
+    order: Vec<ClassKey>,
+    pools: SlotMap<PoolKey, Pool>,
+    workspaces: SlotMap<WorkspaceKey, Workspace>,
+    backends: SlotMap<BackendKey, Backend>,
+    class_names: BTreeMap<String, ClassKey>,
+    pool_names: BTreeMap<String, PoolKey>,
+    workspace_names: BTreeMap<String, WorkspaceKey>,
+    backend_names: BTreeMap<String, BackendKey>,
+    requests: SlotMap<Ticket, Request>,
+    give_ups: BTreeSet<(Instant, Ticket)>,
+    delayed: BTreeSet<(Instant, Ticket)>,
+    hedges: BTreeSet<(Instant, Ticket)>,
+    /// Servers on which a fingerprint runs, with the number of its requests there.
+    sites: BTreeMap<u64, Vec<(BackendKey, u32)>>,
+    quarantine: Quarantine,
+    actions: Vec<Action>,
+}
+
+#[derive(Debug)]
+struct Class {
+    spec: ClassSpec,
+    retired: bool,
+}
+
+#[derive(Debug)]
+struct Workspace {
+    spec: WorkspaceSpec,
+    in_flight: u32,
+    retired: bool,
+}
+
+impl Scheduler {
+    /// A scheduler without classes, pools or servers.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            revision: 0,
+            classes: SlotMap::default(),
+            order: Vec::new(),
+            pools: SlotMap::default(),
+            workspaces: SlotMap::default(),
+            backends: SlotMap::default(),
+            class_names: BTreeMap::new(),
+            pool_names: BTreeMap::new(),
+            workspace_names: BTreeMap::new(),
+            backend_names: BTreeMap::new(),
+            requests: SlotMap::default(),
+            give_ups: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            hedges: BTreeSet::new(),
+            sites: BTreeMap::new(),
+            quarantine: Quarantine::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Puts a revision in force; rows that keep their name keep their state and key.
+    ///
+    /// Waiting requests of rows that are gone are refused by the next poll; running ones finish.
+    ///
+    /// # Errors
+    /// A revision older than the present one, and faults in the rows; nothing is applied then.
+    pub fn configure(&mut self, spec: Spec) -> Result<(), SpecError> {
+        spec.check()?;
+        if spec.revision < self.revision {
+            return Err(SpecError::Stale { offered: spec.revision, current: self.revision });
+        }
+        self.revision = spec.revision;
+        self.classes.values_mut().for_each(|it| it.retired = true);
+        self.pools.values_mut().for_each(|it| it.retired = true);
+        self.workspaces.values_mut().for_each(|it| it.retired = true);
+        spec.classes.into_iter().for_each(|it| self.put_class(it));
+        spec.pools.into_iter().for_each(|it| self.put_pool(it));
+        spec.workspaces.into_iter().for_each(|it| self.put_workspace(it));
+        self.order = self.classes.keys().filter(|it| !self.classes[*it].retired).collect();
+        self.order.sort_by_key(|it| std::cmp::Reverse(self.classes[*it].spec.priority));
+        Ok(())
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The key of a class in force.
+    pub fn class(&self, name: &str) -> Option<ClassKey> {
+        self.class_names.get(name).copied().filter(|it| !self.classes[*it].retired)
+    }
+
+    /// The key of a pool in force.
+    pub fn pool(&self, name: &str) -> Option<PoolKey> {
+        self.pool_names.get(name).copied().filter(|it| !self.pools[*it].retired)
+    }
+
+    /// The key of a workspace in force.
+    pub fn workspace(&self, name: &str) -> Option<WorkspaceKey> {
+        self.workspace_names.get(name).copied().filter(|it| !self.workspaces[*it].retired)
+    }
+
+    /// The key of a server that was seen at any time.
+    pub fn backend(&self, name: &str) -> Option<BackendKey> {
+        self.backend_names.get(name).copied()
+    }
+
+    fn put_class(&mut self, spec: ClassSpec) {
+        let class = Class { spec, retired: false };
+        match self.class_names.get(&class.spec.name) {
+            Some(key) => self.classes[*key] = class,
+            None => {
+                let name = class.spec.name.clone();
+                let key = self.classes.insert(class);
+                self.class_names.insert(name, key);
+            }
+        }
+    }
+
+    fn put_pool(&mut self, spec: crate::PoolSpec) {
+        match self.pool_names.get(&spec.name) {
+            Some(key) => {
+                let pool = &mut self.pools[*key];
+                pool.spec = spec;
+                pool.retired = false;
+            }
+            None => {
+                let name = spec.name.clone();
+                let key = self.pools.insert(Pool::new(spec));
+                self.pool_names.insert(name, key);
+            }
+        }
+    }
+
+    fn put_workspace(&mut self, spec: WorkspaceSpec) {
+        match self.workspace_names.get(&spec.name) {
+            Some(key) => {
+                let workspace = &mut self.workspaces[*key];
+                workspace.spec = spec;
+                workspace.retired = false;
+            }
+            None => {
+                let name = spec.name.clone();
+                let key = self.workspaces.insert(Workspace { spec, in_flight: 0, retired: false });
+                self.workspace_names.insert(name, key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/accounts.rs
@@ -0,0 +1,120 @@
+//! The counts that a request moves as it waits, runs, pauses and ends, each in one place.
+
+use std::time::Instant;
+
+use super::{Action, Scheduler};
+use crate::{
+    keys::{BackendKey, Ticket},
+    lane::Waiting,
+    request::{Phase, Refusal, RefusalReason, Run, Standing},
+};
+
+impl Scheduler {
+    /// Takes a waiting request out and answers its caller.
+    pub(super) fn refuse_waiting(&mut self, now: Instant, ticket: Ticket, reason: RefusalReason) {
+        let Some(request) = self.requests.get(ticket) else { return };
+        let offer = request.offer;
+        self.unqueue(ticket);
+        let refusal = self.refusal(now, &offer, reason);
+        self.close_refused(ticket, refusal);
+    }
+
+    pub(super) fn close_refused(&mut self, ticket: Ticket, refusal: Refusal) {
+        self.requests.remove(ticket);
+        self.actions.push(Action::Refuse { ticket, refusal });
+    }
+
+    /// Takes a waiting or delayed request out of its queue.
+    pub(super) fn unqueue(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get(ticket) else { return };
+        self.give_ups.remove(&(request.give_up_at, ticket));
+        let offer = request.offer;
+        match request.phase {
+            Phase::Delayed { until } => {
+                self.delayed.remove(&(until, ticket));
+            }
+            Phase::Waiting => {
+                let pool = &mut self.pools[offer.pool];
+                if pool.lane(offer.class).remove(offer.workspace, ticket) {
+                    pool.waiting -= 1;
+                }
+            }
+            Phase::Running(_) | Phase::Paused(_) => {}
+        }
+    }
+
+    /// Puts a delayed request at the head of its workspace's queue.
+    pub(super) fn requeue(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        request.phase = Phase::Waiting;
+        let (offer, cost) = (request.offer, request.cost);
+        let weight = self.workspaces[offer.workspace].spec.weight;
+        let pool = &mut self.pools[offer.pool];
+        pool.waiting += 1;
+        pool.lane(offer.class).push_front(offer.workspace, weight, Waiting { ticket, cost });
+    }
+
+    /// Starts an attempt of a request that is in no queue.
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        backend: BackendKey,
+        standing: Standing,
+    ) {
+        let incarnation = self.backends[backend].incarnation;
+        let request = &mut self.requests[ticket];
+        let run = Run { backend, incarnation, sent: now, tokens: 0, last: now };
+        request.phase = Phase::Running(run);
+        request.standing = standing;
+        request.attempts += 1;
+        let (offer, cost) = (request.offer, request.cost);
+        self.give_ups.remove(&(request.give_up_at, ticket));
+        self.enter_site(offer.request_hash, backend);
+        self.workspaces[offer.workspace].in_flight += 1;
+        let lane = self.pools[offer.pool].lane(offer.class);
+        lane.running.push(ticket);
+        lane.dispatched.add(now, u64::from(cost));
+    }
+
+    /// Ends the attempt of a running or paused request; the request itself stays.
+    pub(super) fn release(&mut self, ticket: Ticket) -> Option<Run> {
+        let request = self.requests.get(ticket)?;
+        let run = request.run()?;
+        let is_running = matches!(request.phase, Phase::Running(_));
+        let offer = request.offer;
+        self.hedges.retain(|it| it.1 != ticket);
+        let lane = self.pools[offer.pool].lane(offer.class);
+        lane.running.retain(|it| *it != ticket);
+        lane.paused.retain(|it| *it != ticket);
+        if is_running {
+            self.leave_site(offer.request_hash, run.backend);
+        }
+        self.workspaces[offer.workspace].in_flight -= 1;
+        for pool in self.pools.values_mut() {
+            pool.lanes.values_mut().for_each(|it| it.unpark(offer.workspace));
+        }
+        Some(run)
+    }
+
+    pub(super) fn enter_site(&mut self, hash: u64, key: BackendKey) {
+        self.backends[key].in_flight += 1;
+        let sites = self.sites.entry(hash).or_default();
+        match sites.iter_mut().find(|it| it.0 == key) {
+            Some(site) => site.1 += 1,
+            None => sites.push((key, 1)),
+        }
+    }
+
+    pub(super) fn leave_site(&mut self, hash: u64, key: BackendKey) {
+        self.backends[key].in_flight -= 1;
+        let Some(sites) = self.sites.get_mut(&hash) else { return };
+        if let Some(site) = sites.iter_mut().find(|it| it.0 == key) {
+            site.1 -= 1;
+        }
+        sites.retain(|it| it.1 > 0);
+        if sites.is_empty() {
+            self.sites.remove(&hash);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -0,0 +1,151 @@
+//! Pausing lower streams for urgent requests, and second attempts for slow ones.
+
+use std::time::Instant;
+
+use super::{Action, Scheduler};
+use crate::{
+    choice::Choice,
+    keys::{BackendKey, ClassKey, PoolKey, Ticket},
+    pool::{Contender, Urgency},
+    request::{Phase, Repeat, Request, Standing},
+    spec::{Hedge, Pausing},
+};
+
+const HEDGE_PART: f64 = 0.5;
+
+impl Scheduler {
+    /// Pauses one stream of the lowest class for the most urgent pressing request.
+    pub(super) fn preempt_next(&mut self, now: Instant, pool: PoolKey) -> bool {
+        if self.pools[pool].waiting == 0 || self.pools[pool].spec.pausing == Pausing::Unsupported {
+            return false;
+        }
+        let contenders = self.contenders(now, pool);
+        contenders.iter().any(|it| self.preempt_for(now, pool, &contenders, it))
+    }
+
+    fn preempt_for(
+        &mut self,
+        now: Instant,
+        pool: PoolKey,
+        contenders: &[Contender],
+        it: &Contender,
+    ) -> bool {
+        if it.urgency != Urgency::Pressing {
+            return false;
+        }
+        let Some(ticket) = self.waiting_head(pool, it.class) else { return false };
+        let Some((victim, backend)) = self.victim(now, pool, ticket) else { return false };
+        self.pause(victim, backend);
+        let cost = self.dispatch(now, ticket, backend, Standing::Pausable);
+        self.pools[pool].book(contenders, it.class, cost);
+        true
+    }
+
+    /// The stream to pause: of the lowest class that holds a slot, the one with most to come.
+    ///
+    /// If none of that class can be paused now, none is: a higher class does not make way for it.
+    fn victim(&self, now: Instant, pool: PoolKey, ticket: Ticket) -> Option<(Ticket, BackendKey)> {
+        let request = &self.requests[ticket];
+        let priority = self.classes[request.offer.class].spec.priority;
+        let hosts = self.hosts(now, request);
+        let mut lower: Vec<_> =
+            self.pools[pool].lanes.keys().map(|it| (self.priority(it), it)).collect();
+        lower.retain(|it| it.0 < priority);
+        lower.sort();
+        let lanes = &self.pools[pool].lanes;
+        let lowest = lower.into_iter().find(|it| self.holds_slot(&lanes[it.1].running, &hosts))?;
+        self.longest_running(pool, lowest.1, &hosts)
+    }
+
+    fn priority(&self, class: ClassKey) -> u8 {
+        self.classes[class].spec.priority
+    }
+
+    /// The servers on which the request may run, if a slot there were free.
+    fn hosts(&self, now: Instant, request: &Request) -> Vec<BackendKey> {
+        let members = &self.pools[request.offer.pool].members;
+        let only = self.allowed_sites(now, request);
+        let suspect_hosts = self.suspect_hosts(now, request);
+        let wanted = self.wanted(now, request, only.as_deref(), &suspect_hosts);
+        let choice = Choice { backends: &self.backends, members, settings: &self.settings, now };
+        let hosts = members.iter().copied().filter(|it| choice.admits(*it, &wanted));
+        hosts.filter(|it| choice.is_good_host(*it)).collect()
+    }
+
+    /// Whether a stream that its class's share does not protect runs on one of the servers.
+    fn holds_slot(&self, running: &[Ticket], hosts: &[BackendKey]) -> bool {
+        let requests = running.iter().map(|it| &self.requests[*it]);
+        let mut open = requests.filter(|it| it.standing == Standing::Pausable);
+        open.any(|it| it.run().is_some_and(|run| hosts.contains(&run.backend)))
+    }
+
+    fn longest_running(
+        &self,
+        pool: PoolKey,
+        class: ClassKey,
+        hosts: &[BackendKey],
+    ) -> Option<(Ticket, BackendKey)> {
+        let running = self.pools[pool].lanes[class].running.iter().copied();
+        let pausable = running.filter_map(|ticket| {
+            let request = &self.requests[ticket];
+            let run = request.run()?;
+            let worth = self.service_time(pool, request.remaining_tokens())
+                >= self.settings.pause_min_remaining;
+            let allowed = request.standing == Standing::Pausable && request.twin.is_none();
+            let open = allowed && worth && run.tokens > 0 && hosts.contains(&run.backend);
+            open.then_some((request.remaining_tokens(), ticket, run.backend))
+        });
+        pausable.max().map(|(_, ticket, backend)| (ticket, backend))
+    }
+
+    fn pause(&mut self, ticket: Ticket, backend: BackendKey) {
+        let request = &mut self.requests[ticket];
+        let Phase::Running(run) = request.phase else { return };
+        request.phase = Phase::Paused(run);
+        let offer = request.offer;
+        let lane = self.pools[offer.pool].lane(offer.class);
+        lane.running.retain(|it| *it != ticket);
+        lane.paused.push_back(ticket);
+        self.leave_site(offer.request_hash, backend);
+        self.actions.push(Action::Pause { ticket, backend });
+    }
+
+    pub(super) fn plan_hedge(&mut self, now: Instant, ticket: Ticket) {
+        let request = &self.requests[ticket];
+        let spec = &self.classes[request.offer.class].spec;
+        let may_repeat = request.offer.repeat == Repeat::Idempotent;
+        if spec.hedge == Hedge::On && may_repeat {
+            let at = now + spec.first_token_target().mul_f64(HEDGE_PART);
+            self.hedges.insert((at, ticket));
+        }
+    }
+
+    pub(super) fn hedge(&mut self, now: Instant) {
+        while let Some((at, ticket)) = self.hedges.first().copied()
+            && at <= now
+        {
+            self.hedges.pop_first();
+            self.hedge_one(now, ticket);
+        }
+    }
+
+    fn hedge_one(&mut self, now: Instant, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        let Phase::Running(run) = request.phase else { return };
+        if run.tokens > 0 || request.twin.is_some() {
+            return;
+        }
+        request.tried = Some(run.backend);
+        let offer = request.offer;
+        let Some(backend) = self.pick(now, ticket).filter(|it| *it != run.backend) else { return };
+        if !self.pools[offer.pool].lane(offer.class).retries.spend() {
+            return;
+        }
+        let request = &self.requests[ticket];
+        let twin = Request { twin: Some(ticket), ..request.second_attempt() };
+        let hedge = self.requests.insert(twin);
+        self.requests[ticket].twin = Some(hedge);
+        self.start(now, hedge, backend, Standing::Protected);
+        self.actions.push(Action::Hedge { ticket, hedge, backend });
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/world.rs
@@ -0,0 +1,131 @@
+//! A scheduler with two classes or more, one pool and a few servers, for the tests of features.
+#![allow(dead_code, unreachable_pub)]
+
+use std::time::{Duration, Instant};
+
+use policy::{
+    Action, BackendKey, ClassSpec, LoadReport, Offer, Outcome, PoolKey, PoolSpec, Refusal, Repeat,
+    Scheduler, Settings, Sighting, Spec, Ticket, WorkspaceSpec,
+};
+
+pub struct World {
+    pub scheduler: Scheduler,
+    pub start: Instant,
+    pub now: Instant,
+    pub pool: PoolKey,
+    pub backends: Vec<BackendKey>,
+    next_hash: u64,
+}
+
+pub fn class(name: &str, priority: u8, share_permille: u32) -> ClassSpec {
+    ClassSpec { name: name.to_owned(), priority, share_permille, ..ClassSpec::default() }
+}
+
+pub fn workspaces(names: &[&str]) -> Vec<WorkspaceSpec> {
+    let names = names.iter().map(|it| (*it).to_owned());
+    names.map(|name| WorkspaceSpec { name, ..WorkspaceSpec::default() }).collect()
+}
+
+pub fn spec(classes: Vec<ClassSpec>, slots: u32) -> Spec {
+    Spec {
+        revision: 1,
+        classes,
+        pools: vec![PoolSpec { name: "pool".to_owned(), slots, ..PoolSpec::default() }],
+        workspaces: workspaces(&["a", "b"]),
+    }
+}
+
+impl World {
+    pub fn new(classes: Vec<ClassSpec>, servers: usize, slots: u32) -> Self {
+        Self::with(Settings::default(), spec(classes, slots), servers)
+    }
+
+    pub fn with(settings: Settings, spec: Spec, servers: usize) -> Self {
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.configure(spec).expect("the spec of the test is valid");
+        let pool = scheduler.pool("pool").expect("the spec names the pool");
+        let now = Instant::now();
+        let mut world =
+            Self { scheduler, start: now, now, pool, backends: Vec::new(), next_hash: 1 };
+        for idx in 0..servers {
+            let key = world.seen(&format!("s{idx}"), 1).expect("the pool is known");
+            world.backends.push(key);
+        }
+        world
+    }
+
+    pub fn sighting<'a>(&self, name: &'a str, incarnation: u64) -> Sighting<'a> {
+        Sighting { name, pool: self.pool, incarnation }
+    }
+
+    pub fn seen(&mut self, name: &str, incarnation: u64) -> Option<BackendKey> {
+        let sighting = self.sighting(name, incarnation);
+        self.scheduler.backend_seen(self.now, &sighting)
+    }
+
+    pub fn offer_for(&mut self, class: &str, workspace: &str) -> Offer {
+        self.next_hash += 1;
+        Offer {
+            class: self.scheduler.class(class).expect("the class is in the spec"),
+            workspace: self.scheduler.workspace(workspace).expect("the workspace is in the spec"),
+            pool: self.pool,
+            prefix_hash: 0,
+            request_hash: self.next_hash,
+            max_tokens: Some(100),
+            repeat: Repeat::Idempotent,
+        }
+    }
+
+    pub fn try_offer(&mut self, class: &str, workspace: &str) -> Result<Ticket, Refusal> {
+        let offer = self.offer_for(class, workspace);
+        self.scheduler.offer(self.now, offer)
+    }
+
+    pub fn offer(&mut self, class: &str) -> Ticket {
+        self.try_offer(class, "a").expect("the queue has room")
+    }
+
+    pub fn poll(&mut self) -> Vec<Action> {
+        self.scheduler.poll(self.now)
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    pub fn finish(&mut self, ticket: Ticket) {
+        self.scheduler.finished(ticket, self.now, Outcome::Complete { tokens: 100 });
+    }
+
+    /// Gives a stream its first token and `count` more, one every `gap_ms`.
+    pub fn stream(&mut self, tickets: &[Ticket], gap_ms: u64, count: u32) {
+        tickets.iter().for_each(|it| self.scheduler.first_token(*it, self.now));
+        for _ in 0..count {
+            self.pass(gap_ms);
+            tickets.iter().for_each(|it| self.scheduler.tokens(*it, self.now, 1));
+        }
+    }
+
+    /// Polls and returns what was dispatched.
+    pub fn dispatched(&mut self) -> Vec<(Ticket, BackendKey)> {
+        self.poll().iter().filter_map(as_dispatch).collect()
+    }
+}
+
+pub fn as_dispatch(action: &Action) -> Option<(Ticket, BackendKey)> {
+    match action {
+        Action::Dispatch { ticket, backend } => Some((*ticket, *backend)),
+        _ => None,
+    }
+}
+
+pub fn report(incarnation: u64, running: u32, batch_max: u32) -> LoadReport {
+    LoadReport {
+        incarnation,
+        running,
+        waiting: 0,
+        batch_max,
+        kv_used_permille: 0,
+        age: Duration::from_secs(1),
+    }
+}
