--- /dev/null
+++ b/crates/load/src/plan/prompt.rs
@@ -0,0 +1,50 @@
+//! Words for prompts.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::WorkspaceIdx;
+
+const WORDS: [&str; 16] = [
+    "please",
+    "draft",
+    "the",
+    "monthly",
+    "timetable",
+    "for",
+    "our",
+    "members",
+    "tag",
+    "each",
+    "clip",
+    "from",
+    "last",
+    "night",
+    "and",
+    "summarise",
+];
+
+/// A prompt that starts with words shared by the whole workspace, for the engines' prefix caches,
+/// followed by the mark of its work and `words` further words.
+pub(super) fn chat(
+    workspace: WorkspaceIdx,
+    shared_words: u32,
+    work: &str,
+    words: u32,
+    rng: &mut ChaCha8Rng,
+) -> String {
+    let mut prompt = format!("workspace {}:", workspace.0);
+    for idx in 0..shared_words as usize {
+        push_word(&mut prompt, WORDS[(idx + workspace.0) % WORDS.len()]);
+    }
+    push_word(&mut prompt, work);
+    for _ in 0..words {
+        push_word(&mut prompt, WORDS[rng.random_range(0..WORDS.len())]);
+    }
+    prompt
+}
+
+fn push_word(prompt: &mut String, word: &str) {
+    prompt.push(' ');
+    prompt.push_str(word);
+}
--- /dev/null
+++ b/crates/load/tests/run_report.rs
@@ -0,0 +1,212 @@
+//! The report of canned records.
+
+use std::time::Duration;
+
+use expect_test::{Expect, expect};
+use load::{
+    answer_check::AnswerFault,
+    plan::{ArrivalId, ClassIdx, ClassSettings, LatencyTarget, RequestKind, Sending},
+    record::{Ending, Outcome, RequestRecord},
+    report::{Counts, Evidence, Report, latency_svg, table},
+};
+
+fn classes() -> Vec<ClassSettings> {
+    let target = LatencyTarget {
+        first_token_ms: Some(100),
+        between_tokens_ms: Some(20),
+        whole_ms: Some(1_000),
+    };
+    let order_target = LatencyTarget { whole_ms: Some(500), ..LatencyTarget::default() };
+    let order = ClassSettings {
+        name: "order".to_owned(),
+        kind: RequestKind::Order,
+        target: order_target,
+        ..ClassSettings::default()
+    };
+    vec![ClassSettings { target, ..ClassSettings::default() }, order]
+}
+
+fn chat(id: u64, first_token_ms: u64, whole_ms: u64) -> RequestRecord {
+    RequestRecord {
+        arrival: ArrivalId(id),
+        class: ClassIdx(0),
+        kind: RequestKind::Chat,
+        sending: Sending::First,
+        idempotency_key: None,
+        request_id: format!("req-{id}"),
+        at_us: id * 1_000,
+        send_lag_us: 40,
+        first_token_us: Some(first_token_ms * 1_000),
+        whole_us: Some(whole_ms * 1_000),
+        tokens: 11,
+        outcome: Outcome::Ran,
+        ending: Ending::Answered,
+        answer_fault: None,
+        retry_after_s: None,
+    }
+}
+
+fn refused(id: u64) -> RequestRecord {
+    RequestRecord {
+        first_token_us: None,
+        tokens: 0,
+        outcome: Outcome::NotRun,
+        ending: Ending::Failed(503),
+        retry_after_s: Some(2),
+        ..chat(id, 0, 3)
+    }
+}
+
+fn order(id: u64, key: &str, sending: Sending, outcome: Outcome) -> RequestRecord {
+    RequestRecord {
+        class: ClassIdx(1),
+        kind: RequestKind::Order,
+        sending,
+        idempotency_key: Some(key.to_owned()),
+        tokens: 0,
+        outcome,
+        ending: if outcome == Outcome::Ran { Ending::Answered } else { Ending::Failed(503) },
+        ..chat(id, 5, 6)
+    }
+}
+
+fn evidence(starts: &[(&str, u64)], executions: &[(&str, u64)], tokens_generated: u64) -> Evidence {
+    let owned = |counts: &[(&str, u64)]| {
+        counts.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect()
+    };
+    Evidence {
+        starts_by_request: owned(starts),
+        executions_by_key: owned(executions),
+        tokens_generated,
+    }
+}
+
+fn report(records: &[RequestRecord], evidence: &Evidence) -> Report {
+    Report::new(&classes(), records, Counts::Known(evidence), Duration::from_secs(2))
+}
+
+fn check_faults(records: &[RequestRecord], evidence: &Evidence, expect: Expect) {
+    let report = report(records, evidence);
+    let lines: Vec<String> = report
+        .faults
+        .iter()
+        .map(|it| format!("arrival {} {}: {}", it.arrival, it.subject, it.kind))
+        .collect();
+    expect.assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn readable_table() {
+    let records = [
+        chat(0, 50, 250),
+        chat(1, 150, 350),
+        chat(2, 80, 900),
+        refused(3),
+        order(4, "k", Sending::First, Outcome::Ran),
+    ];
+    let evidence = evidence(&[("req-0", 1)], &[("k", 1)], 44);
+    expect![[r#"
+        requests          5
+        duration          2000 ms
+        goodput           1 requests/s
+        good tokens       16.5 tokens/s
+        wasted work       25.0% of 44 tokens generated
+        worst send lag    0.0 ms
+
+        class                  sent       good     failed       lost   attained      first    between      whole
+        chat                      4          3          1          0      25.0%      50.0%      50.0%      75.0%
+        order                     1          1          0          0     100.0%          -          -     100.0%
+
+        class               latency      count        p50        p95        p99        max
+        chat                  first          3    80.1 ms   150.0 ms   150.0 ms   150.0 ms
+        chat                between          3    20.0 ms    82.0 ms    82.0 ms    82.0 ms
+        chat                  whole          3   350.2 ms   900.1 ms   900.1 ms   900.1 ms
+        order                 first          1     5.0 ms     5.0 ms     5.0 ms     5.0 ms
+        order               between          0     0.0 ms     0.0 ms     0.0 ms     0.0 ms
+        order                 whole          1     6.0 ms     6.0 ms     6.0 ms     6.0 ms
+
+             1  failed 503, not-run
+             4  answered, ran
+
+        faults            none
+    "#]].assert_eq(&table(&report(&records, &evidence)));
+}
+
+#[test]
+fn counts_unknown() {
+    let records = [chat(0, 50, 250)];
+    let report = Report::new(&classes(), &records, Counts::Unknown, Duration::from_secs(1));
+    assert_eq!(report.wasted, None);
+    assert!(report.is_faultless());
+}
+
+#[test]
+fn repetition_not_attained_twice() {
+    let resend = RequestRecord { sending: Sending::Resend(ArrivalId(0)), ..chat(1, 50, 250) };
+    let report = report(&[chat(0, 50, 250), resend], &Evidence::default());
+    let attainment = &report.classes[0].attainment;
+    assert_eq!((attainment.sent, attainment.met), (1, 1));
+    assert_eq!(report.goodput_per_s, 0.5);
+}
+
+#[test]
+fn bad_answers_found() {
+    let with = |id, fault| RequestRecord { answer_fault: Some(fault), ..chat(id, 5, 6) };
+    let records = [
+        with(0, AnswerFault::Cut),
+        with(1, AnswerFault::Duplicated),
+        with(2, AnswerFault::Foreign),
+    ];
+    check_faults(&records, &Evidence::default(), expect![[r#"
+        arrival 0 req-0: answer cut
+        arrival 1 req-1: answer duplicated
+        arrival 2 req-2: answer foreign"#]]);
+    assert_eq!(report(&records, &Evidence::default()).goodput_per_s, 0.0);
+}
+
+#[test]
+fn outcome_unstated() {
+    let unstated = RequestRecord { outcome: Outcome::Unstated, ..refused(0) };
+    let broken = RequestRecord {
+        outcome: Outcome::Unstated,
+        ending: Ending::Broken("connection reset".to_owned()),
+        ..refused(1)
+    };
+    check_faults(&[unstated, broken], &Evidence::default(), expect!["arrival 0 req-0: outcome unstated"]);
+}
+
+#[test]
+fn false_not_run() {
+    let evidence = evidence(&[("req-0", 1), ("req-2", 1)], &[], 0);
+    check_faults(&[refused(0), refused(1), chat(2, 5, 6)], &evidence, expect!["arrival 0 req-0: false not-run"]);
+}
+
+#[test]
+fn order_outcomes() {
+    let again = Sending::Resend(ArrivalId(0));
+    let records = [
+        order(0, "twice", Sending::First, Outcome::Ran),
+        order(1, "twice", again, Outcome::Ran),
+        order(2, "denied", Sending::First, Outcome::NotRun),
+        order(3, "never", Sending::First, Outcome::Ran),
+        order(4, "resent", Sending::First, Outcome::NotRun),
+        order(5, "resent", again, Outcome::Ran),
+        order(6, "unsure", Sending::First, Outcome::MayHaveRun),
+    ];
+    let evidence = evidence(&[], &[("twice", 2), ("denied", 1), ("resent", 1), ("unsure", 1)], 0);
+    check_faults(&records, &evidence, expect![[r#"
+        arrival 0 twice: order repeated
+        arrival 2 denied: false not-run
+        arrival 3 never: false ran"#]]);
+}
+
+#[test]
+fn latency_plot() {
+    let report = report(&[chat(0, 50, 250), chat(1, 60, 300)], &Evidence::default());
+    let svg = latency_svg(&report).expect("finite numbers");
+    assert!(svg.contains("chat, first token") && svg.contains("chat, whole"));
+    assert!(!svg.contains("order, first token"));
+    let back: Report = serde_json::from_str(&serde_json::to_string(&report).expect("plain data"))
+        .expect("its own text");
+    assert_eq!(back, report);
+}
