Read plans from INI and check answers against the engine model

Cause: operators of a test write plans as files, and the engine model owns the right answers. Ruled out: a second notion of a right answer in this crate. Change: plan::file; answer_check maps the engine model's verdicts and tells repetitions apart. Conclusion: cut, repeated, crossed and wrong answers are told apart in tests.

--- a/crates/load/src/answer_check.rs
+++ b/crates/load/src/answer_check.rs
@@ -4,9 +4,10 @@
 //! answer is told from a whole one without trust in what the system under test says about it.
 
 use derive_more::Display;
+use engine_model::answer;
 use serde::{Deserialize, Serialize};
 
-/// What is wrong with an answer that was given as whole.
+/// What is wrong with an answer.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
 )]
@@ -15,59 +16,71 @@
     /// It stops before its end but was given as whole.
     #[display("cut")]
     Cut,
-    /// Tokens stand twice, or something follows its end.
+    /// Tokens stand twice, or the whole does.
     #[display("duplicated")]
     Duplicated,
-    /// It is the answer to another request, or holds a part of one.
+    /// It is the answer to another request.
     #[display("foreign")]
     Foreign,
+    /// It differs in another way, as by a lost or an added token.
+    #[display("wrong")]
+    Wrong,
 }
 
-/// Compares `received` with `expected`, token by token.
+/// Checks that `text` is the whole answer to `prompt`.
 ///
 /// # Errors
 ///
 /// The kind of difference, where there is one.
-pub fn check<S: AsRef<str>>(expected: &[S], received: &[S]) -> Result<(), AnswerFault> {
-    let expected: Vec<&str> = expected.iter().map(AsRef::as_ref).collect();
-    let received: Vec<&str> = received.iter().map(AsRef::as_ref).collect();
-    if expected == received {
-        return Ok(());
+pub fn check_whole(
+    model: &str,
+    prompt: &str,
+    max_tokens: u32,
+    text: &str,
+) -> Result<(), AnswerFault> {
+    let Err(fault) = answer::check(model, prompt, max_tokens, text) else { return Ok(()) };
+    match fault {
+        answer::AnswerFault::Cut { .. } => Err(AnswerFault::Cut),
+        answer::AnswerFault::Foreign { .. } => Err(AnswerFault::Foreign),
+        answer::AnswerFault::Wrong { .. } => {
+            let expected = answer::tokens(model, prompt, max_tokens).concat();
+            Err(if is_repetition(&expected, text) {
+                AnswerFault::Duplicated
+            } else {
+                AnswerFault::Wrong
+            })
+        }
     }
-    if expected.starts_with(&received) {
-        return Err(AnswerFault::Cut);
-    }
-    if has_repetition(&expected, &received) {
-        return Err(AnswerFault::Duplicated);
-    }
-    Err(AnswerFault::Foreign)
 }
 
-/// Compares `received` with `expected` where the answer came as one text.
+/// Checks that `text` is a start of the answer to `prompt`, for answers that ended with a clear
+/// failure.
 ///
 /// # Errors
 ///
 /// The kind of difference, where there is one.
-pub fn check_text(expected: &str, received: &str) -> Result<(), AnswerFault> {
-    if expected == received {
-        return Ok(());
-    }
-    if expected.starts_with(received) {
-        return Err(AnswerFault::Cut);
+pub fn check_start(
+    model: &str,
+    prompt: &str,
+    max_tokens: u32,
+    text: &str,
+) -> Result<(), AnswerFault> {
+    match check_whole(model, prompt, max_tokens, text) {
+        Err(AnswerFault::Cut) => Ok(()),
+        verdict => verdict,
     }
-    let expected: Vec<&str> = expected.split(' ').collect();
-    let received: Vec<&str> = received.split(' ').collect();
-    check(&expected, &received)
 }
 
-/// Whether `received` becomes `expected`, or a start of it, when one run of tokens that repeats
-/// those just before it is taken out.
-fn has_repetition(expected: &[&str], received: &[&str]) -> bool {
-    let same = expected.iter().zip(received).take_while(|(a, b)| a == b).count();
-    (1..=same).any(|len| {
-        let rest = &received[same..];
-        let repeated = &expected[same - len..];
-        let run = rest.iter().zip(repeated).take_while(|(a, b)| a == b).count();
-        run == rest.len() && run >= len
+/// Whether `text` follows `expected` up to some token, goes back by one token or more and follows
+/// it again to the end of `text`.
+fn is_repetition(expected: &str, text: &str) -> bool {
+    let expected: Vec<&str> = expected.split(' ').skip(1).collect();
+    let received: Vec<&str> = text.split(' ').skip(1).collect();
+    let same = expected.iter().zip(&received).take_while(|(a, b)| a == b).count();
+    let rest = &received[same..];
+    (0..same).any(|from| {
+        let again = &expected[from..];
+        let run = rest.iter().zip(again).take_while(|(a, b)| a == b).count();
+        run == rest.len() && run >= same - from
     })
 }
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -4,6 +4,7 @@
 //! under test shows in the latencies instead of thinning out the load.
 
 mod arrivals;
+mod file;
 mod prompt;
 mod settings;
 
--- a/crates/load/src/plan/arrivals.rs
+++ b/crates/load/src/plan/arrivals.rs
@@ -3,6 +3,8 @@
 //! Each class and each arrival has a random stream of its own, so that a change to one class
 //! leaves the arrivals of the others as they were.
 
+use std::collections::HashMap;
+
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -113,7 +115,7 @@
         sending: Sending::First,
         prompt,
         max_tokens,
-        idempotency_key: needs_key.then(|| format!("key-{work}")),
+        idempotency_key: needs_key.then(|| format!("{}-{work}", settings.run_name)),
     }
 }
 
@@ -129,7 +131,7 @@
 fn number(mut arrivals: Vec<Arrival>, requests_max: usize) -> Vec<Arrival> {
     arrivals.sort_by_key(|it| it.at_us);
     arrivals.truncate(requests_max);
-    let mut first_of_key = std::collections::HashMap::new();
+    let mut first_of_key = HashMap::new();
     for (idx, arrival) in arrivals.iter_mut().enumerate() {
         arrival.id = ArrivalId(idx as u64);
         let Some(key) = &arrival.idempotency_key else { continue };
--- a/crates/load/src/plan/settings.rs
+++ b/crates/load/src/plan/settings.rs
@@ -1,12 +1,15 @@
 //! The settings of a plan and their checks.
 
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, FromStr};
 use serde::{Deserialize, Serialize};
 
 /// Everything that decides a plan.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct PlanSettings {
+    /// A word in every request id and idempotency key, so that two runs of one plan against the
+    /// same routers are told apart.
+    pub run_name: String,
     /// The seed of every random choice.
     pub seed: u64,
     /// The length of the plan in milliseconds.
@@ -26,6 +29,7 @@
 impl Default for PlanSettings {
     fn default() -> Self {
         PlanSettings {
+            run_name: "run".to_owned(),
             seed: 1,
             duration_ms: 10_000,
             rate_per_s: 20.0,
@@ -54,7 +58,7 @@
 }
 
 /// What a request asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum RequestKind {
     /// A chat completion of a model engine.
@@ -66,7 +70,7 @@
 }
 
 /// How the answer to a chat request is sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum AnswerMode {
     /// Token by token as server-sent events.
--- a/crates/load/tests/answer_check.rs
+++ b/crates/load/tests/answer_check.rs
@@ -1,54 +1,78 @@
-//! Cut, repeated and foreign answers are told apart.
+//! Cut, repeated, crossed and wrong answers are told apart.
 
+use engine_model::answer;
 use expect_test::{Expect, expect};
-use load::answer_check;
+use load::answer_check::{AnswerFault, check_start, check_whole};
 
-fn check(received: &[&str], expect: Expect) {
-    let expected = [" a", " b", " c", " d"];
-    let verdict = match answer_check::check(&expected, received) {
-        Ok(()) => "whole".to_owned(),
-        Err(fault) => fault.to_string(),
-    };
-    expect.assert_eq(&verdict);
+const MODEL: &str = "small";
+const PROMPT: &str = "when is dawn";
+const MAX_TOKENS: u32 = 6;
+
+fn tokens() -> Vec<String> {
+    answer::tokens(MODEL, PROMPT, MAX_TOKENS)
+}
+
+fn name(verdict: Result<(), AnswerFault>) -> String {
+    verdict.map_or_else(|fault| fault.to_string(), |()| "right".to_owned())
 }
 
-fn check_text(received: &str, expect: Expect) {
-    let verdict = match answer_check::check_text(" a bb c", received) {
-        Ok(()) => "whole".to_owned(),
-        Err(fault) => fault.to_string(),
-    };
-    expect.assert_eq(&verdict);
+/// Checks `text` once as a whole answer and once as the start of one.
+fn check(text: &str, expect: Expect) {
+    let whole = name(check_whole(MODEL, PROMPT, MAX_TOKENS, text));
+    let start = name(check_start(MODEL, PROMPT, MAX_TOKENS, text));
+    expect.assert_eq(&format!("whole: {whole}, start: {start}"));
 }
 
 #[test]
 fn whole_answer() {
-    check(&[" a", " b", " c", " d"], expect!["whole"]);
-    check_text(" a bb c", expect!["whole"]);
+    check(&tokens().concat(), expect!["whole: right, start: right"]);
 }
 
 #[test]
 fn cut_answer() {
-    check(&[], expect!["cut"]);
-    check(&[" a", " b", " c"], expect!["cut"]);
-    check_text(" a b", expect!["cut"]);
+    check("", expect!["whole: cut, start: right"]);
+    check(&tokens()[..4].concat(), expect!["whole: cut, start: right"]);
+    let whole = tokens().concat();
+    check(&whole[..whole.len() - 1], expect!["whole: cut, start: right"]);
 }
 
 #[test]
 fn repeated_token() {
-    check(&[" a", " b", " b", " c", " d"], expect!["duplicated"]);
-    check(&[" a", " b", " c", " b", " c", " d"], expect!["duplicated"]);
+    let mut tokens = tokens();
+    tokens.insert(3, tokens[2].clone());
+    check(&tokens.concat(), expect!["whole: duplicated, start: duplicated"]);
+}
+
+#[test]
+fn repeated_run() {
+    let tokens = tokens();
+    check(
+        &[&tokens[..4], &tokens[2..]].concat().concat(),
+        expect!["whole: duplicated, start: duplicated"],
+    );
+    check(&tokens.concat().repeat(2), expect!["whole: duplicated, start: duplicated"]);
+}
+
+#[test]
+fn crossed_answer() {
+    check(
+        &answer::tokens(MODEL, "another prompt", MAX_TOKENS).concat(),
+        expect!["whole: foreign, start: foreign"],
+    );
+    check(
+        &answer::tokens("large", PROMPT, MAX_TOKENS).concat(),
+        expect!["whole: foreign, start: foreign"],
+    );
 }
 
 #[test]
-fn repeated_whole() {
-    check(&[" a", " b", " c", " d", " a", " b", " c", " d"], expect!["duplicated"]);
-    check_text(" a bb c a bb c", expect!["duplicated"]);
+fn lost_token() {
+    let mut tokens = tokens();
+    tokens.remove(2);
+    check(&tokens.concat(), expect!["whole: wrong, start: wrong"]);
 }
 
 #[test]
-fn foreign_answer() {
-    check(&[" x", " y", " z"], expect!["foreign"]);
-    check(&[" a", " b", " x", " d"], expect!["foreign"]);
-    check(&[" a", " c", " d"], expect!["foreign"]);
-    check(&[" a", " b", " c", " d", " x"], expect!["foreign"]);
+fn added_token() {
+    check(&format!("{} extra", tokens().concat()), expect!["whole: wrong, start: wrong"]);
 }
--- a/crates/load/tests/line_fit.rs
+++ b/crates/load/tests/line_fit.rs
@@ -51,7 +51,10 @@
 #[test]
 fn no_line() {
     check(&[], expect!["0 points at one size give no slope; measure at two sizes or more"]);
-    check(&[(1.0, 4.0), (1.0, 5.0)], expect!["2 points at one size give no slope; measure at two sizes or more"]);
+    check(
+        &[(1.0, 4.0), (1.0, 5.0)],
+        expect!["2 points at one size give no slope; measure at two sizes or more"],
+    );
     check(&[(1.0, 4.0), (2.0, f64::NAN)], expect!["a point is not finite; measure it again"]);
 }
 
--- a/crates/load/tests/loopback_only.rs
+++ b/crates/load/tests/loopback_only.rs
@@ -20,14 +20,40 @@
 
 #[test]
 fn others_refused() {
-    check("192.0.2.7:8080", expect!["192.0.2.7:8080 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"]);
-    check("0.0.0.0:8080", expect!["0.0.0.0:8080 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"]);
-    check("[2001:db8::1]:80", expect!["[2001:db8::1]:80 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"]);
-    check("[::ffff:127.0.0.1]:80", expect!["[::ffff:127.0.0.1]:80 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"]);
+    check(
+        "192.0.2.7:8080",
+        expect![
+            "192.0.2.7:8080 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"
+        ],
+    );
+    check(
+        "0.0.0.0:8080",
+        expect!["0.0.0.0:8080 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"],
+    );
+    check(
+        "[2001:db8::1]:80",
+        expect![
+            "[2001:db8::1]:80 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"
+        ],
+    );
+    check(
+        "[::ffff:127.0.0.1]:80",
+        expect![
+            "[::ffff:127.0.0.1]:80 is not a loopback address; load is sent to 127.0.0.0/8 or ::1 only"
+        ],
+    );
 }
 
 #[test]
 fn names_refused() {
-    check("localhost:8080", expect!["`localhost:8080` is no address; write an IP number and a port, as in 127.0.0.1:8080"]);
-    check("127.0.0.1", expect!["`127.0.0.1` is no address; write an IP number and a port, as in 127.0.0.1:8080"]);
+    check(
+        "localhost:8080",
+        expect![
+            "`localhost:8080` is no address; write an IP number and a port, as in 127.0.0.1:8080"
+        ],
+    );
+    check(
+        "127.0.0.1",
+        expect!["`127.0.0.1` is no address; write an IP number and a port, as in 127.0.0.1:8080"],
+    );
 }
--- a/crates/load/tests/overhead_report.rs
+++ b/crates/load/tests/overhead_report.rs
@@ -26,7 +26,8 @@
         tokens relayed    20000 a second of one core
         memory a stream   10240 bytes at 200
         memory a stream   0 bytes at 1000
-    "#]].assert_eq(&report.table());
+    "#]]
+    .assert_eq(&report.table());
 }
 
 #[test]
@@ -41,5 +42,6 @@
         median routed     0 us
         ratio             0.000
         tokens relayed    0 a second
-    "#]].assert_eq(&report.table());
+    "#]]
+    .assert_eq(&report.table());
 }
--- /dev/null
+++ b/crates/load/tests/plan_file.rs
@@ -0,0 +1,134 @@
+//! Plans from INI text.
+
+use expect_test::{Expect, expect};
+use load::plan::PlanSettings;
+
+fn check(text: &str, expect: Expect) {
+    let read = match PlanSettings::from_ini("plan.ini", text) {
+        Ok(settings) => format!("{settings:#?}"),
+        Err(faults) => faults.to_string(),
+    };
+    expect.assert_eq(&read);
+}
+
+#[test]
+fn every_section() {
+    check(
+        "
+[plan]
+seed = 7
+duration_ms = 5000
+rate_per_s = 12.5
+requests_max = 50
+workspace_tokens = first, second
+workspace_skew = 0
+
+[class.summary]
+weight = 3
+answer = whole
+first_token_ms = 2000
+
+[class.restore]
+kind = order
+resend_permille = 250
+
+[burst.uploads]
+start_ms = 1000
+length_ms = 500
+class = summary
+factor = 8
+",
+        expect![[r#"
+            PlanSettings {
+                run_name: "run",
+                seed: 7,
+                duration_ms: 5000,
+                rate_per_s: 12.5,
+                requests_max: 50,
+                workspaces: WorkspaceSettings {
+                    tokens: [
+                        "first",
+                        "second",
+                    ],
+                    skew: 0.0,
+                },
+                classes: [
+                    ClassSettings {
+                        name: "summary",
+                        kind: Chat,
+                        weight: 3,
+                        model: "small",
+                        answer: Whole,
+                        prompt_words_min: 8,
+                        prompt_words_max: 64,
+                        shared_words: 4,
+                        tokens_min: 16,
+                        tokens_max: 64,
+                        target: LatencyTarget {
+                            first_token_ms: Some(
+                                2000,
+                            ),
+                            between_tokens_ms: None,
+                            whole_ms: None,
+                        },
+                        resend_permille: 0,
+                        resend_after_ms: 200,
+                    },
+                    ClassSettings {
+                        name: "restore",
+                        kind: Order,
+                        weight: 1,
+                        model: "small",
+                        answer: Streamed,
+                        prompt_words_min: 8,
+                        prompt_words_max: 64,
+                        shared_words: 4,
+                        tokens_min: 16,
+                        tokens_max: 64,
+                        target: LatencyTarget {
+                            first_token_ms: None,
+                            between_tokens_ms: None,
+                            whole_ms: None,
+                        },
+                        resend_permille: 250,
+                        resend_after_ms: 200,
+                    },
+                ],
+                bursts: [
+                    BurstSettings {
+                        start_ms: 1000,
+                        length_ms: 500,
+                        class: Some(
+                            "summary",
+                        ),
+                        factor: 8.0,
+                    },
+                ],
+            }"#]],
+    );
+}
+
+#[test]
+fn faults_listed() {
+    check(
+        "
+[plan]
+seed = many
+rate_per_ms = 1
+
+[class.chat]
+kind = letter
+
+[burst.one]
+start_ms = 5
+
+[pool.one]
+",
+        expect![[r#"
+            plan.ini:3: plan.seed: `many` does not fit; write a whole number
+            plan.ini:4: plan.rate_per_ms: unknown key; write rate_per_s, in the unit that its name ends in
+            plan.ini:7: class.chat.kind: `letter` does not fit; write chat, order or lookup
+            plan.ini:9: burst.one.length_ms: is missing; write whole milliseconds
+            plan.ini:12: pool.one: unknown section; use one of: plan, class.chat, burst.one"#]],
+    );
+}
--- a/crates/load/tests/plan_seed.rs
+++ b/crates/load/tests/plan_seed.rs
@@ -86,7 +86,8 @@
         chat before 196
         chat within 1023
         chat after 209
-        calm chat within 221"#]].assert_eq(&lines.join("\n"));
+        calm chat within 221"#]]
+    .assert_eq(&lines.join("\n"));
 
     let order_times = |plan: &Plan| -> Vec<u64> {
         let firsts = plan.arrivals.iter().filter(|it| it.sending == Sending::First);
@@ -151,7 +152,9 @@
         }],
         ..PlanSettings::default()
     };
-    check_faults(&settings, expect![[r#"
+    check_faults(
+        &settings,
+        expect![[r#"
         rate_per_s of the plan is 0; give a value in 0..100000
         workspace_skew of the plan is -1; give a value from 0 to 10
         the plan has no workspace token; add at least one
@@ -160,5 +163,6 @@
         resend_permille of class chat is 1001; give a value from 0 to 1000
         class chat stands twice; rename one of the two
         a burst names class absent, which is not defined; add [class.absent] or correct it
-        factor of a burst is NaN; give a value from 0 to 1000"#]]);
+        factor of a burst is NaN; give a value from 0 to 1000"#]],
+    );
 }
--- a/crates/load/tests/run_report.rs
+++ b/crates/load/tests/run_report.rs
@@ -157,10 +157,14 @@
         with(1, AnswerFault::Duplicated),
         with(2, AnswerFault::Foreign),
     ];
-    check_faults(&records, &Evidence::default(), expect![[r#"
+    check_faults(
+        &records,
+        &Evidence::default(),
+        expect![[r#"
         arrival 0 req-0: answer cut
         arrival 1 req-1: answer duplicated
-        arrival 2 req-2: answer foreign"#]]);
+        arrival 2 req-2: answer foreign"#]],
+    );
     assert_eq!(report(&records, &Evidence::default()).goodput_per_s, 0.0);
 }
 
@@ -172,13 +176,21 @@
         ending: Ending::Broken("connection reset".to_owned()),
         ..refused(1)
     };
-    check_faults(&[unstated, broken], &Evidence::default(), expect!["arrival 0 req-0: outcome unstated"]);
+    check_faults(
+        &[unstated, broken],
+        &Evidence::default(),
+        expect!["arrival 0 req-0: outcome unstated"],
+    );
 }
 
 #[test]
 fn false_not_run() {
     let evidence = evidence(&[("req-0", 1), ("req-2", 1)], &[], 0);
-    check_faults(&[refused(0), refused(1), chat(2, 5, 6)], &evidence, expect!["arrival 0 req-0: false not-run"]);
+    check_faults(
+        &[refused(0), refused(1), chat(2, 5, 6)],
+        &evidence,
+        expect!["arrival 0 req-0: false not-run"],
+    );
 }
 
 #[test]
@@ -194,10 +206,14 @@
         order(6, "unsure", Sending::First, Outcome::MayHaveRun),
     ];
     let evidence = evidence(&[], &[("twice", 2), ("denied", 1), ("resent", 1), ("unsure", 1)], 0);
-    check_faults(&records, &evidence, expect![[r#"
+    check_faults(
+        &records,
+        &evidence,
+        expect![[r#"
         arrival 0 twice: order repeated
         arrival 2 denied: false not-run
-        arrival 3 never: false ran"#]]);
+        arrival 3 never: false ran"#]],
+    );
 }
 
 #[test]
