Share loads, servers, quarantine and capacity through a hub in each failure domain

Cause: 32 routers before 118 backend servers cannot all poll and tell one another within 2 KB/s; each needs the others' load reports, quarantine entries and its part of the capacity. Change: crate dissemination: one summary and one digest a second between a router and the control VM of its domain; a version number stands for the complete state held, so lost answers need no repair; shares of each pool that add up to exactly its slots. The idea of one representative a region that answers for it and repairs losses locally, and of status messages that carry complete state, is from Paul, Sabnani and Kristol, \"Multicast Transport Protocols for High Speed Networks\" (Designated Status Protocol). Conclusion: adopted; flat stays only in the example.

--- /dev/null
+++ b/crates/dissemination/examples/flat_against_hub.rs
@@ -0,0 +1,101 @@
+//! Compares the bytes a second of the hub with flat dissemination on the same seeded loads.
+//!
+//! In the flat design each router sends the rows it owns to every other router of its failure
+//! domain. Both send one message a second; only payload bytes are counted.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use dissemination::{
+    Demand, Hub, HubSettings, Load, MemberState, ServerLoad, ServerRef, Summary, encode_digest,
+    encode_summary, owner,
+};
+
+const SECONDS: u64 = 120;
+const POOLS: u32 = 5;
+
+struct Totals {
+    router_out: usize,
+    router_in: usize,
+    hub_out: usize,
+}
+
+fn main() {
+    println!(
+        "routers servers hub_router_out_bps hub_router_in_bps hub_vm_out_bps flat_router_out_bps flat_router_in_bps"
+    );
+    for (routers, servers) in [(3, 12), (9, 12), (8, 30), (16, 59), (32, 118), (64, 236)] {
+        let hub = with_hub(routers, servers);
+        let flat = flat(routers, servers);
+        println!(
+            "{routers} {servers} {} {} {} {flat} {flat}",
+            hub.router_out, hub.router_in, hub.hub_out
+        );
+    }
+}
+
+fn with_hub(routers: usize, servers: u16) -> Totals {
+    let start = Instant::now();
+    let names: Vec<_> = (0..routers).map(|it| format!("router-{it}")).collect();
+    let mut hub = Hub::new(HubSettings::default());
+    let mut members: Vec<_> = names.iter().map(|it| MemberState::new(it)).collect();
+    let (mut sent, mut received) = (0, 0);
+    for second in 0..SECONDS {
+        for (name, member) in names.iter().zip(&mut members) {
+            let loads = owned_loads(&names, name, servers, second, |it| member.server_ref(it));
+            let demand = (0..POOLS).map(|pool| Demand { pool: pool * 0x1357_9bdf, weight: 40 });
+            let summary = Summary { loads, demand: demand.collect(), ..member.summary() };
+            sent += encode_summary(&summary).len();
+            let digest = hub.exchange(start + Duration::from_secs(second), summary);
+            received += encode_digest(&digest).len();
+            member.take(digest);
+        }
+    }
+    let each = |bytes: usize| bytes / routers / SECONDS as usize;
+    Totals {
+        router_out: each(sent),
+        router_in: each(received),
+        hub_out: received / SECONDS as usize,
+    }
+}
+
+fn flat(routers: usize, servers: u16) -> usize {
+    let names: Vec<_> = (0..routers).map(|it| format!("router-{it}")).collect();
+    let mut sent = 0;
+    for second in 0..SECONDS {
+        for (idx, name) in names.iter().enumerate() {
+            let by_port =
+                |it: SocketAddr| ServerRef::Idx(dissemination::ServerIdx(it.port() - 9000));
+            let loads = owned_loads(&names, name, servers, second, by_port);
+            let summary = MemberState::new(name).summary();
+            let from = dissemination::Sender::Idx(dissemination::RouterIdx(idx as u16));
+            sent += encode_summary(&Summary { from, loads, ..summary }).len() * (routers - 1);
+        }
+    }
+    sent / routers / SECONDS as usize
+}
+
+fn owned_loads(
+    names: &[String],
+    me: &str,
+    servers: u16,
+    second: u64,
+    server_ref: impl Fn(SocketAddr) -> ServerRef,
+) -> Vec<ServerLoad> {
+    let addrs = (0..servers).map(|it| SocketAddr::from(([10, 0, 0, 1], 9000 + it)));
+    let owned = addrs.filter(|it| owner(names.iter().map(String::as_str), *it) == Some(me));
+    owned.map(|it| ServerLoad { server: server_ref(it), load: load(it, second) }).collect()
+}
+
+/// A load that changes each second, as under traffic.
+fn load(server: SocketAddr, second: u64) -> Load {
+    let mix = (u64::from(server.port()) * 31 + second * 17) % 23;
+    Load {
+        running: 40 + mix as u16,
+        waiting: (mix / 5) as u16,
+        kv_used_64ths: 30 + mix as u8,
+        step_100us: 300 + mix as u16,
+    }
+}
--- /dev/null
+++ b/crates/dissemination/src/lib.rs
@@ -0,0 +1,22 @@
+//! What the routers of a failure domain tell one another through their control VM.
+//!
+//! Each router reads the load reports of the few backend servers it owns and sends them in a
+//! [`Summary`] to the control VM of its failure domain, whose [`Hub`] merges them and answers with
+//! the [`Digest`] of all that has changed since the version that the router holds. One version
+//! number stands for the router's complete state, so a lost answer needs no repair of its own.
+//! The crate does no I/O and reads no clock.
+
+mod hub;
+mod member;
+mod owner;
+mod rows;
+mod wire;
+
+pub use hub::{Hub, HubSettings};
+pub use member::{MemberState, ServerEntry};
+pub use owner::{owner, weighted_share};
+pub use rows::{
+    Demand, Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
+    ServerRow, ServerState, Share, Summary, Version,
+};
+pub use wire::{DecodeError, decode_digest, decode_summary, encode_digest, encode_summary};
--- /dev/null
+++ b/crates/dissemination/src/member.rs
@@ -0,0 +1,114 @@
+//! The router's side: what it holds of the failure domain's shared state.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use crate::{
+    Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, Share,
+    Summary, Version,
+};
+
+/// One backend server as the router knows it from the hub.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// What the platform's list tells.
+    pub row: ServerRow,
+    /// The newest load report.
+    pub load: Load,
+}
+
+/// The shared state that one router holds.
+#[derive(Debug, Clone)]
+pub struct MemberState {
+    name: String,
+    epoch: u64,
+    version: Version,
+    me: Option<RouterIdx>,
+    routers: Vec<String>,
+    servers: BTreeMap<ServerIdx, ServerEntry>,
+    by_addr: BTreeMap<SocketAddr, ServerIdx>,
+    shares: Vec<Share>,
+}
+
+impl MemberState {
+    /// A router that has heard nothing yet.
+    pub fn new(name: &str) -> MemberState {
+        MemberState {
+            name: name.to_owned(),
+            epoch: 0,
+            version: Version(0),
+            me: None,
+            routers: vec![name.to_owned()],
+            servers: BTreeMap::new(),
+            by_addr: BTreeMap::new(),
+            shares: Vec::new(),
+        }
+    }
+
+    /// A summary without rows, to be filled by the router.
+    pub fn summary(&self) -> Summary {
+        let from = self.me.map_or_else(|| Sender::Name(self.name.clone()), Sender::Idx);
+        Summary {
+            from,
+            epoch: self.epoch,
+            held: self.version,
+            loads: Vec::new(),
+            sightings: Vec::new(),
+            quarantine: Vec::new(),
+            demand: Vec::new(),
+        }
+    }
+
+    /// Takes a digest and gives the quarantined fingerprints in it.
+    ///
+    /// A digest of another life of the hub replaces everything that was held.
+    pub fn take(&mut self, digest: Digest) -> Vec<QuarantineRow> {
+        if digest.epoch != self.epoch {
+            self.epoch = digest.epoch;
+            self.servers.clear();
+            self.by_addr.clear();
+        }
+        self.version = digest.version;
+        // The largest index stands for a sender that the hub no longer lists.
+        self.me = (digest.you != u16::MAX).then_some(RouterIdx(digest.you));
+        if let Some(routers) = digest.routers {
+            self.routers = routers.into_iter().map(|(_, name)| name).collect();
+        }
+        for row in digest.servers {
+            self.take_row(row);
+        }
+        for load in digest.loads {
+            let ServerRef::Idx(idx) = load.server else { continue };
+            if let Some(entry) = self.servers.get_mut(&idx) {
+                entry.load = load.load;
+            }
+        }
+        self.shares = digest.shares;
+        digest.quarantine
+    }
+
+    /// How a server is named towards the hub.
+    pub fn server_ref(&self, addr: SocketAddr) -> ServerRef {
+        self.by_addr.get(&addr).map_or(ServerRef::Addr(addr), |idx| ServerRef::Idx(*idx))
+    }
+
+    /// The servers known from the hub.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.values()
+    }
+
+    /// The live routers, this one included once the hub knows it.
+    pub fn routers(&self) -> impl Iterator<Item = &str> {
+        self.routers.iter().map(String::as_str)
+    }
+
+    /// This router's part of a pool, if the hub has given one.
+    pub fn share(&self, pool: u32) -> Option<Share> {
+        self.shares.iter().find(|it| it.pool == pool).copied()
+    }
+
+    fn take_row(&mut self, row: ServerRow) {
+        self.by_addr.insert(row.addr, row.idx);
+        let load = self.servers.get(&row.idx).map(|it| it.load).unwrap_or_default();
+        self.servers.insert(row.idx, ServerEntry { row, load });
+    }
+}
