--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,10 +4,13 @@
 //! data out. Only `client`, `runner` and `proc_stat` touch the network or the system.
 
 pub mod answer_check;
+pub mod caller;
 pub mod capacity;
+pub mod evidence;
 pub mod loopback;
 pub mod overhead;
 pub mod plan;
 pub mod proc_stat;
 pub mod record;
 pub mod report;
+pub mod runner;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -22,25 +22,16 @@
     record::{Ending, Outcome, RequestRecord},
 };
 
-/// What the stand-ins counted during the run.
+/// What the stand-ins counted during the run; missing where none was asked or none counts it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Evidence {
     /// How often each chat request was started, by its request id.
-    pub starts_by_request: BTreeMap<String, u64>,
+    pub starts_by_request: Option<BTreeMap<String, u64>>,
     /// How often each order was executed, by its idempotency key.
-    pub executions_by_key: BTreeMap<String, u64>,
+    pub executions_by_key: Option<BTreeMap<String, u64>>,
     /// Tokens that the engines generated.
-    pub tokens_generated: u64,
-}
-
-/// Whether the stand-ins' counts are at hand.
-#[derive(Debug, Clone, Copy)]
-pub enum Counts<'a> {
-    /// They were read after the run.
-    Known(&'a Evidence),
-    /// No stand-in was asked, so nothing is said about waste or executions.
-    Unknown,
+    pub tokens_generated: Option<u64>,
 }
 
 /// The replies of one kind.
@@ -67,6 +58,16 @@
     pub wasted_permille: u64,
 }
 
+/// The requests whose "not run" was held against the stand-ins' counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct NotRunProof {
+    /// Whether chat requests were.
+    pub chats: bool,
+    /// Whether orders were.
+    pub orders: bool,
+}
+
 /// Everything that a run showed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -88,6 +89,8 @@
     pub replies: Vec<ReplyCount>,
     /// The work that reached no caller, where the stand-ins' counts are at hand.
     pub wasted: Option<WastedWork>,
+    /// What each "not run" was held against.
+    pub not_run_proof: NotRunProof,
     /// The broken promises that callers or stand-ins saw.
     pub faults: Vec<Fault>,
 }
@@ -97,7 +100,7 @@
     pub fn new(
         classes: &[ClassSettings],
         records: &[RequestRecord],
-        counts: Counts<'_>,
+        evidence: &Evidence,
         duration: Duration,
     ) -> Report {
         let classes = class::reports(classes, records);
@@ -111,8 +114,9 @@
             send_lag_max_us: records.iter().map(|it| it.send_lag_us).max().unwrap_or_default(),
             classes,
             replies: replies(records),
-            wasted: wasted(counts, tokens_good),
-            faults: faults::find(records, counts),
+            wasted: evidence.tokens_generated.map(|it| wasted(it, tokens_good)),
+            not_run_proof: not_run_proof(evidence),
+            faults: faults::find(records, evidence),
         }
     }
 
@@ -127,12 +131,17 @@
     good.map(|it| u64::from(it.tokens)).sum()
 }
 
-fn wasted(counts: Counts<'_>, tokens_good: u64) -> Option<WastedWork> {
-    let Counts::Known(evidence) = counts else { return None };
-    let tokens_generated = evidence.tokens_generated;
+fn wasted(tokens_generated: u64, tokens_good: u64) -> WastedWork {
     let wasted = tokens_generated.saturating_sub(tokens_good);
     let wasted_permille = permille(wasted, tokens_generated);
-    Some(WastedWork { tokens_generated, tokens_good, wasted_permille })
+    WastedWork { tokens_generated, tokens_good, wasted_permille }
+}
+
+fn not_run_proof(evidence: &Evidence) -> NotRunProof {
+    NotRunProof {
+        chats: evidence.starts_by_request.is_some(),
+        orders: evidence.executions_by_key.is_some(),
+    }
 }
 
 fn replies(records: &[RequestRecord]) -> Vec<ReplyCount> {
--- a/crates/load/src/report/faults.rs
+++ b/crates/load/src/report/faults.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{Counts, Evidence};
+use super::Evidence;
 use crate::{
     answer_check::AnswerFault,
     plan::{ArrivalId, RequestKind},
@@ -47,12 +47,10 @@
     pub subject: String,
 }
 
-pub(super) fn find(records: &[RequestRecord], counts: Counts<'_>) -> Vec<Fault> {
+pub(super) fn find(records: &[RequestRecord], evidence: &Evidence) -> Vec<Fault> {
     let mut faults: Vec<Fault> = records.iter().filter_map(seen_by_caller).collect();
-    if let Counts::Known(evidence) = counts {
-        faults.extend(records.iter().filter_map(|it| false_not_run(it, evidence)));
-        faults.extend(orders(records).values().filter_map(|it| order_fault(it, evidence)));
-    }
+    faults.extend(records.iter().filter_map(|it| false_not_run(it, evidence)));
+    faults.extend(orders(records).values().filter_map(|it| order_fault(it, evidence)));
     faults.sort_by_key(|it| (it.arrival, it.kind));
     faults
 }
@@ -67,7 +65,7 @@
 }
 
 fn false_not_run(record: &RequestRecord, evidence: &Evidence) -> Option<Fault> {
-    let starts = evidence.starts_by_request.get(&record.request_id).copied().unwrap_or_default();
+    let starts = evidence.starts_by_request.as_ref()?.get(&record.request_id).copied()?;
     let is_false = record.outcome == Outcome::NotRun && starts > 0;
     is_false.then(|| request_fault(FaultKind::FalseNotRun, record))
 }
@@ -90,7 +88,7 @@
 fn order_fault(sendings: &[&RequestRecord], evidence: &Evidence) -> Option<Fault> {
     let first = sendings.first()?;
     let key = first.idempotency_key.as_ref()?;
-    let executions = evidence.executions_by_key.get(key).copied().unwrap_or_default();
+    let executions = evidence.executions_by_key.as_ref()?.get(key).copied().unwrap_or_default();
     let all_not_run = sendings.iter().all(|it| it.outcome == Outcome::NotRun);
     let any_ran = sendings.iter().any(|it| it.outcome == Outcome::Ran);
     let kind = match executions {
--- a/crates/load/src/report/table.rs
+++ b/crates/load/src/report/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt::Write};
 
-use super::{ClassReport, FaultKind, LatencySummary, Report, WastedWork};
+use super::{ClassReport, FaultKind, LatencySummary, NotRunProof, Report, WastedWork};
 
 /// The most single faults that are listed below their counts.
 const FAULTS_LISTED: usize = 10;
@@ -82,6 +82,7 @@
 
 fn push_faults(text: &mut String, report: &Report) {
     push_line(text, "");
+    push_line(text, &format!("not run           {}", not_run_proof(report.not_run_proof)));
     if report.is_faultless() {
         push_line(text, "faults            none");
         return;
@@ -117,6 +118,15 @@
     format!("{percent} of {} tokens generated", wasted.tokens_generated)
 }
 
+fn not_run_proof(proof: NotRunProof) -> &'static str {
+    match proof {
+        NotRunProof { chats: true, orders: true } => "checked for chat requests and orders",
+        NotRunProof { chats: true, orders: false } => "checked for chat requests only",
+        NotRunProof { chats: false, orders: true } => "checked for orders only",
+        NotRunProof { chats: false, orders: false } => "not checked, no counts are known",
+    }
+}
+
 fn percent(permille: Option<u64>) -> String {
     permille.map_or("-".to_owned(), |it| format!("{}.{}%", it / 10, it % 10))
 }
--- /dev/null
+++ b/crates/load/src/runner.rs
@@ -0,0 +1,185 @@
+//! Sends a plan open loop and gathers what its callers saw.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use derive_more::{Display, Error};
+use futures::future::join_all;
+use monoio::time;
+
+use crate::{
+    caller::{Call, Caller, Reply},
+    loopback::LoopbackAddr,
+    plan::{Arrival, ArrivalId, Plan, PlanSettings, Sending},
+    record::{Ending, Outcome, RequestRecord},
+};
+
+/// Bounds of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunnerSettings {
+    /// The most requests in flight; an arrival beyond it is recorded as broken, not delayed.
+    pub in_flight_max: usize,
+    /// No arrival planned after this many milliseconds is sent.
+    pub time_limit_ms: u64,
+}
+
+impl Default for RunnerSettings {
+    fn default() -> Self {
+        RunnerSettings { in_flight_max: 4_000, time_limit_ms: 300_000 }
+    }
+}
+
+/// A run that cannot start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum RunFault {
+    /// There is no router to send to.
+    #[display("no router is named; give at least one address")]
+    NoRouter,
+}
+
+/// What a run gathered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunResult {
+    /// A record for each request sent, in the order of the plan.
+    pub records: Vec<RequestRecord>,
+    /// From the start to the end of the last reply.
+    pub duration: Duration,
+}
+
+/// Sends `plan` to `routers`, one after the other in turn, and waits for every reply.
+///
+/// # Errors
+///
+/// [`RunFault::NoRouter`] if `routers` is empty.
+pub async fn run(
+    settings: RunnerSettings,
+    plan_settings: &PlanSettings,
+    plan: &Plan,
+    routers: &[LoopbackAddr],
+    caller: &Caller,
+    clock: Rc<dyn Clock>,
+) -> Result<RunResult, RunFault> {
+    if routers.is_empty() {
+        return Err(RunFault::NoRouter);
+    }
+    let start = clock.now();
+    let sender = Rc::new(Sender {
+        settings,
+        caller: caller.clone(),
+        clock: Rc::clone(&clock),
+        start,
+        in_flight: Cell::new(0),
+        records: RefCell::default(),
+    });
+    let mut tasks = Vec::new();
+    let limit = Duration::from_millis(settings.time_limit_ms);
+    for arrival in plan.arrivals.iter().take_while(|it| it.at() <= limit) {
+        time::sleep((start + arrival.at()).saturating_duration_since(clock.now())).await;
+        let call = call_of(plan_settings, arrival);
+        let router = routers[router_idx(arrival, routers.len())];
+        let sender = Rc::clone(&sender);
+        let arrival = arrival.clone();
+        tasks.push(monoio::spawn(async move { sender.send(&arrival, &call, router).await }));
+    }
+    join_all(tasks).await;
+
+    let mut records = sender.records.take();
+    records.sort_by_key(|it| it.arrival);
+    Ok(RunResult { records, duration: clock.now().saturating_duration_since(start) })
+}
+
+/// Takes the routers in turn; a repetition goes to the router after the one of its first sending,
+/// as when the balancer has sent it elsewhere.
+fn router_idx(arrival: &Arrival, routers: usize) -> usize {
+    let turn = match arrival.sending {
+        Sending::First => arrival.id.0,
+        Sending::Resend(ArrivalId(first)) => first + 1,
+    };
+    turn as usize % routers
+}
+
+fn call_of(settings: &PlanSettings, arrival: &Arrival) -> Call {
+    let class = &settings.classes[arrival.class.0];
+    Call {
+        class: class.name.clone(),
+        kind: class.kind,
+        token: settings.workspaces.tokens[arrival.workspace.0].clone(),
+        request_id: format!("{}-{}", settings.run_name, arrival.id),
+        idempotency_key: arrival.idempotency_key.clone(),
+        model: class.model.clone(),
+        prompt: arrival.prompt.clone(),
+        max_tokens: arrival.max_tokens,
+        answer: class.answer,
+    }
+}
+
+struct Sender {
+    settings: RunnerSettings,
+    caller: Caller,
+    clock: Rc<dyn Clock>,
+    start: Instant,
+    in_flight: Cell<usize>,
+    records: RefCell<Vec<RequestRecord>>,
+}
+
+impl Sender {
+    async fn send(&self, arrival: &Arrival, call: &Call, router: LoopbackAddr) {
+        let planned = self.start + arrival.at();
+        let sent = self.clock.now();
+        let reply = if self.in_flight.get() >= self.settings.in_flight_max {
+            unsent(sent)
+        } else {
+            self.in_flight.set(self.in_flight.get() + 1);
+            let reply = self.caller.send(router, call).await;
+            self.in_flight.set(self.in_flight.get() - 1);
+            reply
+        };
+        let record = record(arrival, call, &reply, planned, sent);
+        self.records.borrow_mut().push(record);
+    }
+}
+
+fn unsent(now: Instant) -> Reply {
+    Reply {
+        status: None,
+        outcome: Outcome::Unstated,
+        ending: Ending::Broken("the load tool has too many requests in flight".to_owned()),
+        first_token_at: None,
+        ended_at: now,
+        tokens: 0,
+        text: String::new(),
+        answer_fault: None,
+        retry_after_s: None,
+    }
+}
+
+fn record(
+    arrival: &Arrival,
+    call: &Call,
+    reply: &Reply,
+    planned: Instant,
+    sent: Instant,
+) -> RequestRecord {
+    let since_planned_us = |at: Instant| at.saturating_duration_since(planned).as_micros() as u64;
+    RequestRecord {
+        arrival: arrival.id,
+        class: arrival.class,
+        kind: call.kind,
+        sending: arrival.sending,
+        idempotency_key: call.idempotency_key.clone(),
+        request_id: call.request_id.clone(),
+        at_us: arrival.at_us,
+        send_lag_us: since_planned_us(sent),
+        first_token_us: reply.first_token_at.map(since_planned_us),
+        whole_us: reply.status.map(|_| since_planned_us(reply.ended_at)),
+        tokens: reply.tokens,
+        outcome: reply.outcome,
+        ending: reply.ending.clone(),
+        answer_fault: reply.answer_fault,
+        retry_after_s: reply.retry_after_s,
+    }
+}
--- a/crates/load/tests/run_report.rs
+++ b/crates/load/tests/run_report.rs
@@ -7,7 +7,7 @@
     answer_check::AnswerFault,
     plan::{ArrivalId, ClassIdx, ClassSettings, LatencyTarget, RequestKind, Sending},
     record::{Ending, Outcome, RequestRecord},
-    report::{Counts, Evidence, Report, latency_svg, table},
+    report::{Evidence, Report, latency_svg, table},
 };
 
 fn classes() -> Vec<ClassSettings> {
@@ -75,14 +75,14 @@
         counts.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect()
     };
     Evidence {
-        starts_by_request: owned(starts),
-        executions_by_key: owned(executions),
-        tokens_generated,
+        starts_by_request: Some(owned(starts)),
+        executions_by_key: Some(owned(executions)),
+        tokens_generated: Some(tokens_generated),
     }
 }
 
 fn report(records: &[RequestRecord], evidence: &Evidence) -> Report {
-    Report::new(&classes(), records, Counts::Known(evidence), Duration::from_secs(2))
+    Report::new(&classes(), records, evidence, Duration::from_secs(2))
 }
 
 fn check_faults(records: &[RequestRecord], evidence: &Evidence, expect: Expect) {
@@ -128,6 +128,7 @@
              1  failed 503, not-run
              4  answered, ran
 
+        not run           checked for chat requests and orders
         faults            none
     "#]].assert_eq(&table(&report(&records, &evidence)));
 }
@@ -135,7 +136,7 @@
 #[test]
 fn counts_unknown() {
     let records = [chat(0, 50, 250)];
-    let report = Report::new(&classes(), &records, Counts::Unknown, Duration::from_secs(1));
+    let report = Report::new(&classes(), &records, &Evidence::default(), Duration::from_secs(1));
     assert_eq!(report.wasted, None);
     assert!(report.is_faultless());
 }
