Follow the tables from a process without a disk

Cause: routers have no disk; a restart must not bring an older state back from a lagging peer, and a domain that is cut off must still serve. Ruled out: taking whatever the nearest control VM holds (it may lag); refusing to serve until a leader answers (a cut-off domain would not serve). The control VM keeps 512 deltas and merges them.

--- /dev/null
+++ b/crates/control-client/src/tables_watch.rs
@@ -0,0 +1,206 @@
+//! Keeps the tables in force and wakes those who wait for newer ones.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use futures::{FutureExt, channel::oneshot, future::LocalBoxFuture};
+use rpc::{ByteCounters, ControlClient, Link, LinkSettings, TablesUpdate};
+use tables::{Delta, Revision, Rows, Tables, TablesText};
+
+use crate::{
+    Freshness,
+    first_tables::{CONFIRM_WAIT, first_tables},
+};
+
+/// How tables are followed.
+#[derive(Debug, Clone)]
+pub struct WatchSettings {
+    /// The link that changes come over; its addresses are also asked at the start.
+    pub link: LinkSettings,
+    /// How long a start waits for confirmed tables, in milliseconds.
+    pub confirm_patience_ms: u64,
+    /// How long one question waits at the control VM, in milliseconds.
+    pub poll_ms: u64,
+    /// The pause after a question that failed, in milliseconds.
+    pub retry_pause_ms: u64,
+}
+
+impl Default for WatchSettings {
+    fn default() -> Self {
+        WatchSettings {
+            link: LinkSettings::default(),
+            confirm_patience_ms: 5000,
+            poll_ms: 20_000,
+            retry_pause_ms: 200,
+        }
+    }
+}
+
+/// The tables in force in this process; clones share them.
+#[derive(Clone)]
+pub struct TablesWatch {
+    state: Rc<RefCell<State>>,
+    link: Link,
+}
+
+#[derive(Default)]
+struct State {
+    rows: Rows,
+    tables: Rc<Tables>,
+    freshness: Freshness,
+    waiting: Vec<oneshot::Sender<()>>,
+}
+
+/// What became of an update.
+enum Taken {
+    InForce,
+    Ignored,
+    Refused,
+    NeedsSnapshot,
+}
+
+impl TablesWatch {
+    /// Starts following; the tables are empty until the first ones are in force.
+    pub fn start(settings: WatchSettings) -> TablesWatch {
+        let link = Link::start(settings.link.clone());
+        let watch = TablesWatch { state: Rc::default(), link };
+        monoio::spawn(watch.clone().follow(settings));
+        watch
+    }
+
+    /// The tables in force.
+    pub fn current(&self) -> Rc<Tables> {
+        self.state.borrow().tables.clone()
+    }
+
+    /// Whether a newer revision may exist.
+    pub fn freshness(&self) -> Freshness {
+        self.state.borrow().freshness
+    }
+
+    /// The link to the control VM, for further calls.
+    pub fn link(&self) -> &Link {
+        &self.link
+    }
+
+    /// Resolves once a revision above `held` is in force.
+    pub fn newer_than(&self, held: Revision) -> LocalBoxFuture<'static, ()> {
+        let watch = self.clone();
+        async move {
+            while watch.current().revision <= held {
+                let change = watch.next_change();
+                // The sender lives as long as the state that this future holds.
+                let _ = change.await;
+            }
+        }
+        .boxed_local()
+    }
+
+    fn next_change(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.borrow_mut();
+        state.waiting.retain(|it| !it.is_canceled());
+        state.waiting.push(sender);
+        receiver
+    }
+
+    async fn follow(self, settings: WatchSettings) {
+        let addrs: &[SocketAddr] = &settings.link.addrs;
+        let connect_timeout = Duration::from_millis(settings.link.connect_timeout_ms);
+        let patience = Duration::from_millis(settings.confirm_patience_ms);
+        let counters: &ByteCounters = self.link.counters();
+        let first = first_tables(addrs, connect_timeout, patience, counters).await;
+        let text = TablesText { routes: first.routes, pools: first.pools };
+        self.put_in_force(Revision(first.revision), &text);
+        self.state.borrow_mut().freshness = first.freshness;
+        tracing::info!(event = "tables_first", revision = first.revision, freshness = %first.freshness);
+        loop {
+            if !self.follow_once(&settings).await {
+                monoio::time::sleep(Duration::from_millis(settings.retry_pause_ms)).await;
+            }
+        }
+    }
+
+    async fn follow_once(&self, settings: &WatchSettings) -> bool {
+        let Ok(client) = self.link.client() else { return false };
+        if self.freshness() == Freshness::Unconfirmed {
+            return self.confirm(&client).await;
+        }
+        let wait = Duration::from_millis(settings.poll_ms);
+        let (held, digest) = self.held();
+        let Ok(update) = client.fetch_tables(held.0, digest, wait).await else { return false };
+        match self.take(update) {
+            Taken::InForce | Taken::Ignored => true,
+            Taken::Refused => false,
+            Taken::NeedsSnapshot => {
+                // A digest of zero stands for no rows, so the answer is a snapshot.
+                let snapshot = client.fetch_tables(held.0, 0, wait).await;
+                snapshot.is_ok_and(|it| matches!(self.take(it), Taken::InForce))
+            }
+        }
+    }
+
+    /// Asks as at a start, until the leader can be reached again.
+    async fn confirm(&self, client: &ControlClient) -> bool {
+        let Ok(update) = client.fetch_tables(0, 0, CONFIRM_WAIT).await else { return false };
+        let is_confirmed = matches!(update, TablesUpdate::Snapshot { confirmed: true, .. });
+        self.take(update);
+        if is_confirmed {
+            self.state.borrow_mut().freshness = Freshness::Confirmed;
+        }
+        is_confirmed
+    }
+
+    fn held(&self) -> (Revision, u64) {
+        let state = self.state.borrow();
+        (state.tables.revision, state.rows.digest())
+    }
+
+    fn take(&self, update: TablesUpdate) -> Taken {
+        match update {
+            TablesUpdate::Unchanged => Taken::Ignored,
+            TablesUpdate::Delta(bytes) => self.take_delta(&bytes),
+            TablesUpdate::Snapshot { revision, routes, pools, .. } => {
+                self.put_in_force(Revision(revision), &TablesText { routes, pools })
+            }
+        }
+    }
+
+    fn take_delta(&self, bytes: &[u8]) -> Taken {
+        let Ok(delta) = postcard::from_bytes::<Delta>(bytes) else { return Taken::NeedsSnapshot };
+        let (held, rows) = {
+            let state = self.state.borrow();
+            (state.tables.revision, state.rows.clone())
+        };
+        match delta.apply(held, &rows) {
+            Ok(rows) => self.put_in_force(delta.target, &rows.to_text()),
+            Err(err) => {
+                tracing::warn!(event = "delta_refused", %err);
+                Taken::NeedsSnapshot
+            }
+        }
+    }
+
+    /// Takes tables over only if their revision is above the one held.
+    fn put_in_force(&self, revision: Revision, text: &TablesText) -> Taken {
+        if revision <= self.current().revision {
+            return Taken::Ignored;
+        }
+        let checked = tables::check(revision, text).and_then(|it| Ok((it, Rows::parse(text)?)));
+        let (tables, rows) = match checked {
+            Ok(checked) => checked,
+            Err(faults) => {
+                tracing::error!(event = "tables_refused", %revision, %faults);
+                return Taken::Refused;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        state.tables = Rc::new(tables);
+        state.rows = rows;
+        for waiter in state.waiting.drain(..) {
+            // A waiter that is gone does not want to know.
+            let _ = waiter.send(());
+        }
+        tracing::info!(event = "tables_in_force", %revision);
+        Taken::InForce
+    }
+}
--- /dev/null
+++ b/crates/control/src/tables_feed.rs
@@ -0,0 +1,98 @@
+//! The tables in force here, and the deltas that bring routers up to them.
+
+use std::{cell::RefCell, collections::VecDeque};
+
+use rpc::{ByteCounters, TablesUpdate};
+use tables::{Delta, Revision, Rows, TablesText};
+
+/// How many changes back a router gets a delta; one that is further behind gets a snapshot.
+const DELTAS_KEPT: usize = 512;
+
+/// Answers questions for tables newer than a revision.
+#[derive(Default)]
+pub(crate) struct TablesFeed {
+    state: RefCell<State>,
+    counters: ByteCounters,
+}
+
+#[derive(Default)]
+struct State {
+    revision: Revision,
+    rows: Rows,
+    text: TablesText,
+    oldest_digest: u64,
+    deltas: VecDeque<Delta>,
+}
+
+impl TablesFeed {
+    /// Takes over the tables that the log has accepted; older ones are ignored.
+    pub(crate) fn update(&self, revision: Revision, text: &TablesText) {
+        let mut state = self.state.borrow_mut();
+        if revision <= state.revision {
+            return;
+        }
+        // Text that does not parse is refused before it is proposed.
+        let Ok(rows) = Rows::parse(text) else { return };
+        state.take(revision, text.clone(), rows);
+    }
+
+    /// The revision of the tables here.
+    pub(crate) fn revision(&self) -> Revision {
+        self.state.borrow().revision
+    }
+
+    /// What leads from `held`, whose rows have `digest`, to the tables here.
+    pub(crate) fn since(&self, held: Revision, digest: u64) -> TablesUpdate {
+        let state = self.state.borrow();
+        if state.revision <= held {
+            return TablesUpdate::Unchanged;
+        }
+        let delta = state.delta_from(held, digest);
+        let encoded = delta.and_then(|it| postcard::to_stdvec(&it).ok());
+        encoded.map_or_else(|| state.snapshot(), TablesUpdate::Delta)
+    }
+
+    /// All tables, for a router that starts.
+    pub(crate) fn snapshot(&self, is_confirmed: bool) -> TablesUpdate {
+        match self.state.borrow().snapshot() {
+            TablesUpdate::Snapshot { revision, routes, pools, .. } => {
+                TablesUpdate::Snapshot { revision, routes, pools, confirmed: is_confirmed }
+            }
+            other => other,
+        }
+    }
+
+    /// Counts the bytes of the links that this VM accepts.
+    pub(crate) fn counters(&self) -> &ByteCounters {
+        &self.counters
+    }
+}
+
+impl State {
+    fn take(&mut self, revision: Revision, text: TablesText, rows: Rows) {
+        let delta = Delta::between(self.revision, &self.rows, revision, &rows);
+        self.deltas.push_back(delta);
+        if self.deltas.len() > DELTAS_KEPT {
+            self.oldest_digest = self.deltas.pop_front().map_or(0, |it| it.digest);
+        }
+        (self.revision, self.text, self.rows) = (revision, text, rows);
+    }
+
+    fn delta_from(&self, held: Revision, digest: u64) -> Option<Delta> {
+        let first = self.deltas.iter().position(|it| it.base == held)?;
+        let expected = match first {
+            0 => self.oldest_digest,
+            _ => self.deltas[first - 1].digest,
+        };
+        (digest == expected).then(|| Delta::merged(self.deltas.iter().skip(first)))?
+    }
+
+    fn snapshot(&self) -> TablesUpdate {
+        TablesUpdate::Snapshot {
+            revision: self.revision.0,
+            routes: self.text.routes.clone(),
+            pools: self.text.pools.clone(),
+            confirmed: false,
+        }
+    }
+}
--- a/crates/tables/src/delta.rs
+++ b/crates/tables/src/delta.rs
@@ -73,6 +73,19 @@
         Delta { base, target, digest: new.digest(), changes }
     }
 
+    /// One delta with the effect of `deltas` one after the other; nothing if there are none.
+    pub fn merged<'a>(deltas: impl IntoIterator<Item = &'a Delta>) -> Option<Delta> {
+        let mut deltas = deltas.into_iter();
+        let mut merged = deltas.next()?.clone();
+        for delta in deltas {
+            merged.changes.retain(|it| !delta.changes.iter().any(|new| new.is_about(it)));
+            merged.changes.extend(delta.changes.iter().cloned());
+            merged.target = delta.target;
+            merged.digest = delta.digest;
+        }
+        Some(merged)
+    }
+
     /// The rows after the changes.
     ///
     /// # Errors
@@ -98,6 +111,12 @@
     }
 }
 
+impl RowChange {
+    fn is_about(&self, other: &RowChange) -> bool {
+        self.table == other.table && self.name == other.name
+    }
+}
+
 fn changed_rows(table: TableKind, old: &Rows, new: &Rows) -> Vec<RowChange> {
     let (old, new) = (old.table(table), new.table(table));
     let written = new
--- a/crates/tables/tests/row_deltas.rs
+++ b/crates/tables/tests/row_deltas.rs
@@ -21,6 +21,18 @@
         prop_assert_eq!(delta.apply(Revision(4), &old), Ok(new));
     }
 
+    #[test]
+    fn merged_reaches_target(all in proptest::collection::vec(rows(), 2..6)) {
+        let deltas: Vec<_> = all
+            .windows(2)
+            .zip(0..)
+            .map(|(pair, at)| Delta::between(Revision(at), &pair[0], Revision(at + 1), &pair[1]))
+            .collect();
+        let merged = Delta::merged(&deltas).expect("at least one delta");
+        let reached = merged.apply(Revision(0), &all[0]);
+        prop_assert_eq!(reached.as_ref(), Ok(&all[all.len() - 1]));
+    }
+
     #[test]
     fn text_round_trip(rows in rows()) {
         prop_assert_eq!(Rows::parse(&rows.to_text()), Ok(rows));
