Measure what the router costs and sample processes for the capacity fit

Ruled out: /proc/PID/net for bytes, which counts the whole network namespace. Change: overhead experiment, capacity sample and report, counters read from /metrics. Conclusion: both need real daemons next.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -1,7 +1,9 @@
 //! The subcommands, one module each.
 
 mod args;
+mod capacity;
 mod once;
+mod overhead;
 mod plot;
 mod run;
 
@@ -17,11 +19,15 @@
         .subcommand(once::command())
         .subcommand(run::command())
         .subcommand(plot::command())
+        .subcommand(overhead::command())
+        .subcommand(capacity::command())
         .get_matches();
     match matches.subcommand() {
         Some(("once", args)) => block_on(once::run(args)),
         Some(("run", args)) => block_on(run::run(args)),
         Some(("plot", args)) => plot::run(args),
+        Some(("overhead", args)) => block_on(overhead::run(args)),
+        Some(("capacity", args)) => block_on(capacity::run(args)),
         _ => unreachable!("a subcommand is required, and all are listed"),
     }
 }
--- a/crates/load/src/cli/args.rs
+++ b/crates/load/src/cli/args.rs
@@ -79,3 +79,8 @@
 pub(crate) fn to_json(data: &impl Serialize) -> anyhow::Result<String> {
     Ok(serde_json::to_string_pretty(data)? + "\n")
 }
+
+/// The number of a process, which may be left out.
+pub(crate) fn pid(help: &'static str) -> Arg {
+    Arg::new("pid").long("pid").value_name("PID").help(help).value_parser(value_parser!(u32))
+}
--- /dev/null
+++ b/crates/load/src/cli/capacity.rs
@@ -0,0 +1,22 @@
+//! The capacity experiment: one sample at a time, and the report over all of them.
+
+mod report;
+mod sample;
+
+use clap::{ArgMatches, Command};
+
+pub(crate) fn command() -> Command {
+    Command::new("capacity")
+        .about("Samples daemons at several sizes and projects their cost to the target size")
+        .subcommand_required(true)
+        .subcommand(sample::command())
+        .subcommand(report::command())
+}
+
+pub(crate) async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+    match matches.subcommand() {
+        Some(("sample", args)) => sample::run(args).await,
+        Some(("report", args)) => report::run(args),
+        _ => unreachable!("a subcommand is required, and all are listed"),
+    }
+}
--- /dev/null
+++ b/crates/load/src/cli/capacity/sample.rs
@@ -0,0 +1,76 @@
+//! Watches one process and adds a line to the file of samples.
+
+use std::{fs::OpenOptions, io::Write, path::PathBuf, rc::Rc};
+
+use anyhow::Context;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clock::SystemClock;
+use load::{
+    capacity::{Driver, Sample, SamplerSettings, watch},
+    proc_stat::Pid,
+};
+
+use crate::cli::args;
+
+pub(crate) fn command() -> Command {
+    Command::new("sample")
+        .about("Watches a process for a while and adds a sample to a file")
+        .arg(args::pid("The process").required(true))
+        .arg(args::word("role", "router", "The role of the process"))
+        .arg(driver())
+        .arg(size())
+        .arg(args::number("window-ms", "5000", "How long the process is watched"))
+        .arg(args::addr("metrics", "The admin listener with its counters").required(false))
+        .arg(
+            Arg::new("byte-counter")
+                .long("byte-counter")
+                .value_name("NAME")
+                .help("A counter of bytes on the wire; may be given more than once")
+                .action(ArgAction::Append),
+        )
+        .arg(args::path("samples", "The file to add to, a JSON document a line").required(true))
+}
+
+pub(crate) fn driver() -> Arg {
+    Arg::new("driver")
+        .long("driver")
+        .value_name("WORD")
+        .help("What is varied: replicas, workspaces, streams, routers or changes")
+        .value_parser(value_parser!(Driver))
+        .required(true)
+}
+
+pub(crate) fn size() -> Arg {
+    Arg::new("size")
+        .long("size")
+        .value_name("N")
+        .help("The size that is set")
+        .value_parser(value_parser!(f64))
+        .required(true)
+}
+
+pub(crate) async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+    let byte_counters = matches.get_many::<String>("byte-counter").unwrap_or_default();
+    let settings = SamplerSettings {
+        pid: Pid(args::value(matches, "pid")),
+        metrics: matches.get_one("metrics").copied(),
+        byte_counters: byte_counters.cloned().collect(),
+        window_ms: args::value(matches, "window-ms"),
+    };
+    let role: String = args::value(matches, "role");
+    let (driver, size) = (args::value(matches, "driver"), args::value(matches, "size"));
+    let sample = watch(&settings, Rc::new(SystemClock), &role, driver, size).await?;
+    append(&args::value(matches, "samples"), &sample)
+}
+
+/// Adds `sample` to the file at `path` and prints it.
+pub(crate) fn append(path: &PathBuf, sample: &Sample) -> anyhow::Result<()> {
+    let line = serde_json::to_string(sample)?;
+    println!("{line}");
+    let mut file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)
+        .with_context(|| format!("cannot open {}", path.display()))?;
+    writeln!(file, "{line}").with_context(|| format!("cannot write {}", path.display()))
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_check;
 pub mod caller;
 pub mod capacity;
+pub mod counters;
 pub mod evidence;
 pub mod loopback;
 pub mod overhead;
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -4,10 +4,14 @@
 //! Absolute times depend on the machine, so the added time is given as a ratio to a direct call
 //! of the same backend server in the same run.
 
+mod experiment;
+
 use std::{fmt::Write, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use experiment::{Experiment, ExperimentFault, ExperimentSettings};
+
 use crate::report::LatencySummary;
 
 /// The time of a request through the router beside that of a direct call.
--- /dev/null
+++ b/crates/load/src/overhead/experiment.rs
@@ -0,0 +1,246 @@
+//! The requests behind an overhead report.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use clock::Clock;
+use derive_more::{Display, Error, From};
+use futures::future::join_all;
+use httpio::client::{Body, ClientError};
+use monoio::time;
+
+use super::{AddedTime, OverheadReport, RelayRate, StreamMemory};
+use crate::{
+    caller::{Call, Caller, Reply},
+    loopback::LoopbackAddr,
+    plan::AnswerMode,
+    proc_stat::{Pid, ProcFault, usage},
+    record::Ending,
+};
+
+/// Calls before the first measured one, which open connections and fill caches.
+const WARM_UP_CALLS: usize = 50;
+
+/// More tokens than a stand-in's longest answer has.
+const LONG_TOKENS: u32 = 100_000;
+
+/// How often the count of open streams is looked at while they are opened.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The size of the experiment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExperimentSettings {
+    /// The router.
+    pub router: LoopbackAddr,
+    /// The backend server behind it.
+    pub direct: LoopbackAddr,
+    /// A backend server whose streams are slow, behind the same router and named by its class.
+    pub slow_class: String,
+    /// The class of all other requests.
+    pub class: String,
+    /// The bearer token of the workspace.
+    pub token: String,
+    /// The model.
+    pub model: String,
+    /// The router's process.
+    pub pid: Option<Pid>,
+    /// Measured calls to each of the two.
+    pub calls: usize,
+    /// Streams that run at once while the relay rate is measured.
+    pub relay_streams: usize,
+    /// Tokens of each of them.
+    pub relay_tokens: u32,
+    /// The numbers of open streams at which memory is read.
+    pub open_streams: Vec<usize>,
+    /// How long opening them may take, in milliseconds.
+    pub open_timeout_ms: u64,
+}
+
+/// The experiment cannot go on.
+#[derive(Debug, Display, Error, From)]
+pub enum ExperimentFault {
+    /// A request was not answered whole and right, so its time means nothing.
+    #[display("{to} did not answer right: {ending}; check the limits of its settings")]
+    #[from(ignore)]
+    BadAnswer {
+        /// The address asked.
+        to: LoopbackAddr,
+        /// How the reply ended, and its text.
+        ending: String,
+    },
+    /// Not all streams could be opened in time.
+    #[display("{open} of {wanted} streams were open in time; raise the router's limits")]
+    #[from(ignore)]
+    StreamsMissing {
+        /// Streams that had their first token.
+        open: usize,
+        /// Streams wanted.
+        wanted: usize,
+    },
+    /// The process's accounting cannot be read.
+    #[display("{_0}")]
+    Proc(ProcFault),
+}
+
+/// Runs the experiment.
+pub struct Experiment {
+    settings: ExperimentSettings,
+    caller: Caller,
+    clock: Rc<dyn Clock>,
+    sent: Cell<u64>,
+}
+
+impl Experiment {
+    /// An experiment that has sent nothing yet.
+    pub fn new(settings: ExperimentSettings, caller: Caller, clock: Rc<dyn Clock>) -> Experiment {
+        Experiment { settings, caller, clock, sent: Cell::new(0) }
+    }
+
+    /// Measures added time, relay rate and, where the process is known, memory a stream.
+    ///
+    /// # Errors
+    ///
+    /// [`ExperimentFault`] where a request fails or streams stay closed.
+    pub async fn run(&self) -> Result<OverheadReport, ExperimentFault> {
+        let added_time = self.added_time().await?;
+        let relay = self.relay().await?;
+        let mut memory = Vec::new();
+        if let Some(pid) = self.settings.pid {
+            for streams in &self.settings.open_streams {
+                memory.push(self.memory(pid, *streams).await?);
+            }
+        }
+        Ok(OverheadReport { added_time, relay, memory })
+    }
+
+    /// Calls both addresses in turn, so that whatever else the machine does meets both alike.
+    async fn added_time(&self) -> Result<AddedTime, ExperimentFault> {
+        let (mut direct, mut routed) = (Vec::new(), Vec::new());
+        for idx in 0..WARM_UP_CALLS + self.settings.calls {
+            let direct_time = self.timed(self.settings.direct).await?;
+            let routed_time = self.timed(self.settings.router).await?;
+            if idx >= WARM_UP_CALLS {
+                direct.push(direct_time);
+                routed.push(routed_time);
+            }
+        }
+        Ok(AddedTime::new(&direct, &routed))
+    }
+
+    async fn timed(&self, to: LoopbackAddr) -> Result<Duration, ExperimentFault> {
+        let call = Call { answer: AnswerMode::Whole, ..self.call(1) };
+        let start = self.clock.now();
+        let reply = self.answered(to, &call).await?;
+        Ok(reply.ended_at.saturating_duration_since(start))
+    }
+
+    async fn relay(&self) -> Result<RelayRate, ExperimentFault> {
+        let calls: Vec<Call> = (0..self.settings.relay_streams)
+            .map(|_| self.call(self.settings.relay_tokens))
+            .collect();
+        let cpu_before = self.cpu()?;
+        let start = self.clock.now();
+        let replies =
+            join_all(calls.iter().map(|it| self.answered(self.settings.router, it))).await;
+        let elapsed = self.clock.now().saturating_duration_since(start);
+        let cpu = self.cpu()?.zip(cpu_before).map(|(after, before)| after.saturating_sub(before));
+
+        let mut tokens = 0;
+        for reply in replies {
+            tokens += u64::from(reply?.tokens);
+        }
+        Ok(RelayRate::new(calls.len(), tokens, elapsed, cpu))
+    }
+
+    /// Opens `streams` streams, waits until each has its first bytes, and reads the memory while
+    /// all are open.
+    async fn memory(&self, pid: Pid, streams: usize) -> Result<StreamMemory, ExperimentFault> {
+        let before = usage(pid)?;
+        let open = Rc::new(Cell::new(0));
+        let readers: Vec<_> = (0..streams).map(|_| self.hold_open(Rc::clone(&open))).collect();
+        let deadline = self.clock.now() + Duration::from_millis(self.settings.open_timeout_ms);
+        while open.get() < streams && self.clock.now() < deadline {
+            time::sleep(POLL_INTERVAL).await;
+        }
+        let during = usage(pid);
+        let opened = open.get();
+        for reader in readers {
+            reader.close();
+        }
+        if opened < streams {
+            return Err(ExperimentFault::StreamsMissing { open: opened, wanted: streams });
+        }
+        Ok(StreamMemory::new(streams, before.rss_kib, during?.rss_kib))
+    }
+
+    /// Opens a slow stream and reads it until the reader is closed.
+    fn hold_open(&self, open: Rc<Cell<usize>>) -> Reader {
+        let caller = self.caller.clone();
+        let router = self.settings.router;
+        let call = Call { class: self.settings.slow_class.clone(), ..self.call(LONG_TOKENS) };
+        let (stop, stopped) = futures::channel::oneshot::channel();
+        monoio::spawn(async move {
+            let reading = async {
+                let Ok(response) = caller.open(router, &call).await else { return };
+                if response.head.status.is_success() {
+                    // A stream that fails later was open when it was counted.
+                    let _ = read_on(response.body, &open).await;
+                }
+            };
+            futures::pin_mut!(reading);
+            futures::future::select(reading, stopped).await;
+        });
+        Reader(stop)
+    }
+
+    async fn answered(&self, to: LoopbackAddr, call: &Call) -> Result<Reply, ExperimentFault> {
+        let reply = self.caller.send(to, call).await;
+        let is_right = reply.ending == Ending::Answered && reply.answer_fault.is_none();
+        if is_right {
+            return Ok(reply);
+        }
+        let ending = format!("{:?}, {:?}, {}", reply.ending, reply.answer_fault, reply.text);
+        Err(ExperimentFault::BadAnswer { to, ending })
+    }
+
+    fn call(&self, max_tokens: u32) -> Call {
+        let number = self.sent.get();
+        self.sent.set(number + 1);
+        let since_epoch = self.clock.wall().duration_since(std::time::UNIX_EPOCH);
+        let run = since_epoch.unwrap_or_default().as_nanos();
+        Call {
+            class: self.settings.class.clone(),
+            token: self.settings.token.clone(),
+            request_id: format!("overhead-{run:x}-{number}"),
+            model: self.settings.model.clone(),
+            prompt: format!("measure {number}"),
+            max_tokens,
+            ..Call::default()
+        }
+    }
+
+    fn cpu(&self) -> Result<Option<Duration>, ExperimentFault> {
+        Ok(self.settings.pid.map(usage).transpose()?.map(|it| it.cpu))
+    }
+}
+
+/// Stops reading its stream and closes the connection when it is closed.
+struct Reader(futures::channel::oneshot::Sender<()>);
+
+impl Reader {
+    fn close(self) {
+        // The stream may have ended before.
+        let _ = self.0.send(());
+    }
+}
+
+async fn read_on(mut body: Body, open: &Cell<usize>) -> Result<(), ClientError> {
+    let mut is_counted = false;
+    while let Some(piece) = body.next().await {
+        piece?;
+        if !is_counted {
+            open.set(open.get() + 1);
+            is_counted = true;
+        }
+    }
+    Ok(())
+}
