--- /dev/null
+++ b/crates/control/src/handler.rs
@@ -0,0 +1,138 @@
+//! Answers the calls of routers, operators and peers.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use dissemination::{Hub, decode_summary, encode_digest};
+use futures::{FutureExt, future::LocalBoxFuture};
+use rpc::{ControlHandler, PeerHandler, SubmitResult, TablesUpdate};
+use tables::Revision;
+use telemetry::Secret;
+
+use crate::{
+    commands::CommandCheck, replica::Replica, status::StatusReport, tables_feed::TablesFeed,
+};
+
+/// The longest time that a question may wait here, so that a client's limit is never reached.
+const FETCH_WAIT_MAX: Duration = Duration::from_secs(30);
+
+/// The tokens that callers show.
+#[derive(Debug, Clone)]
+pub(crate) struct Tokens {
+    pub(crate) command: Secret,
+    pub(crate) peer: Secret,
+}
+
+/// Answers routers and operators.
+pub(crate) struct Handler {
+    pub(crate) replica: Rc<Replica>,
+    pub(crate) feed: Rc<TablesFeed>,
+    pub(crate) hub: RefCell<Hub>,
+    pub(crate) check: Rc<dyn CommandCheck>,
+    pub(crate) tokens: Tokens,
+    pub(crate) clock: Rc<dyn Clock>,
+}
+
+impl ControlHandler for Handler {
+    fn fetch_tables(
+        &self,
+        held: u64,
+        digest: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, TablesUpdate> {
+        let (replica, feed) = (self.replica.clone(), self.feed.clone());
+        let wait = wait.min(FETCH_WAIT_MAX);
+        let deadline = self.clock.now() + wait;
+        let clock = self.clock.clone();
+        async move {
+            // A process that holds nothing asks with zeros, and wants to know what is newest.
+            if held == 0 && digest == 0 {
+                let is_confirmed = replica.confirm(wait).await;
+                return feed.snapshot(is_confirmed);
+            }
+            wait_for_newer(&replica, &feed, Revision(held), deadline, &*clock).await;
+            feed.since(Revision(held), digest)
+        }
+        .boxed_local()
+    }
+
+    fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
+        if token != self.tokens.command.expose() {
+            let remedy = "the command token is wrong: use the one from the control VMs' settings";
+            return async { SubmitResult::Refused(remedy.to_owned()) }.boxed_local();
+        }
+        if let Err(refusal) = self.check.check(&command) {
+            return async { SubmitResult::Refused(refusal) }.boxed_local();
+        }
+        let replica = self.replica.clone();
+        async move { replica.submit(command).await }.boxed_local()
+    }
+
+    fn status(&self) -> String {
+        let routers = self.hub.borrow().routers().map(str::to_owned).collect();
+        let report = StatusReport::new(
+            &self.replica.status(),
+            self.replica.repair_step(),
+            self.feed.revision().0,
+            routers,
+        );
+        serde_json::to_string(&report).unwrap_or_default()
+    }
+
+    fn exchange(&self, summary: Vec<u8>) -> Vec<u8> {
+        match decode_summary(&summary) {
+            Ok(summary) => {
+                encode_digest(&self.hub.borrow_mut().exchange(self.clock.now(), summary))
+            }
+            Err(err) => {
+                tracing::warn!(event = "summary_refused", %err);
+                Vec::new()
+            }
+        }
+    }
+
+    fn peer(&self, token: &str) -> Option<Rc<dyn PeerHandler>> {
+        let is_known = token == self.tokens.peer.expose();
+        is_known.then(|| Rc::new(FromPeer { replica: self.replica.clone() }) as Rc<dyn PeerHandler>)
+    }
+}
+
+async fn wait_for_newer(
+    replica: &Replica,
+    feed: &TablesFeed,
+    held: Revision,
+    deadline: Instant,
+    clock: &dyn Clock,
+) {
+    while feed.revision() <= held {
+        let left = deadline.saturating_duration_since(clock.now());
+        let change = replica.applied().changed();
+        if left.is_zero() || monoio::time::timeout(left, change).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers other control VMs.
+struct FromPeer {
+    replica: Rc<Replica>,
+}
+
+impl PeerHandler for FromPeer {
+    fn deliver(&self, _from: u64, message: Vec<u8>) {
+        self.replica.deliver(&message);
+    }
+
+    fn forward(&self, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
+        let replica = self.replica.clone();
+        async move { replica.propose(command).await }.boxed_local()
+    }
+
+    fn read_index(&self) -> Option<u64> {
+        self.replica.read_index()
+    }
+}
--- /dev/null
+++ b/crates/gooseberryctl/src/commands/apply.rs
@@ -0,0 +1,1 @@
+//! `apply`: puts two files in force.
