--- /dev/null
+++ b/crates/router/src/arrival.rs
@@ -0,0 +1,89 @@
+//! First stage: a request gets its identity, its place in a trace and its time of arrival.
+
+use std::{cell::RefCell, rc::Rc, time::Instant};
+
+use clock::Clock;
+use derive_more::{AsRef, Display};
+use http::StatusCode;
+use httpio::server::Request;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use telemetry::TraceContext;
+
+use crate::outcome::{Code, Failure, REQUEST_ID_HEADER};
+
+const ID_LENGTH_MAX: usize = 64;
+
+/// The identity of a request, given by its caller or made here.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, AsRef)]
+#[as_ref(str)]
+pub struct RequestId(String);
+
+/// A request with its identity.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The request.
+    pub request: Rc<Request>,
+    /// Its identity.
+    pub id: RequestId,
+    /// The router's span in the caller's trace.
+    pub trace: TraceContext,
+    /// When it was read whole.
+    pub arrived: Instant,
+}
+
+/// Gives requests their identities.
+#[derive(Debug)]
+pub struct Reception {
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl Reception {
+    /// Draws identities from `rng`.
+    #[must_use]
+    pub fn new(rng: ChaCha8Rng) -> Reception {
+        Reception { rng: RefCell::new(rng) }
+    }
+
+    /// Takes a request in.
+    ///
+    /// # Errors
+    /// A caller's identity that could not stand in a path or a log line.
+    pub fn apply(&self, request: Request, clock: &dyn Clock) -> Result<Arrival, Failure> {
+        let rng = &mut *self.rng.borrow_mut();
+        let trace = match request.header("traceparent").and_then(|it| it.parse().ok()) {
+            Some(caller) => TraceContext::child(&caller, rng),
+            None => TraceContext::start(rng),
+        };
+        let id = match request.headers.get(REQUEST_ID_HEADER) {
+            Some(value) => given_id(value.as_bytes())?,
+            None => RequestId(format!("{:016x}", rng.random::<u64>())),
+        };
+        Ok(Arrival { request: Rc::new(request), id, trace, arrived: clock.now() })
+    }
+
+    /// The context of a new span below `parent`.
+    pub fn child(&self, parent: &TraceContext) -> TraceContext {
+        parent.child(&mut *self.rng.borrow_mut())
+    }
+
+    /// A number that no other request has, so that two callers who chose the same identity are
+    /// told apart at the backend servers.
+    pub fn nonce(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+}
+
+fn given_id(value: &[u8]) -> Result<RequestId, Failure> {
+    let is_plain = |it: &u8| it.is_ascii_alphanumeric() || b"-_.".contains(it);
+    match std::str::from_utf8(value) {
+        Ok(text) if (1..=ID_LENGTH_MAX).contains(&text.len()) && value.iter().all(is_plain) => {
+            Ok(RequestId(text.to_owned()))
+        }
+        _ => Err(Failure::not_run(
+            StatusCode::BAD_REQUEST,
+            Code::BadRequest,
+            "send x-request-id as 1 to 64 letters, digits, dots, dashes or underscores",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/router/src/backends.rs
@@ -0,0 +1,264 @@
+//! The client side: one exchange with a backend server, and what a failed one proves.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use clock::Clock;
+use futures::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
+use httpio::{
+    Bytes, Limits,
+    client::{ClientError, FailureKind, Pool, PoolSettings, Request, Response, Stage},
+};
+use policy::{Execution, Failure, ProbeResult};
+use telemetry::TraceContext;
+
+use crate::{
+    dispatch::Prober,
+    outcome::{Outcome, REQUEST_ID_HEADER},
+};
+
+/// The header by which a backend server proves that it refused a request before starting it.
+pub const NOT_STARTED_HEADER: &str = "x-not-started";
+
+const HEALTH_PATH: &str = "/healthz";
+
+/// Settings of the connections to backend servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackendSettings {
+    /// Idle connections and the bounds of each one.
+    pub pool: PoolSettings,
+    /// How long a probe on a new connection may take.
+    pub probe_timeout_ms: u64,
+}
+
+impl Default for BackendSettings {
+    fn default() -> Self {
+        let limits = Limits {
+            // The router has timeouts of its own for each phase; these are the last resort.
+            head_timeout_ms: 600_000,
+            idle_timeout_ms: 600_000,
+            ..Limits::default()
+        };
+        BackendSettings {
+            pool: PoolSettings { limits, ..PoolSettings::default() },
+            probe_timeout_ms: 1_000,
+        }
+    }
+}
+
+/// One request to a backend server.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// The server.
+    pub addr: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The identity that the server echoes; no other attempt has it.
+    pub id: HeaderValue,
+    /// The span of the attempt.
+    pub trace: TraceContext,
+    /// Further header fields.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// An attempt that brought no answer, or not all of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptError {
+    /// What it says about the server.
+    pub failure: Failure,
+    /// What it proves about the request.
+    pub execution: Execution,
+    /// What happened, for people.
+    pub detail: String,
+}
+
+impl AttemptError {
+    /// A failure that says nothing about the server, after bytes were sent.
+    #[must_use]
+    pub fn in_doubt(detail: impl Into<String>) -> AttemptError {
+        let (failure, execution) = (Failure::Other, Execution::MayHaveRun);
+        AttemptError { failure, execution, detail: detail.into() }
+    }
+
+    /// What callers are told.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        match self.execution {
+            Execution::NotRun => Outcome::NotRun,
+            Execution::MayHaveRun => Outcome::MayHaveRun,
+            Execution::Ran => Outcome::Ran,
+        }
+    }
+}
+
+impl From<ClientError> for AttemptError {
+    fn from(error: ClientError) -> Self {
+        let execution = match error.stage {
+            Stage::NotConnected | Stage::NothingSent => Execution::NotRun,
+            Stage::Sent | Stage::HeadReceived => Execution::MayHaveRun,
+        };
+        AttemptError { failure: failure(&error), execution, detail: error.to_string() }
+    }
+}
+
+fn failure(error: &ClientError) -> Failure {
+    match (&error.stage, &error.kind) {
+        (Stage::NotConnected, _) => Failure::ConnectRefused,
+        (_, FailureKind::HeadTimeout | FailureKind::IdleTimeout | FailureKind::WriteTimeout) => {
+            Failure::Silent
+        }
+        // A server may close an idle connection at any time, which is no crash.
+        (Stage::NothingSent | Stage::Sent, FailureKind::Io(_) | FailureKind::CutShort)
+            if error.reused =>
+        {
+            Failure::Other
+        }
+        (_, FailureKind::Io(_) | FailureKind::CutShort) => Failure::Reset,
+        _ => Failure::Other,
+    }
+}
+
+/// Sends requests to backend servers.
+#[derive(Clone)]
+pub struct Backends {
+    pool: Pool,
+    probes: Pool,
+}
+
+impl Backends {
+    /// A client without open connections.
+    #[must_use]
+    pub fn new(settings: BackendSettings, clock: Rc<dyn Clock>) -> Backends {
+        let probe_limits = Limits {
+            connect_timeout_ms: settings.probe_timeout_ms,
+            head_timeout_ms: settings.probe_timeout_ms,
+            idle_timeout_ms: settings.probe_timeout_ms,
+            ..settings.pool.limits
+        };
+        let probe_settings = PoolSettings { limits: probe_limits, ..settings.pool };
+        Backends {
+            pool: Pool::new(settings.pool, Rc::clone(&clock)),
+            probes: Pool::new(probe_settings, clock),
+        }
+    }
+
+    /// Sends an attempt and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// A failed exchange, a refusal before the start, and an answer to another request.
+    pub async fn send(&self, attempt: Attempt) -> Result<Response, AttemptError> {
+        let (addr, id) = (attempt.addr, attempt.id.clone());
+        let response = self.pool.send(addr, request(attempt)).await?;
+        check(response, &id)
+    }
+
+    /// Sends an attempt on a new connection, as when an old one has gone silent.
+    ///
+    /// # Errors
+    /// As for [`Backends::send`].
+    pub async fn send_fresh(&self, attempt: Attempt) -> Result<Response, AttemptError> {
+        let (addr, id) = (attempt.addr, attempt.id.clone());
+        let response = self.pool.send_fresh(addr, request(attempt)).await?;
+        check(response, &id)
+    }
+
+    /// Fetches a small document, such as a load report.
+    ///
+    /// # Errors
+    /// A failed exchange, or a status other than success.
+    pub async fn fetch(&self, addr: SocketAddr, path: &'static str) -> Result<Bytes, AttemptError> {
+        let request = Request { uri: Uri::from_static(path), ..Request::default() };
+        let response = self.probes.send(addr, request).await?;
+        if !response.head.status.is_success() {
+            return Err(AttemptError::in_doubt(format!(
+                "{path} answered {}",
+                response.head.status
+            )));
+        }
+        Ok(response.body.collect().await?)
+    }
+
+    /// Cancels a stream at its engine in the background.
+    pub fn cancel(&self, addr: SocketAddr, id: &HeaderValue) {
+        let Some(uri) = id.to_str().ok().and_then(|it| format!("/v1/streams/{it}").parse().ok())
+        else {
+            return;
+        };
+        let request = Request { method: Method::DELETE, uri, ..Request::default() };
+        let probes = self.probes.clone();
+        monoio::spawn(async move {
+            // An engine that cannot be told ends the stream when it finds its reader gone.
+            if let Ok(response) = probes.send_fresh(addr, request).await {
+                let _ = response.body.collect().await;
+            }
+        });
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.pool.close_idle(addr);
+    }
+}
+
+impl Prober for Backends {
+    fn probe(&self, addr: SocketAddr) -> LocalBoxFuture<'static, ProbeResult> {
+        let probes = self.probes.clone();
+        async move {
+            let request = Request { uri: Uri::from_static(HEALTH_PATH), ..Request::default() };
+            match probes.send_fresh(addr, request).await {
+                Ok(response) if response.head.status.is_success() => ProbeResult::Alive,
+                Ok(_) | Err(_) => ProbeResult::Dead,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// The header field of a span for the next hop.
+#[must_use]
+pub fn traceparent(trace: &TraceContext) -> HeaderValue {
+    HeaderValue::try_from(trace.to_string()).expect("a trace context is made of visible characters")
+}
+
+/// A span of time in whole milliseconds, for logs.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+fn request(attempt: Attempt) -> Request {
+    let Attempt { method, uri, id, trace, mut headers, body, .. } = attempt;
+    headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id);
+    headers.insert(HeaderName::from_static("traceparent"), traceparent(&trace));
+    Request { method, uri, headers, body }
+}
+
+fn check(response: Response, id: &HeaderValue) -> Result<Response, AttemptError> {
+    let head = &response.head;
+    let echo = head.headers.get(REQUEST_ID_HEADER);
+    if echo.is_some_and(|it| it != id) {
+        // Dropping the response closes the connection, whose next answer would be crossed too.
+        return Err(AttemptError::in_doubt("the answer belongs to another request"));
+    }
+    let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if is_refusal && head.headers.contains_key(NOT_STARTED_HEADER) {
+        return Err(AttemptError {
+            failure: Failure::Overloaded,
+            execution: Execution::NotRun,
+            detail: "the backend server refused the request before starting it".to_owned(),
+        });
+    }
+    Ok(response)
+}
+
+/// The header fields of an answer that are passed on to callers.
+#[must_use]
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let names = [header::CONTENT_TYPE, header::RETRY_AFTER, header::CACHE_CONTROL];
+    let fields = names.into_iter().filter_map(|it| Some((it.clone(), headers.get(it)?.clone())));
+    fields.collect()
+}
--- /dev/null
+++ b/crates/router/src/call.rs
@@ -0,0 +1,185 @@
+//! One request from its place in the queue to its end, whatever serves it.
+
+use std::{rc::Rc, time::Instant};
+
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use httpio::Bytes;
+use policy::{Execution, Repeat};
+use telemetry::TraceContext;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    backends::{Attempt, AttemptError, millis},
+    class_limits::Permit,
+    dispatch::{Asked, Lease, Retried},
+    metrics::Labels,
+    outcome::{Failure, Outcome},
+    refusals,
+    routing::Routed,
+    services::Services,
+};
+
+/// A request with a place at a backend server.
+pub(crate) struct Call {
+    pub(crate) services: Rc<Services>,
+    pub(crate) routed: Routed,
+    pub(crate) lease: Lease,
+    /// The identity of the attempt under way.
+    pub(crate) id: HeaderValue,
+    /// The most that is known of all attempts so far.
+    pub(crate) outcome: Outcome,
+    attempts: u32,
+    span: TraceContext,
+    started: Instant,
+    _permit: Permit,
+}
+
+/// What the scheduler is told beside the route.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Shape {
+    pub(crate) prefix_hash: u64,
+    pub(crate) max_tokens: Option<u32>,
+}
+
+impl Call {
+    /// Waits for a place.
+    ///
+    /// # Errors
+    /// When the scheduler refuses the request.
+    pub(crate) async fn place(
+        services: Rc<Services>,
+        routed: Routed,
+        permit: Permit,
+        shape: Shape,
+    ) -> Result<Call, Failure> {
+        let request = &routed.arrival.request;
+        let asked = Asked {
+            pool: &routed.pool().name,
+            class: &routed.route().class,
+            workspace: routed.caller.name(),
+            prefix_hash: shape.prefix_hash,
+            request_hash: request_hash(request.uri.path(), &request.body),
+            max_tokens: shape.max_tokens,
+            repeat: match routed.is_order() {
+                true => Repeat::AtMostOnce,
+                false => Repeat::Idempotent,
+            },
+        };
+        let placed = services.dispatcher.dispatch(asked).await;
+        let lease = placed.map_err(|it| refusals::refused(it, Outcome::NotRun))?;
+        let id = services.attempt_id(&routed.arrival.id);
+        let started = services.clock.now();
+        let (span, outcome) = (routed.arrival.trace, Outcome::NotRun);
+        let call = Call {
+            services,
+            routed,
+            lease,
+            id,
+            outcome,
+            attempts: 0,
+            span,
+            started,
+            _permit: permit,
+        };
+        call.services.metrics.placed(call.labels(), started - call.routed.arrival.arrived);
+        Ok(call)
+    }
+
+    pub(crate) fn labels(&self) -> Labels<'_> {
+        Labels { class: &self.routed.route().class, pool: &self.routed.pool().name }
+    }
+
+    /// Starts an attempt at the place held.
+    pub(crate) fn attempt(
+        &mut self,
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Attempt {
+        self.attempts += 1;
+        self.id = self.services.attempt_id(&self.routed.arrival.id);
+        self.span = self.services.reception.child(&self.routed.arrival.trace);
+        self.started = self.services.clock.now();
+        self.lease.dispatched();
+        let (addr, id, trace) = (self.lease.server().addr, self.id.clone(), self.span);
+        Attempt { addr, method, uri, id, trace, headers, body }
+    }
+
+    /// A further exchange within the attempt, such as the resume of its stream.
+    pub(crate) fn follow_up(&self, method: Method, uri: Uri, body: Bytes) -> Attempt {
+        let (addr, id, trace) = (self.lease.server().addr, self.id.clone(), self.span);
+        Attempt { addr, method, uri, id, trace, headers: HeaderMap::new(), body }
+    }
+
+    /// The attempt failed: waits for the next place.
+    ///
+    /// # Errors
+    /// When no attempt follows; the caller is to be answered at once.
+    pub(crate) async fn next_place(&mut self, error: AttemptError) -> Result<(), Failure> {
+        self.log_attempt("failed", &error.detail);
+        self.outcome = worse(self.outcome, error.outcome());
+        if error.execution != Execution::NotRun && self.routed.is_for_engine() {
+            self.services.backends.cancel(self.lease.server().addr, &self.id);
+        }
+        match self.lease.retry(error.failure, error.execution).await {
+            Retried::Placed => Ok(()),
+            Retried::GivenUp(reason) => Err(refusals::given_up(reason, &error, self.outcome)),
+            Retried::Refused(refusal) => Err(refusals::refused(refusal, self.outcome)),
+        }
+    }
+
+    /// The attempt brought the whole answer.
+    pub(crate) fn finish(self, tokens: u32) {
+        self.log_attempt("whole", "");
+        self.services.metrics.tokens(self.labels(), tokens);
+        self.lease.finished(tokens);
+    }
+
+    /// The attempt failed and none can follow.
+    pub(crate) fn give_up(self, error: &AttemptError) {
+        self.log_attempt("failed", &error.detail);
+        self.lease.failed(error.failure, error.execution);
+    }
+
+    /// Nobody waits for the answer any more.
+    pub(crate) fn abandon(self) {
+        self.log_attempt("abandoned", "");
+        if self.attempts > 0 && self.routed.is_for_engine() {
+            self.services.backends.cancel(self.lease.server().addr, &self.id);
+        }
+    }
+
+    fn log_attempt(&self, result: &str, detail: &str) {
+        self.services.metrics.attempted(self.labels(), result);
+        let queued = self.started.saturating_duration_since(self.routed.arrival.arrived);
+        tracing::info!(
+            event = "attempt",
+            trace_id = %self.span.trace_id,
+            span_id = %self.span.span_id,
+            parent_id = %self.routed.arrival.trace.span_id,
+            request_id = %self.routed.arrival.id,
+            class = %self.routed.route().class,
+            server = %self.lease.server().addr,
+            number = self.attempts,
+            queued_ms = millis(queued),
+            took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
+            result,
+            detail,
+        );
+    }
+}
+
+/// The worse of two outcomes, as a caller must see them.
+pub(crate) fn worse(one: Outcome, other: Outcome) -> Outcome {
+    match (one, other) {
+        (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
+        (Outcome::MayHaveRun, _) | (_, Outcome::MayHaveRun) => Outcome::MayHaveRun,
+        (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
+    }
+}
+
+/// The fingerprint of a request, equal for a resend.
+pub(crate) fn request_hash(path: &str, body: &[u8]) -> u64 {
+    xxh3_64(body) ^ xxh3_64(path.as_bytes()).rotate_left(1)
+}
--- /dev/null
+++ b/crates/router/src/dispatch.rs
@@ -0,0 +1,119 @@
+//! Waiting for a backend server: the scheduler of each pool, driven by events and timers.
+//!
+//! `policy` decides and this module carries out: it wakes the request that a decision concerns,
+//! probes the servers that a decision names, and keeps the timers.
+
+mod desk;
+mod lease;
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+
+use clock::Clock;
+use futures::future::LocalBoxFuture;
+use policy::{BackendKey, LoadReport, ProbeResult, Refusal, RefusalReason, Repeat, Settings};
+use tables::{Revision, Tables};
+
+use self::desk::Desk;
+pub use self::lease::{Lease, Retried};
+use crate::identity::Workspaces;
+
+/// Asks a backend server for its health on a new connection.
+pub trait Prober {
+    /// Tells whether the server at `addr` answers.
+    fn probe(&self, addr: SocketAddr) -> LocalBoxFuture<'static, ProbeResult>;
+}
+
+/// A request that waits for a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The pool that serves it.
+    pub pool: &'a str,
+    /// Its class.
+    pub class: &'a str,
+    /// Who asks.
+    pub workspace: &'a str,
+    /// Hash of the prompt's leading part; zero for none.
+    pub prefix_hash: u64,
+    /// Fingerprint of the whole request, equal for a resend.
+    pub request_hash: u64,
+    /// The most tokens of the answer, if the caller limits them.
+    pub max_tokens: Option<u32>,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+}
+
+/// The schedulers of all pools.
+pub struct Dispatcher {
+    desks: RefCell<BTreeMap<String, Rc<Desk>>>,
+    clock: Rc<dyn Clock>,
+    prober: Rc<dyn Prober>,
+    settings: Settings,
+}
+
+impl Dispatcher {
+    /// A dispatcher without pools.
+    #[must_use]
+    pub fn new(clock: Rc<dyn Clock>, prober: Rc<dyn Prober>, settings: Settings) -> Dispatcher {
+        Dispatcher { desks: RefCell::default(), clock, prober, settings }
+    }
+
+    /// Puts `tables` in force; what waits or runs goes on under them.
+    pub fn configure(&self, tables: &Tables, workspaces: &Workspaces) {
+        let mut desks = self.desks.borrow_mut();
+        for pool in &tables.pools {
+            let desk = desks.entry(pool.name.clone()).or_insert_with(|| {
+                Desk::start(Rc::clone(&self.clock), Rc::clone(&self.prober), self.settings.clone())
+            });
+            desk.configure(tables, pool, workspaces);
+        }
+        // A pool that is gone keeps its desk while requests of older tables run, but gets no
+        // class, so that nothing new waits there.
+        for (name, desk) in desks.iter() {
+            if !tables.pools.iter().any(|it| it.name == *name) {
+                desk.retire(tables.revision);
+            }
+        }
+    }
+
+    /// Waits until a backend server is free for the request.
+    ///
+    /// # Errors
+    /// When the scheduler refuses it, at once or while it waits.
+    pub async fn dispatch(&self, asked: Asked<'_>) -> Result<Lease, Refusal> {
+        let desk = self.desk(asked.pool).ok_or(UNKNOWN)?;
+        desk.dispatch(asked).await
+    }
+
+    /// The backend servers of a pool that are not gone.
+    #[must_use]
+    pub fn servers(&self, pool: &str) -> Vec<Server> {
+        self.desk(pool).map(|it| it.servers()).unwrap_or_default()
+    }
+
+    /// Takes in the load report of a backend server.
+    pub fn load_report(&self, pool: &str, server: &Server, report: &LoadReport) {
+        if let Some(desk) = self.desk(pool) {
+            desk.load_report(server, report);
+        }
+    }
+
+    fn desk(&self, pool: &str) -> Option<Rc<Desk>> {
+        self.desks.borrow().get(pool).cloned()
+    }
+}
+
+/// A backend server of one pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Server {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    key: BackendKey,
+}
+
+const UNKNOWN: Refusal =
+    Refusal { reason: RefusalReason::Unknown, retry_after: std::time::Duration::from_secs(1) };
+
+/// The number that the scheduler compares revisions by.
+fn revision_number(revision: Revision) -> u64 {
+    revision.0
+}
--- /dev/null
+++ b/crates/router/src/dispatch/desk.rs
@@ -0,0 +1,361 @@
+//! The scheduler of one pool with the requests that wait for it.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Instant,
+};
+
+use clock::Clock;
+use futures::{
+    FutureExt, StreamExt,
+    channel::{mpsc, oneshot},
+    pin_mut, select_biased,
+};
+use monoio::time;
+use policy::{
+    Action, BackendKey, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal,
+    Scheduler, Settings, Sighting, Spec, Ticket, WorkspaceSpec,
+};
+use tables::{Pool, Revision, Route, Tables};
+
+use super::{Asked, Lease, Prober, Server, UNKNOWN, revision_number};
+use crate::identity::{ANONYMOUS, Workspaces};
+
+/// Tables count urgency downwards and the scheduler upwards.
+const PRIORITY_TOP: u8 = u8::MAX;
+
+/// What a waiting request is told.
+pub(super) type Placed = Result<Server, Refusal>;
+
+pub(super) struct Desk {
+    state: RefCell<State>,
+    clock: Rc<dyn Clock>,
+    prober: Rc<dyn Prober>,
+    rearm: mpsc::Sender<()>,
+}
+
+struct State {
+    scheduler: Scheduler,
+    pool: String,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Placed>>,
+    servers: BTreeMap<SocketAddr, Known>,
+    armed: Option<Instant>,
+}
+
+/// A server that was named at any time.
+struct Known {
+    key: BackendKey,
+    incarnation: u64,
+    is_listed: bool,
+}
+
+impl Desk {
+    /// A desk whose timers run until it is dropped.
+    pub(super) fn start(
+        clock: Rc<dyn Clock>,
+        prober: Rc<dyn Prober>,
+        settings: Settings,
+    ) -> Rc<Desk> {
+        let (rearm, rearmed) = mpsc::channel(0);
+        let state = State {
+            scheduler: Scheduler::new(settings),
+            pool: String::new(),
+            waiting: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            armed: None,
+        };
+        let desk = Rc::new(Desk { state: RefCell::new(state), clock, prober, rearm });
+        monoio::spawn(run_timers(Rc::downgrade(&desk), rearmed));
+        desk
+    }
+
+    pub(super) fn configure(
+        self: &Rc<Self>,
+        tables: &Tables,
+        pool: &Pool,
+        workspaces: &Workspaces,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.pool.clone_from(&pool.name);
+        let spec = spec(tables, pool, workspaces);
+        if let Err(error) = state.scheduler.configure(spec) {
+            tracing::error!(pool = %pool.name, %error, "tables not applied");
+            return;
+        }
+        state.list_servers(now, pool);
+        drop(state);
+        self.pump();
+    }
+
+    pub(super) fn retire(self: &Rc<Self>, revision: Revision) {
+        let spec = Spec { revision: revision_number(revision), ..Spec::default() };
+        // An older revision than the one in force changes nothing, which is what is wanted.
+        let _ = self.state.borrow_mut().scheduler.configure(spec);
+        self.pump();
+    }
+
+    pub(super) async fn dispatch(self: Rc<Self>, asked: Asked<'_>) -> Result<Lease, Refusal> {
+        let (ticket, placed) = self.offer(&asked)?;
+        // Dropping the lease while it waits takes the request out of the queue.
+        let mut lease = Lease::new(Rc::clone(&self), ticket);
+        self.pump();
+        lease.wait(placed).await?;
+        Ok(lease)
+    }
+
+    fn offer(&self, asked: &Asked<'_>) -> Result<(Ticket, oneshot::Receiver<Placed>), Refusal> {
+        let mut state = self.state.borrow_mut();
+        let scheduler = &state.scheduler;
+        let offer = Offer {
+            class: scheduler.class(asked.class).ok_or(UNKNOWN)?,
+            workspace: scheduler.workspace(asked.workspace).ok_or(UNKNOWN)?,
+            pool: scheduler.pool(asked.pool).ok_or(UNKNOWN)?,
+            prefix_hash: asked.prefix_hash,
+            request_hash: asked.request_hash,
+            max_tokens: asked.max_tokens,
+            repeat: asked.repeat,
+        };
+        let ticket = state.scheduler.offer(self.clock.now(), offer)?;
+        Ok((ticket, state.await_place(ticket)))
+    }
+
+    /// Registers a ticket that the scheduler will place again.
+    pub(super) fn await_place(&self, ticket: Ticket) -> oneshot::Receiver<Placed> {
+        self.state.borrow_mut().await_place(ticket)
+    }
+
+    /// Tells the scheduler something and carries out what follows from it.
+    pub(super) fn tell<T>(self: &Rc<Self>, event: impl FnOnce(&mut Scheduler, Instant) -> T) -> T {
+        let told = self.note(event);
+        self.pump();
+        told
+    }
+
+    /// Tells the scheduler something that calls for no decision.
+    pub(super) fn note<T>(&self, event: impl FnOnce(&mut Scheduler, Instant) -> T) -> T {
+        event(&mut self.state.borrow_mut().scheduler, self.clock.now())
+    }
+
+    pub(super) fn forget(&self, ticket: Ticket) {
+        self.state.borrow_mut().waiting.remove(&ticket);
+    }
+
+    pub(super) fn servers(&self) -> Vec<Server> {
+        let state = self.state.borrow();
+        let listed = state.servers.iter().filter(|(_, it)| it.is_listed);
+        listed.map(|(addr, known)| Server { addr: *addr, key: known.key }).collect()
+    }
+
+    pub(super) fn load_report(self: &Rc<Self>, server: &Server, report: &LoadReport) {
+        if let Some(known) = self.state.borrow_mut().servers.get_mut(&server.addr) {
+            known.incarnation = known.incarnation.max(report.incarnation);
+        }
+        self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
+    }
+
+    fn pump(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        loop {
+            let actions = state.scheduler.poll(now);
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.carry_out(&mut state, action);
+            }
+        }
+        let wakeup = state.scheduler.next_wakeup(now);
+        let is_sooner = match (wakeup, state.armed) {
+            (Some(wakeup), Some(armed)) => wakeup < armed,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        drop(state);
+        if is_sooner {
+            // A full channel already makes the timers look again.
+            let _ = self.rearm.clone().try_send(());
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Dispatch { ticket, backend } => {
+                let server = state.server(backend);
+                let waiting = state.waiting.remove(&ticket);
+                let taken = waiting.zip(server).map(|(to, server)| to.send(Ok(server)));
+                if !matches!(taken, Some(Ok(()))) {
+                    state.scheduler.cancelled(ticket);
+                }
+            }
+            Action::Refuse { ticket, refusal } => {
+                if let Some(to) = state.waiting.remove(&ticket) {
+                    // The request may have been given up by its caller.
+                    let _ = to.send(Err(refusal));
+                }
+            }
+            Action::Probe { backend } => self.probe(state, backend),
+            // The pools are configured without pausing and hedging, so these do not come.
+            Action::Pause { .. }
+            | Action::Resume { .. }
+            | Action::Hedge { .. }
+            | Action::Cancel { .. } => {
+                tracing::warn!(pool = %state.pool, ?action, "action not supported");
+            }
+        }
+    }
+
+    fn probe(self: &Rc<Self>, state: &State, backend: BackendKey) {
+        let Some(server) = state.server(backend) else { return };
+        let (desk, probe) = (Rc::downgrade(self), self.prober.probe(server.addr));
+        monoio::spawn(async move {
+            let result = probe.await;
+            if let Some(desk) = desk.upgrade() {
+                desk.probed(server, result);
+            }
+        });
+    }
+
+    pub(super) fn probed(self: &Rc<Self>, server: Server, result: ProbeResult) {
+        tracing::info!(server = %server.addr, ?result, "probed");
+        self.tell(|scheduler, now| scheduler.probe_result(server.key, now, result));
+    }
+
+    pub(super) fn prober(&self) -> &dyn Prober {
+        &*self.prober
+    }
+}
+
+impl State {
+    fn await_place(&mut self, ticket: Ticket) -> oneshot::Receiver<Placed> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, sender);
+        receiver
+    }
+
+    fn server(&self, key: BackendKey) -> Option<Server> {
+        let (addr, _) = self.servers.iter().find(|(_, it)| it.key == key)?;
+        Some(Server { addr: *addr, key })
+    }
+
+    fn list_servers(&mut self, now: Instant, pool: &Pool) {
+        for server in &pool.servers {
+            self.list(now, server.addr);
+        }
+        let listed = |addr: &SocketAddr| pool.servers.iter().any(|it| it.addr == *addr);
+        let gone: Vec<_> = self.servers.keys().filter(|it| !listed(it)).copied().collect();
+        for addr in gone {
+            self.unlist(now, addr);
+        }
+    }
+
+    fn list(&mut self, now: Instant, addr: SocketAddr) {
+        // A server that comes back into the table counts as restarted, because the scheduler
+        // lets one that has left return only under a newer incarnation.
+        let incarnation = match self.servers.get(&addr) {
+            Some(known) if known.is_listed => return,
+            Some(known) => known.incarnation + 1,
+            None => 0,
+        };
+        let key =
+            self.sight(addr, incarnation, |scheduler, seen| scheduler.backend_seen(now, seen));
+        if let Some(key) = key {
+            self.servers.insert(addr, Known { key, incarnation, is_listed: true });
+        }
+    }
+
+    fn unlist(&mut self, now: Instant, addr: SocketAddr) {
+        let Some(known) = self.servers.get_mut(&addr).filter(|it| it.is_listed) else { return };
+        known.is_listed = false;
+        let incarnation = known.incarnation;
+        self.sight(addr, incarnation, |scheduler, seen| scheduler.backend_leaving(now, seen));
+    }
+
+    fn sight(
+        &mut self,
+        addr: SocketAddr,
+        incarnation: u64,
+        tell: impl FnOnce(&mut Scheduler, &Sighting<'_>) -> Option<BackendKey>,
+    ) -> Option<BackendKey> {
+        let pool = self.scheduler.pool(&self.pool)?;
+        let name = addr.to_string();
+        tell(&mut self.scheduler, &Sighting { name: &name, pool, incarnation })
+    }
+}
+
+/// Wakes the scheduler whenever it has work without an event.
+async fn run_timers(desk: Weak<Desk>, mut rearmed: mpsc::Receiver<()>) {
+    loop {
+        let Some(wait) = arm(&desk) else { return };
+        let elapsed = async {
+            match wait {
+                Some(wait) => time::sleep(wait).await,
+                None => futures::future::pending().await,
+            }
+        }
+        .fuse();
+        pin_mut!(elapsed);
+        select_biased! {
+            // The channel ends with the desk.
+            rearmed = rearmed.next() => if rearmed.is_none() { return },
+            () = elapsed => {}
+        }
+        let Some(desk) = desk.upgrade() else { return };
+        desk.pump();
+    }
+}
+
+/// Notes and returns the time until the next wakeup; nothing when the desk is gone.
+fn arm(desk: &Weak<Desk>) -> Option<Option<std::time::Duration>> {
+    let desk = desk.upgrade()?;
+    let now = desk.clock.now();
+    let mut state = desk.state.borrow_mut();
+    state.armed = state.scheduler.next_wakeup(now);
+    Some(state.armed.map(|it| it.saturating_duration_since(now)))
+}
+
+fn spec(tables: &Tables, pool: &Pool, workspaces: &Workspaces) -> Spec {
+    let routes = tables.routes.iter().filter(|it| tables.pool(it.pool).name == pool.name);
+    let anonymous = WorkspaceSpec { name: ANONYMOUS.to_owned(), ..WorkspaceSpec::default() };
+    let known = workspaces.iter().map(|it| WorkspaceSpec {
+        name: it.name.to_string(),
+        weight: it.weight.max(1),
+        in_flight_limit: it.in_flight_max,
+    });
+    Spec {
+        revision: revision_number(tables.revision),
+        classes: routes.map(class_spec).collect(),
+        pools: vec![PoolSpec {
+            name: pool.name.clone(),
+            slots: pool.in_flight_max,
+            pausing: Pausing::Unsupported,
+            ..PoolSpec::default()
+        }],
+        workspaces: known.chain([anonymous]).collect(),
+    }
+}
+
+fn class_spec(route: &Route) -> ClassSpec {
+    let default = ClassSpec::default();
+    let whole_target_ms = route.targets.whole_ms.unwrap_or(route.deadline_ms);
+    ClassSpec {
+        name: route.class.clone(),
+        priority: PRIORITY_TOP - route.priority.0,
+        share_permille: route.share_permille,
+        first_token_target_ms: route.targets.first_token_ms.unwrap_or(whole_target_ms),
+        between_token_target_ms: route
+            .targets
+            .between_tokens_ms
+            .unwrap_or(default.between_token_target_ms),
+        whole_target_ms,
+        deadline_ms: route.deadline_ms,
+        queue_limit: route.queue_max as usize,
+        retry_budget_permille: route.retry_budget_permille,
+        max_attempts: route.retries_max + 1,
+        ..default
+    }
+}
--- /dev/null
+++ b/crates/router/src/dispatch/lease.rs
@@ -0,0 +1,125 @@
+//! A place at a backend server, held by one request from its offer to its end.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use policy::{Execution, Failure, GiveUp, Outcome, ProbeResult, Refusal, RetryDecision, Ticket};
+
+use super::{
+    Server, UNKNOWN,
+    desk::{Desk, Placed},
+};
+
+/// A place at a backend server. Dropping it frees the place, as when the caller has gone.
+pub struct Lease {
+    desk: Rc<Desk>,
+    ticket: Ticket,
+    server: Option<Server>,
+    is_open: bool,
+}
+
+/// What follows a failed attempt.
+#[derive(Debug)]
+pub enum Retried {
+    /// The request has a place again, at another server where there is one.
+    Placed,
+    /// It is not tried again.
+    GivenUp(GiveUp),
+    /// It waited for another place and was refused.
+    Refused(Refusal),
+}
+
+impl Lease {
+    pub(super) fn new(desk: Rc<Desk>, ticket: Ticket) -> Lease {
+        Lease { desk, ticket, server: None, is_open: true }
+    }
+
+    pub(super) async fn wait(&mut self, placed: oneshot::Receiver<Placed>) -> Result<(), Refusal> {
+        match placed.await.unwrap_or(Err(UNKNOWN)) {
+            Ok(server) => {
+                self.server = Some(server);
+                Ok(())
+            }
+            Err(refusal) => {
+                // The scheduler has closed the ticket.
+                self.is_open = false;
+                Err(refusal)
+            }
+        }
+    }
+
+    /// The backend server.
+    ///
+    /// # Panics
+    /// While the request waits, which no caller sees: leases are handed out once placed.
+    #[must_use]
+    pub fn server(&self) -> Server {
+        self.server.expect("a lease is handed out once it has a place")
+    }
+
+    /// The request was written.
+    pub fn dispatched(&self) {
+        self.desk.note(|scheduler, now| scheduler.dispatched(self.ticket, now));
+    }
+
+    /// The first token arrived.
+    pub fn first_token(&self) {
+        self.desk.tell(|scheduler, now| scheduler.first_token(self.ticket, now));
+    }
+
+    /// `count` further tokens arrived.
+    pub fn tokens(&self, count: u32) {
+        self.desk.note(|scheduler, now| scheduler.tokens(self.ticket, now, count));
+    }
+
+    /// The whole answer arrived.
+    pub fn finished(self, tokens: u32) {
+        self.end(Outcome::Complete { tokens });
+    }
+
+    /// The attempt failed and no other is wanted.
+    pub fn failed(self, failure: Failure, execution: Execution) {
+        self.end(Outcome::Failed(failure, execution));
+    }
+
+    /// The attempt failed; waits for another place if the outcome and the budgets allow one.
+    pub async fn retry(&mut self, failure: Failure, execution: Execution) -> Retried {
+        let outcome = Outcome::Failed(failure, execution);
+        // Registered before the scheduler is told, since it may place the request at once.
+        let placed = self.desk.await_place(self.ticket);
+        match self.desk.tell(|scheduler, now| scheduler.retry(self.ticket, outcome, now)) {
+            RetryDecision::Retry { .. } => match self.wait(placed).await {
+                Ok(()) => Retried::Placed,
+                Err(refusal) => Retried::Refused(refusal),
+            },
+            RetryDecision::GiveUp(reason) => {
+                self.is_open = false;
+                self.desk.forget(self.ticket);
+                Retried::GivenUp(reason)
+            }
+        }
+    }
+
+    /// The connection fell silent; asks on a new one whether the server is alive.
+    pub async fn probe(&self) -> ProbeResult {
+        let server = self.server();
+        self.desk.note(|scheduler, now| scheduler.connection_silent(server.key, now));
+        let result = self.desk.prober().probe(server.addr).await;
+        self.desk.probed(server, result);
+        result
+    }
+
+    fn end(mut self, outcome: Outcome) {
+        self.is_open = false;
+        self.desk.tell(|scheduler, now| scheduler.finished(self.ticket, now, outcome));
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.desk.forget(self.ticket);
+            self.desk.tell(|scheduler, _| scheduler.cancelled(self.ticket));
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,4 +1,33 @@
 //! The entry VM's daemon: HTTP towards callers and backend servers.
+//!
+//! A request passes through stages of one job each: [`arrival`], [`identity`], [`routing`],
+//! [`class_limits`], then a place at a backend server ([`dispatch`]) and its service. [`pipeline`]
+//! connects them and [`daemon`] runs them. Decisions about queues, servers and retries are made by
+//! the crate `policy`; the tables and the order ledger come in through [`table_source`] and
+//! [`order_ledger`].
 
+pub mod admin;
+pub mod arrival;
+pub mod backends;
+mod call;
+pub mod chat;
+mod chat_call;
+pub mod class_limits;
+pub mod daemon;
+pub mod dispatch;
+pub mod identity;
+mod load_reports;
+pub mod metrics;
+mod order_desk;
 pub mod order_ledger;
+pub mod outcome;
+pub mod pipeline;
+mod refusals;
+pub mod routing;
+mod service_call;
+pub mod services;
+pub mod settings;
+mod stop_requests;
 pub mod table_source;
+mod token_stream;
+mod watch;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,3 +1,20 @@
 //! Starts `gooseberry-router`; the library holds all of its logic.
 
-fn main() {}
+use std::path::PathBuf;
+
+use clap::{Arg, Command, value_parser};
+
+fn main() -> anyhow::Result<()> {
+    let config = Arg::new("config")
+        .long("config")
+        .value_name("FILE")
+        .help("The settings file, in INI")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    let matches = Command::new("gooseberry-router")
+        .about("Routes requests of language models and services to backend servers")
+        .arg(config)
+        .get_matches();
+    let config = matches.get_one::<PathBuf>("config").expect("clap requires it");
+    router::daemon::run(config)
+}
--- /dev/null
+++ b/crates/router/src/order_desk.rs
@@ -0,0 +1,169 @@
+//! Orders that must not repeat: a durable claim on the caller's key before the first byte.
+
+use std::{rc::Rc, time::Duration};
+
+use http::StatusCode;
+use httpio::server::Reply;
+use monoio::time;
+
+use crate::{
+    call::{Call, Shape, request_hash},
+    class_limits::Permit,
+    order_ledger::{BodyHash, ClaimId, ClaimResult, LedgerError, OrderEnd, OrderKey},
+    outcome::{Code, Failure, Outcome},
+    routing::Routed,
+    service_call::{self, Answer, KEY_HEADER},
+    services::Services,
+};
+
+const KEY_LENGTH_MAX: usize = 128;
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+const RECORD_TRIES: u32 = 5;
+const RECORD_PAUSE: Duration = Duration::from_millis(500);
+
+/// Serves an order: claim, send at most once, record how it ended.
+pub(crate) async fn serve(
+    services: Rc<Services>,
+    routed: Routed,
+    permit: Permit,
+) -> Result<Reply, Failure> {
+    let key = order_key(&routed)?;
+    let body = body_hash(&routed);
+    let claim =
+        Claim { services: Rc::clone(&services), key, id: ClaimId(services.reception.nonce()) };
+    match claim.take(body).await? {
+        ClaimResult::Granted => {}
+        ClaimResult::Answered(stored) => return Ok(Answer::from(stored).into_reply()),
+        other => return Err(not_granted(other)),
+    }
+    let served = match Call::place(services, routed, permit, Shape::default()).await {
+        Ok(call) => service_call::order(call).await,
+        Err(failure) => Err(failure),
+    };
+    claim.settle(served).await
+}
+
+/// A claim that this request holds.
+struct Claim {
+    services: Rc<Services>,
+    key: OrderKey,
+    id: ClaimId,
+}
+
+/// What is recorded of a claim that is over.
+enum Record {
+    End(OrderEnd),
+    Release,
+}
+
+impl Claim {
+    async fn take(&self, body: BodyHash) -> Result<ClaimResult, Failure> {
+        let claimed = self.services.ledger.claim(self.key.clone(), self.id, body);
+        let claimed = time::timeout(self.services.waits.ledger_timeout(), claimed).await;
+        match claimed.unwrap_or(Err(LedgerError::InDoubt)) {
+            Ok(result) => Ok(result),
+            Err(error) => {
+                if error == LedgerError::InDoubt {
+                    // The claim may have been made; it is given back, since nothing was sent.
+                    self.record_in_background(Record::Release);
+                }
+                Err(Failure::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    Code::OrderLedgerUnreachable,
+                    error.to_string(),
+                )
+                .retry_after(RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Records how the order ended and answers the caller.
+    async fn settle(self, served: Result<Answer, Failure>) -> Result<Reply, Failure> {
+        let record = match &served {
+            Ok(answer) => Record::End(OrderEnd::Answered(answer.to_stored())),
+            Err(failure) if failure.outcome == Outcome::NotRun => Record::Release,
+            Err(_) => Record::End(OrderEnd::MayHaveRun),
+        };
+        // The answer is true whether or not it is recorded; an unrecorded claim stays taken, so
+        // that a resend is told that the order may have run.
+        if !self.record(&record).await {
+            self.record_in_background(record);
+        }
+        served.map(Answer::into_reply)
+    }
+
+    async fn record(&self, record: &Record) -> bool {
+        let ledger = &self.services.ledger;
+        let recorded = match record {
+            Record::End(end) => ledger.complete(self.key.clone(), self.id, end.clone()),
+            Record::Release => ledger.release(self.key.clone(), self.id),
+        };
+        let recorded = time::timeout(self.services.waits.ledger_timeout(), recorded).await;
+        matches!(recorded, Ok(Ok(())))
+    }
+
+    fn record_in_background(&self, record: Record) {
+        let (services, key, id) = (Rc::clone(&self.services), self.key.clone(), self.id);
+        let claim = Claim { services, key, id };
+        monoio::spawn(async move {
+            for _ in 0..RECORD_TRIES {
+                time::sleep(RECORD_PAUSE).await;
+                if claim.record(&record).await {
+                    return;
+                }
+            }
+            tracing::warn!(event = "order_not_recorded", key = %claim.key, claim = %claim.id);
+        });
+    }
+}
+
+fn order_key(routed: &Routed) -> Result<OrderKey, Failure> {
+    let key = routed.arrival.request.header(KEY_HEADER).unwrap_or_default();
+    if key.is_empty() || key.len() > KEY_LENGTH_MAX {
+        return Err(Failure::not_run(
+            StatusCode::BAD_REQUEST,
+            Code::IdempotencyKeyMissing,
+            format!(
+                "send idempotency-key with 1 to {KEY_LENGTH_MAX} characters, the same one when \
+                 the order is sent again"
+            ),
+        ));
+    }
+    Ok(OrderKey {
+        workspace: routed.caller.name().to_owned(),
+        class: routed.route().class.clone(),
+        key: key.to_owned(),
+    })
+}
+
+fn body_hash(routed: &Routed) -> BodyHash {
+    let request = &routed.arrival.request;
+    let target = format!("{} {}", request.method, request.uri);
+    BodyHash(request_hash(&target, &request.body))
+}
+
+fn not_granted(result: ClaimResult) -> Failure {
+    match result {
+        ClaimResult::InProgress { retry_after } => Failure {
+            status: StatusCode::CONFLICT,
+            code: Code::OrderInProgress,
+            message: "the order is in progress; send it again later with the same key".to_owned(),
+            outcome: Outcome::MayHaveRun,
+            retry_after: Some(retry_after),
+        },
+        ClaimResult::OtherBody => Failure::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            Code::IdempotencyKeyReused,
+            "the idempotency key was used with another body; use a new key for a new order",
+        ),
+        ClaimResult::MayHaveRun | ClaimResult::Granted | ClaimResult::Answered(_) => Failure {
+            status: StatusCode::CONFLICT,
+            code: Code::OrderInDoubt,
+            message: "an earlier attempt may have run and is not repeated; ask the service what \
+                      became of it"
+                .to_owned(),
+            outcome: Outcome::MayHaveRun,
+            retry_after: None,
+        },
+    }
+}
--- /dev/null
+++ b/crates/router/src/outcome.rs
@@ -0,0 +1,166 @@
+//! What a caller is told about its request when it is not answered as asked.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use httpio::{Bytes, server::Reply};
+use serde::Serialize;
+
+/// The header that carries an [`Outcome`].
+pub const OUTCOME_HEADER: &str = "x-outcome";
+/// The header that carries the identity of a request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// What is known about the execution of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// No byte of it reached a backend server, or one refused it before starting.
+    #[display("not-run")]
+    NotRun,
+    /// It was sent, and nothing proves what became of it.
+    #[display("may-have-run")]
+    MayHaveRun,
+    /// A backend server ran it, whether or not its whole answer arrived.
+    #[display("ran")]
+    Ran,
+}
+
+/// Why a request is not answered as asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The bearer token is unknown.
+    #[display("unknown_token")]
+    UnknownToken,
+    /// The workspace may not use the class.
+    #[display("class_not_allowed")]
+    ClassNotAllowed,
+    /// No route fits.
+    #[display("no_route")]
+    NoRoute,
+    /// The request cannot be read.
+    #[display("bad_request")]
+    BadRequest,
+    /// The workspace has too many requests in flight.
+    #[display("workspace_limit")]
+    WorkspaceLimit,
+    /// The queue is full or the place went to more urgent work.
+    #[display("overloaded")]
+    Overloaded,
+    /// The answer would come after the deadline.
+    #[display("deadline")]
+    Deadline,
+    /// The request crashed backend servers.
+    #[display("quarantined")]
+    Quarantined,
+    /// No backend server of the pool is usable.
+    #[display("no_backend_server")]
+    NoBackendServer,
+    /// The attempt at the backend server failed.
+    #[display("backend_failed")]
+    BackendFailed,
+    /// The answer ended early.
+    #[display("incomplete")]
+    Incomplete,
+    /// An order came without an idempotency key.
+    #[display("idempotency_key_missing")]
+    IdempotencyKeyMissing,
+    /// The idempotency key was used with another body.
+    #[display("idempotency_key_reused")]
+    IdempotencyKeyReused,
+    /// The order is under way.
+    #[display("order_in_progress")]
+    OrderInProgress,
+    /// An earlier attempt of the order may have run.
+    #[display("order_in_doubt")]
+    OrderInDoubt,
+    /// The order ledger cannot be reached.
+    #[display("order_ledger_unreachable")]
+    OrderLedgerUnreachable,
+}
+
+/// A request that is not answered as asked.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{code}: {message}")]
+pub struct Failure {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The reason, for programs.
+    pub code: Code,
+    /// The reason and the remedy, for people.
+    pub message: String,
+    /// What is known about the execution.
+    pub outcome: Outcome,
+    /// When it is worth to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Failure {
+    /// A failure of a request that did not run.
+    #[must_use]
+    pub fn not_run(status: StatusCode, code: Code, message: impl Into<String>) -> Failure {
+        let (message, outcome) = (message.into(), Outcome::NotRun);
+        Failure { status, code, message, outcome, retry_after: None }
+    }
+
+    /// The same failure with a time to come back.
+    #[must_use]
+    pub fn retry_after(self, wait: Duration) -> Failure {
+        Failure { retry_after: Some(wait), ..self }
+    }
+
+    /// The JSON text of the error.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        let retry_after_ms = self.retry_after.map(|it| it.as_millis() as u64);
+        let error = ErrorDetail {
+            code: self.code,
+            message: &self.message,
+            outcome: self.outcome,
+            retry_after_ms,
+        };
+        serde_json::to_string(&ErrorBody { error }).expect("an error is made of plain fields")
+    }
+
+    /// The reply to the caller.
+    #[must_use]
+    pub fn to_reply(&self) -> Reply {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(OUTCOME_HEADER, outcome_value(self.outcome));
+        if let Some(wait) = self.retry_after {
+            headers.insert(header::RETRY_AFTER, whole_seconds(wait).into());
+        }
+        Reply::whole(self.status, headers, Bytes::from(self.to_json()))
+    }
+}
+
+/// The header value of an outcome.
+#[must_use]
+pub fn outcome_value(outcome: Outcome) -> HeaderValue {
+    HeaderValue::from_static(match outcome {
+        Outcome::NotRun => "not-run",
+        Outcome::MayHaveRun => "may-have-run",
+        Outcome::Ran => "ran",
+    })
+}
+
+/// Rounds up, so that nobody comes back too early.
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_millis().div_ceil(1_000) as u64
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    code: Code,
+    message: &'a str,
+    outcome: Outcome,
+    retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/router/src/pipeline.rs
@@ -0,0 +1,143 @@
+//! The path of a request through the stages, from its arrival to its reply.
+
+use std::{rc::Rc, time::Instant};
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use http::HeaderValue;
+use httpio::server::{Handler, Reply, Request};
+use tables::Tables;
+
+use crate::{
+    arrival::Arrival,
+    backends::millis,
+    call::{Call, Shape},
+    chat::{ChatRequest, Delivery},
+    chat_call::ChatCall,
+    class_limits::{ClassLimits, Permit},
+    identity::Identity,
+    metrics::Labels,
+    order_desk,
+    outcome::{Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
+    routing::{self, Routed},
+    service_call,
+    services::Services,
+    table_source::TableSource,
+};
+
+/// Answers requests; clones share everything.
+#[derive(Clone)]
+pub struct Pipeline {
+    /// What the stages share.
+    pub services: Rc<Services>,
+    /// Who asks.
+    pub identity: Identity,
+    /// The tables in force.
+    pub tables: Rc<dyn TableSource>,
+    /// Limits of workspaces by class.
+    pub limits: ClassLimits,
+}
+
+impl Handler for Pipeline {
+    fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply> {
+        let pipeline = self.clone();
+        async move { pipeline.answer(request).await }.boxed_local()
+    }
+}
+
+/// What is known about a request when it is answered.
+struct Account {
+    arrival: Arrival,
+    route: Option<Routed>,
+}
+
+impl Pipeline {
+    async fn answer(self, request: Request) -> Reply {
+        let in_flight = self.services.metrics.in_flight().clone();
+        in_flight.inc();
+        let reply = match self.services.reception.apply(request, &*self.services.clock) {
+            Ok(arrival) => self.serve(arrival).await,
+            Err(failure) => failure.to_reply(),
+        };
+        in_flight.dec();
+        reply
+    }
+
+    async fn serve(&self, arrival: Arrival) -> Reply {
+        let mut account = Account { arrival: arrival.clone(), route: None };
+        let served = match self.admit(arrival) {
+            Ok((routed, permit)) => {
+                account.route = Some(routed.clone());
+                self.dispatch(routed, permit).await
+            }
+            Err(failure) => Err(failure),
+        };
+        let detail = served.as_ref().err().map(Failure::to_string).unwrap_or_default();
+        let mut reply = served.unwrap_or_else(|failure| failure.to_reply());
+        let id: &str = account.arrival.id.as_ref();
+        let id = HeaderValue::try_from(id).expect("an identity is made of plain characters");
+        reply.headers.insert(REQUEST_ID_HEADER, id);
+        self.note(&account, &reply, &detail);
+        reply
+    }
+
+    /// The stages that need no waiting.
+    fn admit(&self, arrival: Arrival) -> Result<(Routed, Permit), Failure> {
+        let identified = self.identity.apply(arrival)?;
+        let tables: Rc<Tables> = self.tables.current();
+        let routed = routing::apply(identified, tables)?;
+        let permit = self.limits.apply(&routed)?;
+        Ok((routed, permit))
+    }
+
+    async fn dispatch(&self, routed: Routed, permit: Permit) -> Result<Reply, Failure> {
+        let services = Rc::clone(&self.services);
+        if routed.is_order() {
+            return order_desk::serve(services, routed, permit).await;
+        }
+        if !routed.is_for_engine() {
+            let call = Call::place(services, routed, permit, Shape::default()).await?;
+            return service_call::lookup(call).await;
+        }
+        let body = &routed.arrival.request.body;
+        let chat = ChatRequest::parse(body, routed.pool(), routed.route().priority)?;
+        let shape = Shape { prefix_hash: chat.prefix_hash, max_tokens: chat.max_tokens };
+        let call = Call::place(services, routed, permit, shape).await?;
+        match chat.delivery {
+            Delivery::Stream => ChatCall::new(call, chat).streamed().await,
+            Delivery::Whole => ChatCall::new(call, chat).whole().await,
+        }
+    }
+
+    fn note(&self, account: &Account, reply: &Reply, detail: &str) {
+        let Account { arrival, route } = account;
+        let labels = match route {
+            Some(routed) => Labels { class: &routed.route().class, pool: &routed.pool().name },
+            None => Labels { class: "", pool: "" },
+        };
+        let outcome = reply.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok());
+        let took = since(arrival.arrived, self.services.clock.now());
+        let counted = match outcome {
+            Some("not-run") => Outcome::NotRun,
+            Some("ran") => Outcome::Ran,
+            _ => Outcome::MayHaveRun,
+        };
+        self.services.metrics.answered(labels, counted, reply.status.as_u16(), took);
+        tracing::info!(
+            event = "request",
+            trace_id = %arrival.trace.trace_id,
+            span_id = %arrival.trace.span_id,
+            request_id = %arrival.id,
+            class = labels.class,
+            pool = labels.pool,
+            workspace = route.as_ref().map_or("", |it| it.caller.name()),
+            status = reply.status.as_u16(),
+            outcome = %counted,
+            took_ms = millis(took),
+            detail,
+        );
+    }
+}
+
+fn since(start: Instant, now: Instant) -> std::time::Duration {
+    now.saturating_duration_since(start)
+}
--- /dev/null
+++ b/crates/router/src/refusals.rs
@@ -0,0 +1,51 @@
+//! The scheduler's refusals as callers are told them.
+
+use http::StatusCode;
+use policy::{GiveUp, Refusal, RefusalReason};
+
+use crate::{
+    backends::AttemptError,
+    outcome::{Code, Failure, Outcome},
+};
+
+/// What a caller is told when its request was refused, after attempts that proved `outcome`.
+#[must_use]
+pub(crate) fn refused(refusal: Refusal, outcome: Outcome) -> Failure {
+    let (status, code) = match refusal.reason {
+        RefusalReason::QueueFull | RefusalReason::Displaced => {
+            (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded)
+        }
+        RefusalReason::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
+        RefusalReason::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
+        RefusalReason::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
+        RefusalReason::Unknown => (StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute),
+    };
+    let message = refusal.reason.to_string();
+    Failure { status, code, message, outcome, retry_after: Some(refusal.retry_after) }
+}
+
+/// What a caller is told when the last attempt failed and none follows.
+#[must_use]
+pub(crate) fn given_up(reason: GiveUp, last: &AttemptError, outcome: Outcome) -> Failure {
+    let (status, code) = match reason {
+        GiveUp::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
+        GiveUp::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
+        GiveUp::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
+        GiveUp::OutcomeForbids
+        | GiveUp::BudgetSpent
+        | GiveUp::AttemptsSpent
+        | GiveUp::TwinRuns
+        | GiveUp::NotFailed => (StatusCode::BAD_GATEWAY, Code::BackendFailed),
+    };
+    let remedy = match reason {
+        GiveUp::Quarantined => "the request crashed backend servers: change it",
+        GiveUp::OutcomeForbids => "it is not tried again: check what it did before sending it anew",
+        _ => "it is not tried again now: come back later",
+    };
+    let message = format!("{}; {remedy}", last.detail);
+    let retry_after = match reason {
+        GiveUp::Quarantined | GiveUp::OutcomeForbids => None,
+        _ => Some(std::time::Duration::from_secs(1)),
+    };
+    Failure { status, code, message, outcome, retry_after }
+}
--- /dev/null
+++ b/crates/router/src/service_call.rs
@@ -0,0 +1,172 @@
+//! Serves plain service calls: idempotent ones with retries, orders at most once.
+
+use std::{rc::Rc, time::Duration};
+
+use futures::{FutureExt, pin_mut, select_biased};
+use http::{HeaderMap, StatusCode, header};
+use httpio::{Bytes, client::Response, server::Reply};
+use monoio::time;
+use policy::{Execution, Failure as Symptom};
+
+use crate::{
+    backends::{Attempt, AttemptError, passed_on},
+    call::{Call, worse},
+    order_ledger::StoredAnswer,
+    outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
+    watch::{Silent, watch},
+};
+
+/// The header that names an order among its resends.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
+/// The header fields of a caller that a service sees.
+const FORWARDED: [header::HeaderName; 3] =
+    [header::CONTENT_TYPE, header::ACCEPT, header::ACCEPT_LANGUAGE];
+
+/// An answer that has arrived whole.
+#[derive(Debug, Clone)]
+pub(crate) struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Answers an idempotent call, with retries as the budgets allow.
+pub(crate) async fn lookup(mut call: Call) -> Result<Reply, Failure> {
+    let gone = call.routed.arrival.request.gone.clone();
+    let left = time_left(&call);
+    let served = {
+        let raised = gone.raised().fuse();
+        let served = time::timeout(left, lookup_with_retries(&mut call)).fuse();
+        pin_mut!(raised, served);
+        select_biased! {
+            served = served => served.ok(),
+            () = raised => None,
+        }
+    };
+    let Some(answer) = served else {
+        let outcome = worse(call.outcome, Outcome::MayHaveRun);
+        call.abandon();
+        return Err(late(outcome));
+    };
+    let answer = answer?;
+    call.finish(0);
+    Ok(answer.into_reply())
+}
+
+/// Sends an order at most once; attempts that are proven not to have run do not count.
+pub(crate) async fn order(mut call: Call) -> Result<Answer, Failure> {
+    loop {
+        let left = time_left(&call);
+        let attempt = attempt(&mut call);
+        // A connection that has been idle may be lost without a sign, and an order could not be
+        // sent again then.
+        let exchange = call.services.backends.send_fresh(attempt);
+        let answer = time::timeout(left, collected(exchange)).await;
+        let error = match answer {
+            Ok(Ok(answer)) => {
+                call.finish(0);
+                return Ok(answer);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => AttemptError {
+                failure: Symptom::Silent,
+                execution: Execution::MayHaveRun,
+                detail: "no answer came before the deadline".to_owned(),
+            },
+        };
+        call.next_place(error).await?;
+    }
+}
+
+async fn lookup_with_retries(call: &mut Call) -> Result<Answer, Failure> {
+    loop {
+        let attempt = attempt(call);
+        let exchange = collected(call.services.backends.send(attempt));
+        let silence = call.services.waits.first_silence();
+        let error = match watch(exchange, silence, &call.lease).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(error)) => error,
+            Err(silent) => silence_error(call, silent),
+        };
+        call.next_place(error).await?;
+    }
+}
+
+fn attempt(call: &mut Call) -> Attempt {
+    let request = Rc::clone(&call.routed.arrival.request);
+    let mut headers = HeaderMap::new();
+    for name in FORWARDED {
+        if let Some(value) = request.headers.get(&name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    if let Some(key) = request.headers.get(KEY_HEADER) {
+        headers.insert(KEY_HEADER, key.clone());
+    }
+    call.attempt(request.method.clone(), request.uri.clone(), headers, request.body.clone())
+}
+
+async fn collected(
+    exchange: impl Future<Output = Result<Response, AttemptError>>,
+) -> Result<Answer, AttemptError> {
+    let response = exchange.await?;
+    let (status, headers) = (response.head.status, passed_on(&response.head.headers));
+    let body = response.body.collect().await?;
+    Ok(Answer { status, headers, body })
+}
+
+fn silence_error(call: &Call, silent: Silent) -> AttemptError {
+    call.services.backends.close_idle(call.lease.server().addr);
+    let detail = match silent {
+        Silent::Dead => "the backend server fell silent and does not answer a probe",
+        Silent::Alive => "the connection fell silent though the backend server answers a probe",
+    };
+    let (failure, execution) = (Symptom::Silent, Execution::MayHaveRun);
+    AttemptError { failure, execution, detail: detail.to_owned() }
+}
+
+fn time_left(call: &Call) -> Duration {
+    call.routed.deadline().saturating_duration_since(call.services.clock.now())
+}
+
+fn late(outcome: Outcome) -> Failure {
+    Failure {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        code: Code::Deadline,
+        message: "no answer came before the deadline; come back later".to_owned(),
+        outcome,
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
+
+impl Answer {
+    pub(crate) fn into_reply(self) -> Reply {
+        let mut reply = Reply::whole(self.status, self.headers, self.body);
+        reply.headers.insert(OUTCOME_HEADER, outcome_value(Outcome::Ran));
+        reply
+    }
+
+    /// The answer as it is kept for resends.
+    pub(crate) fn to_stored(&self) -> StoredAnswer {
+        let text = |it: &header::HeaderValue| it.to_str().unwrap_or_default().to_owned();
+        StoredAnswer {
+            status: self.status.as_u16(),
+            headers: self.headers.iter().map(|(k, v)| (k.to_string(), text(v))).collect(),
+            body: self.body.to_vec(),
+        }
+    }
+}
+
+impl From<StoredAnswer> for Answer {
+    fn from(stored: StoredAnswer) -> Self {
+        let fields = stored.headers.iter();
+        Answer {
+            status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
+            headers: fields
+                .filter_map(|(k, v)| Some((k.parse::<header::HeaderName>().ok()?, v.parse().ok()?)))
+                .collect(),
+            body: stored.body.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,206 @@
+//! The daemon's settings file.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use httpio::{
+    Limits,
+    client::PoolSettings,
+    server::{ConnectionBound, ServerSettings},
+};
+use ini_settings::{Document, Faults, SectionReader};
+
+use crate::{backends::BackendSettings, services::Waits};
+
+const MILLISECONDS: &str = "a whole number of milliseconds, such as 2000";
+const BYTES: &str = "a whole number of bytes, such as 65536";
+const COUNT: &str = "a whole number";
+const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+const FILE: &str = "the path of a file";
+
+/// Settings of a router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterSettings {
+    /// The name of the VM.
+    pub vm: String,
+    /// The failure domain of the VM.
+    pub failure_domain: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where health and metrics are asked for.
+    pub admin_listen: SocketAddr,
+    /// The filter of the log.
+    pub log: String,
+    /// How many routers share the workspaces' limits, this one included.
+    pub routers: u32,
+    /// How long the router serves on after it has become unready.
+    pub drain_delay_ms: u64,
+    /// Where the tables and workspaces come from.
+    pub files: Files,
+    /// The control VMs; the tables come from files where there are none.
+    pub control: Vec<SocketAddr>,
+    /// Bounds of callers' connections.
+    pub server: Server,
+    /// Connections to backend servers.
+    pub backends: BackendSettings,
+    /// Timeouts within a request.
+    pub waits: Waits,
+}
+
+/// Files that the settings name.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Files {
+    /// The table of routes.
+    pub routes: Option<PathBuf>,
+    /// The table of pools.
+    pub pools: Option<PathBuf>,
+    /// The workspaces with their tokens.
+    pub workspaces: Option<PathBuf>,
+}
+
+/// Bounds of the listener for callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Server {
+    /// Bounds of each connection.
+    pub limits: Limits,
+    /// The most open connections.
+    pub connections_max: usize,
+}
+
+impl Default for Server {
+    fn default() -> Self {
+        Server { limits: Limits::default(), connections_max: ConnectionBound::default().0 }
+    }
+}
+
+impl Server {
+    /// The settings of the listener.
+    #[must_use]
+    pub fn to_settings(&self) -> ServerSettings {
+        let connections = ConnectionBound(self.connections_max);
+        ServerSettings { limits: self.limits, connections }
+    }
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        RouterSettings {
+            vm: String::new(),
+            failure_domain: String::new(),
+            listen: loopback,
+            admin_listen: loopback,
+            log: "info".to_owned(),
+            routers: 1,
+            drain_delay_ms: 5_000,
+            files: Files::default(),
+            control: Vec::new(),
+            server: Server::default(),
+            backends: BackendSettings::default(),
+            waits: Waits::default(),
+        }
+    }
+}
+
+impl RouterSettings {
+    /// Reads settings; `name` stands for the file in faults.
+    ///
+    /// # Errors
+    /// Every fault at once.
+    pub fn parse(name: &str, text: &str) -> Result<RouterSettings, Faults> {
+        let doc = Document::parse(name, text)?;
+        let mut faults = Faults::default();
+        doc.check_section_names(&["router", "callers", "backends", "waits"], &mut faults);
+        let mut settings = read_router(&doc, &mut faults);
+        read_section(&doc, "callers", &mut faults, |it| read_callers(it, &mut settings.server));
+        read_section(&doc, "backends", &mut faults, |it| {
+            read_backends(it, &mut settings.backends);
+        });
+        read_section(&doc, "waits", &mut faults, |it| read_waits(it, &mut settings.waits));
+        faults.or_value(settings)
+    }
+}
+
+fn read_section(
+    doc: &Document,
+    name: &str,
+    faults: &mut Faults,
+    read: impl FnOnce(&mut SectionReader<'_>),
+) {
+    let section = doc.section_or_empty(name);
+    let mut reader = doc.read(&section, faults);
+    read(&mut reader);
+    reader.finish();
+}
+
+fn read_router(doc: &Document, faults: &mut Faults) -> RouterSettings {
+    let default = RouterSettings::default();
+    let section = doc.section_or_empty("router");
+    let mut reader = doc.read(&section, faults);
+    let settings = RouterSettings {
+        vm: reader.required("vm", "the name of the VM"),
+        failure_domain: reader.required("failure_domain", "the name of the failure domain"),
+        listen: reader.optional("listen", ADDRESS).unwrap_or(default.listen),
+        admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(default.admin_listen),
+        log: reader.or_default("log", "a filter such as info", default.log),
+        routers: reader.or_default("routers", COUNT, default.routers),
+        drain_delay_ms: reader.or_default("drain_delay_ms", MILLISECONDS, default.drain_delay_ms),
+        files: Files {
+            routes: reader.optional("routes_file", FILE),
+            pools: reader.optional("pools_file", FILE),
+            workspaces: reader.optional("workspaces_file", FILE),
+        },
+        control: reader.list("control", "addresses and ports separated by commas"),
+        ..default
+    };
+    let has_tables = settings.files.routes.is_some() && settings.files.pools.is_some();
+    if settings.control.is_empty() && !has_tables {
+        reader.fault(
+            "control",
+            "the tables come from nowhere",
+            "name control VMs, or routes_file and pools_file",
+        );
+    }
+    reader.finish();
+    settings
+}
+
+fn read_callers(reader: &mut SectionReader<'_>, server: &mut Server) {
+    let limits = &mut server.limits;
+    read(reader, "head_bytes_max", BYTES, &mut limits.head_bytes);
+    read(reader, "header_count_max", COUNT, &mut limits.header_count);
+    read(reader, "body_bytes_max", BYTES, &mut limits.body_bytes);
+    read(reader, "chunk_bytes_max", BYTES, &mut limits.chunk_bytes);
+    read(reader, "head_timeout_ms", MILLISECONDS, &mut limits.head_timeout_ms);
+    read(reader, "write_timeout_ms", MILLISECONDS, &mut limits.write_timeout_ms);
+    read(reader, "keep_alive_ms", MILLISECONDS, &mut limits.keep_alive_ms);
+    read(reader, "closing_grace_ms", MILLISECONDS, &mut limits.closing_grace_ms);
+    read(reader, "connections_max", COUNT, &mut server.connections_max);
+}
+
+fn read_backends(reader: &mut SectionReader<'_>, backends: &mut BackendSettings) {
+    let PoolSettings { limits, idle_per_server, idle_age_ms } = &mut backends.pool;
+    read(reader, "connect_timeout_ms", MILLISECONDS, &mut limits.connect_timeout_ms);
+    read(reader, "write_timeout_ms", MILLISECONDS, &mut limits.write_timeout_ms);
+    read(reader, "answer_bytes_max", BYTES, &mut limits.body_bytes);
+    read(reader, "chunk_bytes_max", BYTES, &mut limits.chunk_bytes);
+    read(reader, "idle_per_server_max", COUNT, idle_per_server);
+    read(reader, "idle_age_ms", MILLISECONDS, idle_age_ms);
+    read(reader, "probe_timeout_ms", MILLISECONDS, &mut backends.probe_timeout_ms);
+}
+
+fn read_waits(reader: &mut SectionReader<'_>, waits: &mut Waits) {
+    read(reader, "first_silence_ms", MILLISECONDS, &mut waits.first_silence_ms);
+    read(reader, "silence_ms", MILLISECONDS, &mut waits.silence_ms);
+    read(reader, "resumes_max", COUNT, &mut waits.resumes_max);
+    read(reader, "ledger_timeout_ms", MILLISECONDS, &mut waits.ledger_timeout_ms);
+}
+
+/// Reads a value in place of its default.
+fn read<T: std::str::FromStr + Clone>(
+    reader: &mut SectionReader<'_>,
+    key: &str,
+    expected: &str,
+    value: &mut T,
+) {
+    *value = reader.or_default(key, expected, value.clone());
+}
--- /dev/null
+++ b/crates/router/src/token_stream.rs
@@ -0,0 +1,146 @@
+//! The events of one answer as an engine sends them, each checked before it is passed on.
+
+use http::{HeaderValue, header};
+use httpio::{
+    Bytes,
+    client::{Body, Response},
+    sse::{self, Splitter},
+};
+use policy::{Execution, Failure};
+
+use crate::{
+    backends::AttemptError,
+    chat::{Chunk, Usage},
+};
+
+const EVENT_BYTES_MAX: usize = 256 << 10;
+const DONE: &[u8] = b"[DONE]";
+
+/// One event of an answer.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A chunk, as read and as sent.
+    Chunk {
+        /// What the router reads of it.
+        chunk: Chunk,
+        /// The whole event.
+        raw: Bytes,
+    },
+    /// The end of a whole answer, as sent.
+    Done(Bytes),
+}
+
+/// Reads the events of one answer.
+#[derive(Debug)]
+pub(crate) struct TokenStream {
+    body: Body,
+    splitter: Splitter,
+    id: String,
+    finish: Finish,
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finish {
+    /// More tokens may come.
+    Open,
+    /// The last chunk came.
+    Last,
+    /// The answer is whole.
+    Done,
+}
+
+impl TokenStream {
+    /// Reads the answer to the attempt `id`.
+    ///
+    /// # Errors
+    /// An answer that is no event stream.
+    pub(crate) fn new(response: Response, id: &HeaderValue) -> Result<TokenStream, AttemptError> {
+        let status = response.head.status;
+        let content_type = response.head.headers.get(header::CONTENT_TYPE);
+        let is_stream =
+            content_type.is_some_and(|it| it.as_bytes().starts_with(sse::CONTENT_TYPE.as_bytes()));
+        if !status.is_success() || !is_stream {
+            return Err(AttemptError::in_doubt(format!("the engine answered {status}")));
+        }
+        Ok(TokenStream {
+            body: response.body,
+            splitter: Splitter::new(EVENT_BYTES_MAX),
+            id: id.to_str().unwrap_or_default().to_owned(),
+            finish: Finish::Open,
+            usage: None,
+        })
+    }
+
+    /// Reads the next event; nothing after the end. Dropping the future loses no data.
+    ///
+    /// # Errors
+    /// An answer that is cut, crossed or malformed.
+    pub(crate) async fn next(&mut self) -> Option<Result<Event, AttemptError>> {
+        loop {
+            if self.finish == Finish::Done {
+                self.drain().await;
+                return None;
+            }
+            match self.splitter.next_event() {
+                Ok(Some(raw)) => match self.read(raw) {
+                    Ok(Some(event)) => return Some(Ok(event)),
+                    Ok(None) => continue,
+                    Err(error) => return Some(Err(error)),
+                },
+                Ok(None) => {}
+                Err(error) => return Some(Err(AttemptError::in_doubt(error.to_string()))),
+            }
+            match self.body.next().await {
+                Some(Ok(data)) => self.splitter.push(&data),
+                Some(Err(error)) => return Some(Err(error.into())),
+                None => return Some(Err(cut())),
+            }
+        }
+    }
+
+    /// Reads the end of the body, after which its connection can be used again.
+    async fn drain(&mut self) {
+        while let Some(Ok(data)) = self.body.next().await {
+            tracing::debug!(bytes = data.len(), "bytes after the end of an answer");
+        }
+    }
+
+    fn read(&mut self, raw: Bytes) -> Result<Option<Event>, AttemptError> {
+        if let Some(name) = sse::field(&raw, "event") {
+            let name = String::from_utf8_lossy(name);
+            return Err(AttemptError::in_doubt(format!("the engine sent the event `{name}`")));
+        }
+        let Some(data) = sse::field(&raw, "data") else {
+            // A comment, such as one that keeps a connection alive.
+            return Ok(None);
+        };
+        if data == DONE {
+            return self.done(raw).map(Some);
+        }
+        let chunk = Chunk::parse(data, &self.id)
+            .map_err(|fault| AttemptError::in_doubt(fault.to_string()))?;
+        if chunk.is_last() {
+            self.finish = Finish::Last;
+        }
+        self.usage = chunk.usage.or(self.usage);
+        Ok(Some(Event::Chunk { chunk, raw }))
+    }
+
+    fn done(&mut self, raw: Bytes) -> Result<Event, AttemptError> {
+        if self.finish != Finish::Last {
+            return Err(cut());
+        }
+        self.finish = Finish::Done;
+        Ok(Event::Done(raw))
+    }
+}
+
+fn cut() -> AttemptError {
+    AttemptError {
+        // The body ended in good order, so the server has not crashed.
+        failure: Failure::Other,
+        execution: Execution::MayHaveRun,
+        detail: "the answer ended without its last event".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/router/tests/served_requests.rs
@@ -0,0 +1,90 @@
+//! Requests that go well: whole and streamed answers, lookups, and what backend servers are sent.
+
+mod support;
+
+use expect_test::expect;
+use support::{Fake, Setup, lookup, run, streamed_chat, whole_chat, with_header};
+
+#[test]
+fn whole_answer() {
+    run(async {
+        let engine = Fake::engine(&[" hello", " there"]);
+        let router = Setup { engines: vec![engine.addr], ..Setup::default() }.start();
+        expect![[r#"
+            200 OK
+            x-outcome: ran
+            x-request-id: q1
+            content-type: application/json
+            {"id":"q1","object":"chat.completion","model":"m","choices":[{"index":0,"message":{"role":"assistant","content":" hello there"},"finish_reason":"stop"}],"usage":{"prompt_tokens":1,"completion_tokens":2}}"#]].assert_eq(&router.exchange(whole_chat()).await);
+    });
+}
+
+#[test]
+fn streamed_answer() {
+    run(async {
+        let engine = Fake::engine(&[" hello", " there"]);
+        let router = Setup { engines: vec![engine.addr], ..Setup::default() }.start();
+        expect![[r#"
+            200 OK
+            x-outcome: ran
+            x-request-id: q1
+            content-type: text/event-stream
+            data: {"id":"q1","model":"m","choices":[{"index":0,"delta":{"content":" hello"},"finish_reason":null}]}
+
+            data: {"id":"q1","model":"m","choices":[{"index":0,"delta":{"content":" there"},"finish_reason":null}]}
+
+            data: {"id":"q1","model":"m","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":1,"completion_tokens":2}}
+
+            data: [DONE]
+
+        "#]].assert_eq(&router.exchange(streamed_chat()).await);
+    });
+}
+
+#[test]
+fn lookup_answer() {
+    run(async {
+        let service = Fake::service();
+        let router = Setup { services: vec![service.addr], ..Setup::default() }.start();
+        expect![[r#"
+            200 OK
+            x-outcome: ran
+            x-request-id: q1
+            content-type: text/plain
+            /lookup/clip-7"#]]
+        .assert_eq(&router.exchange(lookup()).await);
+    });
+}
+
+#[test]
+fn engine_is_sent() {
+    run(async {
+        let engine = Fake::engine(&[" hello"]);
+        let router = Setup { engines: vec![engine.addr], ..Setup::default() }.start();
+        let parent = "00-0123456789abcdef0123456789abcdef-0123456789abcdef-01";
+        router.exchange(with_header(whole_chat(), "traceparent", parent)).await;
+
+        let seen = engine.seen.borrow();
+        let body = String::from_utf8_lossy(&seen[0].body);
+        expect![[r#"{"messages":[{"content":"hi","role":"user"}],"model":"m","priority":1,"stream":true}"#]].assert_eq(&body);
+        let trace = seen[0].header("traceparent").expect("the trace goes on");
+        assert!(trace.starts_with("00-0123456789abcdef0123456789abcdef-"));
+        assert!(!trace.contains("-0123456789abcdef-"), "each hop has a span of its own");
+        assert!(support::id_of(&seen[0]).starts_with("q1."));
+        assert_eq!(seen[0].header("authorization"), None, "no token leaves the router");
+    });
+}
+
+#[test]
+fn metrics_and_health() {
+    run(async {
+        let engine = Fake::engine(&[" hello"]);
+        let router = Setup { engines: vec![engine.addr], ..Setup::default() }.start();
+        router.exchange(whole_chat()).await;
+        assert_eq!(router.admin("/healthz").await, "200 OK: ok\n");
+        assert_eq!(router.admin("/readyz").await, "200 OK: ready\n");
+        let metrics = router.admin("/metrics").await;
+        let line = r#"router_requests_total{class="chat",outcome="ran",pool="llm",status="200"} 1"#;
+        assert!(metrics.contains(line), "{metrics}");
+    });
+}
--- /dev/null
+++ b/crates/router/tests/support.rs
@@ -0,0 +1,340 @@
+//! A router and fake backend servers in one process, for the tests of features.
+#![allow(dead_code)]
+
+use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc};
+
+use clock::SystemClock;
+use futures::{
+    channel::mpsc,
+    future::{FutureExt, LocalBoxFuture},
+};
+use httpio::{
+    Bytes, HeaderMap, HeaderValue, Limits, StatusCode,
+    client::{Pool, PoolSettings, Request as ClientRequest, Response},
+    server::{self, Reply, Request, ServerSettings, StopSignals, StreamSender},
+};
+use monoio::{LegacyDriver, RuntimeBuilder, task::JoinHandle};
+use router::{
+    backends::BackendSettings,
+    daemon::{self, Bound, Parts, Stopped},
+    identity::Workspaces,
+    order_ledger::{NoLedger, OrderLedger},
+    services::Waits,
+    settings::RouterSettings,
+    table_source::FixedTables,
+};
+use tables::{Revision, TablesText};
+
+pub(crate) const TOKEN: &str = "token-of-north";
+pub(crate) const ORDER_BODY: &str = r#"{"clip":7}"#;
+
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("the runtime builds")
+        .block_on(test);
+}
+
+fn any_port() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// An address at which nobody listens.
+pub(crate) fn closed_port() -> SocketAddr {
+    server::bind(any_port()).expect("a free port").local_addr().expect("a bound listener")
+}
+
+/// A fake backend server, with the requests that it has seen but for probes and load reports.
+#[derive(Clone)]
+pub(crate) struct Fake {
+    pub(crate) addr: SocketAddr,
+    pub(crate) seen: Rc<RefCell<Vec<Request>>>,
+}
+
+impl Fake {
+    pub(crate) fn start(answer: impl AsyncFn(Request) -> Reply + 'static) -> Fake {
+        let listener = server::bind(any_port()).expect("a free port");
+        let addr = listener.local_addr().expect("a bound listener");
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let (all, answer) = (Rc::clone(&seen), Rc::new(answer));
+        let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
+            if req.uri.path() == "/healthz" {
+                return async { Reply::typed(StatusCode::OK, "text/plain", "ok".into()) }
+                    .boxed_local();
+            }
+            if req.uri.path() == "/v1/load" {
+                return async { Reply::typed(StatusCode::NOT_FOUND, "text/plain", "".into()) }
+                    .boxed_local();
+            }
+            all.borrow_mut().push(req.clone());
+            let answer = Rc::clone(&answer);
+            async move { answer(req).await }.boxed_local()
+        };
+        let settings = ServerSettings::default();
+        let stop = StopSignals::default();
+        monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
+        Fake { addr, seen }
+    }
+
+    /// An engine that answers each request with the same tokens.
+    pub(crate) fn engine(tokens: &'static [&'static str]) -> Fake {
+        Fake::start(async move |req| stream(&req, tokens, Ending::Whole))
+    }
+
+    /// A service that answers its path.
+    pub(crate) fn service() -> Fake {
+        Fake::start(async |req| {
+            Reply::typed(StatusCode::OK, "text/plain", req.uri.path().to_owned().into())
+        })
+    }
+
+    pub(crate) fn paths(&self) -> Vec<String> {
+        self.seen.borrow().iter().map(|it| format!("{} {}", it.method, path_name(it))).collect()
+    }
+}
+
+/// The path without the identity of the attempt, which is random.
+fn path_name(req: &Request) -> String {
+    let path = req.uri.path();
+    match path.strip_prefix("/v1/streams/").and_then(|it| it.split_once('/')) {
+        Some((_, rest)) => format!("/v1/streams/ID/{rest}"),
+        None if path.starts_with("/v1/streams/") => "/v1/streams/ID".to_owned(),
+        None => path.to_owned(),
+    }
+}
+
+/// How a fake stream ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ending {
+    Whole,
+    /// The connection closes.
+    Cut,
+    /// The body ends in good order without the last events.
+    Short,
+}
+
+pub(crate) fn id_of(req: &Request) -> String {
+    req.header("x-request-id").expect("the router sends an identity").to_owned()
+}
+
+pub(crate) fn token_event(id: &str, token: &str) -> Bytes {
+    let chunk = format!(
+        r#"{{"id":"{id}","model":"m","choices":[{{"index":0,"delta":{{"content":"{token}"}},"finish_reason":null}}]}}"#
+    );
+    format!("data: {chunk}\n\n").into()
+}
+
+pub(crate) fn last_events(id: &str, count: usize) -> Bytes {
+    let chunk = format!(
+        r#"{{"id":"{id}","model":"m","choices":[{{"index":0,"delta":{{}},"finish_reason":"stop"}}],"usage":{{"prompt_tokens":1,"completion_tokens":{count}}}}}"#
+    );
+    format!("data: {chunk}\n\ndata: [DONE]\n\n").into()
+}
+
+/// A streamed answer to `req`.
+pub(crate) fn stream(req: &Request, tokens: &'static [&'static str], ending: Ending) -> Reply {
+    let id = id_of(req);
+    stream_as(&id, &id.clone(), tokens, ending)
+}
+
+/// A streamed answer with identities of choice in head and events.
+pub(crate) fn stream_as(
+    head_id: &str,
+    id: &str,
+    tokens: &'static [&'static str],
+    ending: Ending,
+) -> Reply {
+    let (id, (mut sender, reply)) = (id.to_owned(), event_stream(head_id));
+    monoio::spawn(async move {
+        for token in tokens {
+            if sender.send(token_event(&id, token)).await.is_err() {
+                return;
+            }
+        }
+        if ending == Ending::Whole {
+            let _ = sender.send(last_events(&id, tokens.len())).await;
+        }
+        if ending != Ending::Cut {
+            let _ = sender.finish().await;
+        }
+    });
+    reply
+}
+
+pub(crate) fn event_stream(head_id: &str) -> (StreamSender, Reply) {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert("x-request-id", head_id.parse().expect("a plain identity"));
+    Reply::stream(StatusCode::OK, headers, 1)
+}
+
+pub(crate) fn not_started() -> Reply {
+    let mut reply = Reply::typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "full".into());
+    reply.headers.insert("x-not-started", HeaderValue::from_static("1"));
+    reply
+}
+
+/// A router under test.
+pub(crate) struct TestRouter {
+    pub(crate) addr: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) stop: mpsc::UnboundedSender<()>,
+    pub(crate) stopped: JoinHandle<anyhow::Result<Stopped>>,
+    pub(crate) pool: Pool,
+}
+
+/// What a test changes of the router.
+pub(crate) struct Setup {
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) services: Vec<SocketAddr>,
+    pub(crate) ledger: Rc<dyn OrderLedger>,
+    pub(crate) waits: Waits,
+    pub(crate) backends: BackendSettings,
+    /// Further lines of the route of chat.
+    pub(crate) chat: &'static str,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup {
+            engines: vec![closed_port()],
+            services: vec![closed_port()],
+            ledger: Rc::new(NoLedger),
+            waits: Waits::default(),
+            backends: BackendSettings::default(),
+            chat: "",
+        }
+    }
+}
+
+impl Setup {
+    pub(crate) fn start(self) -> TestRouter {
+        let tables = tables::check(Revision(1), &self.tables()).expect("the tables are right");
+        let settings = RouterSettings {
+            vm: "vm-1".to_owned(),
+            failure_domain: "fd-1".to_owned(),
+            drain_delay_ms: 0,
+            server: router::settings::Server {
+                limits: Limits { closing_grace_ms: 0, ..Limits::default() },
+                ..Default::default()
+            },
+            waits: self.waits,
+            backends: self.backends,
+            ..RouterSettings::default()
+        };
+        let workspaces = format!("[north]\ntoken = {TOKEN}\n[south]\ntoken = token-of-south\n");
+        let parts = Parts {
+            tables: Rc::new(FixedTables::new(tables)),
+            ledger: self.ledger,
+            workspaces: Rc::new(Workspaces::parse(&workspaces).expect("the workspaces are right")),
+            clock: Rc::new(SystemClock),
+            seed: 7,
+        };
+        let bound = Bound::new(any_port(), any_port()).expect("free ports");
+        let addr = bound.callers.local_addr().expect("a bound listener");
+        let admin = bound.admin.local_addr().expect("a bound listener");
+        let (stop, stops) = mpsc::unbounded();
+        let stopped = monoio::spawn(daemon::serve(settings, parts, bound, stops));
+        let pool = Pool::new(PoolSettings::default(), Rc::new(SystemClock));
+        TestRouter { addr, admin, stop, stopped, pool }
+    }
+
+    fn tables(&self) -> TablesText {
+        let list = |all: &[SocketAddr]| {
+            all.iter().map(|it| format!("{it}@fd-1")).collect::<Vec<_>>().join(", ")
+        };
+        let pools = format!(
+            "[llm]\nkind = engine\nmodel = m\nservers = {}\n[svc]\nkind = service\nservers = {}\n",
+            list(&self.engines),
+            list(&self.services),
+        );
+        let routes = format!(
+            "[chat]\npath = /v1/chat/completions\npriority = 1\npool = llm\ndeadline_ms = 20000\nidempotent = yes\n{}\n\
+             [draft]\npath = /v1/chat/completions\npriority = 5\npool = llm\ndeadline_ms = 60000\nidempotent = yes\n\
+             [lookup]\npath = /lookup/*\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = yes\nretries_max = 2\n\
+             [restore]\npath = /orders\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = no\n",
+            self.chat,
+        );
+        TablesText { routes, pools }
+    }
+}
+
+impl TestRouter {
+    pub(crate) async fn send(&self, request: ClientRequest) -> Response {
+        self.pool.send(self.addr, request).await.expect("the router answers")
+    }
+
+    /// Sends a request and writes its answer as text, without what differs from run to run.
+    pub(crate) async fn exchange(&self, request: ClientRequest) -> String {
+        let response = self.send(request).await;
+        let head = response.head;
+        let mut text = format!("{}\n", head.status);
+        for name in ["x-outcome", "x-request-id", "retry-after", "content-type"] {
+            if let Some(value) = head.headers.get(name) {
+                text += &format!("{name}: {}\n", value.to_str().expect("visible characters"));
+            }
+        }
+        let mut body = response.body;
+        loop {
+            match body.next().await {
+                Some(Ok(data)) => text += &String::from_utf8_lossy(&data),
+                Some(Err(error)) => return text + &format!("\n<{}>", error.kind),
+                None => return text,
+            }
+        }
+    }
+
+    pub(crate) async fn admin(&self, path: &'static str) -> String {
+        let request = ClientRequest { uri: path.parse().expect("a path"), ..Default::default() };
+        let response = self.pool.send(self.admin, request).await.expect("the admin listener");
+        let status = response.head.status;
+        let body = response.body.collect().await.expect("a whole answer");
+        format!("{status}: {}", String::from_utf8_lossy(&body))
+    }
+}
+
+pub(crate) fn with_header(
+    mut request: ClientRequest,
+    name: &'static str,
+    value: &str,
+) -> ClientRequest {
+    request.headers.insert(name, value.parse().expect("a header value"));
+    request
+}
+
+fn of_north(path: &'static str) -> ClientRequest {
+    let request = ClientRequest { uri: path.parse().expect("a path"), ..Default::default() };
+    let request = with_header(request, "authorization", &format!("Bearer {TOKEN}"));
+    with_header(request, "x-request-id", "q1")
+}
+
+fn post(path: &'static str, body: &str) -> ClientRequest {
+    let body = Bytes::from(body.to_owned());
+    ClientRequest { method: httpio::Method::POST, body, ..of_north(path) }
+}
+
+/// A chat request for an answer in one piece.
+pub(crate) fn whole_chat() -> ClientRequest {
+    let body = r#"{"model":"m","messages":[{"role":"user","content":"hi"}]}"#;
+    with_header(post("/v1/chat/completions", body), "x-request-class", "chat")
+}
+
+/// A chat request for a streamed answer.
+pub(crate) fn streamed_chat() -> ClientRequest {
+    let body = r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+    with_header(post("/v1/chat/completions", body), "x-request-class", "chat")
+}
+
+pub(crate) fn lookup() -> ClientRequest {
+    of_north("/lookup/clip-7")
+}
+
+/// An order without a key.
+pub(crate) fn bare_order() -> ClientRequest {
+    post("/orders", ORDER_BODY)
+}
+
+pub(crate) fn order(key: &str) -> ClientRequest {
+    with_header(bare_order(), "idempotency-key", key)
+}
