Leave whole answers out of the times between tokens

Cause: a run against a stand-in engine showed 0.0 ms between tokens for answers sent whole. Ruled out: dropping the time to the first token of such answers, which classes may be owed. Change: the record says how the answer was to be sent; a test that failed first. Conclusion: only streamed answers have times between tokens.

--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     answer_check::AnswerFault,
-    plan::{ArrivalId, ClassIdx, RequestKind, Sending},
+    plan::{AnswerMode, ArrivalId, ClassIdx, RequestKind, Sending},
 };
 
 /// What the router said about the execution of the request.
@@ -63,6 +63,8 @@
     pub class: ClassIdx,
     /// What it asked for.
     pub kind: RequestKind,
+    /// How a chat answer was to be sent.
+    pub answer: AnswerMode,
     /// First sending or repetition.
     pub sending: Sending,
     /// The key of an order.
@@ -100,8 +102,11 @@
         self.whole_us.map(Duration::from_micros)
     }
 
-    /// The mean time between two tokens, for answers of at least two.
+    /// The mean time between two tokens, for streamed answers of at least two.
     pub fn between_tokens(&self) -> Option<Duration> {
+        if self.answer == AnswerMode::Whole {
+            return None;
+        }
         let gaps = self.tokens.checked_sub(1).filter(|it| *it > 0)?;
         let span = self.whole()?.checked_sub(self.first_token()?)?;
         Some(span / gaps)
--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -169,6 +169,7 @@
         arrival: arrival.id,
         class: arrival.class,
         kind: call.kind,
+        answer: call.answer,
         sending: arrival.sending,
         idempotency_key: call.idempotency_key.clone(),
         request_id: call.request_id.clone(),
--- a/crates/load/tests/run_report.rs
+++ b/crates/load/tests/run_report.rs
@@ -5,7 +5,7 @@
 use expect_test::{Expect, expect};
 use load::{
     answer_check::AnswerFault,
-    plan::{ArrivalId, ClassIdx, ClassSettings, LatencyTarget, RequestKind, Sending},
+    plan::{AnswerMode, ArrivalId, ClassIdx, ClassSettings, LatencyTarget, RequestKind, Sending},
     record::{Ending, Outcome, RequestRecord},
     report::{Evidence, Report, latency_svg, table},
 };
@@ -31,6 +31,7 @@
         arrival: ArrivalId(id),
         class: ClassIdx(0),
         kind: RequestKind::Chat,
+        answer: AnswerMode::Streamed,
         sending: Sending::First,
         idempotency_key: None,
         request_id: format!("req-{id}"),
@@ -141,6 +142,14 @@
     assert!(report.is_faultless());
 }
 
+#[test]
+fn whole_has_no_gaps() {
+    let whole = RequestRecord { answer: AnswerMode::Whole, ..chat(0, 250, 250) };
+    let report = report(&[whole], &Evidence::default());
+    let chat = &report.classes[0];
+    assert_eq!((chat.whole.count, chat.between_tokens.count), (1, 0));
+}
+
 #[test]
 fn repetition_not_attained_twice() {
     let resend = RequestRecord { sending: Sending::Resend(ArrivalId(0)), ..chat(1, 50, 250) };
