Follow the tables and exchange summaries as many light routers

Ruled out: a process for each router, which the bound on processes forbids. Change: followers by control-client and dissemination, site files and light backend servers.

--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -2,15 +2,21 @@
 //! the target size.
 
 mod fit;
+mod followers;
 mod markdown;
 mod plot;
 mod projection;
 mod sample;
 mod sampler;
+mod site;
 
 pub use fit::{FitFault, LineFit, Point, fit};
+pub use followers::{Accepted, FollowerSettings, Followers};
 pub use markdown::markdown;
 pub use plot::{line_file_name, line_svg};
 pub use projection::{CapacityReport, LineReport, RoleTotal, Verdict};
 pub use sample::{Driver, Measure, Reading, Sample};
-pub use sampler::{SamplerFault, SamplerSettings, watch};
+pub use sampler::{
+    NoWireBytes, SampleLabel, SamplerFault, SamplerSettings, ServedWireBytes, WireBytes, watch,
+};
+pub use site::{SiteSize, serve_backends, tables_text, workspaces_text};
--- a/crates/load/src/capacity/sampler.rs
+++ b/crates/load/src/capacity/sampler.rs
@@ -4,6 +4,7 @@
 
 use clock::Clock;
 use derive_more::{Display, Error, From};
+use futures::{FutureExt, future::LocalBoxFuture};
 use httpio::client::{Pool, PoolSettings};
 use monoio::time;
 
@@ -15,18 +16,61 @@
 };
 
 /// What is watched, and for how long.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SamplerSettings {
     /// The process.
     pub pid: Pid,
-    /// The admin listener with its counters.
-    pub metrics: Option<LoopbackAddr>,
-    /// The counters whose sum is the bytes on the wire.
-    pub byte_counters: Vec<String>,
     /// How long it is watched, in milliseconds.
     pub window_ms: u64,
 }
 
+/// What a sample is of.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SampleLabel {
+    /// The role of the process.
+    pub role: String,
+    /// The size that is varied.
+    pub driver: Driver,
+    /// The size.
+    pub size: f64,
+}
+
+/// Where the bytes that a process has sent and received are counted.
+pub trait WireBytes {
+    /// The bytes so far; nothing where they are not counted.
+    fn read(&self) -> LocalBoxFuture<'_, Result<Option<f64>, CounterFault>>;
+}
+
+/// Bytes that nobody counts.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NoWireBytes;
+
+impl WireBytes for NoWireBytes {
+    fn read(&self) -> LocalBoxFuture<'_, Result<Option<f64>, CounterFault>> {
+        futures::future::ready(Ok(None)).boxed_local()
+    }
+}
+
+/// Bytes from the counters that the process serves itself.
+pub struct ServedWireBytes {
+    pool: Pool,
+    addr: LoopbackAddr,
+    names: Vec<String>,
+}
+
+impl ServedWireBytes {
+    /// The sum of the counters called `names` at the admin listener `addr`.
+    pub fn new(addr: LoopbackAddr, names: Vec<String>, clock: Rc<dyn Clock>) -> ServedWireBytes {
+        ServedWireBytes { pool: Pool::new(PoolSettings::default(), clock), addr, names }
+    }
+}
+
+impl WireBytes for ServedWireBytes {
+    fn read(&self) -> LocalBoxFuture<'_, Result<Option<f64>, CounterFault>> {
+        async { read_sum(&self.pool, self.addr, &self.names).await.map(Some) }.boxed_local()
+    }
+}
+
 /// A process cannot be watched.
 #[derive(Debug, Display, Error, From)]
 pub enum SamplerFault {
@@ -38,24 +82,22 @@
     Counter(CounterFault),
 }
 
-/// Watches the process and gives its use as a sample of `role` at `size`.
+/// Watches the process and gives its use as a sample.
 ///
 /// # Errors
 ///
 /// [`SamplerFault`] where the process is gone or has no such counters.
 pub async fn watch(
-    settings: &SamplerSettings,
-    clock: Rc<dyn Clock>,
-    role: &str,
-    driver: Driver,
-    size: f64,
+    settings: SamplerSettings,
+    label: SampleLabel,
+    wire: &dyn WireBytes,
+    clock: &dyn Clock,
 ) -> Result<Sample, SamplerFault> {
-    let pool = Pool::new(PoolSettings::default(), Rc::clone(&clock));
-    let bytes_before = wire_bytes(&pool, settings).await?;
+    let bytes_before = wire.read().await?;
     let (start, before) = (clock.now(), usage(settings.pid)?);
     time::sleep(Duration::from_millis(settings.window_ms)).await;
     let (end, after) = (clock.now(), usage(settings.pid)?);
-    let bytes_after = wire_bytes(&pool, settings).await?;
+    let bytes_after = wire.read().await?;
 
     let seconds = end.saturating_duration_since(start).as_secs_f64();
     let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64();
@@ -67,12 +109,6 @@
         let value = (after - before) / seconds;
         readings.push(Reading { measure: Measure::WireBytesPerS, value });
     }
-    Ok(Sample { role: role.to_owned(), driver, size, readings })
-}
-
-async fn wire_bytes(pool: &Pool, settings: &SamplerSettings) -> Result<Option<f64>, CounterFault> {
-    let Some(addr) = settings.metrics.filter(|_| !settings.byte_counters.is_empty()) else {
-        return Ok(None);
-    };
-    read_sum(pool, addr, &settings.byte_counters).await.map(Some)
+    let SampleLabel { role, driver, size } = label;
+    Ok(Sample { role, driver, size, readings })
 }
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -2,6 +2,7 @@
 
 mod report;
 mod sample;
+mod site;
 
 use clap::{ArgMatches, Command};
 
@@ -11,12 +12,16 @@
         .subcommand_required(true)
         .subcommand(sample::command())
         .subcommand(report::command())
+        .subcommand(site::command())
+        .subcommand(site::backends_command())
 }
 
 pub(crate) async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
     match matches.subcommand() {
         Some(("sample", args)) => sample::run(args).await,
         Some(("report", args)) => report::run(args),
+        Some(("site", args)) => site::run(args),
+        Some(("backends", args)) => site::run_backends(args).await,
         _ => unreachable!("a subcommand is required, and all are listed"),
     }
 }
--- a/crates/load/src/cli/capacity/sample.rs
+++ b/crates/load/src/cli/capacity/sample.rs
@@ -1,12 +1,20 @@
 //! Watches one process and adds a line to the file of samples.
 
-use std::{fs::OpenOptions, io::Write, path::PathBuf, rc::Rc};
+use std::{
+    fs::OpenOptions,
+    io::Write,
+    path::{Path, PathBuf},
+    rc::Rc,
+};
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use clock::SystemClock;
+use clock::{Clock, SystemClock};
 use load::{
-    capacity::{Driver, Sample, SamplerSettings, watch},
+    capacity::{
+        Driver, NoWireBytes, Sample, SampleLabel, SamplerSettings, ServedWireBytes, WireBytes,
+        watch,
+    },
     proc_stat::Pid,
 };
 
@@ -50,21 +58,33 @@
 }
 
 pub(crate) async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
-    let byte_counters = matches.get_many::<String>("byte-counter").unwrap_or_default();
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let settings = SamplerSettings {
         pid: Pid(args::value(matches, "pid")),
-        metrics: matches.get_one("metrics").copied(),
-        byte_counters: byte_counters.cloned().collect(),
         window_ms: args::value(matches, "window-ms"),
     };
-    let role: String = args::value(matches, "role");
-    let (driver, size) = (args::value(matches, "driver"), args::value(matches, "size"));
-    let sample = watch(&settings, Rc::new(SystemClock), &role, driver, size).await?;
-    append(&args::value(matches, "samples"), &sample)
+    let label = SampleLabel {
+        role: args::value(matches, "role"),
+        driver: args::value(matches, "driver"),
+        size: args::value(matches, "size"),
+    };
+    let sample = watch(settings, label, &*wire_bytes(matches, &clock), &*clock).await?;
+    append(&args::value::<PathBuf>(matches, "samples"), &sample)
+}
+
+fn wire_bytes(matches: &ArgMatches, clock: &Rc<dyn Clock>) -> Box<dyn WireBytes> {
+    let names = matches.get_many::<String>("byte-counter").unwrap_or_default();
+    let names: Vec<String> = names.cloned().collect();
+    match matches.get_one("metrics") {
+        Some(addr) if !names.is_empty() => {
+            Box::new(ServedWireBytes::new(*addr, names, Rc::clone(clock)))
+        }
+        _ => Box::new(NoWireBytes),
+    }
 }
 
 /// Adds `sample` to the file at `path` and prints it.
-pub(crate) fn append(path: &PathBuf, sample: &Sample) -> anyhow::Result<()> {
+pub(crate) fn append(path: &Path, sample: &Sample) -> anyhow::Result<()> {
     let line = serde_json::to_string(sample)?;
     println!("{line}");
     let mut file = OpenOptions::new()
--- a/crates/load/tests/process_sample.rs
+++ b/crates/load/tests/process_sample.rs
@@ -4,11 +4,13 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use clock::SystemClock;
+use clock::{Clock, SystemClock};
 use expect_test::expect;
 use httpio::{StatusCode, server::Reply};
 use load::{
-    capacity::{Driver, Measure, Sample, SamplerFault, SamplerSettings, watch},
+    capacity::{
+        Driver, Measure, Sample, SampleLabel, SamplerFault, SamplerSettings, ServedWireBytes, watch,
+    },
     proc_stat::Pid,
 };
 use support::{block_on, ready, start};
@@ -22,13 +24,12 @@
             let text = format!("wire_bytes_total{{way=\"in\"}} {}\n", read.get());
             ready(Reply::typed(StatusCode::OK, "text/plain", text.into()))
         });
-        let settings = SamplerSettings {
-            pid: Pid(std::process::id()),
-            metrics: Some(addr),
-            byte_counters: vec![counter.to_owned()],
-            window_ms: 20,
-        };
-        watch(&settings, Rc::new(SystemClock), "router", Driver::Replicas, 10.0).await
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+        let wire = ServedWireBytes::new(addr, vec![counter.to_owned()], Rc::clone(&clock));
+        let settings = SamplerSettings { pid: Pid(std::process::id()), window_ms: 20 };
+        let (role, driver) = ("router".to_owned(), Driver::Replicas);
+        let label = SampleLabel { role, driver, size: 10.0 };
+        watch(settings, label, &wire, &*clock).await
     })
 }
 
