--- a/crates/load/src/capacity/sample.rs
+++ b/crates/load/src/capacity/sample.rs
@@ -29,7 +29,7 @@
     /// Streams that a router relays at once.
     #[display("streams")]
     Streams,
-    /// Routers that follow the configuration.
+    /// Routers that are linked to one control VM.
     #[display("routers")]
     Routers,
     /// Configuration changes an hour.
@@ -45,7 +45,8 @@
             Driver::Workspaces => 930.0,
             // 6,100 requests/s of 262 tokens at 44 ms each, over 350 nodes.
             Driver::Streams => 200.0,
-            Driver::Routers => 350.0,
+            // 350 nodes, each linked to the control VM of its own of 11 failure domains.
+            Driver::Routers => 32.0,
             // 5,800 changes a day.
             Driver::Changes => 5_800.0 / 24.0,
         }
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -1,6 +1,7 @@
 //! The capacity experiment: one sample at a time, and the report over all of them.
 
 mod report;
+mod routers;
 mod sample;
 mod site;
 
@@ -12,6 +13,7 @@
         .subcommand_required(true)
         .subcommand(sample::command())
         .subcommand(report::command())
+        .subcommand(routers::command())
         .subcommand(site::command())
         .subcommand(site::backends_command())
 }
@@ -20,6 +22,7 @@
     match matches.subcommand() {
         Some(("sample", args)) => sample::run(args).await,
         Some(("report", args)) => report::run(args),
+        Some(("routers", args)) => routers::run(args).await,
         Some(("site", args)) => site::run(args),
         Some(("backends", args)) => site::run_backends(args).await,
         _ => unreachable!("a subcommand is required, and all are listed"),
--- a/crates/load/tests/plan_file.rs
+++ b/crates/load/tests/plan_file.rs
@@ -1,7 +1,7 @@
 //! Plans from INI text.
 
 use expect_test::{Expect, expect};
-use load::plan::PlanSettings;
+use load::plan::{Plan, PlanSettings};
 
 fn check(text: &str, expect: Expect) {
     let read = match PlanSettings::from_ini("plan.ini", text) {
@@ -132,3 +132,17 @@
             plan.ini:12: pool.one: unknown section; use one of: plan, class.chat, burst.one"#]],
     );
 }
+
+#[test]
+fn shipped_plans() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("plans");
+    let files = std::fs::read_dir(folder).expect("the folder of plans");
+    for file in files {
+        let path = file.expect("an entry").path();
+        let text = std::fs::read_to_string(&path).expect("a readable plan");
+        let settings = PlanSettings::from_ini(&path.display().to_string(), &text);
+        let settings = settings.unwrap_or_else(|faults| panic!("{faults}"));
+        let plan = Plan::draw(&settings).expect("a valid plan");
+        assert!(!plan.arrivals.is_empty());
+    }
+}
