Give each class its guaranteed places in the queue and a true drain time

Cause: a flood of urgent work displaced all waiting lower work, so its share of the dispatches was never used; the drain time of a low class counted the queue of higher ones against its own small share; the measured rate of an idle pool refused the first seconds of a burst. Ruled out: a longer queue, which only delays the displacement. Change: each class keeps its share of the pool's places; the drain time is the sooner of two ways to be served; the measured rate counts after 3 s of waiting.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -5,6 +5,8 @@
 //! request is due and goes first. A due class yields to an urgent request that is close to its
 //! target, until its account covers the request twice.
 
+use std::time::Instant;
+
 use slotmap::SecondaryMap;
 
 use crate::{
@@ -27,8 +29,10 @@
     pub(crate) drained: Rate,
     pub(crate) median_gap_ms: Option<f64>,
     pub(crate) median_first_token_ms: Option<f64>,
-    pub(crate) next_peer_check: Option<std::time::Instant>,
-    pub(crate) without_backend_since: Option<std::time::Instant>,
+    pub(crate) next_peer_check: Option<Instant>,
+    /// Since when requests have waited without a break.
+    pub(crate) saturated_since: Option<Instant>,
+    pub(crate) without_backend_since: Option<Instant>,
 }
 
 /// Why a class is next.
@@ -71,6 +75,7 @@
             median_gap_ms: None,
             median_first_token_ms: None,
             next_peer_check: None,
+            saturated_since: None,
             without_backend_since: None,
         }
     }
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -13,6 +13,10 @@
 
 const DEFAULT_ANSWER_TOKENS: u32 = 256;
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The drain rate counts once requests have waited for this time; before, it shows the demand.
+const SATURATION: Duration = Duration::from_secs(3);
+/// Tokens a second below which a rate is taken to be this one.
+const MIN_RATE: f64 = 0.1;
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(120);
 
 impl Scheduler {
@@ -33,8 +37,7 @@
 
     /// Time after which the class's waiting work in the pool has drained, at the measured rate.
     pub fn retry_after(&mut self, now: Instant, class: ClassKey, pool: PoolKey) -> Duration {
-        let tokens = self.tokens_ahead(class, pool);
-        let wait = self.drain_time(now, class, pool, tokens).unwrap_or(MIN_RETRY_AFTER);
+        let wait = self.drain_time(now, class, pool, 0).unwrap_or(MIN_RETRY_AFTER);
         wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
@@ -95,12 +98,10 @@
         cost: u32,
         service: Duration,
     ) -> Result<(), Refusal> {
-        let tokens = self.tokens_ahead(offer.class, offer.pool);
-        if tokens == 0 {
+        if self.tokens_ahead(offer.class, offer.pool) == 0 {
             return Ok(());
         }
-        let ahead = tokens + u64::from(cost);
-        let Some(wait) = self.drain_time(now, offer.class, offer.pool, ahead) else {
+        let Some(wait) = self.drain_time(now, offer.class, offer.pool, cost) else {
             return Ok(());
         };
         let deadline = self.classes[offer.class].spec.deadline();
@@ -119,36 +120,41 @@
         ahead.map(|(_, lane)| lane.waiting_tokens).sum()
     }
 
-    /// Time in which the pool serves `tokens` of the class; `None` before anything was measured.
+    /// Time in which the class's waiting work and `tokens` more are served; `None` before anything
+    /// was measured.
     ///
-    /// More urgent classes keep the rate that they have used, waiting lower ones their guaranteed
-    /// share; the class itself gets no less than its own share.
+    /// The class is served by its guaranteed share, or by what more urgent classes and the
+    /// guaranteed shares of waiting lower ones leave, whichever is sooner.
     fn drain_time(
         &mut self,
         now: Instant,
         class: ClassKey,
         pool: PoolKey,
-        tokens: u64,
+        tokens: u32,
     ) -> Option<Duration> {
-        let capacity = self.tokens_per_second(now, pool)?;
+        let capacity = self.tokens_per_second(now, pool)?.max(1.0);
         let spec = &self.classes[class].spec;
         let (priority, share) = (spec.priority, permille(spec.share_permille));
-        let mut rest = capacity;
+        let (mut rest, mut higher_tokens) = (capacity, 0);
         for (key, lane) in &mut self.pools[pool].lanes {
             let other = &self.classes[key].spec;
             if other.priority > priority {
                 rest -= lane.dispatched.per_second(now).unwrap_or(0.0);
+                higher_tokens += lane.waiting_tokens;
             } else if other.priority < priority && lane.waiting > 0 {
                 rest -= capacity * permille(other.share_permille);
             }
         }
-        let rate = rest.max(capacity * share).max(1.0);
-        Some(Duration::from_secs_f64(tokens as f64 / rate))
+        let own_tokens = self.pools[pool].lane(class).waiting_tokens + u64::from(tokens);
+        let by_share = own_tokens as f64 / (capacity * share).max(MIN_RATE);
+        let by_rest = higher_tokens as f64 / capacity + own_tokens as f64 / rest.max(MIN_RATE);
+        Some(Duration::from_secs_f64(by_share.min(by_rest)))
     }
 
-    /// The measured rate while requests wait, else what the free slots would give.
+    /// The measured rate once requests have waited for a while, else what all slots would give.
     fn tokens_per_second(&mut self, now: Instant, pool: PoolKey) -> Option<f64> {
-        let is_saturated = self.pools[pool].waiting > 0;
+        let since = self.pools[pool].saturated_since;
+        let is_saturated = since.is_some_and(|it| now >= it + SATURATION);
         let drained = self.pools[pool].drained.per_second(now);
         if is_saturated && drained.is_some_and(|it| it > 0.0) {
             return drained;
@@ -166,7 +172,8 @@
         if pool.lanes[offer.class].waiting >= class_limit {
             return self.displace_peer(now, offer);
         }
-        if pool.waiting < pool.spec.queue_limit {
+        let has_own_place = pool.lanes[offer.class].waiting < self.places(offer.pool, offer.class);
+        if pool.waiting < pool.spec.queue_limit || has_own_place {
             return Ok(());
         }
         match self.lowest_waiting_below(offer) {
@@ -175,10 +182,17 @@
         }
     }
 
+    /// Places of the pool's queue that more urgent work does not take from the class.
+    fn places(&self, pool: PoolKey, class: ClassKey) -> usize {
+        let share_permille = self.classes[class].spec.share_permille as usize;
+        let part = self.pools[pool].spec.queue_limit * share_permille;
+        part.div_ceil(WHOLE_PERMILLE as usize)
+    }
+
     fn lowest_waiting_below(&self, offer: &Offer) -> Option<ClassKey> {
         let priority = self.classes[offer.class].spec.priority;
         let lanes = self.pools[offer.pool].lanes.iter();
-        let waiting = lanes.filter(|(_, lane)| lane.waiting > 0);
+        let waiting = lanes.filter(|(key, lane)| lane.waiting > self.places(offer.pool, *key));
         let lower = waiting.map(|(key, _)| (self.classes[key].spec.priority, key));
         lower.filter(|it| it.0 < priority).min_by_key(|it| it.0).map(|it| it.1)
     }
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -32,6 +32,7 @@
             self.refuse_unserved(now, pool);
             while self.dispatch_next(now, pool) {}
             while self.preempt_next(now, pool) {}
+            self.note_saturation(now, pool);
         }
         self.hedge(now);
         std::mem::take(&mut self.actions)
@@ -78,6 +79,11 @@
         }
     }
 
+    fn note_saturation(&mut self, now: Instant, pool: PoolKey) {
+        let pool = &mut self.pools[pool];
+        pool.saturated_since = (pool.waiting > 0).then(|| pool.saturated_since.unwrap_or(now));
+    }
+
     fn refuse_lane(&mut self, now: Instant, pool: PoolKey, class: ClassKey, why: RefusalReason) {
         let tickets: Vec<_> = self.pools[pool].lanes[class].tickets().collect();
         for ticket in tickets {
--- a/crates/policy/src/spec.rs
+++ b/crates/policy/src/spec.rs
@@ -90,7 +90,8 @@
 pub struct PoolSpec {
     /// The name, unique among pools.
     pub name: String,
-    /// Requests of all classes that may wait in the pool.
+    /// Requests of all classes that may wait in the pool; each class may have its guaranteed
+    /// share of these places beside a queue full of others.
     pub queue_limit: usize,
     /// Requests that a backend server runs at once, until a load report says otherwise.
     pub slots: u32,
