Run a control VM as a daemon around the replicated log

Cause: the parts of the control VM did not form a process: nothing bound, served or stopped. Ruled out: a copy of the router's signal and admin code in the control crate. Change: control::daemon (listeners, replica, hub, hand-over of leadership on a planned stop); crate daemon holds signals, health and metrics for all daemons.

--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -1,7 +1,7 @@
 //! Checks commands before they are put into the log.
 
 /// Refuses what the log should never hold.
-pub(crate) trait CommandCheck {
+pub trait CommandCheck {
     /// Checks one encoded command.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/control/src/daemon.rs
@@ -0,0 +1,144 @@
+//! Runs a control VM: listeners, the member of the replicated log, and the planned stop.
+
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
+
+use ::daemon::Admin;
+use anyhow::{Context, bail};
+use clock::Clock;
+use consensus::{NodeId, Peer, Storage};
+use dissemination::{Hub, HubSettings};
+use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
+use httpio::server::{self, ServerSettings, StopSignals};
+use monoio::net::TcpListener;
+use prometheus::Registry;
+use telemetry::Secret;
+
+use crate::{
+    Settings,
+    commands::CommandCheck,
+    handler::{Handler, Tokens},
+    health::ControlHealth,
+    machine::ControlMachine,
+    peers::Peers,
+    replica::{self, Replica},
+    tables_feed::TablesFeed,
+};
+
+/// How long a planned stop waits until another member leads.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+const HANDOVER_POLL: Duration = Duration::from_millis(20);
+
+/// What a control VM is given beside its settings.
+pub struct Parts {
+    /// The disk.
+    pub storage: Box<dyn Storage + Send>,
+    /// What the log decides.
+    pub machine: Rc<RefCell<dyn ControlMachine>>,
+    /// What the log refuses to hold.
+    pub check: Rc<dyn CommandCheck>,
+    /// The token of commands.
+    pub command_token: Secret,
+    /// The token of peers.
+    pub peer_token: Secret,
+    /// The time.
+    pub clock: Rc<dyn Clock>,
+    /// The seed of election times and of the hub's epoch.
+    pub seed: u64,
+}
+
+/// The listeners of a control VM.
+pub struct Bound {
+    /// For routers, peers and operators.
+    pub calls: TcpListener,
+    /// For health and metrics.
+    pub admin: TcpListener,
+}
+
+impl Bound {
+    /// Binds both listeners.
+    ///
+    /// # Errors
+    ///
+    /// Those of the system, such as an address in use.
+    pub fn new(settings: &Settings) -> io::Result<Bound> {
+        let calls = server::bind(settings.listen)?;
+        Ok(Bound { calls, admin: server::bind(settings.admin_listen)? })
+    }
+}
+
+/// Serves until told to stop.
+///
+/// # Errors
+///
+/// If the disk fails or holds damaged data: the process must not go on then.
+pub async fn serve(
+    settings: Settings,
+    parts: Parts,
+    bound: Bound,
+    mut stop_requests: impl Stream<Item = ()> + Unpin,
+) -> anyhow::Result<()> {
+    let me = Peer { node: settings.node, disk: parts.storage.disk() };
+    let feed = Rc::new(TablesFeed::default());
+    let (replica, saved) = Replica::start(replica::Parts {
+        me,
+        settings: consensus::Settings {
+            seed: parts.seed ^ settings.node.0,
+            ..consensus::Settings::default()
+        },
+        storage: parts.storage,
+        machine: parts.machine,
+        feed: feed.clone(),
+        peers: Peers::start(me.node, &settings.peers, &parts.peer_token),
+        clock: parts.clock.clone(),
+        voters_max: settings.voters_max,
+        snapshot_every_entries: settings.snapshot_every_entries,
+    })?;
+    let registry = Registry::new();
+    let health = Rc::new(ControlHealth::register(replica.clone(), feed.clone(), &registry)?);
+    let admin = Rc::new(Admin::new(registry, health));
+    let admin_settings = ServerSettings::default();
+    monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
+    let epoch = parts.seed.max(1);
+    let handler = Handler {
+        replica: replica.clone(),
+        feed: feed.clone(),
+        hub: RefCell::new(Hub::new(HubSettings { epoch, ..HubSettings::default() })),
+        check: parts.check,
+        tokens: Tokens { command: parts.command_token, peer: parts.peer_token },
+        clock: parts.clock,
+    };
+    monoio::spawn(rpc::serve(bound.calls, Rc::new(handler), feed.counters().clone()));
+    tracing::info!(event = "serving", member = %me, failure_domain = %settings.failure_domain);
+
+    let disk_fault = replica.clone().take_saved(saved).fuse();
+    pin_mut!(disk_fault);
+    select_biased! {
+        fault = disk_fault => fail(fault),
+        _ = stop_requests.next().fuse() => {
+            hand_over(&replica).await;
+            tracing::info!(event = "stopped");
+            Ok(())
+        }
+    }
+}
+
+fn fail(fault: Option<consensus::StorageError>) -> anyhow::Result<()> {
+    match fault {
+        Some(fault) => Err(fault).context("the disk failed"),
+        None => bail!("the disk's thread has ended: restart the process"),
+    }
+}
+
+/// Gives the leadership away, so that commands do not wait for an election.
+async fn hand_over(replica: &Replica) {
+    let Some(target) = replica.start_transfer() else { return };
+    tracing::info!(event = "handing_over", target = %target.node);
+    let handed_over = async {
+        while replica.leads() {
+            monoio::time::sleep(HANDOVER_POLL).await;
+        }
+    };
+    if monoio::time::timeout(HANDOVER_TIMEOUT, handed_over).await.is_err() {
+        tracing::warn!(event = "handover_timed_out", node = %NodeId(target.node.0));
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,12 +3,20 @@
 //! It is the rim around the pure crates `consensus` and `control-state`: sockets, the disk's
 //! thread, timers. It never decides what a command means.
 
+mod commands;
+pub mod daemon;
 mod disk;
 mod envelope;
+mod handler;
+mod health;
 mod machine;
 mod peers;
 mod replica;
 mod settings;
+mod status;
+mod tables_feed;
 mod watch;
 
+pub use commands::CommandCheck;
+pub use machine::ControlMachine;
 pub use settings::Settings;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,9 +1,10 @@
 //! The border between the replicated log and what it decides.
 
 use consensus::LogIndex;
+use tables::{Revision, TablesText};
 
 /// A deterministic state machine that is fed by the log.
-pub trait StateMachine {
+pub trait ControlMachine {
     /// Applies one committed command and gives the encoded response.
     fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8>;
 
@@ -16,4 +17,10 @@
     ///
     /// If the data are not a snapshot of this version.
     fn restore(&mut self, data: &[u8]) -> anyhow::Result<()>;
+
+    /// The revision of the tables in force.
+    fn revision(&self) -> Revision;
+
+    /// The tables in force with their revision.
+    fn tables(&self) -> (Revision, TablesText);
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -22,8 +22,9 @@
 use crate::{
     disk::{Disk, Saved},
     envelope::Envelope,
-    machine::StateMachine,
+    machine::ControlMachine,
     peers::Peers,
+    tables_feed::TablesFeed,
     watch::Watch,
 };
 
@@ -38,7 +39,8 @@
     pub(crate) me: Peer,
     pub(crate) settings: consensus::Settings,
     pub(crate) storage: Box<dyn Storage + Send>,
-    pub(crate) machine: Rc<RefCell<dyn StateMachine>>,
+    pub(crate) machine: Rc<RefCell<dyn ControlMachine>>,
+    pub(crate) feed: Rc<TablesFeed>,
     pub(crate) peers: Peers,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) voters_max: usize,
@@ -48,6 +50,7 @@
 /// One member of the replicated log.
 pub(crate) struct Replica {
     core: RefCell<Core>,
+    feed: Rc<TablesFeed>,
     peers: Peers,
     clock: Rc<dyn Clock>,
     applied: Watch,
@@ -56,7 +59,7 @@
 
 struct Core {
     node: Node,
-    machine: Rc<RefCell<dyn StateMachine>>,
+    machine: Rc<RefCell<dyn ControlMachine>>,
     disk: Disk,
     pending: Pending,
     running: BTreeMap<NodeId, (Peer, Instant)>,
@@ -88,11 +91,13 @@
         };
         let replica = Rc::new(Replica {
             core: RefCell::new(core),
+            feed: parts.feed,
             peers: parts.peers,
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
         });
+        replica.update_feed();
         replica.pump();
         monoio::spawn(replica.clone().keep_time());
         monoio::spawn(replica.clone().keep_members());
@@ -180,6 +185,22 @@
         self.core.borrow().node.status(self.clock.now())
     }
 
+    /// Whether this member leads under a lease.
+    pub(crate) fn leads(&self) -> bool {
+        !self.status().lease_left.is_zero()
+    }
+
+    /// Starts to hand the leadership to the member with the newest log; nothing if there is none.
+    pub(crate) fn start_transfer(&self) -> Option<Peer> {
+        let status = self.status();
+        let voters = status.peers.iter().filter(|it| status.members.voters.contains(&it.peer));
+        let target = voters.filter(|it| it.synced).max_by_key(|it| it.matched)?.peer;
+        let now = self.clock.now();
+        self.core.borrow_mut().node.transfer(now, target).ok()?;
+        self.pump();
+        Some(target)
+    }
+
     /// Bytes sent to and received from the other control VMs.
     pub(crate) fn peer_bytes(&self) -> (u64, u64) {
         self.peers.bytes()
@@ -250,10 +271,20 @@
             has_applied |= self.core.borrow_mut().carry_out(ready);
         }
         if has_applied {
+            self.update_feed();
             self.applied.notify();
         }
     }
 
+    fn update_feed(&self) {
+        let core = self.core.borrow();
+        let machine = core.machine.borrow();
+        if machine.revision() > self.feed.revision() {
+            let (revision, text) = machine.tables();
+            self.feed.update(revision, &text);
+        }
+    }
+
     fn send(&self, ready: &Ready) {
         for message in &ready.messages {
             let envelope = Envelope::Log(message.clone());
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,8 @@
+//! What every daemon does at its rim: signals, health and metrics.
+//!
+//! The crate holds no logic of a daemon's own work.
+
+mod admin;
+pub mod stop_requests;
+
+pub use admin::{Admin, Health};
--- a/crates/router/src/stop_requests.rs
+++ b/crates/daemon/src/stop_requests.rs
@@ -13,7 +13,7 @@
 ///
 /// # Errors
 /// Those of the system while the handlers are installed.
-pub(crate) fn from_signals() -> io::Result<impl Stream<Item = ()> + Unpin> {
+pub fn from_signals() -> io::Result<impl Stream<Item = ()> + Unpin> {
     // The handlers write to a socket that the event loop reads, as no other work is safe in them.
     let (read, write) = StdStream::pair()?;
     read.set_nonblocking(true)?;
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -28,7 +28,6 @@
     pipeline::Pipeline,
     services::Services,
     settings::RouterSettings,
-    stop_requests,
     table_source::{FixedTables, TableSource},
 };
 
@@ -86,7 +85,7 @@
     runtime.block_on(async {
         let parts = parts(&settings)?;
         let bound = Bound::new(settings.listen, settings.admin_listen)?;
-        match serve(settings, parts, bound, stop_requests::from_signals()?).await? {
+        match serve(settings, parts, bound, daemon::stop_requests::from_signals()?).await? {
             Stopped::Gracefully => Ok(()),
             Stopped::AtOnce => bail!("stopped by a second signal; requests in flight were cut off"),
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,7 +27,6 @@
 mod service_call;
 pub mod services;
 pub mod settings;
-mod stop_requests;
 pub mod table_source;
 mod token_stream;
 mod watch;
