Add the bench of the policy crate over engine models

Cause: the decisions were not measured. Ruled out: a model of the network; messages take one fixed lag. Change: library and binary policy-bench with seeded workloads of both users' sizes, faults, lagging reports, uneven routers, three designs of sharing and three baselines; leases in the policy crate.

--- /dev/null
+++ b/crates/policy-bench/src/main.rs
@@ -0,0 +1,111 @@
+//! Runs a workload under each design and prints the results as a table or as JSON.
+
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use policy_bench::{Design, Fault, FaultKind, Results, Users, Workload, WorkloadSettings, run};
+
+const DESIGNS: [Design; 6] = [
+    Design::Independent,
+    Design::Leases,
+    Design::Forward,
+    Design::RoundRobin,
+    Design::LeastInFlight,
+    Design::StrictPriority,
+];
+const FAULT_AFTER_BURST: Duration = Duration::from_secs(10);
+const STRAGGLER_PERMILLE: u64 = 5_000;
+const DOWN: Duration = Duration::from_secs(8);
+
+fn main() -> anyhow::Result<()> {
+    let matches = command().get_matches();
+    let workload = Workload::new(settings(&matches));
+    let results: Vec<_> = DESIGNS.into_iter().map(|it| run(&workload, it)).collect();
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&results)?);
+    } else {
+        results.iter().for_each(print);
+    }
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("policy-bench")
+        .about("Measures the decisions of the policy crate against baselines")
+        .arg(
+            Arg::new("users")
+                .long("users")
+                .value_parser(["van-dalen", "consortium"])
+                .default_value("van-dalen")
+                .help("Whose sizes and classes"),
+        )
+        .arg(number("seed", "1", "Seed of all draws"))
+        .arg(number("seconds", "60", "Time with arrivals"))
+        .arg(number("routers", "6", "Routers"))
+        .arg(number("burst-permille", "3000", "Offered load in the burst"))
+        .arg(flag("straggler", "Slow one server down to a fifth"))
+        .arg(flag("crash", "Crash one server"))
+        .arg(flag("lost-router", "Lose one router"))
+        .arg(flag("json", "Print JSON"))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_parser(value_parser!(u64)).default_value(default).help(help)
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+fn settings(matches: &ArgMatches) -> WorkloadSettings {
+    let number = |name| *matches.get_one::<u64>(name).expect("it has a default");
+    let is_consortium = matches.get_one::<String>("users").is_some_and(|it| it == "consortium");
+    let base = WorkloadSettings::default();
+    WorkloadSettings {
+        users: if is_consortium { Users::Consortium } else { Users::VanDalen },
+        seed: number("seed"),
+        duration: Duration::from_secs(number("seconds")),
+        routers: number("routers") as usize,
+        burst_load: number("burst-permille") as f64 / 1e3,
+        faults: faults(matches, base.burst_from + FAULT_AFTER_BURST),
+        ..base
+    }
+}
+
+fn faults(matches: &ArgMatches, at: Duration) -> Vec<Fault> {
+    let kinds = [
+        ("straggler", FaultKind::Straggler { server: 1, slowdown_permille: STRAGGLER_PERMILLE }),
+        ("crash", FaultKind::Crash { server: 2, down: DOWN }),
+        ("lost-router", FaultKind::RouterLost { router: 1 }),
+    ];
+    let chosen = kinds.into_iter().filter(|it| matches.get_flag(it.0));
+    chosen.map(|(_, kind)| Fault { at, kind }).collect()
+}
+
+fn print(results: &Results) {
+    println!(
+        "{}: goodput {:.0} tokens/s ({:.1}% of the model), wasted {:.2}%, pauses {}, \
+         {:.1} messages/s and {:.0} B/s a router",
+        results.design,
+        results.goodput,
+        results.goodput_part * 100.0,
+        results.wasted_part * 100.0,
+        results.pauses,
+        results.messages_per_router_s,
+        results.bytes_per_router_s,
+    );
+    for class in &results.classes {
+        println!(
+            "  {:13} attained {:5.1}% of {:5} ({:5.1}% after faults), refused {}, late {}, lost {}, \
+             share {:.1}%",
+            class.name,
+            class.attainment * 100.0,
+            class.offered,
+            class.attainment_after_fault * 100.0,
+            class.refused,
+            class.late,
+            class.lost,
+            class.share * 100.0,
+        );
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod estimate;
 mod keys;
 mod lane;
+pub mod leases;
 mod pool;
 mod quarantine;
 mod request;
