Hold streams open from one place for both experiments

Cause: overhead and capacity both hold streams; a second count of streams measured memory from a baseline that earlier streams had raised. Ruled out: streams that end during the window; prompts with long answers are picked. Change: streams::OpenStreams, capacity streams, one baseline for all numbers of streams.

--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -4,6 +4,7 @@
 mod routers;
 mod sample;
 mod site;
+mod streams;
 
 use clap::{ArgMatches, Command};
 
@@ -14,6 +15,7 @@
         .subcommand(sample::command())
         .subcommand(report::command())
         .subcommand(routers::command())
+        .subcommand(streams::command())
         .subcommand(site::command())
         .subcommand(site::backends_command())
 }
@@ -23,6 +25,7 @@
         Some(("sample", args)) => sample::run(args).await,
         Some(("report", args)) => report::run(args),
         Some(("routers", args)) => routers::run(args).await,
+        Some(("streams", args)) => streams::run(args).await,
         Some(("site", args)) => site::run(args),
         Some(("backends", args)) => site::run_backends(args).await,
         _ => unreachable!("a subcommand is required, and all are listed"),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod record;
 pub mod report;
 pub mod runner;
+pub mod streams;
--- a/crates/load/src/overhead/experiment.rs
+++ b/crates/load/src/overhead/experiment.rs
@@ -5,27 +5,20 @@
 use clock::Clock;
 use derive_more::{Display, Error, From};
 use futures::future::join_all;
-use httpio::client::{Body, ClientError};
-use monoio::time;
 
 use super::{AddedTime, OverheadReport, RelayRate, StreamMemory};
 use crate::{
     caller::{Call, Caller, Reply},
     loopback::LoopbackAddr,
     plan::AnswerMode,
-    proc_stat::{Pid, ProcFault, usage},
+    proc_stat::{Pid, ProcFault, Usage, usage},
     record::Ending,
+    streams::{OpenStreams, StreamsMissing, long_call},
 };
 
 /// Calls before the first measured one, which open connections and fill caches.
 const WARM_UP_CALLS: usize = 50;
 
-/// More tokens than a stand-in's longest answer has.
-const LONG_TOKENS: u32 = 100_000;
-
-/// How often the count of open streams is looked at while they are opened.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The size of the experiment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExperimentSettings {
@@ -68,14 +61,8 @@
         ending: String,
     },
     /// Not all streams could be opened in time.
-    #[display("{open} of {wanted} streams were open in time; raise the router's limits")]
-    #[from(ignore)]
-    StreamsMissing {
-        /// Streams that had their first token.
-        open: usize,
-        /// Streams wanted.
-        wanted: usize,
-    },
+    #[display("{_0}")]
+    Streams(StreamsMissing),
     /// The process's accounting cannot be read.
     #[display("{_0}")]
     Proc(ProcFault),
@@ -105,8 +92,10 @@
         let relay = self.relay().await?;
         let mut memory = Vec::new();
         if let Some(pid) = self.settings.pid {
+            // Freed memory stays with the process, so one baseline serves all numbers of streams.
+            let before = usage(pid)?;
             for streams in &self.settings.open_streams {
-                memory.push(self.memory(pid, *streams).await?);
+                memory.push(self.memory(pid, before, *streams).await?);
             }
         }
         Ok(OverheadReport { added_time, relay, memory })
@@ -151,45 +140,23 @@
         Ok(RelayRate::new(calls.len(), tokens, elapsed, cpu))
     }
 
-    /// Opens `streams` streams, waits until each has its first bytes, and reads the memory while
-    /// all are open.
-    async fn memory(&self, pid: Pid, streams: usize) -> Result<StreamMemory, ExperimentFault> {
-        let before = usage(pid)?;
-        let open = Rc::new(Cell::new(0));
-        let readers: Vec<_> = (0..streams).map(|_| self.hold_open(Rc::clone(&open))).collect();
-        let deadline = self.clock.now() + Duration::from_millis(self.settings.open_timeout_ms);
-        while open.get() < streams && self.clock.now() < deadline {
-            time::sleep(POLL_INTERVAL).await;
-        }
-        let during = usage(pid);
-        let opened = open.get();
-        for reader in readers {
-            reader.close();
-        }
-        if opened < streams {
-            return Err(ExperimentFault::StreamsMissing { open: opened, wanted: streams });
-        }
-        Ok(StreamMemory::new(streams, before.rss_kib, during?.rss_kib))
-    }
-
-    /// Opens a slow stream and reads it until the reader is closed.
-    fn hold_open(&self, open: Rc<Cell<usize>>) -> Reader {
-        let caller = self.caller.clone();
-        let router = self.settings.router;
-        let call = Call { class: self.settings.slow_class.clone(), ..self.call(LONG_TOKENS) };
-        let (stop, stopped) = futures::channel::oneshot::channel();
-        monoio::spawn(async move {
-            let reading = async {
-                let Ok(response) = caller.open(router, &call).await else { return };
-                if response.head.status.is_success() {
-                    // A stream that fails later was open when it was counted.
-                    let _ = read_on(response.body, &open).await;
-                }
-            };
-            futures::pin_mut!(reading);
-            futures::future::select(reading, stopped).await;
+    /// Reads the memory while `streams` streams are open.
+    async fn memory(
+        &self,
+        pid: Pid,
+        before: Usage,
+        streams: usize,
+    ) -> Result<StreamMemory, ExperimentFault> {
+        let calls = (0..streams).map(|idx| {
+            let call = Call { class: self.settings.slow_class.clone(), ..self.call(1) };
+            long_call(&call, idx)
         });
-        Reader(stop)
+        let timeout = Duration::from_millis(self.settings.open_timeout_ms);
+        let (router, clock) = (self.settings.router, &*self.clock);
+        let open = OpenStreams::open(&self.caller, router, calls.collect(), timeout, clock).await?;
+        let during = usage(pid)?;
+        drop(open);
+        Ok(StreamMemory::new(streams, before.rss_kib, during.rss_kib))
     }
 
     async fn answered(&self, to: LoopbackAddr, call: &Call) -> Result<Reply, ExperimentFault> {
@@ -222,25 +189,3 @@
         Ok(self.settings.pid.map(usage).transpose()?.map(|it| it.cpu))
     }
 }
-
-/// Stops reading its stream and closes the connection when it is closed.
-struct Reader(futures::channel::oneshot::Sender<()>);
-
-impl Reader {
-    fn close(self) {
-        // The stream may have ended before.
-        let _ = self.0.send(());
-    }
-}
-
-async fn read_on(mut body: Body, open: &Cell<usize>) -> Result<(), ClientError> {
-    let mut is_counted = false;
-    while let Some(piece) = body.next().await {
-        piece?;
-        if !is_counted {
-            open.set(open.get() + 1);
-            is_counted = true;
-        }
-    }
-    Ok(())
-}
--- a/crates/load/tests/overhead_run.rs
+++ b/crates/load/tests/overhead_run.rs
@@ -17,6 +17,7 @@
     loopback::LoopbackAddr,
     overhead::{Experiment, ExperimentFault, ExperimentSettings, OverheadReport},
     proc_stat::Pid,
+    streams::StreamsMissing,
 };
 use serde_json::json;
 use support::{asked, block_on, ready, start, stream, token_events, whole};
@@ -109,5 +110,5 @@
         });
         run(ExperimentSettings { open_timeout_ms: 50, ..settings(addr) }).await
     });
-    assert!(matches!(fault, Err(ExperimentFault::StreamsMissing { open: 0, wanted: 4 })));
+    assert!(matches!(fault, Err(ExperimentFault::Streams(StreamsMissing { open: 0, wanted: 4 }))));
 }
