Join the control daemon, the operators' command and the router's ledger to the log's state

Cause: commands had no path from operators and routers into the replicated log. Ruled out: a command channel beside capnp-rpc; founding with fixed disk ids (a lost disk would come back under its old identity).

--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -3,8 +3,10 @@
 //! The crate sits on `rpc` links and knows the rules by which a process without a disk takes
 //! tables over: a revision never falls, and a start prefers tables that the leader confirmed.
 
+mod commands;
 mod first_tables;
 mod tables_watch;
 
+pub use commands::{CommandError, submit};
 pub use first_tables::{FirstTables, Freshness};
 pub use tables_watch::{TablesWatch, WatchSettings};
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -1,20 +1,21 @@
 //! Runs a control VM: listeners, the member of the replicated log, and the planned stop.
 
-use std::{cell::RefCell, io, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, path::Path, rc::Rc, time::Duration};
 
 use ::daemon::Admin;
 use anyhow::{Context, bail};
-use clock::Clock;
+use clock::{Clock, SystemClock};
 use consensus::{NodeId, Peer, Storage};
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::server::{self, ServerSettings, StopSignals};
-use monoio::net::TcpListener;
+use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
-use telemetry::Secret;
+use storage::LogFile;
+use telemetry::{LogSettings, Secret};
 
 use crate::{
-    Settings,
+    LogRules, LogState, Settings,
     commands::CommandCheck,
     handler::{Handler, Tokens},
     health::ControlHealth,
@@ -66,6 +67,30 @@
     }
 }
 
+/// Reads the settings file and runs a control VM until it is told to stop.
+///
+/// # Errors
+///
+/// Faults in the files, addresses that cannot be bound, and a disk that fails.
+pub fn run(settings_file: &Path) -> anyhow::Result<()> {
+    let settings = Settings::read(settings_file)?;
+    telemetry::init_logs(&LogSettings { filter: settings.log.clone() })?;
+    let parts = Parts {
+        storage: Box::new(LogFile::open(&settings.data_dir, &storage::Settings::default())?),
+        machine: Rc::new(RefCell::new(LogState::default())),
+        check: Rc::new(LogRules),
+        command_token: Secret::read(&settings.command_token_file)?,
+        peer_token: Secret::read(&settings.peer_token_file)?,
+        clock: Rc::new(SystemClock),
+        seed: rand::random(),
+    };
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    runtime.block_on(async {
+        let bound = Bound::new(&settings)?;
+        serve(settings, parts, bound, ::daemon::stop_requests::from_signals()?).await
+    })
+}
+
 /// Serves until told to stop.
 ///
 /// # Errors
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod daemon;
 mod disk;
 mod envelope;
+mod founding;
 mod handler;
 mod health;
+mod log_state;
 mod machine;
 mod peers;
 mod replica;
@@ -18,5 +20,7 @@
 mod watch;
 
 pub use commands::CommandCheck;
+pub use founding::{Founding, format};
+pub use log_state::{LogRules, LogState};
 pub use machine::ControlMachine;
 pub use settings::Settings;
--- /dev/null
+++ b/crates/control/src/log_state.rs
@@ -0,0 +1,50 @@
+//! Joins crate `control-state` to the replicated log.
+
+use consensus::LogIndex;
+use control_state::{State, TablesRules};
+use tables::{Revision, TablesText};
+
+use crate::{CommandCheck, ControlMachine};
+
+/// The replicated state of the product.
+#[derive(Debug, Default)]
+pub struct LogState {
+    state: State,
+}
+
+impl ControlMachine for LogState {
+    fn apply(&mut self, _index: LogIndex, command: &[u8]) -> Vec<u8> {
+        self.state.apply_bytes(command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.state.snapshot()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> anyhow::Result<()> {
+        self.state = State::restore(data)?;
+        Ok(())
+    }
+
+    fn revision(&self) -> Revision {
+        self.state.revision()
+    }
+
+    fn tables(&self) -> (Revision, TablesText) {
+        (self.state.revision(), self.state.tables().clone())
+    }
+
+    fn has_timed_entries(&self) -> bool {
+        self.state.order_keys() > 0
+    }
+}
+
+/// The rules by which commands enter the log.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LogRules;
+
+impl CommandCheck for LogRules {
+    fn check(&self, command: &[u8]) -> Result<(), String> {
+        control_state::check(command, &TablesRules).map_err(|err| err.to_string())
+    }
+}
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -23,4 +23,7 @@
 
     /// The tables in force with their revision.
     fn tables(&self) -> (Revision, TablesText);
+
+    /// Whether something in the state waits for time to pass.
+    fn has_timed_entries(&self) -> bool;
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -31,6 +31,9 @@
 /// How long a command may wait for its commit before it is in doubt.
 pub(crate) const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How often the leader moves the replicated time on, in seconds.
+const ADVANCE_EVERY_S: u32 = 10;
+
 const TICK_MIN: Duration = Duration::from_millis(2);
 const TICK_MAX: Duration = Duration::from_millis(100);
 
@@ -65,6 +68,7 @@
     running: BTreeMap<NodeId, (Peer, Instant)>,
     snapshot_every_entries: u64,
     snapshot_index: u64,
+    seconds_to_advance: u32,
 }
 
 impl Replica {
@@ -88,6 +92,7 @@
             running: BTreeMap::new(),
             snapshot_every_entries: parts.snapshot_every_entries,
             snapshot_index,
+            seconds_to_advance: ADVANCE_EVERY_S,
         };
         let replica = Rc::new(Replica {
             core: RefCell::new(core),
@@ -296,6 +301,16 @@
 }
 
 impl Core {
+    /// Counts down once a second; gives whether the replicated time is to be moved on now.
+    fn is_time_due(&mut self) -> bool {
+        self.seconds_to_advance = self.seconds_to_advance.saturating_sub(1);
+        if self.seconds_to_advance > 0 {
+            return false;
+        }
+        self.seconds_to_advance = ADVANCE_EVERY_S;
+        self.machine.borrow().has_timed_entries()
+    }
+
     /// Gives whether the state machine has moved.
     fn carry_out(&mut self, ready: Ready) -> bool {
         let mut has_applied = false;
--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -1,8 +1,13 @@
 //! Brings members in: nodes say under which disk they run, and the leader takes the next safe step.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use consensus::{MemberChange, Peer, RepairStep, next_repair_step};
+use control_state::{Command, encode_command};
 
 use super::Replica;
 use crate::envelope::Envelope;
@@ -18,6 +23,7 @@
         loop {
             self.say_hello();
             self.take_step();
+            self.advance_time();
             monoio::time::sleep(HELLO_INTERVAL).await;
         }
     }
@@ -51,6 +57,20 @@
         self.pump();
     }
 
+    /// Lets claims and keys expire by the leader's wall clock, while there are any.
+    fn advance_time(&self) {
+        let is_due = self.core.borrow_mut().is_time_due();
+        if !is_due || !self.leads() {
+            return;
+        }
+        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let command = Command::AdvanceTime { now_ms: since_epoch.as_millis() as u64 };
+        let now = self.clock.now();
+        // A leader that just lost its lease proposes nothing; the next one does.
+        let _ = self.core.borrow_mut().node.propose(now, encode_command(&command));
+        self.pump();
+    }
+
     /// The peers that run now: this one and those heard of late.
     fn running(&self) -> BTreeSet<Peer> {
         let now = self.clock.now();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,7 +1,13 @@
 //! Settings of a control VM, read from one INI file.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
+use anyhow::Context;
 use consensus::NodeId;
 use ini_settings::{Document, Faults};
 
@@ -55,6 +61,18 @@
 }
 
 impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be read, and all faults in it at once.
+    pub fn read(path: &Path) -> anyhow::Result<Settings> {
+        let name = path.display().to_string();
+        let text =
+            fs::read_to_string(path).with_context(|| format!("read {name}: check --config"))?;
+        Ok(Settings::parse(&name, &text)?)
+    }
+
     /// Reads and checks settings; `source_name` names the file in faults.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/router/src/control/ledger.rs
@@ -0,0 +1,153 @@
+//! The order ledger over the replicated log.
+//!
+//! A refusal by the log proves that the claim was not made. Anything less than an answer leaves
+//! the claim in doubt; the caller of this border then sends nothing and gives the claim back.
+
+use std::{
+    rc::Rc,
+    time::{Duration, UNIX_EPOCH},
+};
+
+use clock::Clock;
+use control_client::{CommandError, submit};
+use control_state::{
+    ClaimAnswer, ClaimOrder, Command, Response, RouterId, StoredAnswer as KeptAnswer,
+};
+use futures::{FutureExt, future::LocalBoxFuture};
+use rpc::Link;
+use telemetry::Secret;
+
+use crate::order_ledger::{
+    BodyHash, ClaimId, ClaimResult, LedgerError, OrderEnd, OrderKey, OrderLedger, StoredAnswer,
+};
+
+/// After this time without a word an order counts as one that may have run.
+const CLAIM_LIFE: Duration = Duration::from_secs(300);
+
+/// Longer than a control VM waits for a commit, so that its own word comes first.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// When a caller is to ask again about an order in progress.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(2);
+
+/// Claims orders in the replicated log.
+#[derive(Clone)]
+pub struct ControlLedger {
+    link: Link,
+    token: Secret,
+    router: RouterId,
+    clock: Rc<dyn Clock>,
+}
+
+impl ControlLedger {
+    /// Uses the control VM of `link`; `router` names this life of the router.
+    pub fn new(link: Link, token: Secret, router: RouterId, clock: Rc<dyn Clock>) -> Self {
+        ControlLedger { link, token, router, clock }
+    }
+
+    async fn submit(self, command: Command) -> Result<Response, LedgerError> {
+        let client = self.link.client().map_err(|_| LedgerError::Unreachable)?;
+        let answer = submit(&client, self.token.expose(), &command, SUBMIT_TIMEOUT).await;
+        answer.map_err(|err| match err {
+            CommandError::Refused { reason } => {
+                tracing::warn!(event = "command_refused", reason);
+                LedgerError::Unreachable
+            }
+            CommandError::InDoubt { reason } => {
+                tracing::warn!(event = "command_in_doubt", reason);
+                LedgerError::InDoubt
+            }
+        })
+    }
+
+    /// Records an end; the log's answer changes nothing for the caller.
+    fn record(&self, command: Command) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
+        self.clone().submit(command).map(|it| it.map(|_| ())).boxed_local()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        since_epoch.as_millis() as u64
+    }
+}
+
+impl OrderLedger for ControlLedger {
+    fn claim(
+        &self,
+        key: OrderKey,
+        claim: ClaimId,
+        body: BodyHash,
+    ) -> LocalBoxFuture<'static, Result<ClaimResult, LedgerError>> {
+        let at_ms = self.unix_ms();
+        let command = Command::ClaimOrder(ClaimOrder {
+            order: log_key(key),
+            body_hash: body.0,
+            router: self.router.clone(),
+            claim: control_state::ClaimId(claim.0),
+            at_ms,
+            until_ms: at_ms + CLAIM_LIFE.as_millis() as u64,
+        });
+        let answer = self.clone().submit(command);
+        async move {
+            match answer.await? {
+                Response::Claim(answer) => claim_result(answer),
+                _ => Err(LedgerError::InDoubt),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn complete(
+        &self,
+        key: OrderKey,
+        claim: ClaimId,
+        end: OrderEnd,
+    ) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
+        let (order, claim) = (log_key(key), control_state::ClaimId(claim.0));
+        self.record(match end {
+            OrderEnd::Answered(answer) => match postcard::to_stdvec(&answer) {
+                Ok(answer) => Command::CompleteOrder { order, claim, answer },
+                Err(_) => Command::DoubtOrder { order, claim },
+            },
+            OrderEnd::MayHaveRun => Command::DoubtOrder { order, claim },
+        })
+    }
+
+    fn release(
+        &self,
+        key: OrderKey,
+        claim: ClaimId,
+    ) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
+        let claim = control_state::ClaimId(claim.0);
+        self.record(Command::ReleaseOrder { order: log_key(key), claim })
+    }
+}
+
+fn log_key(key: OrderKey) -> control_state::OrderKey {
+    control_state::OrderKey { workspace: key.workspace, route: key.class, key: key.key }
+}
+
+fn claim_result(answer: ClaimAnswer) -> Result<ClaimResult, LedgerError> {
+    match answer {
+        ClaimAnswer::Granted => Ok(ClaimResult::Granted),
+        ClaimAnswer::InProgress { .. } => {
+            Ok(ClaimResult::InProgress { retry_after: IN_PROGRESS_RETRY })
+        }
+        ClaimAnswer::Done(KeptAnswer::Kept(bytes)) => Ok(stored(&bytes)),
+        // The order ran, but its answer was too long to keep; only the service can tell it.
+        ClaimAnswer::Done(KeptAnswer::TooLong { .. }) | ClaimAnswer::MayHaveRun => {
+            Ok(ClaimResult::MayHaveRun)
+        }
+        ClaimAnswer::KeyReused => Ok(ClaimResult::OtherBody),
+        ClaimAnswer::Released | ClaimAnswer::TooOld | ClaimAnswer::Full => {
+            Err(LedgerError::Unreachable)
+        }
+    }
+}
+
+fn stored(bytes: &[u8]) -> ClaimResult {
+    match postcard::from_bytes::<StoredAnswer>(bytes) {
+        Ok(answer) => ClaimResult::Answered(answer),
+        Err(_) => ClaimResult::MayHaveRun,
+    }
+}
--- a/crates/router/src/order_ledger.rs
+++ b/crates/router/src/order_ledger.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Display, Error};
 use futures::{FutureExt, future::LocalBoxFuture};
+use serde::{Deserialize, Serialize};
 
 /// What a key of an order is unique within, and the key itself.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
@@ -54,7 +55,8 @@
 }
 
 /// An answer kept for resends.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct StoredAnswer {
     /// The HTTP status.
     pub status: u16,
--- a/crates/telemetry/src/secret.rs
+++ b/crates/telemetry/src/secret.rs
@@ -1,5 +1,8 @@
 //! A text that must not reach a log.
 
+use std::{fs, path::Path};
+
+use anyhow::{Context, ensure};
 use derive_more::{From, FromStr};
 
 /// A token or key; `Debug` hides it and there is no `Display`.
@@ -7,6 +10,19 @@
 pub struct Secret(String);
 
 impl Secret {
+    /// Reads a secret from a file; blanks around it are dropped.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be read or holds nothing.
+    pub fn read(path: &Path) -> anyhow::Result<Secret> {
+        let text = fs::read_to_string(path)
+            .with_context(|| format!("read {}: check the path in the settings", path.display()))?;
+        let text = text.trim();
+        ensure!(!text.is_empty(), "{} is empty: write the token into it", path.display());
+        Ok(Secret(text.to_owned()))
+    }
+
     /// The text itself, for comparing and sending.
     pub fn expose(&self) -> &str {
         &self.0
