Decide tables, order claims, fencing and plan in one state machine

Cause: racing operators, resends and claims need one decision that every node repeats from the log. Ruled out: the differences of tables here: the daemon makes them with crate tables. Times from a router's clock as the state's time: one wrong clock would expire keys early, so only the leader's AdvanceTime moves it.

--- /dev/null
+++ b/crates/control-state/src/engines.rs
@@ -0,0 +1,42 @@
+//! Fencing numbers and the one plan that engine orders follow.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Fencing, Plan, PlanAnswer};
+
+/// Who may give orders to engines, and which.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub(crate) struct Engines {
+    fencing: Fencing,
+    holder: String,
+    plan: Plan,
+}
+
+impl Engines {
+    pub(crate) fn acquire(&mut self, holder: String) -> Fencing {
+        self.fencing = Fencing(self.fencing.0 + 1);
+        self.holder = holder;
+        self.fencing
+    }
+
+    pub(crate) fn put_plan(&mut self, fencing: Fencing, plan: Plan) -> PlanAnswer {
+        if fencing != self.fencing {
+            return PlanAnswer::OldFencing { current: self.fencing };
+        }
+        self.plan = plan;
+        PlanAnswer::Accepted
+    }
+
+    pub(crate) fn fencing(&self) -> Fencing {
+        self.fencing
+    }
+
+    pub(crate) fn holder(&self) -> &str {
+        &self.holder
+    }
+
+    pub(crate) fn plan(&self) -> &Plan {
+        &self.plan
+    }
+}
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,1 +1,26 @@
 //! What the replicated log decides: tables by compare-and-set, order claims, fencing numbers.
+//!
+//! [`State`] is a deterministic state machine: the same commands lead to the same answers and to
+//! the same bytes of a snapshot on every node. It does no I/O and reads no clock; times stand in
+//! the commands. Commands are checked by [`check`] before they enter the log.
+
+mod check;
+mod codec;
+mod command;
+mod engines;
+mod orders;
+mod registry;
+mod response;
+mod state;
+mod table_store;
+
+pub use check::{CommandFault, TablesCheck, TablesRules, check};
+pub use codec::{CodecError, decode_command, decode_response, encode_command, encode_response};
+pub use command::{
+    ChangeId, ClaimId, ClaimOrder, Command, ControlNode, Fencing, OrderKey, Plan, PlannedServer,
+    ProposeTables, RouterId,
+};
+pub use orders::{ANSWER_MAX_BYTES, KEY_LIFE, KEYS_MAX, RELEASED_MAX};
+pub use response::{ClaimAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer};
+pub use state::State;
+pub use table_store::CHANGE_IDS_MAX;
--- /dev/null
+++ b/crates/control-state/src/orders.rs
@@ -0,0 +1,185 @@
+//! Claims on orders that must not run twice.
+//!
+//! A claim is granted to one attempt and never to another while its key is remembered, unless the
+//! attempt itself reports that the order did not run.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ClaimAnswer, ClaimId, ClaimOrder, OrderKey, RouterId, SettleAnswer, StoredAnswer};
+
+/// How long a key is remembered after its claim; callers are told to resend for 24 hours.
+///
+/// The hour above that covers differences between the clocks of routers and the leader.
+pub const KEY_LIFE: Duration = Duration::from_secs(25 * 3_600);
+/// The longest answer that is kept for resends, in bytes.
+pub const ANSWER_MAX_BYTES: usize = 16 * 1024;
+/// How many keys are remembered; above that, new orders are refused as not run.
+pub const KEYS_MAX: usize = 200_000;
+/// How many claims are remembered that were given back before they were seen.
+pub const RELEASED_MAX: usize = 10_000;
+
+/// All remembered keys.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub(crate) struct Orders {
+    now_ms: u64,
+    /// Keys that were claimed at this time or before may be forgotten.
+    expired_ms: u64,
+    claims: BTreeMap<OrderKey, Claim>,
+    /// Claims that were given back, since a delayed copy of the claim may still be in the log.
+    released: BTreeSet<ClaimId>,
+    released_order: VecDeque<ClaimId>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Claim {
+    body_hash: u64,
+    router: RouterId,
+    claim: ClaimId,
+    at_ms: u64,
+    until_ms: u64,
+    state: OrderState,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum OrderState {
+    Running,
+    Done(StoredAnswer),
+    MayHaveRun,
+}
+
+impl Orders {
+    pub(crate) fn claim(&mut self, request: ClaimOrder) -> ClaimAnswer {
+        if self.released.contains(&request.claim) {
+            return ClaimAnswer::Released;
+        }
+        if let Some(known) = self.claims.get(&request.order) {
+            return known.answer_to(&request);
+        }
+        if request.at_ms <= self.expired_ms {
+            return ClaimAnswer::TooOld;
+        }
+        if self.claims.len() >= KEYS_MAX {
+            return ClaimAnswer::Full;
+        }
+        let claim = Claim {
+            body_hash: request.body_hash,
+            router: request.router,
+            claim: request.claim,
+            at_ms: request.at_ms.max(self.now_ms),
+            until_ms: request.until_ms,
+            state: OrderState::Running,
+        };
+        self.claims.insert(request.order, claim);
+        ClaimAnswer::Granted
+    }
+
+    pub(crate) fn complete(
+        &mut self,
+        order: &OrderKey,
+        claim: ClaimId,
+        answer: Vec<u8>,
+    ) -> SettleAnswer {
+        let Some(held) = self.held(order, claim) else { return SettleAnswer::NotHeld };
+        if !matches!(held.state, OrderState::Done(_)) {
+            held.state = OrderState::Done(StoredAnswer::bounded(answer));
+        }
+        SettleAnswer::Settled
+    }
+
+    pub(crate) fn release(&mut self, order: &OrderKey, claim: ClaimId) -> SettleAnswer {
+        let Some(held) = self.held(order, claim) else {
+            self.remember_release(claim);
+            return SettleAnswer::Settled;
+        };
+        match held.state {
+            OrderState::Running => {
+                self.claims.remove(order);
+                self.remember_release(claim);
+                SettleAnswer::Settled
+            }
+            OrderState::MayHaveRun => SettleAnswer::MayHaveRun,
+            OrderState::Done(_) => SettleAnswer::NotHeld,
+        }
+    }
+
+    pub(crate) fn doubt(&mut self, order: &OrderKey, claim: ClaimId) -> SettleAnswer {
+        let Some(held) = self.held(order, claim) else { return SettleAnswer::NotHeld };
+        held.doubt();
+        SettleAnswer::Settled
+    }
+
+    pub(crate) fn router_gone(&mut self, router: &RouterId) {
+        self.claims.values_mut().filter(|it| it.router == *router).for_each(Claim::doubt);
+    }
+
+    pub(crate) fn advance_time(&mut self, now_ms: u64) {
+        if now_ms <= self.now_ms {
+            return;
+        }
+        self.now_ms = now_ms;
+        let life_ms = KEY_LIFE.as_millis() as u64;
+        self.expired_ms = self.expired_ms.max(now_ms.saturating_sub(life_ms));
+        let expired_ms = self.expired_ms;
+        self.claims.retain(|_, it| it.at_ms > expired_ms);
+        self.claims.values_mut().filter(|it| it.until_ms <= now_ms).for_each(Claim::doubt);
+    }
+
+    /// How many keys are remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    fn held(&mut self, order: &OrderKey, claim: ClaimId) -> Option<&mut Claim> {
+        self.claims.get_mut(order).filter(|it| it.claim == claim)
+    }
+
+    fn remember_release(&mut self, claim: ClaimId) {
+        if !self.released.insert(claim) {
+            return;
+        }
+        self.released_order.push_back(claim);
+        if self.released_order.len() <= RELEASED_MAX {
+            return;
+        }
+        if let Some(oldest) = self.released_order.pop_front() {
+            self.released.remove(&oldest);
+        }
+    }
+}
+
+impl Claim {
+    fn answer_to(&self, request: &ClaimOrder) -> ClaimAnswer {
+        if self.body_hash != request.body_hash {
+            return ClaimAnswer::KeyReused;
+        }
+        match &self.state {
+            OrderState::Running if self.claim == request.claim => ClaimAnswer::Granted,
+            OrderState::Running => ClaimAnswer::InProgress { since_ms: self.at_ms },
+            OrderState::Done(answer) => ClaimAnswer::Done(answer.clone()),
+            OrderState::MayHaveRun => ClaimAnswer::MayHaveRun,
+        }
+    }
+
+    fn doubt(&mut self) {
+        if self.state == OrderState::Running {
+            self.state = OrderState::MayHaveRun;
+        }
+    }
+}
+
+impl StoredAnswer {
+    fn bounded(answer: Vec<u8>) -> StoredAnswer {
+        if answer.len() > ANSWER_MAX_BYTES {
+            return StoredAnswer::TooLong { len_bytes: answer.len() as u64 };
+        }
+        StoredAnswer::Kept(answer)
+    }
+}
