Prove what failed attempts, silence and resent orders come to

Cause: the pipeline's failure paths had no tests. Ruled out: tests with one engine that fails at random; each fake does one fixed thing.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use httpio::Bytes;
-use policy::{Execution, Repeat};
+use policy::{Execution, GiveUp, Repeat};
 use telemetry::TraceContext;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -124,7 +124,13 @@
         }
         match self.lease.retry(error.failure, error.execution).await {
             Retried::Placed => Ok(()),
-            Retried::GivenUp(reason) => Err(refusals::given_up(reason, &error, self.outcome)),
+            Retried::GivenUp { reason, retry_after } => {
+                let failure = refusals::given_up(reason, &error, self.outcome);
+                Err(match reason {
+                    GiveUp::Quarantined | GiveUp::OutcomeForbids => failure,
+                    _ => failure.retry_after(retry_after),
+                })
+            }
             Retried::Refused(refusal) => Err(refusals::refused(refusal, self.outcome)),
         }
     }
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -99,18 +99,19 @@
     }
 
     pub(super) async fn dispatch(self: Rc<Self>, asked: Asked<'_>) -> Result<Lease, Refusal> {
-        let (ticket, placed) = self.offer(&asked)?;
+        let offer = self.to_offer(&asked)?;
+        let ticket = self.note(|scheduler, now| scheduler.offer(now, offer))?;
+        let placed = self.await_place(ticket);
         // Dropping the lease while it waits takes the request out of the queue.
-        let mut lease = Lease::new(Rc::clone(&self), ticket);
+        let mut lease = Lease::new(Rc::clone(&self), ticket, offer);
         self.pump();
         lease.wait(placed).await?;
         Ok(lease)
     }
 
-    fn offer(&self, asked: &Asked<'_>) -> Result<(Ticket, oneshot::Receiver<Placed>), Refusal> {
-        let mut state = self.state.borrow_mut();
-        let scheduler = &state.scheduler;
-        let offer = Offer {
+    fn to_offer(&self, asked: &Asked<'_>) -> Result<Offer, Refusal> {
+        let scheduler = &self.state.borrow().scheduler;
+        Ok(Offer {
             class: scheduler.class(asked.class).ok_or(UNKNOWN)?,
             workspace: scheduler.workspace(asked.workspace).ok_or(UNKNOWN)?,
             pool: scheduler.pool(asked.pool).ok_or(UNKNOWN)?,
@@ -118,9 +119,7 @@
             request_hash: asked.request_hash,
             max_tokens: asked.max_tokens,
             repeat: asked.repeat,
-        };
-        let ticket = state.scheduler.offer(self.clock.now(), offer)?;
-        Ok((ticket, state.await_place(ticket)))
+        })
     }
 
     /// Registers a ticket that the scheduler will place again.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,9 +1,11 @@
 //! A place at a backend server, held by one request from its offer to its end.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use futures::channel::oneshot;
-use policy::{Execution, Failure, GiveUp, Outcome, ProbeResult, Refusal, RetryDecision, Ticket};
+use policy::{
+    Execution, Failure, GiveUp, Offer, Outcome, ProbeResult, Refusal, RetryDecision, Ticket,
+};
 
 use super::{
     Server, UNKNOWN,
@@ -14,6 +16,7 @@
 pub struct Lease {
     desk: Rc<Desk>,
     ticket: Ticket,
+    offer: Offer,
     server: Option<Server>,
     is_open: bool,
 }
@@ -24,14 +27,19 @@
     /// The request has a place again, at another server where there is one.
     Placed,
     /// It is not tried again.
-    GivenUp(GiveUp),
+    GivenUp {
+        /// Why.
+        reason: GiveUp,
+        /// When the class's queue is expected to have drained.
+        retry_after: Duration,
+    },
     /// It waited for another place and was refused.
     Refused(Refusal),
 }
 
 impl Lease {
-    pub(super) fn new(desk: Rc<Desk>, ticket: Ticket) -> Lease {
-        Lease { desk, ticket, server: None, is_open: true }
+    pub(super) fn new(desk: Rc<Desk>, ticket: Ticket, offer: Offer) -> Lease {
+        Lease { desk, ticket, offer, server: None, is_open: true }
     }
 
     pub(super) async fn wait(&mut self, placed: oneshot::Receiver<Placed>) -> Result<(), Refusal> {
@@ -95,7 +103,10 @@
             RetryDecision::GiveUp(reason) => {
                 self.is_open = false;
                 self.desk.forget(self.ticket);
-                Retried::GivenUp(reason)
+                let Offer { class, pool, .. } = self.offer;
+                let retry_after =
+                    self.desk.note(|scheduler, now| scheduler.retry_after(now, class, pool));
+                Retried::GivenUp { reason, retry_after }
             }
         }
     }
--- a/crates/router/src/order_ledger.rs
+++ b/crates/router/src/order_ledger.rs
@@ -68,10 +68,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum LedgerError {
     /// No majority can be reached; the claim was not made.
-    #[display("the order ledger cannot be reached: send the order again later")]
+    #[display(
+        "the order ledger cannot be reached, so this send did not run and what became of an \
+         earlier one is not known here: send the order again later with the same key"
+    )]
     Unreachable,
     /// The claim may have been made or not; the order was not sent in any case.
-    #[display("the order ledger did not confirm in time: send the order again later")]
+    #[display(
+        "the order ledger did not confirm in time, so this send did not run and what became of an \
+         earlier one is not known here: send the order again later with the same key"
+    )]
     InDoubt,
 }
 
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -31,6 +31,7 @@
         GiveUp::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
         GiveUp::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
         GiveUp::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
+        _ if outcome == Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded),
         GiveUp::OutcomeForbids
         | GiveUp::BudgetSpent
         | GiveUp::AttemptsSpent
@@ -43,9 +44,5 @@
         _ => "it is not tried again now: come back later",
     };
     let message = format!("{}; {remedy}", last.detail);
-    let retry_after = match reason {
-        GiveUp::Quarantined | GiveUp::OutcomeForbids => None,
-        _ => Some(std::time::Duration::from_secs(1)),
-    };
-    Failure { status, code, message, outcome, retry_after }
+    Failure { status, code, message, outcome, retry_after: None }
 }
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -38,7 +38,7 @@
     select_biased! {
         event = event => Ok(event),
         probed = probe => Err(match probed {
-            ProbeResult::Alive => Silent::Alive,
+            ProbeResult::Alive | ProbeResult::AliveAs { .. } => Silent::Alive,
             ProbeResult::Dead => Silent::Dead,
         }),
     }
--- /dev/null
+++ b/crates/router/tests/silent_servers.rs
@@ -0,0 +1,124 @@
+//! Silence is probed on a new connection, which tells a lost path from a dead server.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc};
+
+use expect_test::expect;
+use httpio::{
+    StatusCode,
+    client::PoolSettings,
+    server::{Reply, Request},
+};
+use router::{backends::BackendSettings, services::Waits};
+use support::{
+    Fake, Setup, event_stream, id_of, last_events, lookup, run, streamed_chat, token_event,
+};
+
+const QUICK: Waits =
+    Waits { first_silence_ms: 30, silence_ms: 30, resumes_max: 2, ledger_timeout_ms: 1_000 };
+
+/// Sends the first token and then nothing until the router has gone.
+fn falls_silent(req: Request) -> Reply {
+    let (mut sender, reply) = event_stream(&id_of(&req));
+    monoio::spawn(async move {
+        let _ = sender.send(token_event(&id_of(&req), " first")).await;
+        req.gone.raised().await;
+    });
+    reply
+}
+
+fn rest(req: &Request) -> Reply {
+    let id = id_of(req);
+    let (mut sender, reply) = event_stream(&id);
+    monoio::spawn(async move {
+        let _ = sender.send(token_event(&id, " second")).await;
+        let _ = sender.send(last_events(&id, 2)).await;
+        let _ = sender.finish().await;
+    });
+    reply
+}
+
+#[test]
+fn lost_path_resumed() {
+    run(async {
+        let engine = Fake::start(async |req| match req.uri.path() {
+            "/v1/chat/completions" => falls_silent(req),
+            _ => rest(&req),
+        });
+        let router = Setup { engines: vec![engine.addr], waits: QUICK, ..Setup::default() }.start();
+        let answer = router.exchange(streamed_chat()).await;
+        assert_eq!(answer.matches(" first").count(), 1, "{answer}");
+        assert!(answer.contains(" second") && answer.ends_with("data: [DONE]\n\n"), "{answer}");
+        assert_eq!(engine.paths(), ["POST /v1/chat/completions", "POST /v1/streams/ID/resume"]);
+    });
+}
+
+#[test]
+fn straggler_ends_incomplete() {
+    run(async {
+        let engine = Fake::start(async |req| match req.uri.path() {
+            "/v1/chat/completions" => falls_silent(req),
+            _ => Reply::typed(StatusCode::NOT_FOUND, "text/plain", "".into()),
+        });
+        let router = Setup { engines: vec![engine.addr], waits: QUICK, ..Setup::default() }.start();
+        expect![[r#"
+            200 OK
+            x-outcome: ran
+            x-request-id: q1
+            content-type: text/event-stream
+            data: {"id":"q1","model":"m","choices":[{"index":0,"delta":{"content":" first"},"finish_reason":null}]}
+
+            event: error
+            data: {"error":{"code":"incomplete","message":"the connection fell silent though the backend server answers a probe; the answer is incomplete, ask again","outcome":"ran","retry_after_ms":null}}
+
+
+            <the connection ended before the answer did>"#]].assert_eq(&router.exchange(streamed_chat()).await);
+    });
+}
+
+#[test]
+fn silent_lookup_elsewhere() {
+    run(async {
+        let silent = Fake::start(async |req| {
+            req.gone.raised().await;
+            Reply::abort()
+        });
+        let good = Fake::service();
+        let services = vec![silent.addr, good.addr];
+        let router = Setup { services, waits: QUICK, ..Setup::default() }.start();
+        while silent.paths().is_empty() {
+            let answer = router.exchange(lookup()).await;
+            assert!(answer.ends_with("/lookup/clip-7"), "{answer}");
+        }
+    });
+}
+
+/// A server that answered once and then was gone keeps nobody waiting for long.
+#[test]
+fn dead_server_given_up() {
+    run(async {
+        let asked = Rc::new(Cell::new(false));
+        let flag = Rc::clone(&asked);
+        let engine = Fake::start(async move |req| {
+            flag.set(true);
+            req.gone.raised().await;
+            Reply::abort()
+        });
+        let backends = BackendSettings {
+            pool: PoolSettings::default(),
+            // No server answers a probe in no time at all.
+            probe_timeout_ms: 0,
+        };
+        let setup =
+            Setup { engines: vec![engine.addr], waits: QUICK, backends, ..Setup::default() };
+        expect![[r#"
+            502 Bad Gateway
+            x-outcome: may-have-run
+            x-request-id: q1
+            retry-after: 1
+            content-type: application/json
+            {"error":{"code":"backend_failed","message":"the connection fell silent though the backend server answers a probe; it is not tried again now: come back later","outcome":"may-have-run","retry_after_ms":1000}}"#]].assert_eq(&setup.start().exchange(streamed_chat()).await);
+        assert!(asked.get());
+    });
+}
