--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -16,6 +16,7 @@
     future::{FusedFuture, LocalBoxFuture},
     pin_mut, select_biased,
 };
+use http::StatusCode;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 use self::connection::Connection;
@@ -29,6 +30,11 @@
 pub trait Handler {
     /// Answers one request. The future is run to its end even when the caller has gone.
     fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply>;
+
+    /// Words the refusal of a request that could not be read; the connection is closed after it.
+    fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
+        Reply::typed(status, "text/plain", remedy.to_owned().into())
+    }
 }
 
 impl<F> Handler for F
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -234,11 +234,9 @@
     }
 
     async fn refuse(&mut self, status: StatusCode, remedy: String) {
-        let mut headers = HeaderMap::new();
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        let reply = self.handler.refuse(status, &remedy);
         // The connection is closed in any case.
-        if self.outbound.response(status, headers, remedy.into()).await.is_ok() {
+        if self.write(reply, &Method::GET, true).await.is_ok() {
             let _ = time::timeout(LINGER, self.linger()).await;
         }
     }
--- a/crates/httpio/tests/refused_requests.rs
+++ b/crates/httpio/tests/refused_requests.rs
@@ -29,12 +29,12 @@
     check_length(
         "content-length: 5\r\ntransfer-encoding: chunked",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 71
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 71
+            content-type: text/plain
+            connection: close
 
-        both content-length and transfer-encoding are present; send one of them"#]],
+            both content-length and transfer-encoding are present; send one of them"#]],
     );
 }
 
@@ -43,22 +43,22 @@
     check_length(
         "content-length: 5\r\ncontent-length: 5",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 55
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 55
+            content-type: text/plain
+            connection: close
 
-        a length header is present more than once; send it once"#]],
+            a length header is present more than once; send it once"#]],
     );
     check_length(
         "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 55
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 55
+            content-type: text/plain
+            connection: close
 
-        a length header is present more than once; send it once"#]],
+            a length header is present more than once; send it once"#]],
     );
 }
 
@@ -67,12 +67,12 @@
     check_length(
         "content-length: 21",
         expect![[r#"
-        HTTP/1.1 413 Payload Too Large
-        content-length: 19
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 413 Payload Too Large
+            content-length: 19
+            content-type: text/plain
+            connection: close
 
-        send a smaller body"#]],
+            send a smaller body"#]],
     );
 }
 
@@ -83,8 +83,8 @@
         expect![[r#"
             HTTP/1.1 413 Payload Too Large
             content-length: 19
-            connection: close
             content-type: text/plain
+            connection: close
 
             send smaller chunks"#]],
     );
@@ -95,12 +95,12 @@
     check(
         &format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "x".repeat(300)),
         expect![[r#"
-        HTTP/1.1 431 Request Header Fields Too Large
-        content-length: 31
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 431 Request Header Fields Too Large
+            content-length: 31
+            content-type: text/plain
+            connection: close
 
-        the head is larger than allowed"#]],
+            the head is larger than allowed"#]],
     );
 }
 
@@ -109,32 +109,32 @@
     check(
         "GET / HTTP/1.1\r\n\r\n",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 33
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 33
+            content-type: text/plain
+            connection: close
 
-        send the host header exactly once"#]],
+            send the host header exactly once"#]],
     );
     check(
         "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 33
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 33
+            content-type: text/plain
+            connection: close
 
-        send the host header exactly once"#]],
+            send the host header exactly once"#]],
     );
     check(
         "GET / HTTP/1.1\r\nhost: a b\r\n\r\n",
         expect![[r#"
-        HTTP/1.1 400 Bad Request
-        content-length: 40
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 400 Bad Request
+            content-length: 40
+            content-type: text/plain
+            connection: close
 
-        send a host header of the form host:port"#]],
+            send a host header of the form host:port"#]],
     );
 }
 
@@ -143,12 +143,12 @@
     check(
         "GET / HTTP/1.0\r\nhost: a\r\n\r\n",
         expect![[r#"
-        HTTP/1.1 505 HTTP Version Not Supported
-        content-length: 12
-        connection: close
-        content-type: text/plain
+            HTTP/1.1 505 HTTP Version Not Supported
+            content-length: 12
+            content-type: text/plain
+            connection: close
 
-        use HTTP/1.1"#]],
+            use HTTP/1.1"#]],
     );
 }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
+use daemon::Admin;
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::{
     server::{self, ServerSettings, StopSignals},
@@ -16,7 +17,6 @@
 use telemetry::LogSettings;
 
 use crate::{
-    admin::{Admin, Readiness},
     arrival::Reception,
     backends::Backends,
     class_limits::ClassLimits,
@@ -26,6 +26,7 @@
     metrics::Metrics,
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
+    readiness::{Readiness, RouterHealth},
     services::Services,
     settings::RouterSettings,
     table_source::{FixedTables, TableSource},
@@ -123,7 +124,8 @@
     telemetry::register_process_metrics(&registry)?;
     let pipeline = pipeline(&settings, &parts, &registry)?;
     let readiness = Rc::new(Cell::new(Readiness::Starting));
-    let admin = Rc::new(Admin { readiness: Rc::clone(&readiness), registry });
+    let health = RouterHealth { readiness: Rc::clone(&readiness) };
+    let admin = Rc::new(Admin::new(registry, Rc::new(health)));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
     monoio::spawn(follow_tables(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,7 +6,6 @@
 //! the crate `policy`; the tables and the order ledger come in through [`table_source`] and
 //! [`order_ledger`].
 
-pub mod admin;
 pub mod arrival;
 pub mod backends;
 mod call;
@@ -22,6 +21,7 @@
 pub mod order_ledger;
 pub mod outcome;
 pub mod pipeline;
+pub mod readiness;
 mod refusals;
 pub mod routing;
 mod service_call;
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Instant};
 
 use futures::{FutureExt, future::LocalBoxFuture};
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 use httpio::server::{Handler, Reply, Request};
 use tables::Tables;
 
@@ -17,7 +17,7 @@
     identity::Identity,
     metrics::Labels,
     order_desk,
-    outcome::{Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
+    outcome::{Code, Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
     routing::{self, Routed},
     service_call,
     services::Services,
@@ -42,6 +42,10 @@
         let pipeline = self.clone();
         async move { pipeline.answer(request).await }.boxed_local()
     }
+
+    fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
+        Failure::not_run(status, Code::BadRequest, remedy).to_reply()
+    }
 }
 
 /// What is known about a request when it is answered.
--- a/crates/router/tests/refused_requests.rs
+++ b/crates/router/tests/refused_requests.rs
@@ -157,3 +157,19 @@
         {"error":{"code":"no_backend_server","message":"the connection could not be opened: Connection refused (os error 111); check that the server is up (not connected); it is not tried again now: come back later","outcome":"not-run","retry_after_ms":1000}}"#]],
     );
 }
+
+#[test]
+fn missing_host() {
+    run(async {
+        let router = Setup::default().start();
+        let answer = support::raw_exchange(router.addr, "GET /lookup/a HTTP/1.1\r\n\r\n").await;
+        expect![[r#"
+            HTTP/1.1 400 Bad Request
+            content-length: 120
+            content-type: application/json
+            x-outcome: not-run
+            connection: close
+
+            {"error":{"code":"bad_request","message":"send the host header exactly once","outcome":"not-run","retry_after_ms":null}}"#]].assert_eq(&answer.replace('\r', ""));
+    });
+}
