Run the capacity experiment from one script

Ruled out: one process for each replica; light backend servers share one. Change: scripts/capacity.sh for the router at rest and under streams.

--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,140 @@
+#!/usr/bin/env bash
+# Measures the daemons at several sizes and fits lines through the samples.
+#
+#   scripts/capacity.sh OUT        writes OUT/samples.jsonl, capacity.json, capacity.md and plots
+#
+# BIN names the folder of the binaries (default target/release) and WINDOW_MS how long each sample
+# takes (default 5000). Everything runs on loopback, in under five minutes and ten processes.
+set -euo pipefail
+
+out=${1:?name a folder for the results}
+bin=${BIN:-target/release}
+window_ms=${WINDOW_MS:-5000}
+load=$bin/gooseberry-load
+work=$(mktemp -d)
+samples=$out/samples.jsonl
+pids=()
+
+router_port=19601
+admin_port=19602
+engine_port=19603
+control_port=19604
+control_admin_port=19605
+
+stop_all() {
+    for pid in "${pids[@]}"; do
+        kill "$pid" 2>/dev/null || true
+    done
+    for pid in "${pids[@]}"; do
+        wait "$pid" 2>/dev/null || true
+    done
+    pids=()
+}
+
+finish() {
+    stop_all
+    rm -rf "$work"
+}
+trap finish EXIT
+
+# Starts a daemon with its log in the work folder; its process id is then in `started`.
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.log" 2>&1 &
+    started=$!
+    pids+=("$started")
+}
+
+# Waits for a listener for ten seconds at most.
+wait_for_port() {
+    local port=$1
+    for _ in $(seq 100); do
+        if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+            return
+        fi
+        sleep 0.1
+    done
+    echo "nothing listens on port $port; the logs say:" >&2
+    tail -n 5 "$work"/*.log >&2
+    exit 1
+}
+
+# Starts a router on the tables in the folder $1; its process id is then in `router`.
+start_router() {
+    local site=$1
+    cat >"$work/router.ini" <<SETTINGS
+[router]
+vm = vm-1
+failure_domain = fd-1
+listen = 127.0.0.1:$router_port
+admin_listen = 127.0.0.1:$admin_port
+log = warn
+drain_delay_ms = 0
+routes_file = $site/routes.ini
+pools_file = $site/pools.ini
+workspaces_file = $site/workspaces.ini
+SETTINGS
+    start router "$bin/gooseberry-router" --config "$work/router.ini"
+    router=$started
+    wait_for_port "$router_port"
+}
+
+# Samples a router at rest on a site of $2 replicas and $3 workspaces, as size $4 of driver $1.
+sample_at_rest() {
+    local driver=$1 replicas=$2 workspaces=$3 size=$4
+    "$load" capacity site --replicas "$replicas" --workspaces "$workspaces" --out "$work/site"
+    start backends "$load" capacity backends --replicas "$replicas"
+    start_router "$work/site"
+    sleep 2
+    "$load" capacity sample --pid "$router" --role router --driver "$driver" --size "$size" \
+        --window-ms "$window_ms" --samples "$samples"
+    stop_all
+}
+
+# Samples a router that relays streams of one engine at 44 ms a token.
+sample_streams() {
+    mkdir -p "$work/streams"
+    cat >"$work/streams/routes.ini" <<TABLE
+[chat]
+path = /v1/chat/completions
+priority = 0
+pool = model
+idempotent = yes
+deadline_ms = 120000
+queue_max = 2000
+workspace_in_flight_max = 2000
+TABLE
+    cat >"$work/streams/pools.ini" <<TABLE
+[model]
+kind = engine
+model = small
+in_flight_max = 2000
+servers = 127.0.0.1:$engine_port@fd-1
+TABLE
+    printf '[workspace-0]\ntoken = token-0\n' >"$work/streams/workspaces.ini"
+    for streams in "$@"; do
+        start engine "$bin/gooseberry-standin" engine --listen "127.0.0.1:$engine_port" \
+            --set server.front=direct --set model.batch_max=2000 --set model.waiting_max=2000 \
+            --set model.step_base_us=44000 --set model.step_per_sequence_us=0 \
+            --set model.prefill_per_token_us=0 --set model.kv_blocks=1000000
+        wait_for_port "$engine_port"
+        start_router "$work/streams"
+        "$load" capacity streams --router "127.0.0.1:$router_port" --pid "$router" \
+            --streams "$streams" --token token-0 --window-ms "$window_ms" --samples "$samples"
+        stop_all
+    done
+}
+
+mkdir -p "$out"
+: >"$samples"
+for replicas in 10 100 250 500; do
+    sample_at_rest replicas "$replicas" 10 "$replicas"
+done
+for workspaces in 10 300 1000; do
+    sample_at_rest workspaces 10 "$workspaces" "$workspaces"
+done
+sample_streams 1 100 300 1000
+
+"$load" capacity report --samples "$samples" --out "$out" \
+    --commit "$(git rev-parse --short HEAD 2>/dev/null || echo unknown)"
