--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
 use policy_bench::{Design, Fault, FaultKind, Results, Users, Workload, WorkloadSettings, run};
 
 const DESIGNS: [Design; 6] = [
@@ -20,7 +20,9 @@
 fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
     let workload = Workload::new(settings(&matches));
-    let results: Vec<_> = DESIGNS.into_iter().map(|it| run(&workload, it)).collect();
+    let only = matches.get_one::<String>("design");
+    let designs = DESIGNS.into_iter().filter(|it| only.is_none_or(|name| *name == it.to_string()));
+    let results: Vec<_> = designs.map(|it| run(&workload, it)).collect();
     if matches.get_flag("json") {
         println!("{}", serde_json::to_string_pretty(&results)?);
     } else {
@@ -39,6 +41,12 @@
                 .default_value("van-dalen")
                 .help("Whose sizes and classes"),
         )
+        .arg(
+            Arg::new("design")
+                .long("design")
+                .value_parser(PossibleValuesParser::new(DESIGNS.map(|it| it.to_string())))
+                .help("One design in place of all"),
+        )
         .arg(number("seed", "1", "Seed of all draws"))
         .arg(number("seconds", "60", "Time with arrivals"))
         .arg(number("routers", "6", "Routers"))
--- a/crates/policy-bench/src/policy_router.rs
+++ b/crates/policy-bench/src/policy_router.rs
@@ -221,6 +221,10 @@
         self.jobs.len() as u32
     }
 
+    fn held(&self, server: usize) -> u32 {
+        self.scheduler.in_flight(self.backends[server])
+    }
+
     fn lease(&mut self, server: usize, slots: u32, expires: Instant) {
         self.scheduler.set_credits(self.backends[server], slots, expires);
     }
--- a/crates/policy-bench/src/report.rs
+++ b/crates/policy-bench/src/report.rs
@@ -143,7 +143,7 @@
         let per_router = run_s * workload.settings.routers as f64;
         let classes = (0..workload.classes.len()).map(|it| self.class(workload, it, good));
         Results {
-            design: format!("{design:?}"),
+            design: design.to_string(),
             classes: classes.collect(),
             goodput,
             goodput_part: goodput / capacity,
--- a/crates/policy-bench/src/router.rs
+++ b/crates/policy-bench/src/router.rs
@@ -106,6 +106,11 @@
         0
     }
 
+    /// Requests that hold a slot of the server.
+    fn held(&self, _server: usize) -> u32 {
+        0
+    }
+
     /// Slots of a server leased until `expires`.
     fn lease(&mut self, _server: usize, _slots: u32, _expires: Instant) {}
 }
--- a/crates/policy-bench/src/sim.rs
+++ b/crates/policy-bench/src/sim.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
 use policy::{LoadReport, Settings};
 
 use crate::{
@@ -23,7 +24,8 @@
 };
 
 /// How the routers decide.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
 pub enum Design {
     /// The policy crate; other routers' load is known from lagging reports.
     Independent,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -67,10 +67,11 @@
     }
 
     /// Whether a slot that another stream gives up there can be used at once.
+    ///
+    /// That the server is over a limit which has shrunk does not matter: the sum stays the same.
     pub(crate) fn is_good_host(&self, key: BackendKey) -> bool {
         let backend = &self.backends[key];
-        let is_within_limit = backend.in_flight <= backend.limit(self.now, self.settings);
-        backend.health == Health::Up && !self.is_slow(key) && is_within_limit
+        backend.health == Health::Up && !self.is_slow(key)
     }
 
     fn free(&self, wanted: &Wanted<'_>) -> Vec<BackendKey> {
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -161,7 +161,10 @@
         }
         let gap_ms = self.pools[pool].median_gap_ms?;
         let members = self.pools[pool].members.iter();
-        let slots: u32 = members.map(|it| self.backends[*it].limit(now, &self.settings)).sum();
+        // A router without a lease gets one soon, so each usable server counts for a slot.
+        let usable = members.filter(|it| self.backends[**it].is_usable());
+        let limits = usable.map(|it| self.backends[*it].limit(now, &self.settings).max(1));
+        let slots: u32 = limits.sum();
         Some(f64::from(slots) * 1e3 / gap_ms.max(0.001))
     }
 
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -73,10 +73,12 @@
     }
 
     /// Whether a stream that its class's share does not protect runs on one of the servers.
+    ///
+    /// Before its first token a stream may wait inside the engine, so its pause frees no slot.
     fn holds_slot(&self, running: &[Ticket], hosts: &[BackendKey]) -> bool {
         let requests = running.iter().map(|it| &self.requests[*it]);
         let mut open = requests.filter(|it| it.standing == Standing::Pausable);
-        open.any(|it| it.run().is_some_and(|run| hosts.contains(&run.backend)))
+        open.any(|it| it.run().is_some_and(|run| run.tokens > 0 && hosts.contains(&run.backend)))
     }
 
     fn longest_running(
