Take a resent change for the same one whatever its base

Seen with three real control VMs. Ruled out: keeping the base in the tool (it has no state of its own). Change: the digest covers the tables' text only. Conclusion: a resend after a lost answer gets the first answer.

--- a/crates/control-client/src/commands.rs
+++ b/crates/control-client/src/commands.rs
@@ -36,8 +36,9 @@
 ) -> Result<Response, CommandError> {
     let result = client.submit(token, &encode_command(command), timeout).await;
     match result {
-        Ok(SubmitResult::Response(bytes)) => decode_response(&bytes)
-            .map_err(|err| CommandError::InDoubt { reason: err.to_string() }),
+        Ok(SubmitResult::Response(bytes)) => {
+            decode_response(&bytes).map_err(|err| CommandError::InDoubt { reason: err.to_string() })
+        }
         Ok(SubmitResult::Refused(reason)) => Err(CommandError::Refused { reason }),
         Ok(SubmitResult::InDoubt(reason)) => Err(CommandError::InDoubt { reason }),
         Err(err) => Err(CommandError::InDoubt { reason: err.to_string() }),
--- a/crates/control-state/src/table_store.rs
+++ b/crates/control-state/src/table_store.rs
@@ -33,7 +33,8 @@
 
 impl TableStore {
     pub(crate) fn propose(&mut self, proposal: ProposeTables) -> TablesAnswer {
-        let digest = xxh3_64(&codec::encode(&proposal));
+        // The base is left out: an operator who asks for it again before a resend finds another.
+        let digest = xxh3_64(&codec::encode(&proposal.text));
         if let Some(first) = self.answers.get(&proposal.change) {
             return if first.digest == digest { first.answer } else { TablesAnswer::ChangeReused };
         }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -4,6 +4,8 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
+use control_client::{TablesWatch, WatchSettings};
+use control_state::RouterId;
 use daemon::Admin;
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::{
@@ -14,12 +16,14 @@
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use telemetry::LogSettings;
+use rpc::LinkSettings;
+use telemetry::{LogSettings, Secret};
 
 use crate::{
     arrival::Reception,
     backends::Backends,
     class_limits::ClassLimits,
+    control::{ControlLedger, ControlTables},
     dispatch::Dispatcher,
     identity::{Identity, Workspaces},
     load_reports,
@@ -94,20 +98,37 @@
 }
 
 fn parts(settings: &RouterSettings) -> anyhow::Result<Parts> {
-    let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
-        bail!("name routes_file and pools_file in the settings");
-    };
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let workspaces = match &settings.files.workspaces {
         Some(path) => Workspaces::read(path)?,
         None => Workspaces::default(),
     };
-    Ok(Parts {
-        tables: Rc::new(FixedTables::read(routes, pools)?),
-        ledger: Rc::new(NoLedger),
-        workspaces: Rc::new(workspaces),
-        clock: Rc::new(SystemClock),
-        seed: rand::random(),
-    })
+    let (tables, ledger) = match settings.control.is_empty() {
+        true => from_files(settings)?,
+        false => from_control(settings, &clock)?,
+    };
+    Ok(Parts { tables, ledger, workspaces: Rc::new(workspaces), clock, seed: rand::random() })
+}
+
+type Shared = (Rc<dyn TableSource>, Rc<dyn OrderLedger>);
+
+fn from_files(settings: &RouterSettings) -> anyhow::Result<Shared> {
+    let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
+        bail!("name routes_file and pools_file in the settings");
+    };
+    Ok((Rc::new(FixedTables::read(routes, pools)?), Rc::new(NoLedger)))
+}
+
+fn from_control(settings: &RouterSettings, clock: &Rc<dyn Clock>) -> anyhow::Result<Shared> {
+    let token = settings.files.command_token.as_ref().context("name command_token_file")?;
+    let token = Secret::read(token)?;
+    let watch = TablesWatch::start(WatchSettings {
+        link: LinkSettings { addrs: settings.control.clone(), ..LinkSettings::default() },
+        ..WatchSettings::default()
+    });
+    let life = RouterId(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
+    let ledger = ControlLedger::new(watch.link().clone(), token, life, clock.clone());
+    Ok((Rc::new(ControlTables(watch)), Rc::new(ledger)))
 }
 
 /// Serves until the second step of a stop is over.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod chat;
 mod chat_call;
 pub mod class_limits;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
 pub mod identity;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -36,7 +36,8 @@
     pub drain_delay_ms: u64,
     /// Where the tables and workspaces come from.
     pub files: Files,
-    /// The control VMs; the tables come from files where there are none.
+    /// The control VMs, those of the own failure domain first; the tables come from files where
+    /// there are none.
     pub control: Vec<SocketAddr>,
     /// Bounds of callers' connections.
     pub server: Server,
@@ -55,6 +56,8 @@
     pub pools: Option<PathBuf>,
     /// The workspaces with their tokens.
     pub workspaces: Option<PathBuf>,
+    /// The token for commands to the control VMs.
+    pub command_token: Option<PathBuf>,
 }
 
 /// Bounds of the listener for callers.
@@ -148,6 +151,7 @@
             routes: reader.optional("routes_file", FILE),
             pools: reader.optional("pools_file", FILE),
             workspaces: reader.optional("workspaces_file", FILE),
+            command_token: reader.optional("command_token_file", FILE),
         },
         control: reader.list("control", "addresses and ports separated by commas"),
         ..default
@@ -160,6 +164,9 @@
             "name control VMs, or routes_file and pools_file",
         );
     }
+    if !settings.control.is_empty() && settings.files.command_token.is_none() {
+        reader.fault("command_token_file", "is missing beside control", "name the token's file");
+    }
     reader.finish();
     settings
 }
