Sharpen the fault tests until seeded faults of the log are found

Cause: of 17 faults seeded in the code, the scripts and 1,500 random schedules missed eight: lease without the clock bound, a restart that forgets a heard leader, votes not barred by a heard leader, commit of entries of older terms, a vote before the sync, votes counted under any disk, a repair finished without sync, a membership change before an own commit. Ruled out: more cases: proposals before every event kept a cut-off node's log behind, so that it could never stand, and clocks of 2% were hidden by the time of messages.

--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -16,7 +16,7 @@
 use proptest::prelude::*;
 use schedule::Event;
 
-const EVENTS: usize = 60;
+const EVENTS: usize = 80;
 
 proptest! {
     #![proptest_config(schedule::config())]
@@ -31,14 +31,16 @@
     }
 }
 
-/// Runs the events with a command before each, then ends all faults and expects full recovery.
+/// Runs the events then ends all faults and expects full recovery.
 fn check_schedule(size: u64, seed: u64, events: &[Event]) {
     let mut cluster: Cluster<Journal> = Cluster::new(size, seed);
     cluster.settle();
     let mut accepted = Vec::new();
     for (number, event) in events.iter().enumerate() {
-        let line = format!("line {number}");
-        accepted.extend(schedule::propose_anywhere(&mut cluster, line.as_bytes()));
+        if matches!(event, Event::Propose) {
+            let line = format!("line {number}");
+            accepted.extend(schedule::propose_anywhere(&mut cluster, line.as_bytes()));
+        }
         schedule::cause(&mut cluster, event);
         cluster.run(Duration::from_millis(30));
     }
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -364,7 +364,7 @@
     Settings {
         heartbeat: Duration::from_millis(50),
         election_timeout: Duration::from_millis(300),
-        clock_rate_bound_permille: 20,
+        clock_rate_bound_permille: 200,
         kept_entries: 8,
         ..Settings::default()
     }
--- a/crates/consensus/tests/support/schedule.rs
+++ b/crates/consensus/tests/support/schedule.rs
@@ -12,6 +12,7 @@
 /// One fault, repair or pause; nodes are numbers that are reduced to the cluster's size.
 #[derive(Debug, Clone)]
 pub(crate) enum Event {
+    Propose,
     Run(u64),
     Cut(u64, u64),
     CutOneWay(u64, u64),
@@ -22,6 +23,7 @@
     Kill(u64),
     KillAfterSync(u64),
     Start(u64),
+    Restart(u64),
     LoseDisk(u64),
     SlowDisk(u64, u64),
     ClockRate(u64, i64),
@@ -42,7 +44,8 @@
 pub(crate) fn event() -> impl Strategy<Value = Event> {
     let node = || 0..5_u64;
     prop_oneof![
-        4 => (0..600_u64).prop_map(Event::Run),
+        8 => Just(Event::Propose),
+        6 => (0..600_u64).prop_map(Event::Run),
         2 => (node(), node()).prop_map(|(a, b)| Event::Cut(a, b)),
         2 => (node(), node()).prop_map(|(a, b)| Event::CutOneWay(a, b)),
         2 => node().prop_map(Event::Isolate),
@@ -52,9 +55,10 @@
         2 => node().prop_map(Event::Kill),
         2 => node().prop_map(Event::KillAfterSync),
         4 => node().prop_map(Event::Start),
+        4 => node().prop_map(Event::Restart),
         2 => node().prop_map(Event::LoseDisk),
         2 => (node(), 0..120_u64).prop_map(|(a, b)| Event::SlowDisk(a, b)),
-        1 => (node(), -20..=20_i64).prop_map(|(a, b)| Event::ClockRate(a, b)),
+        3 => (node(), -200..=200_i64).prop_map(|(a, b)| Event::ClockRate(a, b)),
         1 => (0..1_000_u32).prop_map(Event::Repeat),
         2 => node().prop_map(Event::Transfer),
         4 => Just(Event::Repair),
@@ -65,6 +69,7 @@
     let size = cluster.hosts.len() as u64;
     let id = |number: u64| number % size + 1;
     match *event {
+        Event::Propose => {}
         Event::Run(time_ms) => cluster.run(Duration::from_millis(time_ms)),
         Event::Cut(a, b) => cluster.cut_pair(id(a), id(b)),
         Event::CutOneWay(a, b) => _ = cluster.cuts.insert((id(a), id(b))),
@@ -75,6 +80,10 @@
         Event::Kill(a) => cluster.kill(id(a)),
         Event::KillAfterSync(a) => cluster.kill_after_sync(id(a)),
         Event::Start(a) => cluster.start(id(a)),
+        Event::Restart(a) => {
+            cluster.kill(id(a));
+            cluster.start(id(a));
+        }
         Event::LoseDisk(a) => lose_disk_if_repaired(cluster, id(a)),
         Event::SlowDisk(a, time_ms) => {
             cluster.host(id(a)).sync = Duration::from_millis(time_ms);
