Test operators and routers under random faults

Cause: the promises that users see are made by answers, not by the log alone. Ruled out: checking the log only: a resend through another leader, a claim given up by its router, and a read at a new leader cross several answers. Change: a proptest in which operators race and resend, and routers claim, run, complete and give up, under the faults of the log's schedules. Checked at each step: an order runs at most once, a revision belongs to one change, a resend gets the first answer, a read under the lease shows every acknowledged change; at the end every change has an answer.

--- /dev/null
+++ b/crates/control-state/tests/support/clients.rs
@@ -0,0 +1,205 @@
+//! Operators and routers that act on answers, and the promises made to them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use consensus::Proposal;
+use control_state::{
+    ClaimAnswer, ClaimId, ClaimOrder, Command, OrderKey, ProposeTables, Response, RouterId,
+    TablesAnswer, decode_response, encode_command,
+};
+use tables::{Revision, TablesText};
+
+use crate::{cluster::Cluster, machine::Machine, schedule};
+
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// All clients of one cluster.
+#[derive(Default)]
+pub(crate) struct Clients {
+    seen: BTreeMap<u64, u64>,
+    changes: Vec<Change>,
+    attempts: Vec<Attempt>,
+    accepted: BTreeMap<u64, String>,
+    acknowledged: u64,
+    executed: BTreeMap<u64, u64>,
+    released: BTreeSet<u64>,
+}
+
+/// A change of tables that its operator sends until it has an answer.
+struct Change {
+    operator: u64,
+    proposal: ProposeTables,
+    sent: Vec<(u64, Proposal)>,
+    sent_at: Duration,
+    answer: Option<TablesAnswer>,
+}
+
+/// One attempt of a router to run an order.
+struct Attempt {
+    key: u64,
+    claim: u64,
+    sent: (u64, Proposal),
+    sent_at: Duration,
+    state: AttemptState,
+}
+
+#[derive(PartialEq, Eq)]
+enum AttemptState {
+    Claiming,
+    GivenUp,
+    Ended,
+}
+
+impl Clients {
+    /// Lets an operator change the tables that it has seen last.
+    pub(crate) fn change(&mut self, cluster: &mut Cluster<Machine>, operator: u64) {
+        let number = self.changes.len();
+        let base = Revision(self.seen.get(&operator).copied().unwrap_or(0));
+        let text = TablesText { routes: format!("text {number}"), pools: String::new() };
+        let change = format!("{operator}-{number}").into();
+        let proposal = ProposeTables { change, base, text };
+        let sent_at = cluster.elapsed;
+        let mut change = Change { operator, proposal, sent: Vec::new(), sent_at, answer: None };
+        change.send(cluster);
+        self.changes.push(change);
+    }
+
+    /// Lets a router try an order.
+    pub(crate) fn order(&mut self, cluster: &mut Cluster<Machine>, key: u64) {
+        let claim = self.attempts.len() as u64;
+        let command = Command::ClaimOrder(ClaimOrder {
+            order: order_key(key),
+            body_hash: 0,
+            router: RouterId("router".to_owned()),
+            claim: ClaimId(claim),
+            at_ms: 1,
+            until_ms: u64::MAX,
+        });
+        let Some(sent) = schedule::propose_anywhere(cluster, &encode_command(&command)) else {
+            return;
+        };
+        let (sent_at, state) = (cluster.elapsed, AttemptState::Claiming);
+        self.attempts.push(Attempt { key, claim, sent, sent_at, state });
+    }
+
+    /// Takes all answers that have come, acts on them and checks the promises.
+    pub(crate) fn poll(&mut self, cluster: &mut Cluster<Machine>) {
+        self.check_reads(cluster);
+        for idx in 0..self.changes.len() {
+            self.poll_change(cluster, idx);
+        }
+        for idx in 0..self.attempts.len() {
+            self.poll_attempt(cluster, idx);
+        }
+    }
+
+    /// Expects every change to be answered, once all faults have ended.
+    pub(crate) fn check_end(&self) {
+        let open = self.changes.iter().filter(|it| it.answer.is_none()).count();
+        assert_eq!(open, 0, "changes without an answer");
+    }
+
+    /// A read under the lease shows every change that was acknowledged before.
+    fn check_reads(&mut self, cluster: &Cluster<Machine>) {
+        for (id, host) in &cluster.hosts {
+            let Some(node) = &host.node else { continue };
+            let now = cluster.local_now(*id);
+            let Ok(index) = node.read_index(now) else { continue };
+            if host.is_frozen || node.status(now).applied < index {
+                continue;
+            }
+            let revision = host.app.0.revision().0;
+            assert!(
+                revision >= self.acknowledged,
+                "n{id} serves revision {revision} after {} was acknowledged",
+                self.acknowledged
+            );
+            self.acknowledged = revision;
+        }
+    }
+
+    fn poll_change(&mut self, cluster: &mut Cluster<Machine>, idx: usize) {
+        let change = &mut self.changes[idx];
+        for (at, proposal) in &change.sent {
+            let Some(Response::Tables(answer)) = answer_at(cluster, *at, *proposal) else {
+                continue;
+            };
+            let first = *change.answer.get_or_insert(answer);
+            assert_eq!(first, answer, "a resend gets another answer");
+        }
+        match change.answer {
+            None if cluster.elapsed > change.sent_at + PATIENCE => change.send(cluster),
+            None => {}
+            Some(TablesAnswer::Accepted { revision }) => {
+                let name = change.proposal.change.0.clone();
+                let owner = self.accepted.entry(revision.0).or_insert_with(|| name.clone());
+                assert_eq!(*owner, name, "two changes make revision {revision}");
+                self.acknowledged = self.acknowledged.max(revision.0);
+                self.see(idx, revision.0);
+            }
+            Some(TablesAnswer::Conflict { current }) => self.see(idx, current.0),
+            Some(TablesAnswer::ChangeReused) => panic!("change numbers are unique here"),
+        }
+    }
+
+    fn see(&mut self, idx: usize, revision: u64) {
+        let seen = self.seen.entry(self.changes[idx].operator).or_default();
+        *seen = revision.max(*seen);
+    }
+
+    fn poll_attempt(&mut self, cluster: &mut Cluster<Machine>, idx: usize) {
+        let attempt = &self.attempts[idx];
+        let (key, claim, order) = (attempt.key, attempt.claim, order_key(attempt.key));
+        match attempt.state {
+            AttemptState::Ended => {}
+            AttemptState::GivenUp => {
+                let release = Command::ReleaseOrder { order, claim: ClaimId(claim) };
+                if self.released.insert(claim) || cluster.elapsed.as_millis().is_multiple_of(7) {
+                    schedule::propose_anywhere(cluster, &encode_command(&release));
+                }
+            }
+            AttemptState::Claiming => match answer_at(cluster, attempt.sent.0, attempt.sent.1) {
+                Some(Response::Claim(ClaimAnswer::Granted)) => {
+                    self.execute(key);
+                    let answer = b"done".to_vec();
+                    let claim = ClaimId(claim);
+                    let complete = Command::CompleteOrder { order, claim, answer };
+                    schedule::propose_anywhere(cluster, &encode_command(&complete));
+                    self.attempts[idx].state = AttemptState::Ended;
+                }
+                Some(_) => self.attempts[idx].state = AttemptState::Ended,
+                None if cluster.elapsed > attempt.sent_at + PATIENCE => {
+                    self.attempts[idx].state = AttemptState::GivenUp;
+                }
+                None => {}
+            },
+        }
+    }
+
+    fn execute(&mut self, key: u64) {
+        let count = self.executed.entry(key).or_default();
+        *count += 1;
+        assert_eq!(*count, 1, "order {key} runs twice");
+    }
+}
+
+impl Change {
+    fn send(&mut self, cluster: &mut Cluster<Machine>) {
+        self.sent_at = cluster.elapsed;
+        let command = Command::ProposeTables(self.proposal.clone());
+        self.sent.extend(schedule::propose_anywhere(cluster, &encode_command(&command)));
+    }
+}
+
+fn answer_at(cluster: &Cluster<Machine>, at: u64, proposal: Proposal) -> Option<Response> {
+    let bytes = cluster.answer(at, proposal)?.ok()?;
+    decode_response(&bytes).ok()
+}
+
+fn order_key(key: u64) -> OrderKey {
+    let (workspace, route) = ("w".to_owned(), "orders".to_owned());
+    OrderKey { workspace, route, key: key.to_string() }
+}
