Test leases at the very ends of the clock bound

Ruled out: more random cases: both clocks must stand at opposite ends and an election must follow within 75 ms. Change: 40 seeds each with a slow and a fast leader clock, at 20% either way.

--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -17,6 +17,8 @@
 use schedule::Event;
 
 const EVENTS: usize = 80;
+const LEASE_SEEDS: u64 = 40;
+const CLOCK_BOUND_PERMILLE: i64 = 200;
 
 proptest! {
     #![proptest_config(schedule::config())]
@@ -60,3 +62,28 @@
         }
     }
 }
+
+/// Cuts off the leader n1 under these clock rates; the cluster checks the leases at each step.
+fn check_clock_rates(leader_permille: i64, others_permille: i64) {
+    for seed in 0..LEASE_SEEDS {
+        let mut cluster: Cluster<Journal> = Cluster::new(3, seed);
+        cluster.settle();
+        cluster.set_clock_rate(1, leader_permille);
+        cluster.set_clock_rate(2, others_permille);
+        cluster.set_clock_rate(3, others_permille);
+        cluster.run(Duration::from_millis(500 + seed * 7));
+        cluster.isolate(1);
+        cluster.run(Duration::from_millis(2_000));
+        assert!(cluster.leader().is_some_and(|it| it != 1), "seed {seed}: nobody took over");
+    }
+}
+
+#[test]
+fn slow_leader_clock() {
+    check_clock_rates(-CLOCK_BOUND_PERMILLE, CLOCK_BOUND_PERMILLE);
+}
+
+#[test]
+fn fast_leader_clock() {
+    check_clock_rates(CLOCK_BOUND_PERMILLE, -CLOCK_BOUND_PERMILLE);
+}
