Pause less urgent streams for urgent requests, and go on where they were

Cause: policy pauses streams, and the router had no way to carry it out. Ruled out: dropping the stream's state at the engine, because an engine may forget a stream that nobody reads; the state is exported at the pause and imported when the engine has forgotten it. Change: controls from the scheduler to the relay of a stream; reading of the engine's paused event; engine_stream holds attempts, resumes and pauses, chat_call the relay.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use httpio::Bytes;
+use monoio::time;
 use policy::{Execution, GiveUp, Repeat};
 use telemetry::TraceContext;
 use xxhash_rust::xxh3::xxh3_64;
@@ -112,6 +113,45 @@
         Attempt { addr, method, uri, id, trace, headers: HeaderMap::new(), body }
     }
 
+    /// Asks the engine in the background to do something with the stream, such as to pause it.
+    pub(crate) fn steer(&self, what: &str) {
+        let Some(uri) = self.stream_uri(what) else { return };
+        let attempt = self.follow_up(Method::POST, uri, Bytes::new());
+        let backends = self.services.backends.clone();
+        monoio::spawn(async move {
+            // An engine that cannot do it goes on with the stream.
+            if let Ok(response) = backends.send(attempt).await {
+                let _ = response.body.collect().await;
+            }
+        });
+    }
+
+    /// The engine's state of the stream, to be kept while it is paused.
+    pub(crate) async fn export(&self) -> Option<Bytes> {
+        let uri = format!("/v1/kv/{}", self.id.to_str().ok()?).parse().ok()?;
+        let attempt = self.follow_up(Method::GET, uri, Bytes::new());
+        let exported = async {
+            let response = self.services.backends.send(attempt).await.ok()?;
+            let is_found = response.head.status.is_success();
+            response.body.collect().await.ok().filter(|_| is_found)
+        };
+        time::timeout(self.services.waits.engine_call_timeout(), exported).await.ok()?
+    }
+
+    /// Gives a kept state back to the engine; tells whether it was taken.
+    pub(crate) async fn import(&self, kept: Option<Bytes>) -> bool {
+        let Some(kept) = kept else { return false };
+        let attempt = self.follow_up(Method::POST, Uri::from_static("/v1/kv"), kept);
+        let imported = self.services.backends.send_fresh(attempt);
+        let imported = time::timeout(self.services.waits.engine_call_timeout(), imported).await;
+        matches!(imported, Ok(Ok(response)) if response.head.status.is_success())
+    }
+
+    /// Where the engine keeps the stream.
+    pub(crate) fn stream_uri(&self, what: &str) -> Option<Uri> {
+        format!("/v1/streams/{}/{what}", self.id.to_str().ok()?).parse().ok()
+    }
+
     /// The attempt failed: waits for the next place.
     ///
     /// # Errors
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -14,7 +14,7 @@
 use tables::{Revision, Tables};
 
 use self::desk::Desk;
-pub use self::lease::{Lease, Retried};
+pub use self::lease::{Control, Lease, Retried};
 use crate::identity::Workspaces;
 
 /// Asks a backend server for its health on a new connection.
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -19,9 +19,9 @@
     Action, BackendKey, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal,
     Scheduler, Settings, Sighting, Spec, Ticket, WorkspaceSpec,
 };
-use tables::{Pool, Revision, Route, Tables};
+use tables::{Pool, PoolKind, Revision, Route, Tables};
 
-use super::{Asked, Lease, Prober, Server, UNKNOWN, revision_number};
+use super::{Asked, Control, Lease, Prober, Server, UNKNOWN, revision_number};
 use crate::identity::{ANONYMOUS, Workspaces};
 
 /// Tables count urgency downwards and the scheduler upwards.
@@ -41,6 +41,7 @@
     scheduler: Scheduler,
     pool: String,
     waiting: BTreeMap<Ticket, oneshot::Sender<Placed>>,
+    controls: BTreeMap<Ticket, mpsc::UnboundedSender<Control>>,
     servers: BTreeMap<SocketAddr, Known>,
     armed: Option<Instant>,
 }
@@ -64,6 +65,7 @@
             scheduler: Scheduler::new(settings),
             pool: String::new(),
             waiting: BTreeMap::new(),
+            controls: BTreeMap::new(),
             servers: BTreeMap::new(),
             armed: None,
         };
@@ -139,8 +141,18 @@
         event(&mut self.state.borrow_mut().scheduler, self.clock.now())
     }
 
+    /// Registers a ticket whose stream the scheduler may pause.
+    pub(super) fn await_controls(&self, ticket: Ticket) -> mpsc::UnboundedReceiver<Control> {
+        // The scheduler pauses and resumes by turns, and a relay that lags reads them in order.
+        let (sender, receiver) = mpsc::unbounded();
+        self.state.borrow_mut().controls.insert(ticket, sender);
+        receiver
+    }
+
     pub(super) fn forget(&self, ticket: Ticket) {
-        self.state.borrow_mut().waiting.remove(&ticket);
+        let mut state = self.state.borrow_mut();
+        state.waiting.remove(&ticket);
+        state.controls.remove(&ticket);
     }
 
     pub(super) fn servers(&self) -> Vec<Server> {
@@ -198,11 +210,10 @@
                 }
             }
             Action::Probe { backend } => self.probe(state, backend),
-            // The pools are configured without pausing and hedging, so these do not come.
-            Action::Pause { .. }
-            | Action::Resume { .. }
-            | Action::Hedge { .. }
-            | Action::Cancel { .. } => {
+            Action::Pause { ticket, .. } => state.control(ticket, Control::Pause),
+            Action::Resume { ticket, .. } => state.control(ticket, Control::Resume),
+            // The classes are configured without hedging, so these do not come.
+            Action::Hedge { .. } | Action::Cancel { .. } => {
                 tracing::warn!(pool = %state.pool, ?action, "action not supported");
             }
         }
@@ -230,6 +241,13 @@
 }
 
 impl State {
+    fn control(&self, ticket: Ticket, control: Control) {
+        if let Some(relay) = self.controls.get(&ticket) {
+            // A relay that has ended needs no control.
+            let _ = relay.unbounded_send(control);
+        }
+    }
+
     fn await_place(&mut self, ticket: Ticket) -> oneshot::Receiver<Placed> {
         let (sender, receiver) = oneshot::channel();
         self.waiting.insert(ticket, sender);
@@ -331,7 +349,10 @@
         pools: vec![PoolSpec {
             name: pool.name.clone(),
             slots: pool.in_flight_max,
-            pausing: Pausing::Unsupported,
+            pausing: match pool.kind {
+                PoolKind::Engine => Pausing::Supported,
+                PoolKind::Service => Pausing::Unsupported,
+            },
             ..PoolSpec::default()
         }],
         workspaces: known.chain([anonymous]).collect(),
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use futures::channel::oneshot;
+use futures::channel::{mpsc, oneshot};
 use policy::{
     Execution, Failure, GiveUp, Offer, Outcome, ProbeResult, Refusal, RetryDecision, Ticket,
 };
@@ -18,9 +18,19 @@
     ticket: Ticket,
     offer: Offer,
     server: Option<Server>,
+    controls: Option<mpsc::UnboundedReceiver<Control>>,
     is_open: bool,
 }
 
+/// What the scheduler asks of a running stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Control {
+    /// Make way for more urgent work.
+    Pause,
+    /// Go on.
+    Resume,
+}
+
 /// What follows a failed attempt.
 #[derive(Debug)]
 pub enum Retried {
@@ -39,7 +49,8 @@
 
 impl Lease {
     pub(super) fn new(desk: Rc<Desk>, ticket: Ticket, offer: Offer) -> Lease {
-        Lease { desk, ticket, offer, server: None, is_open: true }
+        let controls = Some(desk.await_controls(ticket));
+        Lease { desk, ticket, offer, server: None, controls, is_open: true }
     }
 
     pub(super) async fn wait(&mut self, placed: oneshot::Receiver<Placed>) -> Result<(), Refusal> {
@@ -51,6 +62,7 @@
             Err(refusal) => {
                 // The scheduler has closed the ticket.
                 self.is_open = false;
+                self.desk.forget(self.ticket);
                 Err(refusal)
             }
         }
@@ -65,6 +77,15 @@
         self.server.expect("a lease is handed out once it has a place")
     }
 
+    /// What the scheduler asks of the stream, for the one who relays it.
+    ///
+    /// # Panics
+    /// When it is taken a second time.
+    #[must_use]
+    pub fn take_controls(&mut self) -> mpsc::UnboundedReceiver<Control> {
+        self.controls.take().expect("one relay takes the controls")
+    }
+
     /// The request was written.
     pub fn dispatched(&self) {
         self.desk.note(|scheduler, now| scheduler.dispatched(self.ticket, now));
@@ -122,6 +143,7 @@
 
     fn end(mut self, outcome: Outcome) {
         self.is_open = false;
+        self.desk.forget(self.ticket);
         self.desk.tell(|scheduler, now| scheduler.finished(self.ticket, now, outcome));
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod class_limits;
 pub mod daemon;
 pub mod dispatch;
+mod engine_stream;
 pub mod identity;
 mod load_reports;
 pub mod metrics;
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -22,6 +22,8 @@
     pub silence_ms: u64,
     /// How often in a row a silent or cut stream is resumed without a new token.
     pub resumes_max: u32,
+    /// How long a side call to an engine may take, such as the resume of a stream.
+    pub engine_call_timeout_ms: u64,
     /// How long a call of the order ledger may take.
     pub ledger_timeout_ms: u64,
 }
@@ -32,6 +34,7 @@
             first_silence_ms: 5_000,
             silence_ms: 2_000,
             resumes_max: 3,
+            engine_call_timeout_ms: 2_000,
             ledger_timeout_ms: 2_000,
         }
     }
@@ -46,6 +49,10 @@
         Duration::from_millis(self.silence_ms)
     }
 
+    pub(crate) fn engine_call_timeout(&self) -> Duration {
+        Duration::from_millis(self.engine_call_timeout_ms)
+    }
+
     pub(crate) fn ledger_timeout(&self) -> Duration {
         Duration::from_millis(self.ledger_timeout_ms)
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -192,6 +192,7 @@
     read(reader, "first_silence_ms", MILLISECONDS, &mut waits.first_silence_ms);
     read(reader, "silence_ms", MILLISECONDS, &mut waits.silence_ms);
     read(reader, "resumes_max", COUNT, &mut waits.resumes_max);
+    read(reader, "engine_call_timeout_ms", MILLISECONDS, &mut waits.engine_call_timeout_ms);
     read(reader, "ledger_timeout_ms", MILLISECONDS, &mut waits.ledger_timeout_ms);
 }
 
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -15,6 +15,7 @@
 
 const EVENT_BYTES_MAX: usize = 256 << 10;
 const DONE: &[u8] = b"[DONE]";
+const PAUSED: &[u8] = b"paused";
 
 /// One event of an answer.
 #[derive(Debug)]
@@ -30,6 +31,15 @@
     Done(Bytes),
 }
 
+/// What a read of the stream brings.
+#[derive(Debug)]
+pub(crate) enum Received {
+    /// An event to pass on.
+    Event(Event),
+    /// The engine has paused the answer; it goes on when it is resumed.
+    Paused,
+}
+
 /// Reads the events of one answer.
 #[derive(Debug)]
 pub(crate) struct TokenStream {
@@ -76,7 +86,7 @@
     ///
     /// # Errors
     /// An answer that is cut, crossed or malformed.
-    pub(crate) async fn next(&mut self) -> Option<Result<Event, AttemptError>> {
+    pub(crate) async fn next(&mut self) -> Option<Result<Received, AttemptError>> {
         loop {
             if self.finish == Finish::Done {
                 self.drain().await;
@@ -106,8 +116,11 @@
         }
     }
 
-    fn read(&mut self, raw: Bytes) -> Result<Option<Event>, AttemptError> {
+    fn read(&mut self, raw: Bytes) -> Result<Option<Received>, AttemptError> {
         if let Some(name) = sse::field(&raw, "event") {
+            if name == PAUSED {
+                return Ok(Some(Received::Paused));
+            }
             let name = String::from_utf8_lossy(name);
             return Err(AttemptError::in_doubt(format!("the engine sent the event `{name}`")));
         }
@@ -116,7 +129,7 @@
             return Ok(None);
         };
         if data == DONE {
-            return self.done(raw).map(Some);
+            return self.done(raw).map(|it| Some(Received::Event(it)));
         }
         let chunk = Chunk::parse(data, &self.id)
             .map_err(|fault| AttemptError::in_doubt(fault.to_string()))?;
@@ -124,7 +137,7 @@
             self.finish = Finish::Last;
         }
         self.usage = chunk.usage.or(self.usage);
-        Ok(Some(Event::Chunk { chunk, raw }))
+        Ok(Some(Received::Event(Event::Chunk { chunk, raw })))
     }
 
     fn done(&mut self, raw: Bytes) -> Result<Event, AttemptError> {
