Follow the platform's list, and let no table change bring a leaving server back

Cause: servers of pools with discovery = platform were unknown to the router. Ruled out: taking a server that is missing from the list for gone, because the list lags and comes out of order, and a server that left may return only under a newer incarnation. Change: a reader of the list; server_list holds what table and platform name; an engine's refusal by 4xx is not repeated; an engine may put a word in front of the identity in its events.

--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -232,7 +232,8 @@
     /// Data that is no chat event, or another request's.
     pub fn parse(data: &[u8], id: &str) -> Result<Chunk, ChunkFault> {
         let chunk: Chunk = serde_json::from_slice(data).map_err(|_| ChunkFault::Unreadable)?;
-        if chunk.id != id {
+        // Some engines put a word of their own in front; no other attempt's identity ends so.
+        if !chunk.id.ends_with(id) {
             return Err(ChunkFault::Crossed);
         }
         Ok(chunk)
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -30,6 +30,7 @@
     metrics::Metrics,
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
+    platform,
     readiness::{Readiness, RouterHealth},
     services::Services,
     settings::RouterSettings,
@@ -156,6 +157,12 @@
     ));
     monoio::spawn(load_reports::poll(Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables)));
 
+    if let Some(addr) = settings.platform {
+        let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
+        let period = Duration::from_millis(settings.platform_period_ms);
+        monoio::spawn(platform::follow(addr, period, services, tables));
+    }
+
     let (drain, draining) = signal::signal();
     let (close, closing) = signal::signal();
     let stop = StopSignals { draining, closing };
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 mod desk;
 mod lease;
+mod server_list;
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
 
@@ -15,7 +16,7 @@
 
 use self::desk::Desk;
 pub use self::lease::{Control, Lease, Retried};
-use crate::identity::Workspaces;
+use crate::{identity::Workspaces, platform::ListedVm};
 
 /// Asks a backend server for its health on a new connection.
 pub trait Prober {
@@ -97,6 +98,13 @@
         }
     }
 
+    /// Takes in the platform's list of a pool's servers.
+    pub fn platform_list(&self, pool: &str, vms: &[&ListedVm]) {
+        if let Some(desk) = self.desk(pool) {
+            desk.platform_list(vms);
+        }
+    }
+
     fn desk(&self, pool: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(pool).cloned()
     }
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
-    net::SocketAddr,
     rc::{Rc, Weak},
     time::Instant,
 };
@@ -17,12 +16,17 @@
 use monoio::time;
 use policy::{
     Action, BackendKey, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal,
-    Scheduler, Settings, Sighting, Spec, Ticket, WorkspaceSpec,
+    Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
-use super::{Asked, Control, Lease, Prober, Server, UNKNOWN, revision_number};
-use crate::identity::{ANONYMOUS, Workspaces};
+use super::{
+    Asked, Control, Lease, Prober, Server, UNKNOWN, revision_number, server_list::ServerList,
+};
+use crate::{
+    identity::{ANONYMOUS, Workspaces},
+    platform::ListedVm,
+};
 
 /// Tables count urgency downwards and the scheduler upwards.
 const PRIORITY_TOP: u8 = u8::MAX;
@@ -42,17 +46,10 @@
     pool: String,
     waiting: BTreeMap<Ticket, oneshot::Sender<Placed>>,
     controls: BTreeMap<Ticket, mpsc::UnboundedSender<Control>>,
-    servers: BTreeMap<SocketAddr, Known>,
+    servers: ServerList,
     armed: Option<Instant>,
 }
 
-/// A server that was named at any time.
-struct Known {
-    key: BackendKey,
-    incarnation: u64,
-    is_listed: bool,
-}
-
 impl Desk {
     /// A desk whose timers run until it is dropped.
     pub(super) fn start(
@@ -66,7 +63,7 @@
             pool: String::new(),
             waiting: BTreeMap::new(),
             controls: BTreeMap::new(),
-            servers: BTreeMap::new(),
+            servers: ServerList::default(),
             armed: None,
         };
         let desk = Rc::new(Desk { state: RefCell::new(state), clock, prober, rearm });
@@ -88,7 +85,8 @@
             tracing::error!(pool = %pool.name, %error, "tables not applied");
             return;
         }
-        state.list_servers(now, pool);
+        let State { scheduler, servers, .. } = &mut *state;
+        servers.follow_table(scheduler, now, pool);
         drop(state);
         self.pump();
     }
@@ -156,15 +154,20 @@
     }
 
     pub(super) fn servers(&self) -> Vec<Server> {
-        let state = self.state.borrow();
-        let listed = state.servers.iter().filter(|(_, it)| it.is_listed);
-        listed.map(|(addr, known)| Server { addr: *addr, key: known.key }).collect()
+        self.state.borrow().servers.listed()
+    }
+
+    pub(super) fn platform_list(self: &Rc<Self>, vms: &[&ListedVm]) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let State { scheduler, servers, pool, .. } = &mut *state;
+        servers.follow_platform(scheduler, now, pool, vms);
+        drop(state);
+        self.pump();
     }
 
     pub(super) fn load_report(self: &Rc<Self>, server: &Server, report: &LoadReport) {
-        if let Some(known) = self.state.borrow_mut().servers.get_mut(&server.addr) {
-            known.incarnation = known.incarnation.max(report.incarnation);
-        }
+        self.state.borrow_mut().servers.note_incarnation(server.addr, report.incarnation);
         self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
     }
 
@@ -196,7 +199,7 @@
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
             Action::Dispatch { ticket, backend } => {
-                let server = state.server(backend);
+                let server = state.servers.find(backend);
                 let waiting = state.waiting.remove(&ticket);
                 let taken = waiting.zip(server).map(|(to, server)| to.send(Ok(server)));
                 if !matches!(taken, Some(Ok(()))) {
@@ -220,7 +223,7 @@
     }
 
     fn probe(self: &Rc<Self>, state: &State, backend: BackendKey) {
-        let Some(server) = state.server(backend) else { return };
+        let Some(server) = state.servers.find(backend) else { return };
         let (desk, probe) = (Rc::downgrade(self), self.prober.probe(server.addr));
         monoio::spawn(async move {
             let result = probe.await;
@@ -253,55 +256,6 @@
         self.waiting.insert(ticket, sender);
         receiver
     }
-
-    fn server(&self, key: BackendKey) -> Option<Server> {
-        let (addr, _) = self.servers.iter().find(|(_, it)| it.key == key)?;
-        Some(Server { addr: *addr, key })
-    }
-
-    fn list_servers(&mut self, now: Instant, pool: &Pool) {
-        for server in &pool.servers {
-            self.list(now, server.addr);
-        }
-        let listed = |addr: &SocketAddr| pool.servers.iter().any(|it| it.addr == *addr);
-        let gone: Vec<_> = self.servers.keys().filter(|it| !listed(it)).copied().collect();
-        for addr in gone {
-            self.unlist(now, addr);
-        }
-    }
-
-    fn list(&mut self, now: Instant, addr: SocketAddr) {
-        // A server that comes back into the table counts as restarted, because the scheduler
-        // lets one that has left return only under a newer incarnation.
-        let incarnation = match self.servers.get(&addr) {
-            Some(known) if known.is_listed => return,
-            Some(known) => known.incarnation + 1,
-            None => 0,
-        };
-        let key =
-            self.sight(addr, incarnation, |scheduler, seen| scheduler.backend_seen(now, seen));
-        if let Some(key) = key {
-            self.servers.insert(addr, Known { key, incarnation, is_listed: true });
-        }
-    }
-
-    fn unlist(&mut self, now: Instant, addr: SocketAddr) {
-        let Some(known) = self.servers.get_mut(&addr).filter(|it| it.is_listed) else { return };
-        known.is_listed = false;
-        let incarnation = known.incarnation;
-        self.sight(addr, incarnation, |scheduler, seen| scheduler.backend_leaving(now, seen));
-    }
-
-    fn sight(
-        &mut self,
-        addr: SocketAddr,
-        incarnation: u64,
-        tell: impl FnOnce(&mut Scheduler, &Sighting<'_>) -> Option<BackendKey>,
-    ) -> Option<BackendKey> {
-        let pool = self.scheduler.pool(&self.pool)?;
-        let name = addr.to_string();
-        tell(&mut self.scheduler, &Sighting { name: &name, pool, incarnation })
-    }
 }
 
 /// Wakes the scheduler whenever it has work without an event.
--- /dev/null
+++ b/crates/router/src/dispatch/server_list.rs
@@ -0,0 +1,130 @@
+//! The backend servers of one pool as the table and the platform's list name them.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+
+use policy::{BackendKey, Scheduler, Sighting};
+use tables::Pool;
+
+use super::Server;
+use crate::platform::{ListedVm, VmState};
+
+/// The servers that were named at any time.
+#[derive(Debug, Default)]
+pub(super) struct ServerList {
+    known: BTreeMap<SocketAddr, Known>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    key: BackendKey,
+    incarnation: u64,
+    listing: Listing,
+}
+
+/// Who names a server now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listing {
+    Table,
+    Platform,
+    /// The table did, and does no longer.
+    Removed,
+    /// The platform says that it is leaving, whatever the table says.
+    Leaving,
+}
+
+impl ServerList {
+    pub(super) fn listed(&self) -> Vec<Server> {
+        let named = |it: &Known| matches!(it.listing, Listing::Table | Listing::Platform);
+        let listed = self.known.iter().filter(|(_, it)| named(it));
+        listed.map(|(addr, it)| Server { addr: *addr, key: it.key }).collect()
+    }
+
+    pub(super) fn find(&self, key: BackendKey) -> Option<Server> {
+        let (addr, _) = self.known.iter().find(|(_, it)| it.key == key)?;
+        Some(Server { addr: *addr, key })
+    }
+
+    /// Notes the incarnation that a server reports of itself.
+    pub(super) fn note_incarnation(&mut self, addr: SocketAddr, incarnation: u64) {
+        if let Some(known) = self.known.get_mut(&addr) {
+            known.incarnation = known.incarnation.max(incarnation);
+        }
+    }
+
+    /// Takes in the servers of the table.
+    pub(super) fn follow_table(&mut self, scheduler: &mut Scheduler, now: Instant, pool: &Pool) {
+        for server in &pool.servers {
+            self.list(scheduler, now, &pool.name, server.addr);
+        }
+        let named = |addr: &SocketAddr| pool.servers.iter().any(|it| it.addr == *addr);
+        for (addr, known) in &mut self.known {
+            if known.listing != Listing::Table || named(addr) {
+                continue;
+            }
+            known.listing = Listing::Removed;
+            sight(scheduler, &pool.name, *addr, known.incarnation, |scheduler, seen| {
+                scheduler.backend_leaving(now, seen)
+            });
+        }
+    }
+
+    /// Takes in the platform's list. A server that the table names too goes by what the platform
+    /// says of it.
+    pub(super) fn follow_platform(
+        &mut self,
+        scheduler: &mut Scheduler,
+        now: Instant,
+        pool: &str,
+        vms: &[&ListedVm],
+    ) {
+        for vm in vms {
+            let key =
+                sight(scheduler, pool, vm.addr, vm.incarnation, |scheduler, seen| match vm.state {
+                    VmState::Live => scheduler.backend_seen(now, seen),
+                    VmState::Leaving => scheduler.backend_leaving(now, seen),
+                });
+            let Some(key) = key else { continue };
+            let known = self.known.entry(vm.addr).or_insert(Known {
+                key,
+                incarnation: vm.incarnation,
+                listing: Listing::Platform,
+            });
+            // Old news of a server that has restarted since says nothing.
+            if vm.incarnation >= known.incarnation {
+                known.incarnation = vm.incarnation;
+                known.listing = match (vm.state, known.listing) {
+                    (VmState::Leaving, _) => Listing::Leaving,
+                    (VmState::Live, Listing::Table) => Listing::Table,
+                    (VmState::Live, _) => Listing::Platform,
+                };
+            }
+        }
+    }
+
+    fn list(&mut self, scheduler: &mut Scheduler, now: Instant, pool: &str, addr: SocketAddr) {
+        // A server that comes back into the table counts as restarted, because the scheduler
+        // lets one that has left return only under a newer incarnation.
+        let incarnation = match self.known.get(&addr) {
+            Some(known) if known.listing != Listing::Removed => return,
+            Some(known) => known.incarnation + 1,
+            None => 0,
+        };
+        let key = sight(scheduler, pool, addr, incarnation, |scheduler, seen| {
+            scheduler.backend_seen(now, seen)
+        });
+        if let Some(key) = key {
+            self.known.insert(addr, Known { key, incarnation, listing: Listing::Table });
+        }
+    }
+}
+
+fn sight(
+    scheduler: &mut Scheduler,
+    pool: &str,
+    addr: SocketAddr,
+    incarnation: u64,
+    tell: impl FnOnce(&mut Scheduler, &Sighting<'_>) -> Option<BackendKey>,
+) -> Option<BackendKey> {
+    let pool = scheduler.pool(pool)?;
+    tell(scheduler, &Sighting { name: &addr.to_string(), pool, incarnation })
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod order_ledger;
 pub mod outcome;
 pub mod pipeline;
+pub mod platform;
 pub mod readiness;
 mod refusals;
 pub mod routing;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -39,6 +39,10 @@
     /// The control VMs, those of the own failure domain first; the tables come from files where
     /// there are none.
     pub control: Vec<SocketAddr>,
+    /// Where the platform's list of VMs is asked for, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// Time between two readings of that list.
+    pub platform_period_ms: u64,
     /// Bounds of callers' connections.
     pub server: Server,
     /// Connections to backend servers.
@@ -97,6 +101,8 @@
             drain_delay_ms: 5_000,
             files: Files::default(),
             control: Vec::new(),
+            platform: None,
+            platform_period_ms: 1_000,
             server: Server::default(),
             backends: BackendSettings::default(),
             waits: Waits::default(),
@@ -153,6 +159,12 @@
             workspaces: reader.optional("workspaces_file", FILE),
             command_token: reader.optional("command_token_file", FILE),
         },
+        platform: reader.optional("platform", ADDRESS),
+        platform_period_ms: reader.or_default(
+            "platform_period_ms",
+            MILLISECONDS,
+            default.platform_period_ms,
+        ),
         control: reader.list("control", "addresses and ports separated by commas"),
         ..default
     };
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -1,6 +1,6 @@
 //! The events of one answer as an engine sends them, each checked before it is passed on.
 
-use http::{HeaderValue, header};
+use http::{HeaderValue, StatusCode, header};
 use httpio::{
     Bytes,
     client::{Body, Response},
@@ -70,6 +70,14 @@
         let content_type = response.head.headers.get(header::CONTENT_TYPE);
         let is_stream =
             content_type.is_some_and(|it| it.as_bytes().starts_with(sse::CONTENT_TYPE.as_bytes()));
+        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
+            // Another engine would say the same.
+            return Err(AttemptError {
+                failure: Failure::Other,
+                execution: Execution::Ran,
+                detail: format!("the engine refused the request by {status}"),
+            });
+        }
         if !status.is_success() || !is_stream {
             return Err(AttemptError::in_doubt(format!("the engine answered {status}")));
         }
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -213,6 +213,8 @@
     pub(crate) chat: &'static str,
     /// The router's time.
     pub(crate) clock: Rc<dyn Clock>,
+    /// The platform's list.
+    pub(crate) platform: Option<SocketAddr>,
     /// Further lines of the pool of engines.
     pub(crate) pool: &'static str,
 }
@@ -227,6 +229,7 @@
             backends: BackendSettings::default(),
             chat: "",
             clock: Rc::new(SystemClock),
+            platform: None,
             pool: "",
         }
     }
@@ -248,6 +251,8 @@
                 ..Default::default()
             },
             waits: self.waits,
+            platform: self.platform,
+            platform_period_ms: 10,
             backends: self.backends,
             ..RouterSettings::default()
         };
