--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,248 @@
+//! The model engine: the engine model in real time behind the HTTP interface of an engine.
+
+mod answers;
+mod api;
+mod driver;
+mod state;
+mod streams;
+mod weights;
+
+use std::{cell::RefCell, rc::Rc};
+
+use clock::Clock;
+use engine_model::{CacheSeq, RequestId, SubmitError, prompt_text};
+use futures::{FutureExt, channel::mpsc, future::LocalBoxFuture};
+use httpio::{
+    Method, StatusCode,
+    server::{Reply, Request},
+};
+use monoio::time;
+use serde_json::json;
+
+use self::{
+    api::{
+        CacheEventPage, ChatRequest, KvTransfer, LoadReport, Order, ResumeRequest, StreamReport,
+    },
+    state::State,
+    streams::{Question, Reader},
+};
+use crate::{faults::FaultBoard, front::Service, reply, settings::EngineSettings, stats::Stats};
+
+/// A model engine.
+pub(crate) struct EngineService {
+    settings: EngineSettings,
+    clock: Rc<dyn Clock>,
+    board: Rc<FaultBoard>,
+    state: RefCell<State>,
+    work: RefCell<mpsc::Sender<()>>,
+}
+
+impl EngineService {
+    /// Starts the task that steps the engine.
+    pub(crate) fn start(
+        settings: EngineSettings,
+        clock: Rc<dyn Clock>,
+        board: Rc<FaultBoard>,
+    ) -> Rc<EngineService> {
+        let state = RefCell::new(State::new(&settings, clock.now()));
+        let (work, submitted) = mpsc::channel(0);
+        let work = RefCell::new(work);
+        let service = Rc::new(EngineService { settings, clock, board, state, work });
+        monoio::spawn(driver::drive(Rc::clone(&service), submitted));
+        service
+    }
+
+    async fn route(self: Rc<Self>, request: Request) -> Reply {
+        self.state.borrow_mut().expire(self.clock.now());
+        let path = request.uri.path().to_owned();
+        let parts: Vec<_> = path.split('/').skip(1).collect();
+        match (&request.method, parts.as_slice()) {
+            (&Method::POST, ["v1", "chat", "completions"]) => self.chat(request).await,
+            (&Method::POST, ["v1", "streams", name, "pause"]) => self.pause(name),
+            (&Method::POST, ["v1", "streams", name, "resume"]) => self.resume(name, request).await,
+            (&Method::DELETE, ["v1", "streams", name]) => self.cancel(name),
+            (&Method::GET, ["v1", "kv", name]) => self.export(name),
+            (&Method::POST, ["v1", "kv"]) => self.import(&request),
+            (&Method::GET, ["v1", "load"]) => self.load(),
+            (&Method::GET, ["v1", "cache", "events"]) => self.cache_events(&request),
+            (&Method::GET, ["v1", "orders"]) => reply::ok(&self.state.borrow().weights),
+            (&Method::POST, ["v1", "orders"]) => self.order(&request).await,
+            _ => reply::not_found(),
+        }
+    }
+
+    async fn chat(self: Rc<Self>, request: Request) -> Reply {
+        let asked: ChatRequest = match reply::body(&request) {
+            Ok(asked) => asked,
+            Err(error) => return error.into(),
+        };
+        if !self.state.borrow().weights.serves(&asked.model) {
+            let message = "this model is not loaded: send the request to another engine";
+            return reply::not_started(StatusCode::NOT_FOUND, "model-not-loaded", message);
+        }
+        let reader = match self.submit(&request, &asked) {
+            Ok(reader) => reader,
+            Err(error) => return refusal(error),
+        };
+        if asked.stream {
+            return self.stream(reader, 0, request.gone).await;
+        }
+        self.whole(reader, request.gone).await
+    }
+
+    fn submit(&self, request: &Request, asked: &ChatRequest) -> Result<Reader, SubmitError> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let given = request.header(reply::REQUEST_ID).map(str::to_owned);
+        let name = given.unwrap_or_else(|| format!("standin-{}", state.stats.requests_started + 1));
+        let question = Question {
+            name,
+            model: asked.model.clone(),
+            prompt: prompt_text(asked.messages.iter().map(|it| it.content.as_str())),
+            max_tokens: asked.max_tokens,
+        };
+        let id = state.submit(question, asked.priority, now)?;
+        if self.board.take_cross() {
+            state.cross(id);
+        }
+        self.wake();
+        // The stream was put there just now.
+        state.streams.attach(id).ok_or(SubmitError::DuplicateId)
+    }
+
+    fn pause(&self, name: &str) -> Reply {
+        let mut state = self.state.borrow_mut();
+        let paused = state.streams.find(name).and_then(|id| state.pause(id, self.clock.now()));
+        progress_reply(name, paused)
+    }
+
+    async fn resume(self: Rc<Self>, name: &str, request: Request) -> Reply {
+        let ResumeRequest { from_token } = match reply::body(&request) {
+            Ok(body) => body,
+            Err(error) => return error.into(),
+        };
+        let Some(id) = self.state.borrow().streams.find(name) else { return no_stream() };
+        let produced_tokens = self.state.borrow().streams.by_id[&id].produced_tokens;
+        if from_token > produced_tokens {
+            let message = format!("resume from token {produced_tokens} or before");
+            return reply::error(StatusCode::CONFLICT, "not-made-yet", &message);
+        }
+        let resumed = self.state.borrow_mut().resume(id, self.clock.now());
+        let Some(reader) = resumed else { return no_stream() };
+        self.wake();
+        self.stream(reader, from_token, request.gone).await
+    }
+
+    fn cancel(&self, name: &str) -> Reply {
+        let mut state = self.state.borrow_mut();
+        let cancelled = state.streams.find(name).and_then(|id| state.cancel(id, self.clock.now()));
+        progress_reply(name, cancelled)
+    }
+
+    fn export(&self, name: &str) -> Reply {
+        let state = self.state.borrow();
+        let exported = state.streams.find(name).and_then(|id: RequestId| state.export(id));
+        exported.map_or_else(no_stream, |it| reply::ok(&it))
+    }
+
+    fn import(&self, request: &Request) -> Reply {
+        let transfer: KvTransfer = match reply::body(request) {
+            Ok(transfer) => transfer,
+            Err(error) => return error.into(),
+        };
+        let name = transfer.request_id.clone();
+        match self.state.borrow_mut().import(transfer, self.clock.now()) {
+            Ok(produced_tokens) => progress_reply(&name, Some(produced_tokens)),
+            Err(error) => refusal(error),
+        }
+    }
+
+    fn load(&self) -> Reply {
+        let (load, age) = self.state.borrow().seen_load(self.clock.now());
+        reply::ok(&LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            paused: load.paused,
+            kv_used_permille: load.kv_used_permille,
+            step_us: load.step.as_micros() as u64,
+            batch_max: load.batch_max,
+            age_ms: age.as_millis() as u64,
+            incarnation: self.settings.incarnation,
+        })
+    }
+
+    fn cache_events(&self, request: &Request) -> Reply {
+        let since = reply::query(request, "since").map_or(Ok(1), str::parse);
+        let Ok(since) = since else {
+            let message = "write since as the number that `next` gave";
+            return reply::error(StatusCode::BAD_REQUEST, "bad-since", message);
+        };
+        let page = self.state.borrow().seen_cache_events(CacheSeq(since), self.clock.now());
+        reply::ok(&CacheEventPage { events: page.events, next: page.next, gap: page.gap })
+    }
+
+    async fn order(&self, request: &Request) -> Reply {
+        let order: Order = match reply::body(request) {
+            Ok(order) => order,
+            Err(error) => return error.into(),
+        };
+        if let Err(stale) = self.state.borrow().weights.check(&order) {
+            return reply::json(StatusCode::CONFLICT, &stale);
+        }
+        time::sleep(self.settings.order_work()).await;
+        // A newer order may have come meanwhile.
+        let mut state = self.state.borrow_mut();
+        match state.weights.apply(order) {
+            Ok(()) => reply::ok(&state.weights),
+            Err(stale) => reply::json(StatusCode::CONFLICT, &stale),
+        }
+    }
+
+    fn wake(&self) {
+        // A full channel means that the driver has not looked since the last request.
+        let _ = self.work.borrow_mut().try_send(());
+    }
+}
+
+impl Service for EngineService {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, Reply> {
+        self.route(request).boxed_local()
+    }
+
+    fn stats(&self) -> Stats {
+        self.state.borrow_mut().expire(self.clock.now());
+        self.state.borrow().counted()
+    }
+
+    fn faults_changed(&self) {
+        let slowdown_permille = self.board.faults().slowdown_permille;
+        self.state.borrow_mut().engine.set_slowdown_permille(slowdown_permille);
+    }
+}
+
+fn progress_reply(name: &str, produced_tokens: Option<u32>) -> Reply {
+    match produced_tokens {
+        Some(produced_tokens) => reply::ok(&StreamReport { id: name, produced_tokens }),
+        None => no_stream(),
+    }
+}
+
+fn no_stream() -> Reply {
+    let message = "no such stream: it has ended or was never here";
+    reply::error(StatusCode::NOT_FOUND, "no-such-stream", message)
+}
+
+fn refusal(error: SubmitError) -> Reply {
+    let message = error.to_string();
+    match error {
+        SubmitError::QueueFull => {
+            reply::not_started(StatusCode::SERVICE_UNAVAILABLE, "queue-full", &message)
+        }
+        SubmitError::TooLarge => reply::not_started(StatusCode::BAD_REQUEST, "too-large", &message),
+        // The request of this id may well be running, so this is no proof that it has not.
+        SubmitError::DuplicateId => {
+            let body = json!({ "error": { "code": "duplicate-id", "message": message } });
+            reply::json(StatusCode::CONFLICT, &body)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/driver.rs
@@ -0,0 +1,89 @@
+//! Lets the engine's steps take their time.
+
+use std::{future::poll_fn, rc::Rc, task::Poll, time::Duration};
+
+use engine_model::StepReport;
+use futures::{FutureExt, StreamExt, channel::mpsc, pin_mut, select};
+use monoio::time;
+
+use super::EngineService;
+
+/// A driver this far behind starts anew from the present in place of catching up.
+const CATCH_UP_MAX: Duration = Duration::from_millis(100);
+
+/// Steps the engine for as long as the server runs.
+pub(super) async fn drive(service: Rc<EngineService>, mut work: mpsc::Receiver<()>) {
+    let mut due = time::Instant::now();
+    loop {
+        service.expire();
+        if service.is_idle() {
+            if !wait_for_work(&service, &mut work).await {
+                return;
+            }
+            due = time::Instant::now();
+            continue;
+        }
+        let report = service.step();
+        if due.elapsed() > CATCH_UP_MAX {
+            due = time::Instant::now();
+        }
+        due += service.settings.scaled(report.duration);
+        time::sleep_until(due).await;
+        // A sleep that is due already does not yield, and the connections need their turn.
+        yield_now().await;
+        if service.board.crashed.is_raised() {
+            return;
+        }
+        service.finish_step(&report);
+    }
+}
+
+async fn yield_now() {
+    let mut yielded = false;
+    poll_fn(|ctx| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        ctx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// Waits until something is submitted; `false` if the server crashed.
+async fn wait_for_work(service: &EngineService, work: &mut mpsc::Receiver<()>) -> bool {
+    let crashed = service.board.crashed.raised().fuse();
+    pin_mut!(crashed);
+    select! {
+        () = crashed => false,
+        work = work.next() => work.is_some(),
+    }
+}
+
+impl EngineService {
+    fn is_idle(&self) -> bool {
+        self.state.borrow().engine.is_idle()
+    }
+
+    fn step(&self) -> StepReport {
+        self.state.borrow_mut().engine.step()
+    }
+
+    fn finish_step(&self, report: &StepReport) {
+        self.state.borrow_mut().advance(report, self.clock.now());
+        if report.admitted.iter().any(|id| self.is_crasher(*id)) {
+            self.board.crash();
+        }
+    }
+
+    fn is_crasher(&self, id: engine_model::RequestId) -> bool {
+        let state = self.state.borrow();
+        let stream = state.streams.by_id.get(&id);
+        stream.is_some_and(|it| self.board.crashes_on(&it.question.prompt))
+    }
+
+    fn expire(&self) {
+        self.state.borrow_mut().expire(self.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,260 @@
+//! The engine's state and every change of it; nothing here waits or writes to a connection.
+
+use std::time::{Duration, Instant};
+
+use engine_model::{
+    CacheEvents, CacheSeq, Engine, EngineLoad, KvExport, Priority, RequestId, StepReport,
+    SubmitError,
+};
+
+use super::{
+    api::KvTransfer,
+    streams::{Phase, Question, Reader, Shown, Stream, Streams},
+    weights::Weights,
+};
+use crate::{lagged::Lagged, settings::EngineSettings, stats::Stats};
+
+/// Everything that requests change.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) engine: Engine,
+    pub(crate) streams: Streams,
+    pub(crate) weights: Weights,
+    pub(crate) stats: Stats,
+    load: Lagged<EngineLoad>,
+    cache_end: Lagged<CacheSeq>,
+    lost_cache_event_every: u64,
+    detached_keep: Duration,
+    block_tokens: u32,
+}
+
+impl State {
+    pub(crate) fn new(settings: &EngineSettings, now: Instant) -> State {
+        let engine = Engine::new(settings.model.clone());
+        State {
+            load: Lagged::new(settings.report_lag(), now, engine.load()),
+            cache_end: Lagged::new(settings.cache_event_lag(), now, CacheSeq(1)),
+            engine,
+            streams: Streams::default(),
+            weights: Weights::new(&settings.models, settings.fencing),
+            stats: Stats::default(),
+            lost_cache_event_every: settings.lost_cache_event_every,
+            detached_keep: settings.detached_keep(),
+            block_tokens: settings.model.block_tokens,
+        }
+    }
+
+    /// Takes a question into the waiting queue.
+    ///
+    /// # Errors
+    /// Those of the engine; nothing has started then.
+    pub(crate) fn submit(
+        &mut self,
+        question: Question,
+        priority: Priority,
+        now: Instant,
+    ) -> Result<RequestId, SubmitError> {
+        self.check_name(&question.name, now)?;
+        let id = self.streams.next_id();
+        let submitted = self.engine.submit(question.spec(id, priority, self.block_tokens));
+        if let Err(error) = submitted {
+            self.stats.requests_refused += 1;
+            return Err(error);
+        }
+        self.stats.requests_started += 1;
+        let shown = Shown::new(&question);
+        self.streams.insert(id, Stream::new(question, shown, Phase::Active, now));
+        self.record(now);
+        Ok(id)
+    }
+
+    /// Shows the caller of `id` another request's name and content.
+    pub(crate) fn cross(&mut self, id: RequestId) {
+        let other = match self.streams.other(id) {
+            Some(other) => other.question.clone(),
+            None => stranger(),
+        };
+        let Some(stream) = self.streams.by_id.get_mut(&id) else { return };
+        stream.shown = Shown::new(&other).into();
+        self.stats.answers_crossed += 1;
+    }
+
+    /// Notes the tokens of a step that has taken its time.
+    pub(crate) fn advance(&mut self, report: &StepReport, now: Instant) {
+        self.stats.prefill_tokens += u64::from(report.prefill_tokens);
+        self.stats.cached_tokens += u64::from(report.cached_tokens);
+        for emitted in &report.tokens {
+            self.stats.tokens_generated += u64::from(emitted.count);
+            let Some(stream) = self.streams.by_id.get_mut(&emitted.id) else {
+                // The stream was cancelled while the step took its time.
+                self.stats.tokens_wasted += u64::from(emitted.count);
+                continue;
+            };
+            stream.produced_tokens += emitted.count;
+            stream.notify();
+        }
+        for id in &report.finished {
+            let Some(stream) = self.streams.by_id.get_mut(id) else { continue };
+            self.stats.requests_finished += 1;
+            stream.phase = Phase::Finished;
+            stream.notify();
+        }
+        self.record(now);
+    }
+
+    /// Pauses a stream; its reader is told. Returns the tokens made so far.
+    pub(crate) fn pause(&mut self, id: RequestId, now: Instant) -> Option<u32> {
+        let stream = self.streams.by_id.get_mut(&id)?;
+        if stream.phase == Phase::Active {
+            self.engine.pause(id);
+            stream.phase = Phase::Paused;
+            stream.notify();
+        }
+        let produced_tokens = stream.produced_tokens;
+        self.record(now);
+        Some(produced_tokens)
+    }
+
+    /// Makes the caller the reader of a stream and lets it go on.
+    pub(crate) fn resume(&mut self, id: RequestId, now: Instant) -> Option<Reader> {
+        let stream = self.streams.by_id.get_mut(&id)?;
+        if stream.phase == Phase::Paused {
+            self.engine.resume(id);
+            stream.phase = Phase::Active;
+        }
+        self.record(now);
+        self.streams.attach(id)
+    }
+
+    /// Keeps a stream whose reader has gone, paused, for a resume.
+    pub(crate) fn abandon(&mut self, reader: &Reader, now: Instant) {
+        if self.streams.detach(reader, now) {
+            self.pause(reader.id, now);
+        }
+    }
+
+    /// Forgets a stream whose answer was delivered.
+    pub(crate) fn deliver(&mut self, reader: &Reader) {
+        if self.streams.progress(reader).is_some() {
+            self.streams.remove(reader.id);
+        }
+    }
+
+    /// Forgets a stream and counts its tokens as wasted; returns them.
+    pub(crate) fn cancel(&mut self, id: RequestId, now: Instant) -> Option<u32> {
+        let stream = self.streams.remove(id)?;
+        self.engine.cancel(id);
+        if stream.phase != Phase::Finished {
+            self.stats.requests_cancelled += 1;
+        }
+        self.stats.tokens_wasted += u64::from(stream.produced_tokens);
+        self.record(now);
+        Some(stream.produced_tokens)
+    }
+
+    /// Cancels the streams for which nobody came back.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let Some(limit) = now.checked_sub(self.detached_keep) else { return };
+        for id in self.streams.detached_before(limit) {
+            self.cancel(id, now);
+        }
+    }
+
+    /// Copies a stream that the engine has not finished.
+    pub(crate) fn export(&self, id: RequestId) -> Option<KvTransfer> {
+        let stream = self.streams.by_id.get(&id)?;
+        // The engine may be a step ahead of what its time has allowed to be shown.
+        let engine = self.engine.export(id)?;
+        let produced_tokens = stream.produced_tokens;
+        let ahead_tokens = engine.produced_tokens - produced_tokens;
+        let kv_tokens = engine.kv_tokens.saturating_sub(ahead_tokens);
+        let Question { name, model, prompt, max_tokens } = stream.question.clone();
+        Some(KvTransfer {
+            request_id: name,
+            model,
+            prompt,
+            max_tokens,
+            export: KvExport { produced_tokens, kv_tokens, ..engine },
+        })
+    }
+
+    /// Takes over another engine's stream, paused until it is resumed.
+    ///
+    /// # Errors
+    /// Those of the engine; nothing has started then.
+    pub(crate) fn import(
+        &mut self,
+        transfer: KvTransfer,
+        now: Instant,
+    ) -> Result<u32, SubmitError> {
+        let KvTransfer { request_id: name, model, prompt, max_tokens, export } = transfer;
+        self.check_name(&name, now)?;
+        let question = Question { name, model, prompt, max_tokens };
+        let id = self.streams.next_id();
+        let spec = question.spec(id, export.spec.priority, self.block_tokens);
+        let produced_tokens = export.produced_tokens.min(spec.output_tokens);
+        self.engine.import(KvExport { spec, produced_tokens, ..export })?;
+        self.engine.pause(id);
+        let shown = Shown::new(&question);
+        let mut stream = Stream::new(question, shown, Phase::Paused, now);
+        stream.produced_tokens = produced_tokens;
+        self.streams.insert(id, stream);
+        self.stats.requests_started += 1;
+        self.record(now);
+        Ok(produced_tokens)
+    }
+
+    /// The load as a report of the past shows it, and its age.
+    pub(crate) fn seen_load(&self, now: Instant) -> (EngineLoad, Duration) {
+        let (load, age) = self.load.seen(now);
+        (*load, age)
+    }
+
+    /// The cache events that have arrived by now, without the lost ones.
+    pub(crate) fn seen_cache_events(&self, since: CacheSeq, now: Instant) -> CacheEvents {
+        let end = *self.cache_end.seen(now).0;
+        let mut page = self.engine.cache_events(since);
+        let every = self.lost_cache_event_every;
+        page.events.retain(|it| it.seq < end && (every == 0 || it.seq.0 % every != 0));
+        page.next = page.next.min(end.max(since));
+        page
+    }
+
+    pub(crate) fn counted(&self) -> Stats {
+        Stats {
+            tokens_detached: self.streams.detached_tokens(),
+            stale_orders_applied: self.weights.stale_applied,
+            ..self.stats
+        }
+    }
+
+    /// Frees a name whose request has finished; a caller may use it again at once.
+    fn check_name(&mut self, name: &str, now: Instant) -> Result<(), SubmitError> {
+        let Some(id) = self.streams.find(name) else { return Ok(()) };
+        let stream = &self.streams.by_id[&id];
+        if stream.phase != Phase::Finished {
+            return Err(SubmitError::DuplicateId);
+        }
+        if stream.is_detached() {
+            self.cancel(id, now);
+        }
+        self.streams.remove(id);
+        Ok(())
+    }
+
+    fn record(&mut self, now: Instant) {
+        self.load.set(now, self.engine.load());
+        let end = self.engine.cache_events(CacheSeq(u64::MAX)).next;
+        self.cache_end.set(now, end);
+    }
+}
+
+/// A request that this engine never had, for a crossed answer with nobody to cross with.
+fn stranger() -> Question {
+    Question {
+        name: "stranger".to_owned(),
+        model: "stranger".to_owned(),
+        prompt: "a question of somebody else".to_owned(),
+        max_tokens: 16,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/streams.rs
@@ -0,0 +1,204 @@
+//! The streams of an engine: what each answers, how far it is and who reads it.
+
+use std::{collections::BTreeMap, rc::Rc, time::Instant};
+
+use engine_model::{Priority, RequestId, RequestSpec, answer, prefix_blocks, token_count};
+use futures::channel::mpsc;
+
+use super::api::{FinishReason, Usage};
+
+/// What a stream was asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Question {
+    pub(crate) name: String,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u32,
+}
+
+impl Question {
+    pub(crate) fn spec(&self, id: RequestId, priority: Priority, block_tokens: u32) -> RequestSpec {
+        let output_tokens = answer::unlimited_length(&self.model, &self.prompt);
+        RequestSpec {
+            id,
+            prompt_tokens: token_count(&self.prompt),
+            prefix: prefix_blocks(&self.prompt, block_tokens),
+            output_tokens: output_tokens.min(self.max_tokens).max(1),
+            priority,
+        }
+    }
+}
+
+/// What the caller of a stream is shown; a crossed answer shows another request's.
+#[derive(Debug)]
+pub(crate) struct Shown {
+    pub(crate) name: String,
+    pub(crate) model: String,
+    pub(crate) tokens: Vec<String>,
+    pub(crate) finish: FinishReason,
+    pub(crate) prompt_tokens: u32,
+}
+
+impl Shown {
+    pub(crate) fn new(question: &Question) -> Shown {
+        let Question { name, model, prompt, max_tokens } = question;
+        let unlimited = answer::unlimited_length(model, prompt);
+        let finish =
+            if unlimited > *max_tokens { FinishReason::Length } else { FinishReason::Stop };
+        Shown {
+            name: name.clone(),
+            model: model.clone(),
+            tokens: answer::tokens(model, prompt, *max_tokens),
+            finish,
+            prompt_tokens: token_count(prompt),
+        }
+    }
+
+    pub(crate) fn usage(&self) -> Usage {
+        let completion_tokens = self.tokens.len() as u32;
+        Usage { prompt_tokens: self.prompt_tokens, completion_tokens }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Active,
+    Paused,
+    /// The engine has made all tokens; the reader may not have taken them.
+    Finished,
+}
+
+/// One stream.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) question: Question,
+    pub(crate) shown: Rc<Shown>,
+    pub(crate) produced_tokens: u32,
+    pub(crate) phase: Phase,
+    reader: Option<mpsc::Sender<()>>,
+    reader_no: u64,
+    /// Since when nobody reads.
+    detached_at: Option<Instant>,
+}
+
+/// A reader's claim on a stream; a later reader takes it over.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    pub(crate) id: RequestId,
+    pub(crate) shown: Rc<Shown>,
+    reader_no: u64,
+    /// What the reader found last.
+    pub(crate) seen_tokens: u32,
+    pub(crate) changed: mpsc::Receiver<()>,
+}
+
+/// What a reader finds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Progress {
+    pub(crate) produced_tokens: u32,
+    pub(crate) phase: Phase,
+}
+
+impl Stream {
+    pub(crate) fn new(question: Question, shown: Shown, phase: Phase, now: Instant) -> Stream {
+        Stream {
+            question,
+            shown: Rc::new(shown),
+            produced_tokens: 0,
+            phase,
+            reader: None,
+            reader_no: 0,
+            detached_at: Some(now),
+        }
+    }
+
+    /// Whether nobody reads.
+    pub(crate) fn is_detached(&self) -> bool {
+        self.detached_at.is_some()
+    }
+
+    pub(crate) fn notify(&mut self) {
+        if let Some(reader) = &mut self.reader {
+            // A full channel means that the reader has not looked since the last change.
+            let _ = reader.try_send(());
+        }
+    }
+}
+
+/// All streams of an engine.
+#[derive(Debug, Default)]
+pub(crate) struct Streams {
+    pub(crate) by_id: BTreeMap<RequestId, Stream>,
+    by_name: BTreeMap<String, RequestId>,
+    last_id: u64,
+}
+
+impl Streams {
+    pub(crate) fn next_id(&mut self) -> RequestId {
+        self.last_id += 1;
+        RequestId(self.last_id)
+    }
+
+    pub(crate) fn find(&self, name: &str) -> Option<RequestId> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn insert(&mut self, id: RequestId, stream: Stream) {
+        self.by_name.insert(stream.question.name.clone(), id);
+        self.by_id.insert(id, stream);
+    }
+
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Stream> {
+        let stream = self.by_id.remove(&id)?;
+        self.by_name.remove(&stream.question.name);
+        Some(stream)
+    }
+
+    /// Makes the caller the only reader of a stream.
+    pub(crate) fn attach(&mut self, id: RequestId) -> Option<Reader> {
+        let stream = self.by_id.get_mut(&id)?;
+        let (sender, changed) = mpsc::channel(0);
+        // The one before finds its channel closed.
+        stream.reader = Some(sender);
+        stream.reader_no += 1;
+        stream.detached_at = None;
+        let shown = Rc::clone(&stream.shown);
+        Some(Reader { id, shown, reader_no: stream.reader_no, seen_tokens: 0, changed })
+    }
+
+    /// Gives up a claim at `now`; `false` if a later reader or nobody holds it.
+    pub(crate) fn detach(&mut self, reader: &Reader, now: Instant) -> bool {
+        let Some(stream) = self.held(reader) else { return false };
+        stream.reader = None;
+        stream.detached_at = Some(now);
+        true
+    }
+
+    /// How far the stream is, unless a later reader took it over or it was cancelled.
+    pub(crate) fn progress(&mut self, reader: &Reader) -> Option<Progress> {
+        let stream = self.held(reader)?;
+        Some(Progress { produced_tokens: stream.produced_tokens, phase: stream.phase })
+    }
+
+    /// Another stream than `except`, the newest.
+    pub(crate) fn other(&self, except: RequestId) -> Option<&Stream> {
+        self.by_id.iter().rev().find(|(id, _)| **id != except).map(|(_, stream)| stream)
+    }
+
+    /// The streams that nobody has read since before `limit`.
+    pub(crate) fn detached_before(&self, limit: Instant) -> Vec<RequestId> {
+        let old = |it: &Stream| it.detached_at.is_some_and(|at| at < limit);
+        self.by_id.iter().filter(|(_, it)| old(it)).map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn detached_tokens(&self) -> u64 {
+        let detached = self.by_id.values().filter(|it| it.is_detached());
+        detached.map(|it| u64::from(it.produced_tokens)).sum()
+    }
+
+    fn held(&mut self, reader: &Reader) -> Option<&mut Stream> {
+        let stream = self.by_id.get_mut(&reader.id)?;
+        let holds = stream.reader.is_some() && stream.reader_no == reader.reader_no;
+        holds.then_some(stream)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/weights.rs
@@ -0,0 +1,73 @@
+//! Orders to load and unload models or to change role, guarded by a fencing number or not.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::api::{Order, OrderKind};
+use crate::settings::Fencing;
+
+/// What the orders so far have made of the engine.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct Weights {
+    /// The highest fencing number seen.
+    pub(crate) fencing: u64,
+    pub(crate) applied: u64,
+    pub(crate) stale_applied: u64,
+    pub(crate) role: String,
+    /// Versions of the loaded models; none loaded at all means that every model is served.
+    pub(crate) models: BTreeMap<String, String>,
+    #[serde(skip)]
+    rule: Fencing,
+}
+
+/// The order's number is old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct StaleOrder {
+    pub(crate) fencing: u64,
+}
+
+impl Weights {
+    pub(crate) fn new(models: &[String], rule: Fencing) -> Weights {
+        Weights {
+            fencing: 0,
+            applied: 0,
+            stale_applied: 0,
+            role: String::new(),
+            models: models.iter().map(|it| (it.clone(), String::new())).collect(),
+            rule,
+        }
+    }
+
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.models.is_empty() || self.models.contains_key(model)
+    }
+
+    pub(crate) fn check(&self, order: &Order) -> Result<(), StaleOrder> {
+        if self.rule == Fencing::Enforced && order.fencing < self.fencing {
+            return Err(StaleOrder { fencing: self.fencing });
+        }
+        Ok(())
+    }
+
+    pub(crate) fn apply(&mut self, order: Order) -> Result<(), StaleOrder> {
+        self.check(&order)?;
+        self.applied += 1;
+        if order.fencing < self.fencing {
+            self.stale_applied += 1;
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        match order.kind {
+            OrderKind::Load => {
+                self.models.insert(order.model, order.version);
+            }
+            OrderKind::Unload => {
+                self.models.remove(&order.model);
+            }
+            OrderKind::Role => self.role = order.role,
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/faults.rs
@@ -0,0 +1,206 @@
+//! The faults of a stand-in, and the board on which they are set at run time.
+
+use std::{
+    cell::{Cell, Ref, RefCell},
+    net::SocketAddr,
+};
+
+use derive_more::FromStr;
+use futures::{FutureExt, pin_mut, select};
+use httpio::signal::{Signal, Trigger, signal};
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{FrontKind, OnCrash};
+
+/// Exit code of a stand-in that a fault crashed.
+const CRASH_EXIT_CODE: i32 = 101;
+
+/// What goes wrong; the default is a healthy server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields, default)]
+pub struct Faults {
+    /// The server crashes when it starts a request whose text contains this.
+    pub crash_marker: Option<String>,
+    /// Requests are read and never answered.
+    pub stall: bool,
+    /// Requests are refused before they start.
+    pub refuse: bool,
+    /// Time of the work against a healthy server's: 1,000 is healthy, 4,000 a straggler.
+    pub slowdown_permille: u64,
+    /// Answers end after this many tokens.
+    pub cut_after_tokens: Option<u32>,
+    /// How a cut answer ends.
+    pub cut_style: CutStyle,
+    /// This many of the next answers carry another request's id and content.
+    pub cross_answers: u32,
+    /// This many of the next orders are executed, and then their connection is closed.
+    pub lose_answers: u32,
+    /// How replies declare their length.
+    pub framing: Framing,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Faults {
+            crash_marker: None,
+            stall: false,
+            refuse: false,
+            slowdown_permille: 1_000,
+            cut_after_tokens: None,
+            cut_style: CutStyle::Connection,
+            cross_answers: 0,
+            lose_answers: 0,
+            framing: Framing::Right,
+        }
+    }
+}
+
+/// How a cut answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum CutStyle {
+    /// The connection closes before the end of the body.
+    Connection,
+    /// The body ends as if it were whole, without the stream's last events.
+    Body,
+}
+
+/// How replies declare their length; the wrong ways need [`FrontKind::Relay`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Framing {
+    /// As they should.
+    Right,
+    /// With neither a content length nor chunked coding; the body ends with the connection.
+    NoLength,
+    /// With a content length and chunked coding.
+    LengthAndChunked,
+    /// With two content lengths that differ.
+    TwoLengths,
+}
+
+/// The faults in force and the switches that stop the server.
+#[derive(Debug)]
+pub(crate) struct FaultBoard {
+    faults: RefCell<Faults>,
+    front: FrontKind,
+    on_crash: OnCrash,
+    silences: Cell<u64>,
+    /// The connection that asked for the newest silence, as the server sees it.
+    spared: Cell<Option<SocketAddr>>,
+    crash: RefCell<Option<Trigger>>,
+    close: RefCell<Option<Trigger>>,
+    pub(crate) crashed: Signal,
+    pub(crate) closing: Signal,
+}
+
+impl FaultBoard {
+    pub(crate) fn new(faults: Faults, front: FrontKind, on_crash: OnCrash) -> FaultBoard {
+        let (crash, crashed) = signal();
+        let (close, closing) = signal();
+        FaultBoard {
+            faults: RefCell::new(faults),
+            front,
+            on_crash,
+            silences: Cell::new(0),
+            spared: Cell::new(None),
+            crash: RefCell::new(Some(crash)),
+            close: RefCell::new(Some(close)),
+            crashed,
+            closing,
+        }
+    }
+
+    pub(crate) fn faults(&self) -> Ref<'_, Faults> {
+        self.faults.borrow()
+    }
+
+    /// Replaces all faults.
+    ///
+    /// # Errors
+    /// Names the remedy if this server can't have them.
+    pub(crate) fn set(&self, faults: Faults) -> Result<(), &'static str> {
+        if faults.framing != Framing::Right && self.front == FrontKind::Direct {
+            return Err("start the stand-in with front=relay to set framing");
+        }
+        *self.faults.borrow_mut() = faults;
+        Ok(())
+    }
+
+    /// Makes every open connection but `spared` silent for good; connections opened later work.
+    ///
+    /// # Errors
+    /// Names the remedy if this server can't do it.
+    pub(crate) fn silence(&self, spared: SocketAddr) -> Result<(), &'static str> {
+        if self.front == FrontKind::Direct {
+            return Err("start the stand-in with front=relay to silence connections");
+        }
+        self.silences.set(self.silences.get() + 1);
+        self.spared.set(Some(spared));
+        Ok(())
+    }
+
+    /// Counts the silences so far.
+    pub(crate) fn silences(&self) -> u64 {
+        self.silences.get()
+    }
+
+    /// Whether a connection that was opened after `silences` silences from `addr` is silent.
+    pub(crate) fn is_silent(&self, silences: u64, addr: SocketAddr) -> bool {
+        self.silences.get() > silences && self.spared.get() != Some(addr)
+    }
+
+    /// Takes one of the answers that are to be crossed.
+    pub(crate) fn take_cross(&self) -> bool {
+        take_one(&mut self.faults.borrow_mut().cross_answers)
+    }
+
+    /// Takes one of the answers that are to be lost.
+    pub(crate) fn take_loss(&self) -> bool {
+        take_one(&mut self.faults.borrow_mut().lose_answers)
+    }
+
+    pub(crate) fn crashes_on(&self, text: &str) -> bool {
+        let faults = self.faults.borrow();
+        faults.crash_marker.as_deref().is_some_and(|it| !it.is_empty() && text.contains(it))
+    }
+
+    /// Ends the process, or all connections and the listener.
+    pub(crate) fn crash(&self) {
+        tracing::warn!(event = "crash");
+        match self.on_crash {
+            OnCrash::ExitProcess => std::process::exit(CRASH_EXIT_CODE),
+            OnCrash::CloseAll => {
+                raise(&self.crash);
+                self.close();
+            }
+        }
+    }
+
+    /// Closes the listener; requests in flight are finished.
+    pub(crate) fn close(&self) {
+        raise(&self.close);
+    }
+
+    /// Waits until the caller has gone or the server stops.
+    pub(crate) async fn hang(&self, gone: &Signal) {
+        let gone = gone.raised().fuse();
+        let closing = self.closing.raised().fuse();
+        pin_mut!(gone, closing);
+        select! { () = gone => {}, () = closing => {} }
+    }
+}
+
+fn take_one(left: &mut u32) -> bool {
+    let takes = *left > 0;
+    *left = left.saturating_sub(1);
+    takes
+}
+
+fn raise(trigger: &RefCell<Option<Trigger>>) {
+    if let Some(trigger) = trigger.borrow_mut().take() {
+        trigger.raise();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lagged.rs
@@ -0,0 +1,54 @@
+//! Values that readers see with a lag, as reports of real systems are seen.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Samples closer together than the lag divided by this are merged, which bounds the memory.
+const SAMPLES_PER_LAG: u32 = 64;
+
+/// A value whose readers see what it was `lag` ago.
+#[derive(Debug, Clone)]
+pub struct Lagged<T> {
+    lag: Duration,
+    samples: VecDeque<(Instant, T)>,
+}
+
+impl<T> Lagged<T> {
+    /// A value that is seen at once until it changes for the first time.
+    pub fn new(lag: Duration, now: Instant, value: T) -> Lagged<T> {
+        Lagged { lag, samples: VecDeque::from([(now, value)]) }
+    }
+
+    /// Changes the value; readers see the change after the lag.
+    pub fn set(&mut self, now: Instant, value: T) {
+        self.forget_before(now);
+        let spacing = self.lag / SAMPLES_PER_LAG;
+        let len = self.samples.len();
+        let merges = len > 2 && now.duration_since(self.samples[len - 2].0) < spacing;
+        if merges {
+            self.samples.pop_back();
+        }
+        self.samples.push_back((now, value));
+    }
+
+    /// The value as readers see it, and how long ago it was true at least.
+    pub fn seen(&self, now: Instant) -> (&T, Duration) {
+        let newest = self.samples.iter().rev().find(|(at, _)| now.duration_since(*at) >= self.lag);
+        // The first value has no predecessor that could be seen in its place.
+        let (at, value) = newest.unwrap_or(&self.samples[0]);
+        (value, now.duration_since(*at).min(self.lag))
+    }
+
+    /// The value itself, without the lag.
+    pub fn latest(&self) -> &T {
+        &self.samples[self.samples.len() - 1].1
+    }
+
+    fn forget_before(&mut self, now: Instant) {
+        while self.samples.len() > 1 && now.duration_since(self.samples[1].0) >= self.lag {
+            self.samples.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lookup.rs
@@ -0,0 +1,59 @@
+//! The lookup service: idempotent reads that may be retried freely.
+
+use std::{cell::Cell, rc::Rc};
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use httpio::{
+    Method,
+    server::{Reply, Request},
+};
+use monoio::time;
+use serde::Serialize;
+
+use crate::{faults::FaultBoard, front::Service, reply, settings::LookupSettings, stats::Stats};
+
+const PATH: &str = "/lookup/";
+
+/// One entry of the catalogue; every name has one.
+#[derive(Debug, Serialize)]
+struct Entry<'a> {
+    name: &'a str,
+    value: String,
+}
+
+pub(crate) struct Lookup {
+    settings: LookupSettings,
+    board: Rc<FaultBoard>,
+    lookups: Cell<u64>,
+}
+
+impl Lookup {
+    pub(crate) fn new(settings: LookupSettings, board: Rc<FaultBoard>) -> Lookup {
+        Lookup { settings, board, lookups: Cell::new(0) }
+    }
+
+    async fn look_up(&self, request: Request) -> Reply {
+        let name = request.uri.path().strip_prefix(PATH).unwrap_or_default();
+        if request.method != Method::GET || name.is_empty() {
+            return reply::not_found();
+        }
+        if self.board.crashes_on(name) {
+            self.board.crash();
+        }
+        let slowdown_permille = self.board.faults().slowdown_permille;
+        time::sleep(self.settings.work_time(slowdown_permille)).await;
+        self.lookups.set(self.lookups.get() + 1);
+        reply::ok(&Entry { name, value: format!("entry of {name}") })
+    }
+}
+
+impl Service for Lookup {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, Reply> {
+        async move { self.look_up(request).await }.boxed_local()
+    }
+
+    fn stats(&self) -> Stats {
+        let lookups = self.lookups.get();
+        Stats { requests_started: lookups, requests_finished: lookups, ..Stats::default() }
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,44 @@
 //! Starts `gooseberry-standin`; the library holds all of its logic.
 
-fn main() {}
+use std::thread;
+
+use anyhow::Context;
+use httpio::signal::{Signal, Trigger, signal};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use standin::cli;
+use telemetry::LogSettings;
+
+fn main() -> anyhow::Result<()> {
+    let matches = cli::command().get_matches();
+    telemetry::init_logs(&LogSettings::default())?;
+    let cli::Invocation { server, service } = cli::invocation(&matches)?;
+    let listen = server.listen;
+    standin::run(server, service, stop_signal()?, |addr| {
+        tracing::info!(event = "listening", %addr);
+    })
+    .with_context(|| format!("serve on {listen}"))
+}
+
+/// Raised at the first signal to end; a second one ends the process at once.
+fn stop_signal() -> anyhow::Result<Signal> {
+    let (stop, stopped) = signal();
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("watch for signals")?;
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || raise_then_exit(stop, &mut signals))
+        .context("start the thread that waits for signals")?;
+    Ok(stopped)
+}
+
+fn raise_then_exit(stop: Trigger, signals: &mut Signals) {
+    let mut received = signals.forever();
+    if received.next().is_some() {
+        stop.raise();
+    }
+    if let Some(signal) = received.next() {
+        std::process::exit(128 + signal);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,94 @@
+//! The platform's list of live and leaving VMs, which lags behind the truth.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use clock::Clock;
+use derive_more::FromStr;
+use futures::{FutureExt, future::LocalBoxFuture};
+use httpio::{
+    Method,
+    server::{Reply, Request},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{front::Service, lagged::Lagged, reply, settings::PlatformSettings, stats::Stats};
+
+/// One VM of the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct VmEntry {
+    /// The name of the VM.
+    pub vm: String,
+    /// Where its server listens.
+    pub addr: SocketAddr,
+    /// The failure domain that it belongs to.
+    pub failure_domain: String,
+    /// The pool that it serves.
+    pub pool: String,
+    /// Rises each time that the VM is started anew.
+    pub incarnation: u64,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// Whether a VM stays.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// It takes work.
+    #[default]
+    Live,
+    /// It is about to stop and must get no new work.
+    Leaving,
+}
+
+pub(crate) struct Platform {
+    clock: Rc<dyn Clock>,
+    vms: RefCell<Lagged<Vec<VmEntry>>>,
+    reads: Cell<u64>,
+}
+
+impl Platform {
+    pub(crate) fn new(settings: PlatformSettings, clock: Rc<dyn Clock>) -> Platform {
+        let lag = settings.list_lag();
+        let vms = RefCell::new(Lagged::new(lag, clock.now(), settings.vms));
+        Platform { clock, vms, reads: Cell::new(0) }
+    }
+
+    fn list(&self) -> Reply {
+        self.reads.set(self.reads.get() + 1);
+        reply::ok(self.vms.borrow().seen(self.clock.now()).0)
+    }
+
+    fn replace(&self, request: &Request) -> Reply {
+        match reply::body::<Vec<VmEntry>>(request) {
+            Ok(vms) => {
+                let reply = reply::ok(&vms);
+                self.vms.borrow_mut().set(self.clock.now(), vms);
+                reply
+            }
+            Err(error) => error.into(),
+        }
+    }
+}
+
+impl Service for Platform {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, Reply> {
+        let reply = match (&request.method, request.uri.path()) {
+            (&Method::GET, "/vms") => self.list(),
+            (&Method::POST, "/vms") => self.replace(&request),
+            _ => reply::not_found(),
+        };
+        futures::future::ready(reply).boxed_local()
+    }
+
+    fn stats(&self) -> Stats {
+        let reads = self.reads.get();
+        Stats { requests_started: reads, requests_finished: reads, ..Stats::default() }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/reply.rs
@@ -0,0 +1,74 @@
+//! Replies that all stand-ins share.
+
+use derive_more::{Display, Error, From};
+use httpio::{
+    Bytes, HeaderValue, StatusCode,
+    server::{Reply, Request},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::json;
+
+/// Header that proves a refusal came before the request started.
+pub(crate) const NOT_STARTED: &str = "x-not-started";
+/// Header that names the request; it is echoed.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+const JSON: &str = "application/json";
+
+pub(crate) fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+    // The bodies are structs of plain fields, which always serialise.
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    Reply::typed(status, JSON, Bytes::from(body))
+}
+
+pub(crate) fn ok(body: &impl Serialize) -> Reply {
+    json(StatusCode::OK, body)
+}
+
+pub(crate) fn error(status: StatusCode, code: &str, message: &str) -> Reply {
+    json(status, &json!({ "error": { "code": code, "message": message } }))
+}
+
+/// Refuses a request of which nothing has run.
+pub(crate) fn not_started(status: StatusCode, code: &str, message: &str) -> Reply {
+    let mut reply = error(status, code, message);
+    reply.headers.insert(NOT_STARTED, HeaderValue::from_static("1"));
+    reply
+}
+
+pub(crate) fn not_found() -> Reply {
+    not_started(StatusCode::NOT_FOUND, "not-found", "no such path: see docs/design/standins.md")
+}
+
+/// Adds the request id to a reply; one that is no header value is left out.
+pub(crate) fn with_request_id(mut reply: Reply, id: &str) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        reply.headers.insert(REQUEST_ID, value);
+    }
+    reply
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+/// A body of another form.
+pub(crate) fn body<T: DeserializeOwned>(request: &Request) -> Result<T, BadBody> {
+    Ok(serde_json::from_slice(&request.body)?)
+}
+
+/// A body that does not fit its path.
+#[derive(Debug, Display, Error, From)]
+#[display("mend the JSON body: {_0}")]
+pub(crate) struct BadBody(serde_json::Error);
+
+impl From<BadBody> for Reply {
+    fn from(error: BadBody) -> Reply {
+        not_started(StatusCode::BAD_REQUEST, "bad-body", &error.to_string())
+    }
+}
+
+/// The value of a key in the query of the target, without percent decoding.
+pub(crate) fn query<'a>(request: &'a Request, key: &str) -> Option<&'a str> {
+    let pairs = request.uri.query()?.split('&').filter_map(|it| it.split_once('='));
+    pairs.into_iter().find(|(name, _)| *name == key).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,173 @@
+//! Runs one stand-in: on the calling thread for the binary, on a thread of its own for tests.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    sync::mpsc,
+    thread::{self, JoinHandle},
+};
+
+use clock::{Clock, SystemClock};
+use futures::{FutureExt, pin_mut, select};
+use httpio::{
+    Limits,
+    server::{self, ServerSettings as HttpSettings, StopSignals},
+    signal::{Signal, Trigger, signal},
+};
+use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+
+use crate::{
+    FrontKind, ServerSettings, ServiceSettings,
+    engine::EngineService,
+    faults::FaultBoard,
+    front::{Front, Service},
+    lookup::Lookup,
+    orders::Orders,
+    platform::Platform,
+    relay,
+};
+
+/// A stand-in that runs on a thread of its own; it stops when dropped.
+#[derive(Debug)]
+pub struct StandIn {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    stop: Option<Trigger>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl StandIn {
+    /// Closes the listener, finishes what is in flight and ends the thread.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    /// Waits until the server has ended by itself, as it does after a crash.
+    pub fn wait(mut self) {
+        self.join();
+    }
+
+    fn end(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            stop.raise();
+        }
+        self.join();
+    }
+
+    fn join(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            // A panic of the server has been reported on the standard error stream.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Starts a stand-in on a thread of its own and returns once it listens.
+///
+/// # Errors
+/// Those of the system, such as an address in use.
+pub fn start(server: ServerSettings, service: ServiceSettings) -> io::Result<StandIn> {
+    let (stop, stopped) = signal();
+    let (bound, addr) = mpsc::channel();
+    let thread = thread::Builder::new().name("standin".to_owned()).spawn(move || {
+        let report = bound.clone();
+        let result = run(server, service, stopped, move |addr| {
+            // Nobody waits any more if the starting thread has gone.
+            let _ = report.send(Ok(addr));
+        });
+        if let Err(error) = &result {
+            let _ = bound.send(Err(io::Error::new(error.kind(), error.to_string())));
+        }
+        result
+    })?;
+    let addr = addr.recv().map_err(|_| io::Error::other("the stand-in's thread ended early"))??;
+    Ok(StandIn { addr, stop: Some(stop), thread: Some(thread) })
+}
+
+/// Runs a stand-in on this thread until `stopped` is raised or a fault crashes it.
+///
+/// `on_bound` is told where it listens.
+///
+/// # Errors
+/// Those of the system, such as an address in use.
+pub fn run(
+    server: ServerSettings,
+    service: ServiceSettings,
+    stopped: Signal,
+    on_bound: impl FnOnce(SocketAddr),
+) -> io::Result<()> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    runtime.block_on(async {
+        let listener = server::bind(server.listen)?;
+        on_bound(listener.local_addr()?);
+        serve(listener, server, service, stopped).await
+    })
+}
+
+async fn serve(
+    listener: TcpListener,
+    server: ServerSettings,
+    service: ServiceSettings,
+    stopped: Signal,
+) -> io::Result<()> {
+    let board = Rc::new(FaultBoard::new(server.faults, server.front, server.on_crash));
+    let service = build(service, &board);
+    service.faults_changed();
+    let handler = Rc::new(Front { service, board: Rc::clone(&board) });
+    // A stop closes idle connections at once: a stand-in that stops is what is being tested.
+    let limits = Limits { closing_grace_ms: 0, ..Limits::default() };
+    let settings = HttpSettings { limits, ..HttpSettings::default() };
+    let stop = StopSignals { closing: board.closing.clone(), ..StopSignals::default() };
+    // The wait for the signal must end with this future: a task left behind would be dropped
+    // inside the wake of a signal raised later, which then waits for itself.
+    let closed = close_when_stopped(stopped, Rc::clone(&board)).fuse();
+    let served = serve_behind(server.front, listener, settings, stop, handler, board).fuse();
+    pin_mut!(closed, served);
+    select! {
+        () = closed => served.await,
+        served = served => served,
+    }
+}
+
+async fn serve_behind(
+    front: FrontKind,
+    listener: TcpListener,
+    settings: HttpSettings,
+    stop: StopSignals,
+    handler: Rc<Front>,
+    board: Rc<FaultBoard>,
+) -> io::Result<()> {
+    match front {
+        FrontKind::Direct => server::serve(listener, settings, stop, handler).await,
+        FrontKind::Relay => {
+            let inner = server::bind((Ipv4Addr::LOCALHOST, 0).into())?;
+            let relayed = relay::serve(listener, inner.local_addr()?, board);
+            let served = server::serve(inner, settings, stop, handler);
+            futures::join!(relayed, served);
+        }
+    }
+    Ok(())
+}
+
+async fn close_when_stopped(stopped: Signal, board: Rc<FaultBoard>) {
+    stopped.raised().await;
+    board.close();
+}
+
+fn build(service: ServiceSettings, board: &Rc<FaultBoard>) -> Rc<dyn Service> {
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let board = Rc::clone(board);
+    match service {
+        ServiceSettings::Engine(settings) => EngineService::start(settings, clock, board),
+        ServiceSettings::Orders(settings) => Rc::new(Orders::new(settings, board)),
+        ServiceSettings::Lookup(settings) => Rc::new(Lookup::new(settings, board)),
+        ServiceSettings::Platform(settings) => Rc::new(Platform::new(settings, clock)),
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/small_services.rs
@@ -0,0 +1,63 @@
+//! The lookup service answers every name, and the platform's list lags.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standin::{Lagged, LookupSettings, PlatformSettings, ServiceSettings};
+use support::{call, serve};
+
+#[test]
+fn lookup_answers() {
+    let server = serve(ServiceSettings::Lookup(LookupSettings::default()));
+    let reply = call(server.addr, "GET", "/lookup/clip-7", "");
+    assert_eq!(reply.json(), json!({ "name": "clip-7", "value": "entry of clip-7" }));
+    assert_eq!(call(server.addr, "GET", "/lookup/", "").status, 404);
+}
+
+fn list_after_change(list_lag_ms: u64) -> usize {
+    let settings = PlatformSettings { list_lag_ms, ..PlatformSettings::default() };
+    let server = serve(ServiceSettings::Platform(settings));
+    let vms = json!([{
+        "vm": "vm1", "addr": "127.0.0.1:9", "failure_domain": "a", "pool": "chat",
+        "incarnation": 1, "state": "leaving",
+    }]);
+    assert_eq!(call(server.addr, "POST", "/vms", &vms.to_string()).json(), vms);
+    call(server.addr, "GET", "/vms", "").json().as_array().expect("a list").len()
+}
+
+#[test]
+fn list_changes() {
+    assert_eq!(list_after_change(0), 1);
+}
+
+#[test]
+fn list_lags() {
+    assert_eq!(list_after_change(3_600_000), 0);
+}
+
+#[test]
+fn value_of_the_past() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut value = Lagged::new(Duration::from_millis(100), at(0), 'a');
+    value.set(at(10), 'b');
+    value.set(at(50), 'c');
+    let seen: Vec<_> = [20, 109, 110, 149, 150, 900].map(|ms| *value.seen(at(ms)).0).into();
+    assert_eq!(seen, ['a', 'a', 'b', 'b', 'c', 'c']);
+    assert_eq!(value.seen(at(900)).1, Duration::from_millis(100));
+    assert_eq!(*value.latest(), 'c');
+}
+
+#[test]
+fn frequent_changes_stay_visible() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut value = Lagged::new(Duration::from_millis(640), at(0), 0);
+    for ms in 1..=2_000 {
+        value.set(at(ms), ms);
+    }
+    let seen = *value.seen(at(2_000)).0;
+    assert!((1_330..=1_360).contains(&seen), "{seen}");
+}
