--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,13 +6,13 @@
 //! the crate `policy`; the tables and the order ledger come in through [`table_source`] and
 //! [`order_ledger`].
 
-pub mod admin;
 pub mod arrival;
 pub mod backends;
 mod call;
 pub mod chat;
 mod chat_call;
 pub mod class_limits;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
 pub mod identity;
@@ -22,6 +22,7 @@
 pub mod order_ledger;
 pub mod outcome;
 pub mod pipeline;
+pub mod readiness;
 mod refusals;
 pub mod routing;
 mod service_call;
