Time changes from acceptance until many routers have them in force

Ruled out: the operators' tool in a loop, whose start-up would be timed too. Change: Changer speaks control-state; capacity routers times changes, capacity changes samples under a steady rate of them. Figures: none yet. Conclusion: waits for the control daemon's binary.

--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -1,6 +1,7 @@
 //! The capacity experiment: samples at several sizes, a line through them, and the projection to
 //! the target size.
 
+mod changer;
 mod fit;
 mod followers;
 mod markdown;
@@ -10,12 +11,13 @@
 mod sampler;
 mod site;
 
+pub use changer::{ChangeFault, Changer};
 pub use fit::{FitFault, LineFit, Point, fit};
 pub use followers::{Accepted, FollowerSettings, Followers};
 pub use markdown::markdown;
 pub use plot::{line_file_name, line_svg};
 pub use projection::{CapacityReport, LineReport, RoleTotal, Verdict};
-pub use sample::{Driver, Measure, Reading, Sample};
+pub use sample::{Driver, Measure, Reading, Sample, in_force_readings};
 pub use sampler::{
     NoWireBytes, SampleLabel, SamplerFault, SamplerSettings, ServedWireBytes, WireBytes, watch,
 };
--- a/crates/load/src/capacity/sample.rs
+++ b/crates/load/src/capacity/sample.rs
@@ -1,8 +1,12 @@
 //! What is measured, and against what it is measured.
 
+use std::time::Duration;
+
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 
+use crate::report::LatencySummary;
+
 /// The size that a series of samples varies.
 #[derive(
     Debug,
@@ -119,3 +123,14 @@
     /// The values.
     pub readings: Vec<Reading>,
 }
+
+/// The readings of the times from the acceptance of changes until routers had them in force.
+pub fn in_force_readings(times: &[Duration]) -> Vec<Reading> {
+    let summary = LatencySummary::new(times.iter().copied());
+    let in_ms = |latency_us: u64| latency_us as f64 / 1_000.0;
+    vec![
+        Reading { measure: Measure::InForceP50Ms, value: in_ms(summary.p50_us) },
+        Reading { measure: Measure::InForceP99Ms, value: in_ms(summary.p99_us) },
+        Reading { measure: Measure::InForceMaxMs, value: in_ms(summary.max_us) },
+    ]
+}
--- a/crates/load/src/cli/capacity.rs
+++ b/crates/load/src/cli/capacity.rs
@@ -14,7 +14,8 @@
         .subcommand_required(true)
         .subcommand(sample::command())
         .subcommand(report::command())
-        .subcommand(routers::command())
+        .subcommand(routers::routers_command())
+        .subcommand(routers::changes_command())
         .subcommand(streams::command())
         .subcommand(site::command())
         .subcommand(site::backends_command())
@@ -24,7 +25,8 @@
     match matches.subcommand() {
         Some(("sample", args)) => sample::run(args).await,
         Some(("report", args)) => report::run(args),
-        Some(("routers", args)) => routers::run(args).await,
+        Some(("routers", args)) => routers::run_routers(args).await,
+        Some(("changes", args)) => routers::run_changes(args).await,
         Some(("streams", args)) => streams::run(args).await,
         Some(("site", args)) => site::run(args),
         Some(("backends", args)) => site::run_backends(args).await,
--- a/crates/load/src/cli/capacity/routers.rs
+++ b/crates/load/src/cli/capacity/routers.rs
@@ -1,51 +1,150 @@
-//! Loads a control VM with many light routers and samples it.
+//! Loads a control VM with many light routers and with changes, and samples it.
 
-use std::{path::PathBuf, rc::Rc, time::Duration};
+use std::{
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use anyhow::ensure;
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command};
 use clock::{Clock, SystemClock};
 use load::{
-    capacity::{Driver, FollowerSettings, Followers, SampleLabel, SamplerSettings, watch},
+    capacity::{
+        Accepted, Changer, Driver, FollowerSettings, Followers, SampleLabel, SamplerSettings,
+        SiteSize, in_force_readings, watch,
+    },
     proc_stat::Pid,
 };
-use tables::Revision;
+use monoio::time;
 
 use super::sample::append;
 use crate::cli::args;
 
-pub(crate) fn command() -> Command {
-    Command::new("routers")
-        .about("Connects many light routers to a control VM and samples it at rest")
+const MS_PER_HOUR: u64 = 3_600_000;
+
+/// Samples at rest, then measures how long changes take to be in force everywhere.
+pub(crate) fn routers_command() -> Command {
+    shared_args(
+        Command::new("routers")
+            .about("Samples a control VM against the number of routers linked to it"),
+    )
+    .arg(args::number("changes", "20", "Changes whose way to all routers is timed"))
+    .arg(args::number("change-pause-ms", "100", "The pause between two changes"))
+}
+
+/// Samples while changes go on at a steady rate.
+pub(crate) fn changes_command() -> Command {
+    shared_args(Command::new("changes").about("Samples a control VM against the rate of changes"))
+        .arg(args::number("changes-per-hour", "3600", "The rate of changes; 0 for none"))
+}
+
+fn shared_args(command: Command) -> Command {
+    command
         .arg(args::addrs("control", "A control VM, the preferred one first").required(true))
         .arg(args::pid("The process of the first control VM").required(true))
+        .arg(
+            Arg::new("token").long("token").value_name("WORD").required(true).help(
+                "The operators' token, made for this run only since other processes can read it",
+            ),
+        )
         .arg(args::number("followers", "16", "How many light routers"))
         .arg(args::number("servers-each", "4", "Backend servers that each reports on"))
         .arg(args::number("exchange-interval-ms", "1000", "Time between summaries; 0 for none"))
+        .arg(args::number("replicas", "118", "Replicas in the tables"))
         .arg(args::number("window-ms", "5000", "How long the control VM is watched"))
         .arg(args::number("reach-timeout-ms", "20000", "How long a change may take everywhere"))
         .arg(args::path("samples", "The file to add to, a JSON document a line").required(true))
 }
 
-pub(crate) async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let settings = FollowerSettings {
-        controls: args::all_addrs(matches, "control"),
-        followers: args::value::<u64>(matches, "followers") as usize,
-        servers_each: args::value::<u64>(matches, "servers-each") as usize,
-        exchange_interval_ms: args::value(matches, "exchange-interval-ms"),
-    };
-    let followers = Followers::start(&settings, Rc::clone(&clock)).await;
-    let timeout = Duration::from_millis(args::value(matches, "reach-timeout-ms"));
-    let reached = followers.reach(Revision(1), timeout).await;
-    ensure!(reached == settings.followers, "{reached} followers have tables; see the control VM");
-
-    let sampler = SamplerSettings {
+pub(crate) async fn run_routers(matches: &ArgMatches) -> anyhow::Result<()> {
+    let mut bench = Bench::start(matches).await?;
+    let label = bench.label(Driver::Routers, bench.count as f64);
+    let sampler = sampler(matches);
+    let mut sample = watch(sampler, label, &bench.followers, &*bench.clock).await?;
+
+    let pause = Duration::from_millis(args::value(matches, "change-pause-ms"));
+    let mut times = Vec::new();
+    for _ in 0..args::value::<u64>(matches, "changes") {
+        let change = bench.changer.change().await?;
+        bench.reach(change).await?;
+        times.extend(bench.followers.in_force_times(change));
+        time::sleep(pause).await;
+    }
+    sample.readings.extend(in_force_readings(&times));
+    append(&args::value::<PathBuf>(matches, "samples"), &sample)
+}
+
+pub(crate) async fn run_changes(matches: &ArgMatches) -> anyhow::Result<()> {
+    let Bench { followers, changer, clock, .. } = Bench::start(matches).await?;
+    let rate: u64 = args::value(matches, "changes-per-hour");
+    if let Some(interval_ms) = MS_PER_HOUR.checked_div(rate) {
+        monoio::spawn(keep_changing(changer, Duration::from_millis(interval_ms), clock.now()));
+    }
+    let label =
+        SampleLabel { role: "control".to_owned(), driver: Driver::Changes, size: rate as f64 };
+    let sample = watch(sampler(matches), label, &followers, &*clock).await?;
+    append(&args::value::<PathBuf>(matches, "samples"), &sample)
+}
+
+/// Changes at a steady rate; a slow answer does not delay the next change.
+async fn keep_changing(mut changer: Changer, interval: Duration, start: Instant) {
+    let clock = SystemClock;
+    for number in 1.. {
+        let due = start + interval * number;
+        time::sleep(due.saturating_duration_since(clock.now())).await;
+        if let Err(err) = changer.change().await {
+            tracing::error!(event = "change_failed", %err);
+        }
+    }
+}
+
+/// A control VM with tables, and its followers that have them.
+struct Bench {
+    followers: Followers,
+    changer: Changer,
+    clock: Rc<dyn Clock>,
+    count: usize,
+    timeout: Duration,
+}
+
+impl Bench {
+    async fn start(matches: &ArgMatches) -> anyhow::Result<Bench> {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+        let settings = FollowerSettings {
+            controls: args::all_addrs(matches, "control"),
+            followers: args::value::<u64>(matches, "followers") as usize,
+            servers_each: args::value::<u64>(matches, "servers-each") as usize,
+            exchange_interval_ms: args::value(matches, "exchange-interval-ms"),
+        };
+        let replicas = args::value::<u64>(matches, "replicas") as usize;
+        let size = SiteSize { replicas, workspaces: 0 };
+        let token = args::value(matches, "token");
+        let control = settings.controls[0];
+        let mut changer = Changer::connect(control, token, size, Rc::clone(&clock)).await?;
+        let first = changer.change().await?;
+        let followers = Followers::start(&settings, Rc::clone(&clock)).await;
+        let timeout = Duration::from_millis(args::value(matches, "reach-timeout-ms"));
+        let bench = Bench { followers, changer, clock, count: settings.followers, timeout };
+        bench.reach(first).await?;
+        Ok(bench)
+    }
+
+    async fn reach(&self, change: Accepted) -> anyhow::Result<()> {
+        let reached = self.followers.reach(change.revision, self.timeout).await;
+        let (count, revision) = (self.count, change.revision);
+        ensure!(reached == count, "{reached} of {count} routers have revision {revision} in time");
+        Ok(())
+    }
+
+    fn label(&self, driver: Driver, size: f64) -> SampleLabel {
+        SampleLabel { role: "control".to_owned(), driver, size }
+    }
+}
+
+fn sampler(matches: &ArgMatches) -> SamplerSettings {
+    SamplerSettings {
         pid: Pid(args::value(matches, "pid")),
         window_ms: args::value(matches, "window-ms"),
-    };
-    let size = settings.followers as f64;
-    let label = SampleLabel { role: "control".to_owned(), driver: Driver::Routers, size };
-    let sample = watch(sampler, label, &followers, &*clock).await?;
-    append(&args::value::<PathBuf>(matches, "samples"), &sample)
+    }
 }
--- a/crates/load/tests/light_routers.rs
+++ b/crates/load/tests/light_routers.rs
@@ -9,11 +9,12 @@
 };
 
 use clock::{Clock, SystemClock};
+use control_state::{Command, Response, TablesAnswer, decode_command, encode_response};
 use dissemination::{Hub, HubSettings, decode_summary, encode_digest};
 use futures::{FutureExt, channel::oneshot, future::LocalBoxFuture};
 use httpio::server::bind;
 use load::{
-    capacity::{Accepted, FollowerSettings, Followers, SiteSize, tables_text},
+    capacity::{Accepted, Changer, FollowerSettings, Followers, SiteSize, tables_text},
     loopback::LoopbackAddr,
 };
 use rpc::{ByteCounters, ControlHandler, PeerHandler, SubmitResult, TablesUpdate, serve};
@@ -21,6 +22,7 @@
 use tables::Revision;
 
 const FOLLOWERS: usize = 5;
+const TOKEN: &str = "operator";
 const LONG: Duration = Duration::from_secs(20);
 
 /// A control VM with one table that changes only in its revision.
@@ -53,6 +55,19 @@
         }
         accepted
     }
+
+    fn propose(&self, command: &[u8]) -> Vec<u8> {
+        let Ok(Command::ProposeTables(proposal)) = decode_command(command) else {
+            return encode_response(&Response::Unreadable);
+        };
+        tables::check(proposal.base, &proposal.text).expect("valid tables");
+        let current = Revision(self.revision.get());
+        if proposal.base != current {
+            return encode_response(&TablesAnswer::Conflict { current }.into());
+        }
+        let revision = self.raise().revision;
+        encode_response(&TablesAnswer::Accepted { revision }.into())
+    }
 }
 
 fn snapshot(revision: u64) -> TablesUpdate {
@@ -80,8 +95,12 @@
         .boxed_local()
     }
 
-    fn submit(&self, _token: String, _command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
-        futures::future::ready(SubmitResult::Refused("a fake".to_owned())).boxed_local()
+    fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
+        let result = match token.as_str() {
+            TOKEN => SubmitResult::Response(self.propose(&command)),
+            _ => SubmitResult::Refused("wrong token".to_owned()),
+        };
+        futures::future::ready(result).boxed_local()
     }
 
     fn status(&self) -> String {
@@ -125,6 +144,34 @@
     });
 }
 
+async fn changer(addr: LoopbackAddr, token: &str) -> Changer {
+    let size = SiteSize { replicas: 2, workspaces: 0 };
+    let changer = Changer::connect(addr, token.to_owned(), size, Rc::new(SystemClock)).await;
+    changer.expect("the fake listens")
+}
+
+#[test]
+fn changes_accepted() {
+    block_on(async {
+        let (fake, addr) = FakeControl::start();
+        let mut changer = changer(addr, TOKEN).await;
+        let first = changer.change().await.expect("the conflict with revision 1 is overcome");
+        let second = changer.change().await.expect("nobody else changes tables");
+        assert_eq!((first.revision, second.revision), (Revision(2), Revision(3)));
+        assert_eq!(fake.revision.get(), 3);
+    });
+}
+
+#[test]
+fn refused_change_reported() {
+    block_on(async {
+        let (fake, addr) = FakeControl::start();
+        let fault = changer(addr, "wrong").await.change().await.expect_err("the token is wrong");
+        assert!(fault.to_string().contains("wrong token"), "{fault}");
+        assert_eq!(fake.revision.get(), 1);
+    });
+}
+
 #[test]
 fn summaries_exchanged() {
     block_on(async {
