--- a/crates/router/tests/refused_requests.rs
+++ b/crates/router/tests/refused_requests.rs
@@ -135,12 +135,12 @@
     check(
         order("k1"),
         expect![[r#"
-        503 Service Unavailable
-        x-outcome: not-run
-        x-request-id: q1
-        retry-after: 2
-        content-type: application/json
-        {"error":{"code":"order_ledger_unreachable","message":"the order ledger cannot be reached: send the order again later","outcome":"not-run","retry_after_ms":2000}}"#]],
+            503 Service Unavailable
+            x-outcome: not-run
+            x-request-id: q1
+            retry-after: 2
+            content-type: application/json
+            {"error":{"code":"order_ledger_unreachable","message":"the order ledger cannot be reached, so this send did not run and what became of an earlier one is not known here: send the order again later with the same key","outcome":"not-run","retry_after_ms":2000}}"#]],
     );
 }
 
@@ -157,3 +157,19 @@
         {"error":{"code":"no_backend_server","message":"the connection could not be opened: Connection refused (os error 111); check that the server is up (not connected); it is not tried again now: come back later","outcome":"not-run","retry_after_ms":1000}}"#]],
     );
 }
+
+#[test]
+fn missing_host() {
+    run(async {
+        let router = Setup::default().start();
+        let answer = support::raw_exchange(router.addr, "GET /lookup/a HTTP/1.1\r\n\r\n").await;
+        expect![[r#"
+            HTTP/1.1 400 Bad Request
+            content-length: 120
+            content-type: application/json
+            x-outcome: not-run
+            connection: close
+
+            {"error":{"code":"bad_request","message":"send the host header exactly once","outcome":"not-run","retry_after_ms":null}}"#]].assert_eq(&answer.replace('\r', ""));
+    });
+}
