Help a late urgent request: one slot beyond the limit, and room at its server

Change: after 0.4 of its first-token target an urgent request may go one beyond the limit of a server unless a class is due; one that is stuck inside an engine gets a lower stream there paused and the slot kept for it.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -66,6 +66,8 @@
     /// Start of the slow start, if there is one.
     pub(crate) ramp_from: Option<Instant>,
     pub(crate) in_flight: u32,
+    /// Slots kept free for requests that were sent and have no token yet.
+    pub(crate) reserved: u32,
     pub(crate) credits: Option<Credits>,
     /// Time between two tokens in milliseconds.
     pub(crate) gap_ms: Ewma,
@@ -102,6 +104,7 @@
             next_probe: None,
             ramp_from: None,
             in_flight: 0,
+            reserved: 0,
             credits: None,
             gap_ms: Ewma::new(GAP_WEIGHT),
             first_token_ms: Ewma::new(FIRST_TOKEN_WEIGHT),
@@ -180,7 +183,7 @@
     }
 
     pub(crate) fn free(&self, now: Instant, settings: &Settings) -> u32 {
-        self.limit(now, settings).saturating_sub(self.in_flight)
+        self.limit(now, settings).saturating_sub(self.in_flight + self.reserved)
     }
 
     pub(crate) fn is_straggler(&self, settings: &Settings) -> bool {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -79,6 +79,7 @@
     pub(crate) attempts: u32,
     pub(crate) tried: Option<BackendKey>,
     pub(crate) standing: Standing,
+    pub(crate) room: Room,
     /// The other attempt of a hedged request.
     pub(crate) twin: Option<Ticket>,
 }
@@ -91,6 +92,15 @@
     Protected,
 }
 
+/// Whether a lower stream at the server was paused after the request was sent there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Room {
+    NotMade,
+    /// The slot stays free until the request's first token.
+    Reserved,
+    Used,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
     Waiting,
@@ -126,6 +136,6 @@
 
     /// The same request, about to be sent a second time beside the first attempt.
     pub(crate) fn second_attempt(&self) -> Self {
-        Self { phase: Phase::Waiting, twin: None, ..*self }
+        Self { phase: Phase::Waiting, room: Room::NotMade, twin: None, ..*self }
     }
 }
--- a/crates/policy/src/scheduler/accounts.rs
+++ b/crates/policy/src/scheduler/accounts.rs
@@ -6,7 +6,7 @@
 use crate::{
     keys::{BackendKey, Ticket},
     lane::Waiting,
-    request::{Phase, Refusal, RefusalReason, Run, Standing},
+    request::{Phase, Refusal, RefusalReason, Room, Run, Standing},
 };
 
 impl Scheduler {
@@ -68,6 +68,7 @@
         request.phase = Phase::Running(run);
         request.standing = standing;
         request.attempts += 1;
+        request.room = Room::NotMade;
         let (offer, cost) = (request.offer, request.cost);
         self.give_ups.remove(&(request.give_up_at, ticket));
         self.enter_site(offer.request_hash, backend);
@@ -83,6 +84,7 @@
         let run = request.run()?;
         let is_running = matches!(request.phase, Phase::Running(_));
         let offer = request.offer;
+        self.use_room(ticket);
         self.hedges.retain(|it| it.1 != ticket);
         let lane = self.pools[offer.pool].lane(offer.class);
         lane.running.retain(|it| *it != ticket);
@@ -97,6 +99,14 @@
         Some(run)
     }
 
+    /// Gives the slot back that was kept for the request's first token.
+    pub(super) fn use_room(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        let Some(run) = request.run().filter(|_| request.room == Room::Reserved) else { return };
+        request.room = Room::Used;
+        self.backends[run.backend].reserved -= 1;
+    }
+
     pub(super) fn enter_site(&mut self, hash: u64, key: BackendKey) {
         self.backends[key].in_flight += 1;
         let sites = self.sites.entry(hash).or_default();
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -7,7 +7,7 @@
     backend::Health,
     keys::{ClassKey, PoolKey, Ticket},
     lane::Waiting,
-    request::{Offer, Phase, Refusal, RefusalReason, Request, Standing},
+    request::{Offer, Phase, Refusal, RefusalReason, Request, Room, Standing},
     spec::WHOLE_PERMILLE,
 };
 
@@ -31,7 +31,7 @@
         let cost = self.expected_tokens(&offer);
         let service = self.service_time(offer.pool, cost);
         self.check_deadline(now, &offer, cost, service)?;
-        self.make_room(now, &offer)?;
+        self.make_place(now, &offer)?;
         Ok(self.admit(now, offer, cost, service))
     }
 
@@ -169,7 +169,7 @@
     }
 
     /// Makes a place in the queue, at the cost of less urgent work before all else.
-    fn make_room(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
+    fn make_place(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
         let pool = &self.pools[offer.pool];
         let class_limit = self.classes[offer.class].spec.queue_limit;
         if pool.lanes[offer.class].waiting >= class_limit {
@@ -236,6 +236,7 @@
             attempts: 0,
             tried: None,
             standing: Standing::Pausable,
+            room: Room::NotMade,
             twin: None,
         });
         let weight = self.workspaces[offer.workspace].spec.weight;
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -32,6 +32,7 @@
             self.refuse_unserved(now, pool);
             while self.dispatch_next(now, pool) {}
             while self.preempt_next(now, pool) {}
+            self.make_room(now, pool);
             self.note_saturation(now, pool);
         }
         self.hedge(now);
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -1,16 +1,22 @@
 //! Pausing lower streams for urgent requests, and second attempts for slow ones.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Action, Scheduler};
 use crate::{
     choice::Choice,
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
     pool::{Contender, Urgency},
-    request::{Phase, Repeat, Request, Standing},
+    request::{Phase, Repeat, Request, Room, Standing},
     spec::{Hedge, Pausing},
 };
 
+/// Requests that one router may send to a server beyond its limit.
+const OVERDRAFT_SLOTS: u32 = 1;
+/// A request is late after this part of its first-token target.
+const LATE_PART: f64 = 0.4;
+/// A request without a token for this time after it was sent waits inside the engine.
+const STUCK: Duration = Duration::from_millis(100);
 const HEDGE_PART: f64 = 0.5;
 
 impl Scheduler {
@@ -21,6 +27,7 @@
         }
         let contenders = self.contenders(now, pool);
         contenders.iter().any(|it| self.preempt_for(now, pool, &contenders, it))
+            || contenders.first().is_some_and(|it| self.overdraw(now, pool, &contenders, it))
     }
 
     fn preempt_for(
@@ -41,20 +48,94 @@
         true
     }
 
+    /// Sends a late request of the most urgent class beyond this router's limit.
+    ///
+    /// The engine admits it by its priority as soon as a stream of any router ends there.
+    fn overdraw(
+        &mut self,
+        now: Instant,
+        pool: PoolKey,
+        contenders: &[Contender],
+        it: &Contender,
+    ) -> bool {
+        let is_top = self.order.first() == Some(&it.class) && self.order.len() > 1;
+        // A class that is due by its share waits for a slot, so the limit has to hold.
+        let turns = self.pools[pool].turns(contenders);
+        let is_next = turns.first().is_some_and(|(first, _)| first.class == it.class);
+        if !is_top || !is_next {
+            return false;
+        }
+        let Some(ticket) = self.waiting_head(pool, it.class) else { return false };
+        if !self.is_late(now, ticket) {
+            return false;
+        }
+        let hosts = self.hosts(now, &self.requests[ticket]);
+        let open = hosts.into_iter().filter(|it| self.may_overdraw(now, *it));
+        let load = |it: &BackendKey| self.backends[*it].load();
+        let Some(backend) = open.min_by(|a, b| load(a).total_cmp(&load(b))) else { return false };
+        let cost = self.dispatch(now, ticket, backend, Standing::Pausable);
+        self.pools[pool].book(contenders, it.class, cost);
+        true
+    }
+
+    fn may_overdraw(&self, now: Instant, backend: BackendKey) -> bool {
+        let backend = &self.backends[backend];
+        backend.in_flight < backend.limit(now, &self.settings) + OVERDRAFT_SLOTS
+    }
+
+    /// Whether most of the time to the request's first-token target has passed.
+    fn is_late(&self, now: Instant, ticket: Ticket) -> bool {
+        let request = &self.requests[ticket];
+        let target = self.classes[request.offer.class].spec.first_token_target();
+        now.saturating_duration_since(request.arrived) >= target.mul_f64(LATE_PART)
+    }
+
+    /// Pauses a lower stream at the server of each late request that waits inside it.
+    pub(super) fn make_room(&mut self, now: Instant, pool: PoolKey) {
+        let Some(urgent) = self.order.first().copied() else { return };
+        let can_pause = self.pools[pool].spec.pausing == Pausing::Supported;
+        let Some(lane) = self.pools[pool].lanes.get(urgent).filter(|_| can_pause) else { return };
+        let waits = |it: &Ticket| {
+            let request = &self.requests[*it];
+            let stuck = request.run().is_some_and(|run| run.tokens == 0 && now >= run.sent + STUCK);
+            stuck && request.room == Room::NotMade && self.is_late(now, *it)
+        };
+        let late: Vec<_> = lane.running.iter().copied().filter(waits).collect();
+        late.into_iter().for_each(|it| self.make_room_for(now, pool, it));
+    }
+
+    fn make_room_for(&mut self, now: Instant, pool: PoolKey, ticket: Ticket) {
+        let Some(run) = self.requests[ticket].run() else { return };
+        let hosts = self.hosts(now, &self.requests[ticket]);
+        let here: Vec<_> = hosts.into_iter().filter(|it| *it == run.backend).collect();
+        let Some((victim, backend)) = self.victim_on(pool, ticket, &here) else { return };
+        self.pause(victim, backend);
+        self.requests[ticket].room = Room::Reserved;
+        self.backends[backend].reserved += 1;
+    }
+
     /// The stream to pause: of the lowest class that holds a slot, the one with most to come.
     ///
     /// If none of that class can be paused now, none is: a higher class does not make way for it.
     fn victim(&self, now: Instant, pool: PoolKey, ticket: Ticket) -> Option<(Ticket, BackendKey)> {
-        let request = &self.requests[ticket];
-        let priority = self.classes[request.offer.class].spec.priority;
-        let hosts = self.hosts(now, request);
+        let hosts = self.hosts(now, &self.requests[ticket]);
+        self.victim_on(pool, ticket, &hosts)
+    }
+
+    fn victim_on(
+        &self,
+        pool: PoolKey,
+        ticket: Ticket,
+        hosts: &[BackendKey],
+    ) -> Option<(Ticket, BackendKey)> {
+        let priority = self.priority(self.requests[ticket].offer.class);
         let mut lower: Vec<_> =
             self.pools[pool].lanes.keys().map(|it| (self.priority(it), it)).collect();
         lower.retain(|it| it.0 < priority);
         lower.sort();
         let lanes = &self.pools[pool].lanes;
-        let lowest = lower.into_iter().find(|it| self.holds_slot(&lanes[it.1].running, &hosts))?;
-        self.longest_running(pool, lowest.1, &hosts)
+        let lowest = lower.into_iter().find(|it| self.holds_slot(&lanes[it.1].running, hosts))?;
+        self.longest_running(pool, lowest.1, hosts)
     }
 
     fn priority(&self, class: ClassKey) -> u8 {
