--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -49,6 +49,7 @@
         )
         .arg(number("seed", "1", "Seed of all draws"))
         .arg(number("seconds", "60", "Time with arrivals"))
+        .arg(number("burst-from", "10", "Start of the burst in seconds"))
         .arg(number("routers", "6", "Routers"))
         .arg(number("burst-permille", "3000", "Offered load in the burst"))
         .arg(flag("straggler", "Slow one server down to a fifth"))
@@ -68,15 +69,16 @@
 fn settings(matches: &ArgMatches) -> WorkloadSettings {
     let number = |name| *matches.get_one::<u64>(name).expect("it has a default");
     let is_consortium = matches.get_one::<String>("users").is_some_and(|it| it == "consortium");
-    let base = WorkloadSettings::default();
+    let burst_from = Duration::from_secs(number("burst-from"));
     WorkloadSettings {
         users: if is_consortium { Users::Consortium } else { Users::VanDalen },
         seed: number("seed"),
         duration: Duration::from_secs(number("seconds")),
         routers: number("routers") as usize,
         burst_load: number("burst-permille") as f64 / 1e3,
-        faults: faults(matches, base.burst_from + FAULT_AFTER_BURST),
-        ..base
+        faults: faults(matches, burst_from + FAULT_AFTER_BURST),
+        burst_from,
+        ..WorkloadSettings::default()
     }
 }
 
