Go on at another engine when a stream breaks for good, if the answer is the same

Ruled out: passing on another engine's answer from the same token number without comparing, because an engine that samples would mix two answers. Change: the request is answered anew elsewhere, what the caller has must come again word for word and is skipped; another answer ends the stream as incomplete. The end of a body is read after [DONE], so that chat connections go back to the pool, which they did not before.

--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -158,9 +158,7 @@
         }
         self.usage = chunk.usage.or(self.usage);
         let Some(choice) = chunk.choices.first() else { return };
-        if let Some(content) = &choice.delta.content {
-            self.content.push_str(content);
-        }
+        self.content.push_str(chunk.content());
         if choice.finish_reason.is_some() {
             self.finish_reason.clone_from(&choice.finish_reason);
         }
@@ -239,12 +237,17 @@
         Ok(chunk)
     }
 
+    /// The text that it adds to the answer.
+    #[must_use]
+    pub fn content(&self) -> &str {
+        let delta = self.choices.first().and_then(|it| it.delta.content.as_deref());
+        delta.unwrap_or_default()
+    }
+
     /// Whether it carries a token.
     #[must_use]
     pub fn has_token(&self) -> bool {
-        self.choices
-            .first()
-            .is_some_and(|it| it.delta.content.as_ref().is_some_and(|it| !it.is_empty()))
+        !self.content().is_empty()
     }
 
     /// Whether the answer is whole with it.
--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -29,6 +29,8 @@
 /// A chat request with a place at an engine.
 pub(crate) struct ChatCall {
     engine: EngineStream,
+    /// The text that the caller of a streamed answer has.
+    relayed: String,
 }
 
 /// How a relay ended.
@@ -40,7 +42,7 @@
 
 impl ChatCall {
     pub(crate) fn new(call: Call, chat: ChatRequest) -> ChatCall {
-        ChatCall { engine: EngineStream::new(call, chat.body) }
+        ChatCall { engine: EngineStream::new(call, chat.body), relayed: String::new() }
     }
 
     /// Answers in one piece. Nothing reaches the caller before the end, so an attempt that is cut
@@ -184,11 +186,55 @@
             if let Err(CallerGone) = sent {
                 return Relayed::CallerGone;
             }
+            if let Event::Chunk { chunk, .. } = &event {
+                self.relayed.push_str(chunk.content());
+            }
             event = match self.engine.next_event().await {
                 Ok(event) => event,
-                Err(error) => return Relayed::Failed(error),
+                Err(error) => match self.replay(error).await {
+                    Ok(event) => event,
+                    Err(error) => return Relayed::Failed(error),
+                },
+            };
+        }
+    }
+
+    /// Goes on at another engine, where the same request is answered anew.
+    ///
+    /// What the caller has already must come again word for word, so this serves engines whose
+    /// answers are deterministic; any other answer would have tokens lost, repeated or mixed.
+    ///
+    /// # Errors
+    /// The failure that ended the last attempt.
+    async fn replay(&mut self, error: AttemptError) -> Result<Event, AttemptError> {
+        let mut cause = error;
+        loop {
+            if self.engine.call.next_place(cause.clone()).await.is_err() {
+                return Err(cause);
+            }
+            match self.skip_relayed().await {
+                Ok(Some(event)) => return Ok(event),
+                Ok(None) => return Err(cause),
+                Err(error) => cause = error,
+            }
+        }
+    }
+
+    /// The first event that the caller does not have, or nothing if the answer differs.
+    async fn skip_relayed(&mut self) -> Result<Option<Event>, AttemptError> {
+        let mut event = self.engine.open().await?;
+        let relayed = self.relayed.clone();
+        let mut left = relayed.as_str();
+        while !left.is_empty() {
+            let rest = match &event {
+                Event::Chunk { chunk, .. } => left.strip_prefix(chunk.content()),
+                Event::Done(_) => None,
             };
+            let Some(rest) = rest else { return Ok(None) };
+            left = rest;
+            event = self.engine.next_event().await?;
         }
+        Ok(Some(event))
     }
 
     /// The event with the caller's identity of the request in place of the attempt's.
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -54,6 +54,11 @@
 
     /// The whole answer was passed on.
     pub(crate) fn finish(self) {
+        if let Some(stream) = self.stream {
+            // The end of the body is all that is missing for the connection to be used again.
+            let timeout = self.call.services.waits.engine_call_timeout();
+            monoio::spawn(time::timeout(timeout, stream.drain()));
+        }
         self.call.finish(self.tokens);
     }
 
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -97,7 +97,6 @@
     pub(crate) async fn next(&mut self) -> Option<Result<Received, AttemptError>> {
         loop {
             if self.finish == Finish::Done {
-                self.drain().await;
                 return None;
             }
             match self.splitter.next_event() {
@@ -118,7 +117,7 @@
     }
 
     /// Reads the end of the body, after which its connection can be used again.
-    async fn drain(&mut self) {
+    pub(crate) async fn drain(mut self) {
         while let Some(Ok(data)) = self.body.next().await {
             tracing::debug!(bytes = data.len(), "bytes after the end of an answer");
         }
--- a/crates/router/tests/failed_attempts.rs
+++ b/crates/router/tests/failed_attempts.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::{cell::Cell, rc::Rc};
+
 use expect_test::{Expect, expect};
 use httpio::{
     StatusCode,
@@ -252,10 +254,57 @@
 #[test]
 fn refused_by_engine() {
     let engine = async |_| Reply::typed(StatusCode::BAD_REQUEST, "text/plain", "too long".into());
-    check_alone(engine, streamed_chat(), expect![[r#"
+    check_alone(
+        engine,
+        streamed_chat(),
+        expect![[r#"
         502 Bad Gateway
         x-outcome: ran
         x-request-id: q1
         content-type: application/json
-        {"error":{"code":"backend_failed","message":"the engine refused the request by 400 Bad Request; it is not tried again: check what it did before sending it anew","outcome":"ran","retry_after_ms":null}}"#]]);
+        {"error":{"code":"backend_failed","message":"the engine refused the request by 400 Bad Request; it is not tried again: check what it did before sending it anew","outcome":"ran","retry_after_ms":null}}"#]],
+    );
+}
+
+/// A stream that breaks for good after its first token, with two engines to run it.
+fn check_broken(second: &'static [&'static str], expect_whole: impl Fn(&str)) {
+    run(async {
+        let starts = Rc::new(Cell::new(0));
+        let engine = || {
+            let starts = Rc::clone(&starts);
+            Fake::start(async move |req| match req.uri.path() {
+                "/v1/chat/completions" => {
+                    starts.set(starts.get() + 1);
+                    match starts.get() {
+                        1 => stream(&req, &[" one"], Ending::Cut),
+                        _ => stream(&req, second, Ending::Whole),
+                    }
+                }
+                _ => not_found(),
+            })
+        };
+        let engines = vec![engine().addr, engine().addr];
+        let router = Setup { engines, ..Setup::default() }.start();
+        expect_whole(&router.exchange(streamed_chat()).await);
+        assert_eq!(starts.get(), 2);
+    });
+}
+
+#[test]
+fn broken_stream_replayed() {
+    check_broken(TOKENS, |answer| {
+        let tokens: Vec<_> = TOKENS.iter().filter_map(|it| answer.find(it)).collect();
+        assert!(tokens.len() == 3 && tokens.is_sorted(), "{answer}");
+        assert_eq!(answer.matches(" one").count(), 1, "{answer}");
+        assert!(answer.ends_with("data: [DONE]\n\n"), "{answer}");
+    });
+}
+
+#[test]
+fn other_answer_not_mixed() {
+    check_broken(&[" uno", " dos"], |answer| {
+        assert!(!answer.contains(" uno") && !answer.contains(" dos"), "{answer}");
+        assert!(answer.contains("event: error") && answer.contains("incomplete"), "{answer}");
+        assert!(!answer.contains("[DONE]"), "{answer}");
+    });
 }
--- a/crates/router/tests/served_requests.rs
+++ b/crates/router/tests/served_requests.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use expect_test::expect;
 use support::{Fake, Setup, lookup, run, streamed_chat, whole_chat, with_header};
 
@@ -88,3 +90,18 @@
         assert!(metrics.contains(line), "{metrics}");
     });
 }
+
+#[test]
+fn connection_is_reused() {
+    run(async {
+        let engine = Fake::engine(&[" hello"]);
+        let router = Setup { engines: vec![engine.addr], ..Setup::default() }.start();
+        // The end of a body may come after the next request, so not each one meets an idle
+        // connection.
+        for _ in 0..20 {
+            router.exchange(streamed_chat()).await;
+        }
+        let peers: BTreeSet<_> = engine.seen.borrow().iter().map(|it| it.peer).collect();
+        assert!(peers.len() < 20, "{peers:?}");
+    });
+}
