--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -2,7 +2,8 @@
 
 use std::{rc::Rc, time::Instant};
 
-use http::{HeaderMap, HeaderValue, Method, Uri};
+use futures::{FutureExt, pin_mut, select_biased};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
 use policy::{Execution, GiveUp, Repeat};
@@ -14,7 +15,7 @@
     class_limits::Permit,
     dispatch::{Asked, Lease, Retried},
     metrics::Labels,
-    outcome::{Failure, Outcome},
+    outcome::{Code, Failure, Outcome},
     refusals,
     routing::Routed,
     services::Services,
@@ -66,8 +67,15 @@
                 false => Repeat::Idempotent,
             },
         };
-        let placed = services.dispatcher.dispatch(asked).await;
-        let lease = placed.map_err(|it| refusals::refused(it, Outcome::NotRun))?;
+        let lease = {
+            let placed = services.dispatcher.dispatch(asked).fuse();
+            let gone = request.gone.raised().fuse();
+            pin_mut!(placed, gone);
+            select_biased! {
+                placed = placed => placed.map_err(|it| refusals::refused(it, Outcome::NotRun))?,
+                () = gone => return Err(caller_gone()),
+            }
+        };
         let id = services.attempt_id(&routed.arrival.id);
         let started = services.clock.now();
         let (span, outcome) = (routed.arrival.trace, Outcome::NotRun);
@@ -216,6 +224,12 @@
     }
 }
 
+/// Nobody reads this reply, but the order ledger and the log go by it.
+fn caller_gone() -> Failure {
+    let message = "the caller went away while the request waited";
+    Failure::not_run(StatusCode::REQUEST_TIMEOUT, Code::CallerGone, message)
+}
+
 /// The worse of two outcomes, as a caller must see them.
 pub(crate) fn worse(one: Outcome, other: Outcome) -> Outcome {
     match (one, other) {
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -61,6 +61,9 @@
     /// The attempt at the backend server failed.
     #[display("backend_failed")]
     BackendFailed,
+    /// The caller went away while its request waited.
+    #[display("caller_gone")]
+    CallerGone,
     /// The answer ended early.
     #[display("incomplete")]
     Incomplete,
--- a/crates/router/tests/gone_callers.rs
+++ b/crates/router/tests/gone_callers.rs
@@ -69,6 +69,28 @@
     });
 }
 
+#[test]
+fn queued_caller_leaves() {
+    run(async {
+        let (engine, mut cancels, _) = endless_engine();
+        let pool = "in_flight_max = 1";
+        let router = Setup { engines: vec![engine.addr], pool, ..Setup::default() }.start();
+        let running = Connection::open(router.addr, Limits::default()).await.expect("a router");
+        let mut running = running.send(streamed_chat()).await.expect("a head");
+        running.body.next().await.expect("a token").expect("a whole chunk");
+
+        let impatient = Limits { head_timeout_ms: 50, ..Limits::default() };
+        let queued = Connection::open(router.addr, impatient).await.expect("a router");
+        assert!(queued.send(streamed_chat()).await.is_err(), "the caller gives up");
+        while !router.admin("/metrics").await.contains(r#"pool="llm",status="408"} 1"#) {}
+        drop(running);
+        cancels.next().await.expect("the engine is told of the first");
+        let third = Connection::open(router.addr, Limits::default()).await.expect("a router");
+        third.send(streamed_chat()).await.expect("a head");
+        assert_eq!(engine.paths().iter().filter(|it| it.ends_with("completions")).count(), 2);
+    });
+}
+
 #[test]
 fn slow_caller_holds_back() {
     run(async {
