--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -50,6 +50,7 @@
         .arg(number("seed", "1", "Seed of all draws"))
         .arg(number("seconds", "60", "Time with arrivals"))
         .arg(number("burst-from", "10", "Start of the burst in seconds"))
+        .arg(number("lease-tick", "200", "Time between two grants in milliseconds"))
         .arg(number("routers", "6", "Routers"))
         .arg(number("burst-permille", "3000", "Offered load in the burst"))
         .arg(flag("straggler", "Slow one server down to a fifth"))
@@ -77,6 +78,7 @@
         routers: number("routers") as usize,
         burst_load: number("burst-permille") as f64 / 1e3,
         faults: faults(matches, burst_from + FAULT_AFTER_BURST),
+        lease_tick: Duration::from_millis(number("lease-tick")),
         burst_from,
         ..WorkloadSettings::default()
     }
--- a/crates/policy-bench/src/sim/leases.rs
+++ b/crates/policy-bench/src/sim/leases.rs
@@ -7,11 +7,11 @@
 use super::{Event, Sim, ToRouter};
 use crate::workload::Workload;
 
-const TICK: Duration = Duration::from_millis(200);
-const LEASE: Duration = Duration::from_secs(2);
-const CLAIM_BYTES: u64 = 16;
+/// A lease lasts for this many ticks.
+const LEASE_TICKS: u32 = 10;
+const CLAIM_BYTES: u64 = 12;
 const HELD_BYTES: u64 = 1;
-const GRANT_BYTES: u64 = 24;
+const GRANT_BYTES: u64 = 2;
 
 /// What the owners have heard: the claims of each router on each server, and when.
 pub(super) struct Ledger {
@@ -39,29 +39,29 @@
             self.grant(server, &live);
         }
         self.hear_claims();
-        self.count_claims(live.len());
-        self.after(TICK, Event::LeaseTick);
+        self.count_claims(&live);
+        self.after(self.workload.settings.lease_tick, Event::LeaseTick);
     }
 
     fn grant(&mut self, server: usize, live: &[usize]) {
+        let lease = self.lease_time();
         for (router, heard) in self.leases.heard.iter().enumerate() {
-            if self.now.saturating_sub(*heard) >= LEASE {
+            if self.now.saturating_sub(*heard) >= lease {
                 self.leases.claims[server][router] = Claim::default();
             }
         }
         let slots = grant(self.workload.engine.batch_max, &self.leases.claims[server], server);
-        let names: Vec<_> = live.iter().map(|it| *it as u64 + 1).collect();
-        let owner = owner(server as u64 + 1, &names).map(|it| live[it]);
         for router in live {
-            if owner != Some(*router) {
-                self.tally.count_message(GRANT_BYTES);
-            }
-            let (slots, expires) = (slots[*router], self.now + LEASE);
+            let (slots, expires) = (slots[*router], self.now + lease);
             let message = ToRouter::Lease { server, slots, expires };
             self.after(self.workload.lag, Event::AtRouter(*router, message));
         }
     }
 
+    fn lease_time(&self) -> Duration {
+        self.workload.settings.lease_tick * LEASE_TICKS
+    }
+
     fn hear_claims(&mut self) {
         for (idx, router) in self.routers.iter().enumerate() {
             let Some(router) = router else { continue };
@@ -72,11 +72,18 @@
         }
     }
 
-    /// Each router sends one message with its demand and what it holds to each other router.
-    fn count_claims(&mut self, live: usize) {
-        let servers = self.servers.len() as u64;
-        for _ in 0..live * live.saturating_sub(1) {
-            self.tally.count_message(CLAIM_BYTES + servers * HELD_BYTES);
+    /// Each router sends one message to each other one: its demand, what it holds of the other's
+    /// servers, and the grants of its own servers.
+    fn count_claims(&mut self, live: &[usize]) {
+        let names: Vec<_> = live.iter().map(|it| *it as u64 + 1).collect();
+        let owners = (0..self.servers.len()).filter_map(|it| owner(it as u64 + 1, &names));
+        let mut owned = vec![0; live.len()];
+        owners.for_each(|it| owned[it] += 1);
+        for from in 0..live.len() {
+            for to in (0..live.len()).filter(|it| *it != from) {
+                let bytes = CLAIM_BYTES + HELD_BYTES * owned[to] + GRANT_BYTES * owned[from];
+                self.tally.count_message(bytes);
+            }
         }
     }
 }
--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -40,6 +40,8 @@
     pub base_load: f64,
     /// Offered load in the burst; what exceeds the base is of the lower classes.
     pub burst_load: f64,
+    /// Time between two rounds of claims and grants.
+    pub lease_tick: Duration,
     /// Start of the burst; it lasts to the end.
     pub burst_from: Duration,
     /// What fails.
@@ -55,6 +57,7 @@
             routers: 6,
             base_load: 0.5,
             burst_load: 3.0,
+            lease_tick: Duration::from_millis(200),
             burst_from: Duration::from_secs(10),
             faults: Vec::new(),
         }
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
+
 use super::{Action, Scheduler};
 use crate::{
     choice::Choice,
@@ -71,8 +73,12 @@
         }
         let hosts = self.hosts(now, &self.requests[ticket]);
         let open = hosts.into_iter().filter(|it| self.may_overdraw(now, *it));
-        let load = |it: &BackendKey| self.backends[*it].load();
-        let Some(backend) = open.min_by(|a, b| load(a).total_cmp(&load(b))) else { return false };
+        let open: Vec<_> = open.collect();
+        if open.is_empty() {
+            return false;
+        }
+        // A random one, because routers that all take the least loaded one meet there.
+        let backend = open[self.rng.random_range(0..open.len())];
         let cost = self.dispatch(now, ticket, backend, Standing::Pausable);
         self.pools[pool].book(contenders, it.class, cost);
         true
@@ -108,7 +114,7 @@
         let Some(run) = self.requests[ticket].run() else { return };
         let hosts = self.hosts(now, &self.requests[ticket]);
         let here: Vec<_> = hosts.into_iter().filter(|it| *it == run.backend).collect();
-        let Some((victim, backend)) = self.victim_on(pool, ticket, &here) else { return };
+        let Some((victim, backend)) = self.victim_on(now, pool, ticket, &here) else { return };
         self.pause(victim, backend);
         self.requests[ticket].room = Room::Reserved;
         self.backends[backend].reserved += 1;
@@ -119,11 +125,12 @@
     /// If none of that class can be paused now, none is: a higher class does not make way for it.
     fn victim(&self, now: Instant, pool: PoolKey, ticket: Ticket) -> Option<(Ticket, BackendKey)> {
         let hosts = self.hosts(now, &self.requests[ticket]);
-        self.victim_on(pool, ticket, &hosts)
+        self.victim_on(now, pool, ticket, &hosts)
     }
 
     fn victim_on(
         &self,
+        now: Instant,
         pool: PoolKey,
         ticket: Ticket,
         hosts: &[BackendKey],
@@ -135,7 +142,10 @@
         lower.sort();
         let lanes = &self.pools[pool].lanes;
         let lowest = lower.into_iter().find(|it| self.holds_slot(&lanes[it.1].running, hosts))?;
-        self.longest_running(pool, lowest.1, hosts)
+        // Estimates of the remaining time may be wrong, so a late request does not wait for it.
+        let is_late = self.is_late(now, ticket);
+        let min = if is_late { Duration::ZERO } else { self.settings.pause_min_remaining };
+        self.longest_running(pool, lowest.1, hosts, min)
     }
 
     fn priority(&self, class: ClassKey) -> u8 {
@@ -167,13 +177,13 @@
         pool: PoolKey,
         class: ClassKey,
         hosts: &[BackendKey],
+        min_remaining: Duration,
     ) -> Option<(Ticket, BackendKey)> {
         let running = self.pools[pool].lanes[class].running.iter().copied();
         let pausable = running.filter_map(|ticket| {
             let request = &self.requests[ticket];
             let run = request.run()?;
-            let worth = self.service_time(pool, request.remaining_tokens())
-                >= self.settings.pause_min_remaining;
+            let worth = self.service_time(pool, request.remaining_tokens()) >= min_remaining;
             let allowed = request.standing == Standing::Pausable && request.twin.is_none();
             let open = allowed && worth && run.tokens > 0 && hosts.contains(&run.backend);
             open.then_some((request.remaining_tokens(), ticket, run.backend))
