Measure forwarding to owners and traffic split by class in the bench

Cause: the third design used all servers from every owner, and no workload gave one router summaries only. Change: forward lets a server be used by its owner alone; --by-class.

--- a/crates/policy-bench/src/lib.rs
+++ b/crates/policy-bench/src/lib.rs
@@ -18,4 +18,4 @@
 pub use report::{ClassResult, Results};
 pub use router::{AttemptFailure, AttemptId, Command, Fate, Job, Router};
 pub use sim::{Design, run};
-pub use workload::{Arrival, Fault, FaultKind, Users, Workload, WorkloadSettings};
+pub use workload::{Arrival, Fault, FaultKind, Traffic, Users, Workload, WorkloadSettings};
--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
-use policy_bench::{Design, Fault, FaultKind, Results, Users, Workload, WorkloadSettings, run};
+use policy_bench::{
+    Design, Fault, FaultKind, Results, Traffic, Users, Workload, WorkloadSettings, run,
+};
 
 const DESIGNS: [Design; 6] = [
     Design::Independent,
@@ -53,6 +55,10 @@
         .arg(number("lease-tick", "200", "Time between two grants in milliseconds"))
         .arg(number("routers", "6", "Routers"))
         .arg(number("burst-permille", "3000", "Offered load in the burst"))
+        .arg(flag(
+            "by-class",
+            "Send the urgent class to one half of the routers, the rest to the other",
+        ))
         .arg(flag("straggler", "Slow one server down to a fifth"))
         .arg(flag("crash", "Crash one server"))
         .arg(flag("lost-router", "Lose one router"))
@@ -80,6 +86,7 @@
         faults: faults(matches, burst_from + FAULT_AFTER_BURST),
         lease_tick: Duration::from_millis(number("lease-tick")),
         burst_from,
+        traffic: if matches.get_flag("by-class") { Traffic::ByClass } else { Traffic::Uneven },
         ..WorkloadSettings::default()
     }
 }
--- a/crates/policy-bench/src/policy_router.rs
+++ b/crates/policy-bench/src/policy_router.rs
@@ -21,7 +21,7 @@
     classes: Vec<ClassKey>,
     workspaces: Vec<WorkspaceKey>,
     pool: PoolKey,
-    backends: Vec<BackendKey>,
+    backends: BTreeMap<usize, BackendKey>,
     server_of: BTreeMap<BackendKey, usize>,
     next_attempt: u64,
     jobs: BTreeMap<Ticket, Tracked>,
@@ -37,8 +37,14 @@
 }
 
 impl PolicyRouter {
-    /// A router that knows all servers of the workload.
-    pub fn new(workload: &Workload, idx: usize, now: Instant, settings: Settings) -> Self {
+    /// A router that serves by the given servers of the workload.
+    pub fn new(
+        workload: &Workload,
+        idx: usize,
+        now: Instant,
+        settings: Settings,
+        servers: impl Iterator<Item = usize>,
+    ) -> Self {
         let mut scheduler = Scheduler::new(settings);
         let workspaces = Workload::workspaces();
         let spec = Spec {
@@ -62,14 +68,14 @@
             classes,
             workspaces,
             pool,
-            backends: Vec::new(),
+            backends: BTreeMap::new(),
             server_of: BTreeMap::new(),
             next_attempt: (idx as u64) << ATTEMPT_BITS,
             jobs: BTreeMap::new(),
             attempts: BTreeMap::new(),
             tickets: BTreeMap::new(),
         };
-        (0..workload.servers).for_each(|it| router.add_server(now, it));
+        servers.for_each(|it| router.add_server(now, it));
         router
     }
 
@@ -77,7 +83,7 @@
         let name = format!("server-{server}");
         let sighting = Sighting { name: &name, pool: self.pool, incarnation: 1 };
         let key = self.scheduler.backend_seen(now, &sighting).expect("the pool is known");
-        self.backends.push(key);
+        self.backends.insert(server, key);
         self.server_of.insert(key, server);
     }
 
@@ -206,7 +212,9 @@
     }
 
     fn report(&mut self, now: Instant, server: usize, report: &LoadReport) {
-        self.scheduler.load_report(now, self.backends[server], report);
+        if let Some(backend) = self.backends.get(&server) {
+            self.scheduler.load_report(now, *backend, report);
+        }
     }
 
     fn probed(&mut self, now: Instant, server: usize, incarnation: Option<u64>) {
@@ -214,18 +222,24 @@
             Some(incarnation) => ProbeResult::AliveAs { incarnation },
             None => ProbeResult::Dead,
         };
-        self.scheduler.probe_result(self.backends[server], now, result);
+        self.scheduler.probe_result(self.backends[&server], now, result);
     }
 
     fn demand(&self) -> u32 {
         self.jobs.len() as u32
     }
 
+    fn adopt(&mut self, now: Instant, server: usize) {
+        if !self.backends.contains_key(&server) {
+            self.add_server(now, server);
+        }
+    }
+
     fn held(&self, server: usize) -> u32 {
-        self.scheduler.in_flight(self.backends[server])
+        self.scheduler.in_flight(self.backends[&server])
     }
 
     fn lease(&mut self, server: usize, slots: u32, expires: Instant) {
-        self.scheduler.set_credits(self.backends[server], slots, expires);
+        self.scheduler.set_credits(self.backends[&server], slots, expires);
     }
 }
--- a/crates/policy-bench/src/router.rs
+++ b/crates/policy-bench/src/router.rs
@@ -106,6 +106,9 @@
         0
     }
 
+    /// The router owns the server from now on.
+    fn adopt(&mut self, _now: Instant, _server: usize) {}
+
     /// Requests that hold a slot of the server.
     fn held(&self, _server: usize) -> u32 {
         0
--- a/crates/policy-bench/src/sim.rs
+++ b/crates/policy-bench/src/sim.rs
@@ -31,7 +31,8 @@
     Independent,
     /// The policy crate; each server's slots are leased by its owner router by demand.
     Leases,
-    /// The policy crate; a request is forwarded to the router that owns its prefix's server.
+    /// The policy crate; each server is used by its owner router alone, and a request is forwarded
+    /// to the owner of a server drawn by its hash.
     Forward,
     /// Each server in its turn.
     RoundRobin,
@@ -207,8 +208,13 @@
         ..Settings::default()
     };
     match design {
-        Design::Independent | Design::Leases | Design::Forward => {
-            Box::new(PolicyRouter::new(workload, idx, now, settings))
+        Design::Independent | Design::Leases => {
+            Box::new(PolicyRouter::new(workload, idx, now, settings, 0..servers))
+        }
+        Design::Forward => {
+            let all: Vec<_> = (0..workload.settings.routers).collect();
+            let owned = (0..servers).filter(|it| leases::owner_of(*it, &all) == Some(idx));
+            Box::new(PolicyRouter::new(workload, idx, now, settings, owned))
         }
         Design::RoundRobin => Box::new(Direct::new(idx, servers, Spread::RoundRobin)),
         Design::LeastInFlight => Box::new(Direct::new(idx, servers, Spread::LeastInFlight)),
--- a/crates/policy-bench/src/sim/faults.rs
+++ b/crates/policy-bench/src/sim/faults.rs
@@ -31,6 +31,9 @@
 
     fn lose_router(&mut self, router: usize) {
         self.routers[router] = None;
+        if self.design == super::Design::Forward {
+            self.adopt_servers();
+        }
         for attempt in self.attempts_where(|_, it| it.router == router) {
             let server = self.attempts[&attempt].server;
             let cancel = super::ToServer::Cancel(attempt);
@@ -44,6 +47,17 @@
         }
     }
 
+    /// The servers of a lost router go to their next owners at once.
+    fn adopt_servers(&mut self) {
+        let (now, live) = (self.instant(), self.live_routers());
+        for server in 0..self.servers.len() {
+            let Some(owner) = super::leases::owner_of(server, &live) else { continue };
+            if let Some(router) = self.routers[owner].as_mut() {
+                router.adopt(now, server);
+            }
+        }
+    }
+
     fn attempts_where(&self, holds: impl Fn(AttemptId, &super::Attempt) -> bool) -> Vec<AttemptId> {
         let all = self.attempts.iter().filter(|(id, it)| holds(**id, it));
         all.map(|it| *it.0).collect()
--- a/crates/policy-bench/src/sim/leases.rs
+++ b/crates/policy-bench/src/sim/leases.rs
@@ -30,11 +30,20 @@
     }
 }
 
+/// The live router that owns a server.
+pub(super) fn owner_of(server: usize, live: &[usize]) -> Option<usize> {
+    let names: Vec<_> = live.iter().map(|it| *it as u64 + 1).collect();
+    owner(server as u64 + 1, &names).map(|it| live[it])
+}
+
 impl Sim<'_> {
+    pub(super) fn live_routers(&self) -> Vec<usize> {
+        (0..self.routers.len()).filter(|it| self.routers[*it].is_some()).collect()
+    }
+
     /// Owners grant slots from what they heard in the tick before; then routers tell their claims.
     pub(super) fn lease_tick(&mut self) {
-        let routers = 0..self.routers.len();
-        let live: Vec<_> = routers.filter(|it| self.routers[*it].is_some()).collect();
+        let live = self.live_routers();
         for server in 0..self.servers.len() {
             self.grant(server, &live);
         }
@@ -75,13 +84,12 @@
     /// Each router sends one message to each other one: its demand, what it holds of the other's
     /// servers, and the grants of its own servers.
     fn count_claims(&mut self, live: &[usize]) {
-        let names: Vec<_> = live.iter().map(|it| *it as u64 + 1).collect();
-        let owners = (0..self.servers.len()).filter_map(|it| owner(it as u64 + 1, &names));
-        let mut owned = vec![0; live.len()];
+        let mut owned = vec![0; self.routers.len()];
+        let owners = (0..self.servers.len()).filter_map(|it| owner_of(it, live));
         owners.for_each(|it| owned[it] += 1);
-        for from in 0..live.len() {
-            for to in (0..live.len()).filter(|it| *it != from) {
-                let bytes = CLAIM_BYTES + HELD_BYTES * owned[to] + GRANT_BYTES * owned[from];
+        for from in live {
+            for to in live.iter().filter(|it| *it != from) {
+                let bytes = CLAIM_BYTES + HELD_BYTES * owned[*to] + GRANT_BYTES * owned[*from];
                 self.tally.count_message(bytes);
             }
         }
--- a/crates/policy-bench/src/sim/routers.rs
+++ b/crates/policy-bench/src/sim/routers.rs
@@ -9,6 +9,10 @@
 };
 
 const FORWARD_BYTES: u64 = 600;
+/// One relayed token without the framing of its connection.
+const TOKEN_BYTES: u64 = 8;
+/// Spreads consecutive jobs over the servers; prime to their number.
+const SPREAD: usize = 7_919;
 
 impl Sim<'_> {
     pub(super) fn arrive(&mut self, job: usize) {
@@ -19,11 +23,15 @@
         if self.design != Design::Forward {
             return self.arrive_at(job, entry);
         }
-        let owner = self.live_router(arrival.prefix_hash as usize % self.routers.len());
+        let server = job * SPREAD % self.servers.len();
+        let owner = super::leases::owner_of(server, &self.live_routers()).unwrap_or(entry);
         if owner == entry {
             return self.arrive_at(job, entry);
         }
         self.tally.count_message(FORWARD_BYTES);
+        for _ in 0..arrival.output_tokens {
+            self.tally.count_message(TOKEN_BYTES);
+        }
         self.after(self.workload.lag, Event::Forwarded { job, router: owner });
     }
 
--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -44,10 +44,21 @@
     pub lease_tick: Duration,
     /// Start of the burst; it lasts to the end.
     pub burst_from: Duration,
+    /// Which routers get what.
+    pub traffic: Traffic,
     /// What fails.
     pub faults: Vec<Fault>,
 }
 
+/// How requests are spread over the routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Traffic {
+    /// The first router gets three times as many as each other one.
+    Uneven,
+    /// The last half of the routers gets the urgent class and no other.
+    ByClass,
+}
+
 impl Default for WorkloadSettings {
     fn default() -> Self {
         Self {
@@ -59,6 +70,7 @@
             burst_load: 3.0,
             lease_tick: Duration::from_millis(200),
             burst_from: Duration::from_secs(10),
+            traffic: Traffic::Uneven,
             faults: Vec::new(),
         }
     }
@@ -180,6 +192,17 @@
         }
     }
 
+    fn draw_router(&self, rng: &mut ChaCha8Rng, class: usize) -> usize {
+        let routers = self.settings.routers;
+        let ticket = rng.random_range(0..routers + UNEVEN_FACTOR - 1);
+        let uneven = ticket.saturating_sub(UNEVEN_FACTOR - 1);
+        match (self.settings.traffic, class) {
+            (Traffic::Uneven, _) => uneven,
+            (Traffic::ByClass, 0) => routers / 2 + ticket % routers.div_ceil(2),
+            (Traffic::ByClass, _) => ticket % (routers / 2).max(1),
+        }
+    }
+
     fn draw_one(&self, rng: &mut ChaCha8Rng, at: Duration, class: usize) -> Arrival {
         let is_large = rng.random_range(0.0..1.0) < LARGE_PART;
         let workspace = if is_large {
@@ -187,13 +210,12 @@
         } else {
             rng.random_range(LARGE_WORKSPACES..WORKSPACES)
         };
-        let ticket = rng.random_range(0..self.settings.routers + UNEVEN_FACTOR - 1);
         let tokens = -(1.0 - rng.random_range(0.0..1.0_f64)).ln() * MEAN_ANSWER_TOKENS;
         Arrival {
             at,
             class,
             workspace,
-            router: ticket.saturating_sub(UNEVEN_FACTOR - 1),
+            router: self.draw_router(rng, class),
             prompt_tokens: rng.random_range(50..300),
             output_tokens: tokens.clamp(SHORTEST_ANSWER_TOKENS, LONGEST_ANSWER_TOKENS) as u32,
             prefix_hash: 1 + (workspace * 8 + class) as u64,
