--- a/crates/policy-bench/src/policy_router.rs
+++ b/crates/policy-bench/src/policy_router.rs
@@ -5,7 +5,7 @@
 use policy::{
     Action, BackendKey, ClassKey, Execution, Failure, LoadReport, Offer, Outcome, PoolKey,
     PoolSpec, ProbeResult, Repeat, RetryDecision, Scheduler, Settings, Sighting, Spec, Ticket,
-    WorkspaceKey, WorkspaceSpec,
+    WorkspaceKey, WorkspaceSpec, leases::Claim,
 };
 
 use crate::{
@@ -225,18 +225,14 @@
         self.scheduler.probe_result(self.backends[&server], now, result);
     }
 
-    fn demand(&self) -> u32 {
-        self.jobs.len() as u32
-    }
-
     fn adopt(&mut self, now: Instant, server: usize) {
         if !self.backends.contains_key(&server) {
             self.add_server(now, server);
         }
     }
 
-    fn held(&self, server: usize) -> u32 {
-        self.scheduler.in_flight(self.backends[&server])
+    fn claim(&self, server: usize) -> Claim {
+        self.scheduler.claim(self.backends[&server])
     }
 
     fn lease(&mut self, server: usize, slots: u32, expires: Instant) {
--- a/crates/policy-bench/src/router.rs
+++ b/crates/policy-bench/src/router.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use policy::LoadReport;
+use policy::{LoadReport, leases::Claim};
 
 /// One try of a job at a server, unique over all routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -101,17 +101,12 @@
     /// A probe was answered; `incarnation` is none if the server is down.
     fn probed(&mut self, _now: Instant, _server: usize, _incarnation: Option<u64>) {}
 
-    /// Requests that wait here or run, by demand for a server's capacity.
-    fn demand(&self) -> u32 {
-        0
-    }
-
     /// The router owns the server from now on.
     fn adopt(&mut self, _now: Instant, _server: usize) {}
 
-    /// Requests that hold a slot of the server.
-    fn held(&self, _server: usize) -> u32 {
-        0
+    /// What the router tells the owner of the server.
+    fn claim(&self, _server: usize) -> Claim {
+        Claim::default()
     }
 
     /// Slots of a server leased until `expires`.
--- a/crates/policy-bench/src/sim/leases.rs
+++ b/crates/policy-bench/src/sim/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::leases::{Claim, grant, owner};
+use policy::leases::{Capacity, Claim, grant, owner};
 
 use super::{Event, Sim, ToRouter};
 use crate::workload::Workload;
@@ -22,7 +22,7 @@
 impl Ledger {
     pub(super) fn new(workload: &Workload) -> Self {
         let routers = workload.settings.routers;
-        let claim = Claim { demand: 1, held: 0 };
+        let claim = Claim { demand: 1, ..Claim::default() };
         Self {
             claims: vec![vec![claim; routers]; workload.servers],
             heard: vec![Duration::ZERO; routers],
@@ -59,7 +59,9 @@
                 self.leases.claims[server][router] = Claim::default();
             }
         }
-        let slots = grant(self.workload.engine.batch_max, &self.leases.claims[server], server);
+        let (slots, servers) = (self.workload.engine.batch_max, self.servers.len());
+        let capacity = Capacity { slots, idx: server, servers };
+        let slots = grant(capacity, &self.leases.claims[server]);
         for router in live {
             let (slots, expires) = (slots[*router], self.now + lease);
             let message = ToRouter::Lease { server, slots, expires };
@@ -76,7 +78,7 @@
             let Some(router) = router else { continue };
             self.leases.heard[idx] = self.now;
             for (server, claims) in self.leases.claims.iter_mut().enumerate() {
-                claims[idx] = Claim { demand: router.demand(), held: router.held(server) };
+                claims[idx] = router.claim(server);
             }
         }
     }
--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -144,6 +144,11 @@
         self.queues.get(&workspace).map_or(0, WorkspaceQueue::backlog_per_weight)
     }
 
+    /// Requests that wait, run or are paused.
+    pub(crate) fn demand(&self) -> u32 {
+        (self.waiting + self.running.len() + self.paused.len()) as u32
+    }
+
     /// All waiting requests.
     pub(crate) fn tickets(&self) -> impl Iterator<Item = Ticket> {
         self.queues.values().flat_map(|it| it.items.iter().map(|item| item.ticket))
--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -9,7 +9,11 @@
 use crate::{choice::mix, spec::WHOLE_PERMILLE};
 
 /// The part of a server's slots that is divided equally.
-const FLOOR_PERMILLE: u32 = 250;
+const FLOOR_PERMILLE: u32 = 200;
+
+/// Slots for urgent requests, against those that are there, because more may come before the next
+/// grant.
+const URGENT_HEADROOM_PERMILLE: u32 = 1_500;
 
 /// The index of the router that owns the server, among the hashes of the live routers.
 pub fn owner(server_hash: u64, routers: &[u64]) -> Option<usize> {
@@ -22,39 +26,67 @@
 pub struct Claim {
     /// Requests that wait or run at the router.
     pub demand: u32,
+    /// Of these, the ones of the most urgent class.
+    pub urgent: u32,
     /// Requests of the router that hold a slot of this server.
     pub held: u32,
 }
 
+/// A server whose slots are granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Capacity {
+    /// Requests that the server runs at once.
+    pub slots: u32,
+    /// The server's place among the servers of its pool, for the rotation of remainders.
+    pub idx: usize,
+    /// Servers of the pool.
+    pub servers: usize,
+}
+
 /// The slots that each router may hold from now on.
 ///
 /// A router that holds more than its part finishes its streams; others get those slots only as
-/// they come back, so that the sum of what is held stays within `slots`.
-pub fn grant(slots: u32, claims: &[Claim], turn: usize) -> Vec<u32> {
-    let demand: Vec<_> = claims.iter().map(|it| it.demand).collect();
-    let targets = divide(slots, &demand, turn);
+/// they come back, so that the sum of what is held stays within the server's slots.
+pub fn grant(server: Capacity, claims: &[Claim]) -> Vec<u32> {
+    let targets = divide(server, claims);
     let held: u32 = claims.iter().map(|it| it.held).sum();
     let pairs = claims.iter().zip(&targets);
     let wanted: Vec<_> = pairs.clone().map(|(claim, it)| it.saturating_sub(claim.held)).collect();
-    let open = slots.saturating_sub(held).min(wanted.iter().sum());
-    let growth = proportional(open, &wanted, turn);
+    let open = server.slots.saturating_sub(held).min(wanted.iter().sum());
+    let growth = proportional(open, &wanted, server.idx);
     pairs.zip(growth).map(|((claim, target), it)| (claim.held + it).min(*target)).collect()
 }
 
-/// Divides `slots`: a floor is divided equally, the rest in proportion to demand.
+/// Divides the slots: a floor equally, then what urgent requests need, the rest by demand.
 ///
-/// The floor lets a router without demand serve an urgent request before its next grant. `turn`
-/// rotates who gets the slots that do not divide evenly; give each server another one.
-pub fn divide(slots: u32, demand: &[u32], turn: usize) -> Vec<u32> {
+/// The floor lets a router without demand serve an urgent request before its next grant. The
+/// need of urgent requests goes before the demand, which a long queue of lower ones makes large.
+pub fn divide(server: Capacity, claims: &[Claim]) -> Vec<u32> {
+    let Capacity { slots, idx, servers } = server;
+    let equal = vec![1; claims.len()];
     let floor = slots * FLOOR_PERMILLE / WHOLE_PERMILLE;
-    let equal = vec![1; demand.len()];
-    let mut parts = proportional(floor, &equal, turn);
-    let by_demand = if demand.iter().all(|it| *it == 0) { &equal[..] } else { demand };
-    let rest = proportional(slots - floor, by_demand, turn);
-    parts.iter_mut().zip(rest).for_each(|(part, it)| *part += it);
+    let mut parts = proportional(floor, &equal, idx);
+    let needs: Vec<_> = claims.iter().map(|it| urgent_part(it.urgent, idx, servers)).collect();
+    let urgent = (slots - floor).min(needs.iter().sum());
+    add(&mut parts, &proportional(urgent, &needs, idx));
+    let demand: Vec<_> = claims.iter().map(|it| it.demand).collect();
+    let has_demand = demand.iter().any(|it| *it > 0);
+    let weights = if has_demand { &demand } else { &equal };
+    add(&mut parts, &proportional(slots - floor - urgent, weights, idx));
     parts
 }
 
+/// This server's part of the slots that the router needs for urgent requests on all servers.
+fn urgent_part(urgent: u32, idx: usize, servers: usize) -> u32 {
+    let servers = servers.max(1) as u32;
+    let need = urgent * URGENT_HEADROOM_PERMILLE / WHOLE_PERMILLE;
+    (need + idx as u32 % servers) / servers
+}
+
+fn add(parts: &mut [u32], more: &[u32]) {
+    parts.iter_mut().zip(more).for_each(|(part, it)| *part += it);
+}
+
 /// Parts by largest remainder; they sum to `slots`.
 fn proportional(slots: u32, weights: &[u32], turn: usize) -> Vec<u32> {
     let (slots, count) = (u64::from(slots), weights.len());
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -11,6 +11,8 @@
 use crate::{
     backend::{Backend, Credits, Health, LoadReport, Sighting},
     keys::{BackendKey, PoolKey},
+    lane::Lane,
+    leases::Claim,
 };
 
 impl Scheduler {
@@ -49,6 +51,18 @@
         }
     }
 
+    /// What this router tells the owner of the server, so that it divides the server's slots.
+    pub fn claim(&self, backend: BackendKey) -> Claim {
+        let Some(entry) = self.backends.get(backend) else { return Claim::default() };
+        let lanes = &self.pools[entry.pool].lanes;
+        let urgent = self.order.first().and_then(|it| lanes.get(*it));
+        Claim {
+            demand: lanes.values().map(Lane::demand).sum(),
+            urgent: urgent.map_or(0, Lane::demand),
+            held: entry.in_flight + entry.reserved,
+        }
+    }
+
     /// The health of a server.
     pub fn health(&self, backend: BackendKey) -> Option<Health> {
         self.backends.get(backend).map(|it| it.health)
