--- a/crates/engine-model/src/cache.rs
+++ b/crates/engine-model/src/cache.rs
@@ -141,7 +141,8 @@
     fn since(&self, since: CacheSeq) -> CacheEvents {
         let wanted = since.0.max(1);
         let oldest = self.events.front().map_or(self.next, |it| it.seq.0);
-        let events = self.events.iter().filter(|it| it.seq.0 >= wanted).copied().collect();
+        let first = self.events.partition_point(|it| it.seq.0 < wanted);
+        let events = self.events.range(first..).copied().collect();
         CacheEvents {
             events,
             next: CacheSeq(self.next),
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -136,7 +136,7 @@
     /// Forgets a stream whose answer was delivered.
     pub(crate) fn deliver(&mut self, reader: &Reader) {
         if self.streams.progress(reader).is_some() {
-            self.streams.remove(reader.id);
+            self.forget(reader.id);
         }
     }
 
@@ -238,10 +238,18 @@
         if stream.is_detached() {
             self.cancel(id, now);
         }
-        self.streams.remove(id);
+        self.forget(id);
         Ok(())
     }
 
+    /// Removes a delivered stream.
+    fn forget(&mut self, id: RequestId) {
+        let delivered = self.streams.remove(id);
+        if let Some(crossed) = delivered.filter(Stream::is_crossed) {
+            self.stats.tokens_wasted += u64::from(crossed.produced_tokens);
+        }
+    }
+
     fn record(&mut self, now: Instant) {
         self.load.set(now, self.engine.load());
         let end = self.engine.cache_events(CacheSeq(u64::MAX)).next;
--- a/crates/standin/src/engine/streams.rs
+++ b/crates/standin/src/engine/streams.rs
@@ -117,6 +117,11 @@
         self.detached_at.is_some()
     }
 
+    /// Whether its caller is shown another request's answer.
+    pub(crate) fn is_crossed(&self) -> bool {
+        self.shown.name != self.question.name
+    }
+
     pub(crate) fn notify(&mut self) {
         if let Some(reader) = &mut self.reader {
             // A full channel means that the reader has not looked since the last change.
--- a/crates/standin/tests/server_faults.rs
+++ b/crates/standin/tests/server_faults.rs
@@ -88,6 +88,8 @@
     let fault = answer::check(MODEL, PROMPT, u32::MAX, &crossed.streamed());
     assert!(matches!(fault, Err(AnswerFault::Foreign { .. })));
     check(PROMPT, &exchange(&server, false).expect("a reply").content());
+    let length = answer::unlimited_length(MODEL, PROMPT);
+    assert_eq!(stat(server.addr, "tokens_wasted"), u64::from(length));
 }
 
 #[test]
