--- a/crates/consensus/tests/single_node.rs
+++ b/crates/consensus/tests/single_node.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use consensus::{
-    Body, Campaign, DiskId, Entry, HardState, LogIndex, Members, Message, Node, NodeId, Payload,
-    Peer, Ready, Recovered, Role, Settings, Snapshot, Term,
+    Body, Campaign, ChangeError, DiskId, Entry, HardState, LogIndex, MemberChange, Members,
+    Message, Node, NodeId, Payload, Peer, ProposeError, ReadError, Ready, Recovered, Role,
+    Settings, Snapshot, Term,
 };
 
 const ME: Peer = Peer { node: NodeId(1), disk: DiskId(1) };
@@ -109,6 +110,37 @@
     assert_eq!(node.status(now).commit, LogIndex(3));
 }
 
+#[test]
+fn lease_from_sending() {
+    let now = Instant::now();
+    let mut node = candidate(now);
+    node.step(now, from(SECOND, 3, Body::VoteReply { granted: true }));
+    sync(&mut node, now);
+    assert_eq!(node.read_index(now), Err(ReadError::NoLease), "no heartbeat is answered yet");
+    let answered = now + Duration::from_millis(500);
+    node.step(answered, from(SECOND, 3, Body::Appended { matched: LogIndex(3), round: 1 }));
+    let end = now + Settings::default().lease();
+    assert!(node.read_index(end - Duration::from_millis(1)).is_ok());
+    assert_eq!(node.read_index(end), Err(ReadError::NoLease));
+    assert_eq!(node.propose(end, Vec::new()), Err(ProposeError::NoLease));
+}
+
+#[test]
+fn no_change_before_own_commit() {
+    let now = Instant::now();
+    let mut node = candidate(now);
+    node.step(now, from(SECOND, 3, Body::VoteReply { granted: true }));
+    sync(&mut node, now);
+    node.step(now, from(SECOND, 3, Body::Appended { matched: LogIndex(2), round: 1 }));
+    let change = MemberChange::AddLearner(THIRD_NEW_DISK);
+    // An earlier leader may have left another change that a majority does not know of yet.
+    assert_eq!(node.change_members(now, change), Err(ChangeError::NotCaughtUp));
+    assert_eq!(node.read_index(now), Err(ReadError::NotCaughtUp));
+    node.step(now, from(SECOND, 3, Body::Appended { matched: LogIndex(3), round: 1 }));
+    assert!(node.change_members(now, change).is_ok());
+    assert_eq!(node.read_index(now), Ok(LogIndex(3)));
+}
+
 #[test]
 fn one_write_for_many() {
     let now = Instant::now();
--- a/crates/control-state/tests/support/clients.rs
+++ b/crates/control-state/tests/support/clients.rs
@@ -73,7 +73,7 @@
         let command = Command::ClaimOrder(ClaimOrder {
             order: order_key(key),
             body_hash: 0,
-            router: RouterId("router".to_owned()),
+            router: router(claim),
             claim: ClaimId(claim),
             at_ms: 1,
             until_ms: u64::MAX,
@@ -134,6 +134,8 @@
             None if cluster.elapsed > change.sent_at + PATIENCE => change.send(cluster),
             None => {}
             Some(TablesAnswer::Accepted { revision }) => {
+                let base = change.proposal.base;
+                assert_eq!(revision.0, base.0 + 1, "a change overwrites one that it has not seen");
                 let name = change.proposal.change.0.clone();
                 let owner = self.accepted.entry(revision.0).or_insert_with(|| name.clone());
                 assert_eq!(*owner, name, "two changes make revision {revision}");
@@ -164,10 +166,8 @@
             AttemptState::Claiming => match answer_at(cluster, attempt.sent.0, attempt.sent.1) {
                 Some(Response::Claim(ClaimAnswer::Granted)) => {
                     self.execute(key);
-                    let answer = b"done".to_vec();
-                    let claim = ClaimId(claim);
-                    let complete = Command::CompleteOrder { order, claim, answer };
-                    schedule::propose_anywhere(cluster, &encode_command(&complete));
+                    let report = report(order, claim);
+                    schedule::propose_anywhere(cluster, &encode_command(&report));
                     self.attempts[idx].state = AttemptState::Ended;
                 }
                 Some(_) => self.attempts[idx].state = AttemptState::Ended,
@@ -194,6 +194,20 @@
     }
 }
 
+/// What is heard of an order that ran: its answer, that the answer was lost, or nothing more from
+/// the router.
+fn report(order: OrderKey, claim: u64) -> Command {
+    match claim % 3 {
+        0 => Command::CompleteOrder { order, claim: ClaimId(claim), answer: b"done".to_vec() },
+        1 => Command::DoubtOrder { order, claim: ClaimId(claim) },
+        _ => Command::RouterGone { router: router(claim) },
+    }
+}
+
+fn router(claim: u64) -> RouterId {
+    RouterId(format!("router {claim}"))
+}
+
 fn answer_at(cluster: &Cluster<Machine>, at: u64, proposal: Proposal) -> Option<Response> {
     let bytes = cluster.answer(at, proposal)?.ok()?;
     decode_response(&bytes).ok()
