Take held sizes off the totals of the capacity experiment

Cause: the changes series is measured with 32 routers, whose bytes were counted twice in the total: 119 KB/s in place of about 63 KB/s. Ruled out: measuring changes without routers, which would hide what each change costs there. Change: samples name the sizes of the other drivers, and the totals take them off; a test.

--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -17,7 +17,7 @@
 pub use markdown::markdown;
 pub use plot::{line_file_name, line_svg};
 pub use projection::{CapacityReport, LineReport, RoleTotal, Verdict};
-pub use sample::{Driver, Measure, Reading, Sample, in_force_readings};
+pub use sample::{Driver, HeldSize, HeldSizeFault, Measure, Reading, Sample, in_force_readings};
 pub use sampler::{
     NoWireBytes, SampleLabel, SamplerFault, SamplerSettings, ServedWireBytes, WireBytes, watch,
 };
--- a/crates/load/src/capacity/projection.rs
+++ b/crates/load/src/capacity/projection.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Driver, FitFault, LineFit, Measure, Point, Sample, fit};
+use super::{Driver, FitFault, HeldSize, LineFit, Measure, Point, Sample, fit};
 
 /// How a projected value compares with the users' limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
@@ -31,6 +31,8 @@
     pub driver: Driver,
     /// What was measured.
     pub measure: Measure,
+    /// The sizes of the role's other drivers meanwhile.
+    pub held: Vec<HeldSize>,
     /// The measured points in the order of their sizes.
     pub points: Vec<Point>,
     /// The line through them.
@@ -51,8 +53,8 @@
     pub role: String,
     /// What was measured.
     pub measure: Measure,
-    /// The highest intercept plus the growth along each driver. Falling lines count as level, so
-    /// that noise in one series cannot hide the cost of another.
+    /// The value with every driver at zero, plus the growth along each of them. Falling lines
+    /// count as level, so that noise in one series cannot hide the cost of another.
     pub projected: f64,
     /// The users' limit.
     pub limit: f64,
@@ -81,7 +83,7 @@
     pub fn new(commit: &str, samples: &[Sample]) -> Result<CapacityReport, FitFault> {
         let lines = series(samples)
             .into_iter()
-            .map(|(key, points)| line_report(key, points))
+            .map(|(key, series)| line_report(key, series))
             .collect::<Result<Vec<_>, _>>()?;
         let totals = totals(&lines);
         Ok(CapacityReport { commit: commit.to_owned(), lines, totals })
@@ -90,27 +92,35 @@
 
 type SeriesKey = (String, Driver, Measure);
 
-fn series(samples: &[Sample]) -> BTreeMap<SeriesKey, Vec<Point>> {
-    let mut series: BTreeMap<SeriesKey, Vec<Point>> = BTreeMap::new();
+#[derive(Default)]
+struct Series {
+    held: Vec<HeldSize>,
+    points: Vec<Point>,
+}
+
+fn series(samples: &[Sample]) -> BTreeMap<SeriesKey, Series> {
+    let mut all: BTreeMap<SeriesKey, Series> = BTreeMap::new();
     for sample in samples {
         for reading in &sample.readings {
             let key = (sample.role.clone(), sample.driver, reading.measure);
-            let point = Point { size: sample.size, value: reading.value };
-            series.entry(key).or_default().push(point);
+            let series = all.entry(key).or_default();
+            series.held = sample.held.clone();
+            series.points.push(Point { size: sample.size, value: reading.value });
         }
     }
-    series
+    all
 }
 
-fn line_report(key: SeriesKey, mut points: Vec<Point>) -> Result<LineReport, FitFault> {
+fn line_report(key: SeriesKey, series: Series) -> Result<LineReport, FitFault> {
     let (role, driver, measure) = key;
+    let Series { held, mut points } = series;
     points.sort_by(|a, b| a.size.total_cmp(&b.size));
     let line = fit(&points)?;
     let target = driver.target();
     let projected = line.at(target);
     let verdict =
         if driver.is_control() { verdict(projected, measure) } else { Verdict::NotControl };
-    Ok(LineReport { role, driver, measure, points, line, target, projected, verdict })
+    Ok(LineReport { role, driver, measure, held, points, line, target, projected, verdict })
 }
 
 fn totals(lines: &[LineReport]) -> Vec<RoleTotal> {
@@ -122,8 +132,9 @@
 }
 
 fn total(role: &str, measure: Measure, lines: &[&LineReport]) -> RoleTotal {
-    let base = lines.iter().map(|it| it.line.intercept).fold(0.0, f64::max);
-    let growth: f64 = lines.iter().map(|it| (it.line.slope * it.target).max(0.0)).sum();
+    // Each series gives the value at zero on its own; the highest is the safe one.
+    let base = lines.iter().map(|it| value_at_zero(it, lines)).fold(0.0, f64::max);
+    let growth: f64 = lines.iter().map(|it| slope_up(it) * it.target).sum();
     let projected = base + growth;
     let limit = measure.limit();
     RoleTotal {
@@ -135,6 +146,18 @@
     }
 }
 
+/// The intercept of `line` without what its held sizes add to it.
+fn value_at_zero(line: &LineReport, lines: &[&LineReport]) -> f64 {
+    let slope_of =
+        |driver| lines.iter().find(|it| it.driver == driver).map_or(0.0, |it| slope_up(it));
+    let held: f64 = line.held.iter().map(|it| slope_of(it.driver) * it.size).sum();
+    line.line.intercept - held
+}
+
+fn slope_up(line: &LineReport) -> f64 {
+    line.line.slope.max(0.0)
+}
+
 fn verdict(projected: f64, measure: Measure) -> Verdict {
     if projected <= measure.limit() { Verdict::Fits } else { Verdict::Exceeds }
 }
--- a/crates/load/src/capacity/sample.rs
+++ b/crates/load/src/capacity/sample.rs
@@ -1,8 +1,8 @@
 //! What is measured, and against what it is measured.
 
-use std::time::Duration;
+use std::{str::FromStr, time::Duration};
 
-use derive_more::{Display, FromStr};
+use derive_more::{Display, Error, FromStr};
 use serde::{Deserialize, Serialize};
 
 use crate::report::LatencySummary;
@@ -110,6 +110,32 @@
     pub value: f64,
 }
 
+/// A size that was kept while another one was varied.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct HeldSize {
+    /// What was kept.
+    pub driver: Driver,
+    /// Its size.
+    pub size: f64,
+}
+
+/// A text that is no held size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("write DRIVER=SIZE, such as workspaces=10")]
+pub struct HeldSizeFault;
+
+impl FromStr for HeldSize {
+    type Err = HeldSizeFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (driver, size) = text.split_once('=').ok_or(HeldSizeFault)?;
+        let driver = driver.parse().map_err(|_| HeldSizeFault)?;
+        let size = size.parse().map_err(|_| HeldSizeFault)?;
+        Ok(HeldSize { driver, size })
+    }
+}
+
 /// All values measured at one size.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -120,6 +146,8 @@
     pub driver: Driver,
     /// The size.
     pub size: f64,
+    /// The sizes of the role's other drivers meanwhile.
+    pub held: Vec<HeldSize>,
     /// The values.
     pub readings: Vec<Reading>,
 }
--- a/crates/load/src/capacity/sampler.rs
+++ b/crates/load/src/capacity/sampler.rs
@@ -8,7 +8,7 @@
 use httpio::client::{Pool, PoolSettings};
 use monoio::time;
 
-use super::{Driver, Measure, Reading, Sample};
+use super::{Driver, HeldSize, Measure, Reading, Sample};
 use crate::{
     counters::{CounterFault, read_sum},
     loopback::LoopbackAddr,
@@ -33,6 +33,8 @@
     pub driver: Driver,
     /// The size.
     pub size: f64,
+    /// The sizes of the role's other drivers meanwhile.
+    pub held: Vec<HeldSize>,
 }
 
 /// Where the bytes that a process has sent and received are counted.
@@ -109,6 +111,6 @@
         let value = (after - before) / seconds;
         readings.push(Reading { measure: Measure::WireBytesPerS, value });
     }
-    let SampleLabel { role, driver, size } = label;
-    Ok(Sample { role, driver, size, readings })
+    let SampleLabel { role, driver, size, held } = label;
+    Ok(Sample { role, driver, size, held, readings })
 }
--- a/crates/load/src/cli/capacity/routers.rs
+++ b/crates/load/src/cli/capacity/routers.rs
@@ -11,7 +11,7 @@
 use clock::{Clock, SystemClock};
 use load::{
     capacity::{
-        Accepted, Changer, Driver, FollowerSettings, Followers, Measure, Reading, Sample,
+        Accepted, Changer, Driver, FollowerSettings, Followers, HeldSize, Measure, Reading, Sample,
         SampleLabel, SamplerSettings, SiteSize, in_force_readings, watch,
     },
     proc_stat::Pid,
@@ -59,7 +59,12 @@
 
 pub(crate) async fn run_routers(matches: &ArgMatches) -> anyhow::Result<()> {
     let mut bench = Bench::start(matches).await?;
-    let label = bench.label(Driver::Routers, bench.count as f64);
+    let label = SampleLabel {
+        role: "control".to_owned(),
+        driver: Driver::Routers,
+        size: bench.count as f64,
+        held: Vec::new(),
+    };
     let sampler = sampler(matches);
     let mut sample = watch(sampler, label, &bench.followers, &*bench.clock).await?;
 
@@ -85,13 +90,17 @@
 }
 
 pub(crate) async fn run_changes(matches: &ArgMatches) -> anyhow::Result<()> {
-    let Bench { followers, changer, clock, .. } = Bench::start(matches).await?;
+    let Bench { followers, changer, clock, count, .. } = Bench::start(matches).await?;
     let rate: u64 = args::value(matches, "changes-per-hour");
     if let Some(interval_ms) = MS_PER_HOUR.checked_div(rate) {
         monoio::spawn(keep_changing(changer, Duration::from_millis(interval_ms), clock.now()));
     }
-    let label =
-        SampleLabel { role: "control".to_owned(), driver: Driver::Changes, size: rate as f64 };
+    let label = SampleLabel {
+        role: "control".to_owned(),
+        driver: Driver::Changes,
+        size: rate as f64,
+        held: vec![HeldSize { driver: Driver::Routers, size: count as f64 }],
+    };
     let sample = watch(sampler(matches), label, &followers, &*clock).await?;
     append(&args::value::<PathBuf>(matches, "samples"), &sample)
 }
@@ -145,10 +154,6 @@
         ensure!(reached == count, "{reached} of {count} routers have revision {revision} in time");
         Ok(())
     }
-
-    fn label(&self, driver: Driver, size: f64) -> SampleLabel {
-        SampleLabel { role: "control".to_owned(), driver, size }
-    }
 }
 
 fn sampler(matches: &ArgMatches) -> SamplerSettings {
--- a/crates/load/src/cli/capacity/sample.rs
+++ b/crates/load/src/cli/capacity/sample.rs
@@ -12,8 +12,8 @@
 use clock::{Clock, SystemClock};
 use load::{
     capacity::{
-        Driver, NoWireBytes, Sample, SampleLabel, SamplerSettings, ServedWireBytes, WireBytes,
-        watch,
+        Driver, HeldSize, NoWireBytes, Sample, SampleLabel, SamplerSettings, ServedWireBytes,
+        WireBytes, watch,
     },
     proc_stat::Pid,
 };
@@ -27,6 +27,14 @@
         .arg(args::word("role", "router", "The role of the process"))
         .arg(driver())
         .arg(size())
+        .arg(
+            Arg::new("held")
+                .long("held")
+                .value_name("DRIVER=N")
+                .help("What is kept meanwhile, such as workspaces=10; may be given more than once")
+                .value_parser(value_parser!(HeldSize))
+                .action(ArgAction::Append),
+        )
         .arg(args::number("window-ms", "5000", "How long the process is watched"))
         .arg(args::addr("metrics", "The admin listener with its counters").required(false))
         .arg(
@@ -39,7 +47,7 @@
         .arg(args::path("samples", "The file to add to, a JSON document a line").required(true))
 }
 
-pub(crate) fn driver() -> Arg {
+fn driver() -> Arg {
     Arg::new("driver")
         .long("driver")
         .value_name("WORD")
@@ -48,7 +56,7 @@
         .required(true)
 }
 
-pub(crate) fn size() -> Arg {
+fn size() -> Arg {
     Arg::new("size")
         .long("size")
         .value_name("N")
@@ -67,6 +75,7 @@
         role: args::value(matches, "role"),
         driver: args::value(matches, "driver"),
         size: args::value(matches, "size"),
+        held: matches.get_many("held").unwrap_or_default().copied().collect(),
     };
     let sample = watch(settings, label, &*wire_bytes(matches, &clock), &*clock).await?;
     append(&args::value::<PathBuf>(matches, "samples"), &sample)
--- a/crates/load/src/cli/capacity/streams.rs
+++ b/crates/load/src/cli/capacity/streams.rs
@@ -49,7 +49,7 @@
         window_ms: args::value(matches, "window-ms"),
     };
     let (role, size) = ("router".to_owned(), count as f64);
-    let label = SampleLabel { role, driver: Driver::Streams, size };
+    let label = SampleLabel { role, driver: Driver::Streams, size, held: Vec::new() };
     let sample = watch(sampler, label, &NoWireBytes, &SystemClock).await?;
     drop(open);
     append(&args::value::<PathBuf>(matches, "samples"), &sample)
--- a/crates/load/tests/line_fit.rs
+++ b/crates/load/tests/line_fit.rs
@@ -2,8 +2,8 @@
 
 use expect_test::{Expect, expect};
 use load::capacity::{
-    CapacityReport, Driver, LineFit, Measure, Point, Reading, Sample, Verdict, fit, line_file_name,
-    line_svg, markdown,
+    CapacityReport, Driver, HeldSize, LineFit, Measure, Point, Reading, Sample, Verdict, fit,
+    line_file_name, line_svg, markdown,
 };
 use proptest::prelude::*;
 
@@ -18,7 +18,7 @@
 
 fn sample(driver: Driver, size: f64, rss_kib: f64) -> Sample {
     let readings = vec![Reading { measure: Measure::RssKib, value: rss_kib }];
-    Sample { role: "router".to_owned(), driver, size, readings }
+    Sample { role: "router".to_owned(), driver, size, held: Vec::new(), readings }
 }
 
 fn report() -> CapacityReport {
@@ -96,6 +96,22 @@
     assert_eq!(report.totals.len(), 1);
 }
 
+#[test]
+fn held_sizes_taken_off() {
+    let held = vec![HeldSize { driver: Driver::Workspaces, size: 100.0 }];
+    let with_held =
+        |size, rss_kib| Sample { held: held.clone(), ..sample(Driver::Replicas, size, rss_kib) };
+    let samples = [
+        with_held(0.0, 10_200.0),
+        with_held(100.0, 10_300.0),
+        sample(Driver::Workspaces, 0.0, 10_000.0),
+        sample(Driver::Workspaces, 100.0, 10_200.0),
+    ];
+    let report = CapacityReport::new("abc1234", &samples).expect("two sizes each");
+    // 10,000 at zero, 1 for each of 1,300 replicas and 2 for each of 930 workspaces.
+    assert_eq!(report.totals[0].projected, 13_160.0);
+}
+
 #[test]
 fn json_round_trip() {
     let text = serde_json::to_string(&report()).expect("plain data");
--- a/crates/load/tests/process_sample.rs
+++ b/crates/load/tests/process_sample.rs
@@ -28,7 +28,7 @@
         let wire = ServedWireBytes::new(addr, vec![counter.to_owned()], Rc::clone(&clock));
         let settings = SamplerSettings { pid: Pid(std::process::id()), window_ms: 20 };
         let (role, driver) = ("router".to_owned(), Driver::Replicas);
-        let label = SampleLabel { role, driver, size: 10.0 };
+        let label = SampleLabel { role, driver, size: 10.0, held: Vec::new() };
         watch(settings, label, &wire, &*clock).await
     })
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -81,15 +81,17 @@
     wait_for_port "$router_port"
 }
 
-# Samples a router at rest on a site of $2 replicas and $3 workspaces, as size $4 of driver $1.
+# Samples a router at rest on a site of $2 replicas and $3 workspaces, of which driver $1 is varied
+# and driver $4 kept at $5.
 sample_at_rest() {
-    local driver=$1 replicas=$2 workspaces=$3 size=$4
+    local driver=$1 replicas=$2 workspaces=$3 held=$4 held_size=$5
+    local size=${!driver}
     "$load" capacity site --replicas "$replicas" --workspaces "$workspaces" --out "$work/site"
     start backends "$load" capacity backends --replicas "$replicas"
     start_router "$work/site"
     sleep 2
     "$load" capacity sample --pid "$router" --role router --driver "$driver" --size "$size" \
-        --window-ms "$window_ms" --samples "$samples"
+        --held "$held=$held_size" --window-ms "$window_ms" --samples "$samples"
     stop_all
 }
 
@@ -182,10 +184,10 @@
 mkdir -p "$out"
 : >"$samples"
 for replicas in 10 100 250 500; do
-    sample_at_rest replicas "$replicas" 10 "$replicas"
+    sample_at_rest replicas "$replicas" 10 workspaces 10
 done
 for workspaces in 10 300 1000; do
-    sample_at_rest workspaces 10 "$workspaces" "$workspaces"
+    sample_at_rest workspaces 10 "$workspaces" replicas 10
 done
 sample_streams 1 100 300 1000
 sample_routers 1 8 16 32 64
