--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -23,7 +23,7 @@
 
 const FINISHED: &str = "finished: every voter is synced";
 
-pub const TOKEN: &str = "command-token";
+pub(crate) const TOKEN: &str = "command-token";
 
 /// A bound against hanging, far above what any step takes; no verdict depends on it.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -33,7 +33,7 @@
 static CLUSTERS: AtomicU16 = AtomicU16::new(0);
 
 /// Control processes, numbered from 1.
-pub struct Cluster {
+pub(crate) struct Cluster {
     dir: tempfile::TempDir,
     addrs: Vec<SocketAddr>,
     children: Vec<Option<Child>>,
@@ -41,7 +41,7 @@
 
 impl Cluster {
     /// Founds a cluster of `size` nodes and waits until all vote.
-    pub fn start(size: usize) -> Cluster {
+    pub(crate) fn start(size: usize) -> Cluster {
         let dir = tempfile::tempdir().expect("a folder for the test");
         let net = next_net();
         let addrs = (1..=size).map(|node| files::loopback_addr(net, node)).collect();
@@ -55,11 +55,11 @@
         cluster
     }
 
-    pub fn addr(&self, node: usize) -> SocketAddr {
+    pub(crate) fn addr(&self, node: usize) -> SocketAddr {
         self.addrs[node - 1]
     }
 
-    pub fn format(&self, node: usize, is_founder: bool) {
+    pub(crate) fn format(&self, node: usize, is_founder: bool) {
         let mut command = self.command("format", node);
         if is_founder {
             command.arg("--found");
@@ -67,7 +67,7 @@
         assert!(command.stdout(Stdio::null()).status().expect("the program runs").success());
     }
 
-    pub fn run(&mut self, node: usize) {
+    pub(crate) fn run(&mut self, node: usize) {
         let log = fs::File::options()
             .create(true)
             .append(true)
@@ -78,33 +78,33 @@
     }
 
     /// Ends a node as a power loss of its VM would.
-    pub fn kill(&mut self, node: usize) {
+    pub(crate) fn kill(&mut self, node: usize) {
         let mut child = self.children[node - 1].take().expect("the node runs");
         child.kill().expect("the node is ours");
         child.wait().expect("the node is ours");
     }
 
     /// Asks a node to stop and gives whether it ended well.
-    pub fn stop(&mut self, node: usize) -> bool {
+    pub(crate) fn stop(&mut self, node: usize) -> bool {
         let mut child = self.children[node - 1].take().expect("the node runs");
         kill_process(pid(&child), Signal::TERM).expect("the node is ours");
         child.wait().expect("the node is ours").success()
     }
 
-    pub fn freeze(&self, node: usize) {
+    pub(crate) fn freeze(&self, node: usize) {
         self.signal(node, Signal::STOP);
     }
 
-    pub fn thaw(&self, node: usize) {
+    pub(crate) fn thaw(&self, node: usize) {
         self.signal(node, Signal::CONT);
     }
 
-    pub fn lose_disk(&self, node: usize) {
+    pub(crate) fn lose_disk(&self, node: usize) {
         fs::remove_dir_all(self.data_dir(node)).expect("the folder is ours");
     }
 
     /// The status of a node, if it answers.
-    pub fn status(&self, node: usize) -> Option<Value> {
+    pub(crate) fn status(&self, node: usize) -> Option<Value> {
         run(async {
             let connection = self.connect(node).await?;
             let text = connection.client.status().await.ok()?;
@@ -113,7 +113,7 @@
     }
 
     /// The node that leads under a lease, by its own word.
-    pub fn await_leader(&self, among: &[usize]) -> usize {
+    pub(crate) fn await_leader(&self, among: &[usize]) -> usize {
         until("a leader", || {
             among.iter().copied().find(|node| {
                 let status = self.status(*node);
@@ -122,7 +122,7 @@
         })
     }
 
-    pub fn await_voters(&self, count: usize) {
+    pub(crate) fn await_voters(&self, count: usize) {
         let all: Vec<_> = (1..=self.addrs.len()).collect();
         until("all voters synced", || {
             all.iter().find(|node| {
@@ -135,7 +135,7 @@
     }
 
     /// Waits until the leader reports the repair as finished with `member` among the voters.
-    pub fn await_repair(&self, member: &str) {
+    pub(crate) fn await_repair(&self, member: &str) {
         let all: Vec<_> = (1..=self.addrs.len()).collect();
         until("the end of the repair", || {
             all.iter().find(|node| {
@@ -147,7 +147,7 @@
     }
 
     /// Proposes tables at a node, once.
-    pub fn propose(
+    pub(crate) fn propose(
         &self,
         node: usize,
         change: &str,
@@ -166,7 +166,7 @@
     }
 
     /// Proposes the same change until it is answered, as an operator does after a lost answer.
-    pub fn propose_until_answered(
+    pub(crate) fn propose_until_answered(
         &self,
         node: usize,
         change: &str,
@@ -176,7 +176,11 @@
         until("an answer to the change", || self.propose(node, change, base, tables).ok())
     }
 
-    pub fn submit(&self, node: usize, command: &LogCommand) -> Result<Response, CommandError> {
+    pub(crate) fn submit(
+        &self,
+        node: usize,
+        command: &LogCommand,
+    ) -> Result<Response, CommandError> {
         run(async {
             let unreachable = || CommandError::Refused { reason: "unreachable".to_owned() };
             let connection = self.connect(node).await.ok_or_else(unreachable)?;
@@ -185,7 +189,7 @@
     }
 
     /// The tables that a node gives to a router that starts: revision, text, confirmed.
-    pub fn tables(&self, node: usize) -> Option<(u64, TablesText, bool)> {
+    pub(crate) fn tables(&self, node: usize) -> Option<(u64, TablesText, bool)> {
         run(async {
             let connection = self.connect(node).await?;
             match connection.client.fetch_tables(0, 0, Duration::from_millis(500)).await.ok()? {
@@ -197,7 +201,7 @@
         })
     }
 
-    pub fn await_revision(&self, node: usize, revision: u64) {
+    pub(crate) fn await_revision(&self, node: usize, revision: u64) {
         until("the revision", || {
             self.tables(node).filter(|(held, _, _)| *held >= revision).map(|_| ())
         });
@@ -235,7 +239,7 @@
 }
 
 /// Waits until `found` gives something; the bound only keeps a broken test from hanging.
-pub fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+pub(crate) fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
     loop {
         if let Some(it) = found() {
@@ -247,11 +251,11 @@
 }
 
 /// Tables that differ by `number`.
-pub fn tables_text(number: u64) -> TablesText {
+pub(crate) fn tables_text(number: u64) -> TablesText {
     files::tables_text(number)
 }
 
-pub fn run<T>(future: impl Future<Output = T>) -> T {
+pub(crate) fn run<T>(future: impl Future<Output = T>) -> T {
     let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
     builder.build().expect("a runtime").block_on(future)
 }
--- a/crates/router/tests/failed_attempts.rs
+++ b/crates/router/tests/failed_attempts.rs
@@ -252,10 +252,14 @@
 #[test]
 fn refused_by_engine() {
     let engine = async |_| Reply::typed(StatusCode::BAD_REQUEST, "text/plain", "too long".into());
-    check_alone(engine, streamed_chat(), expect![[r#"
+    check_alone(
+        engine,
+        streamed_chat(),
+        expect![[r#"
         502 Bad Gateway
         x-outcome: ran
         x-request-id: q1
         content-type: application/json
-        {"error":{"code":"backend_failed","message":"the engine refused the request by 400 Bad Request; it is not tried again: check what it did before sending it anew","outcome":"ran","retry_after_ms":null}}"#]]);
+        {"error":{"code":"backend_failed","message":"the engine refused the request by 400 Bad Request; it is not tried again: check what it did before sending it anew","outcome":"ran","retry_after_ms":null}}"#]],
+    );
 }
