Wait for a slow engine until the deadline, and count streams as in flight to their end

Cause: an engine that was alive but silent for four silences in a row lost its stream, though each resume on a new connection had worked; the gauge of requests in flight left streams out. Ruled out: no resume at all while the engine answers probes, because a path that was lost once may be lost again. Change: after the resumes are used up a stream waits on until its route's deadline; the gauge is held by the call.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -14,7 +14,7 @@
     backends::{Attempt, AttemptError, millis},
     class_limits::Permit,
     dispatch::{Asked, Lease, Retried},
-    metrics::Labels,
+    metrics::{InFlight, Labels},
     outcome::{Code, Failure, Outcome},
     refusals,
     routing::Routed,
@@ -34,6 +34,7 @@
     span: TraceContext,
     started: Instant,
     _permit: Permit,
+    _in_flight: InFlight,
 }
 
 /// What the scheduler is told beside the route.
@@ -54,6 +55,7 @@
         permit: Permit,
         shape: Shape,
     ) -> Result<Call, Failure> {
+        let in_flight = services.metrics.in_flight();
         let request = &routed.arrival.request;
         let asked = Asked {
             pool: &routed.pool().name,
@@ -89,6 +91,7 @@
             span,
             started,
             _permit: permit,
+            _in_flight: in_flight,
         };
         call.services.metrics.placed(call.labels(), started - call.routed.arrival.arrived);
         Ok(call)
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -167,10 +167,18 @@
         let error = silence_error(silent);
         match silent {
             Silent::Dead => Err(error),
+            // The stream was resumed on new connections in vain, so the engine is slow.
+            Silent::Alive if self.may_wait_on() => Ok(()),
             Silent::Alive => self.recover(error).await,
         }
     }
 
+    fn may_wait_on(&self) -> bool {
+        let services = &self.call.services;
+        let is_resumed = self.stream.is_some() && self.resumes >= services.waits.resumes_max;
+        is_resumed && services.clock.now() < self.call.routed.deadline()
+    }
+
     fn account(&mut self, event: &Event) {
         let Event::Chunk { chunk, .. } = event else { return };
         if !chunk.has_token() {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -32,6 +32,16 @@
     pub pool: &'a str,
 }
 
+/// Held by a request that waits or runs.
+#[derive(Debug)]
+pub struct InFlight(IntGauge);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl Metrics {
     /// Registers the metrics.
     ///
@@ -60,7 +70,11 @@
             )?,
             whole: times(registry, "router_whole_seconds", "Time from arrival to the end.")?,
             queued: times(registry, "router_queued_seconds", "Time from arrival to a place.")?,
-            in_flight: gauge(registry, "router_in_flight", "Requests in flight.")?,
+            in_flight: gauge(
+                registry,
+                "router_in_flight",
+                "Requests that wait or run, streams to their end.",
+            )?,
             revision: gauge(registry, "router_tables_revision", "Revision of the tables.")?,
         })
     }
@@ -94,9 +108,11 @@
         self.tokens.with_label_values(&[labels.class, labels.pool]).inc_by(count.into());
     }
 
-    /// The gauge of the requests in flight.
-    pub fn in_flight(&self) -> &IntGauge {
-        &self.in_flight
+    /// Counts a request as in flight until the guard is dropped.
+    #[must_use]
+    pub fn in_flight(&self) -> InFlight {
+        self.in_flight.inc();
+        InFlight(self.in_flight.clone())
     }
 
     /// Notes the revision of the tables in force.
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -56,14 +56,10 @@
 
 impl Pipeline {
     async fn answer(self, request: Request) -> Reply {
-        let in_flight = self.services.metrics.in_flight().clone();
-        in_flight.inc();
-        let reply = match self.services.reception.apply(request, &*self.services.clock) {
+        match self.services.reception.apply(request, &*self.services.clock) {
             Ok(arrival) => self.serve(arrival).await,
             Err(failure) => failure.to_reply(),
-        };
-        in_flight.dec();
-        reply
+        }
     }
 
     async fn serve(&self, arrival: Arrival) -> Reply {
--- a/crates/router/tests/silent_servers.rs
+++ b/crates/router/tests/silent_servers.rs
@@ -2,6 +2,12 @@
 
 mod support;
 
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
 use expect_test::expect;
 use httpio::{
     StatusCode,
@@ -114,3 +120,36 @@
             {"error":{"code":"no_backend_server","message":"the backend server fell silent and does not answer a probe; it is not tried again now: come back later","outcome":"may-have-run","retry_after_ms":1000}}"#]].assert_eq(&router.exchange(streamed_chat()).await);
     });
 }
+
+#[test]
+fn slow_engine_waited_for() {
+    run(async {
+        let probes = Rc::new(RefCell::new(Rc::new(Cell::new(0))));
+        let probed = Rc::clone(&probes);
+        let engine = Fake::start(async move |req| match req.uri.path() {
+            "/v1/chat/completions" => falls_silent(req),
+            _ => rest_after(&req, Rc::clone(&probed.borrow())),
+        });
+        *probes.borrow_mut() = Rc::clone(&engine.probes);
+        let router = Setup { engines: vec![engine.addr], waits: QUICK, ..Setup::default() }.start();
+        let answer = router.exchange(streamed_chat()).await;
+        assert!(answer.contains(" second") && answer.ends_with("data: [DONE]\n\n"), "{answer}");
+        let resumes = engine.paths().iter().filter(|it| it.ends_with("/resume")).count();
+        assert_eq!(resumes, QUICK.resumes_max as usize);
+    });
+}
+
+/// Goes on only after the router has probed more often than it resumes.
+fn rest_after(req: &Request, probes: Rc<Cell<usize>>) -> Reply {
+    let id = id_of(req);
+    let (mut sender, reply) = event_stream(&id);
+    monoio::spawn(async move {
+        while probes.get() < 6 {
+            monoio::time::sleep(Duration::ZERO).await;
+        }
+        let _ = sender.send(token_event(&id, " second")).await;
+        let _ = sender.send(last_events(&id, 2)).await;
+        let _ = sender.finish().await;
+    });
+    reply
+}
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -62,6 +62,8 @@
     pub(crate) seen: Rc<RefCell<Vec<Request>>>,
     /// Whether it answers probes.
     pub(crate) is_healthy: Rc<Cell<bool>>,
+    /// How often it was probed.
+    pub(crate) probes: Rc<Cell<usize>>,
 }
 
 impl Fake {
@@ -72,8 +74,11 @@
         let (all, answer) = (Rc::clone(&seen), Rc::new(answer));
         let is_healthy = Rc::new(Cell::new(true));
         let healthy = Rc::clone(&is_healthy);
+        let probes = Rc::new(Cell::new(0));
+        let probed = Rc::clone(&probes);
         let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
             if req.uri.path() == "/healthz" {
+                probed.set(probed.get() + 1);
                 let reply = match healthy.get() {
                     true => Reply::typed(StatusCode::OK, "text/plain", "ok".into()),
                     false => Reply::abort(),
@@ -91,7 +96,7 @@
         let settings = ServerSettings::default();
         let stop = StopSignals::default();
         monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
-        Fake { addr, seen, is_healthy }
+        Fake { addr, seen, is_healthy, probes }
     }
 
     /// An engine that answers each request with the same tokens.
