Tell the other routers of the failure domain which requests crash servers

Cause: a request that crashed two servers was refused by the router that saw it only. Ruled out: passing entries on by the control VMs, which a partition may cut off. Change: each router shows its entries on its admin listener under /quarantine and reads those of the peers that its settings name, twice a second.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -31,6 +31,7 @@
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
     platform,
+    quarantine_exchange::{self, RouterAdmin},
     readiness::{Readiness, RouterHealth},
     services::Services,
     settings::RouterSettings,
@@ -147,7 +148,8 @@
     let pipeline = pipeline(&settings, &parts, &registry)?;
     let readiness = Rc::new(Cell::new(Readiness::Starting));
     let health = RouterHealth { readiness: Rc::clone(&readiness) };
-    let admin = Rc::new(Admin::new(registry, Rc::new(health)));
+    let admin = Admin::new(registry, Rc::new(health));
+    let admin = Rc::new(RouterAdmin { admin, services: Rc::clone(&pipeline.services) });
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
     monoio::spawn(follow_tables(
@@ -157,6 +159,11 @@
     ));
     monoio::spawn(load_reports::poll(Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables)));
 
+    for peer in &settings.peers {
+        let period = Duration::from_millis(settings.peer_period_ms);
+        let services = Rc::clone(&pipeline.services);
+        monoio::spawn(quarantine_exchange::follow(*peer, period, services));
+    }
     if let Some(addr) = settings.platform {
         let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
         let period = Duration::from_millis(settings.platform_period_ms);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -16,7 +16,7 @@
 
 use self::desk::Desk;
 pub use self::lease::{Control, Lease, Retried};
-use crate::{identity::Workspaces, platform::ListedVm};
+use crate::{identity::Workspaces, platform::ListedVm, quarantine_exchange::QuarantineReport};
 
 /// Asks a backend server for its health on a new connection.
 pub trait Prober {
@@ -105,6 +105,26 @@
         }
     }
 
+    /// The fingerprints that crashed servers, for the other routers of the failure domain.
+    #[must_use]
+    pub fn export_quarantine(&self) -> QuarantineReport {
+        let desks = self.desks.borrow();
+        let pools = desks.iter().map(|(pool, desk)| {
+            let entries = desk.note(|scheduler, now| scheduler.export_quarantine(now));
+            (pool.clone(), entries)
+        });
+        QuarantineReport { pools: pools.filter(|(_, it)| !it.is_empty()).collect() }
+    }
+
+    /// Takes in the fingerprints of another router.
+    pub fn import_quarantine(&self, report: &QuarantineReport) {
+        for (pool, entries) in &report.pools {
+            if let Some(desk) = self.desk(pool) {
+                desk.tell(|scheduler, now| scheduler.import_quarantine(now, entries));
+            }
+        }
+    }
+
     fn desk(&self, pool: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(pool).cloned()
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod outcome;
 pub mod pipeline;
 pub mod platform;
+pub mod quarantine_exchange;
 pub mod readiness;
 mod refusals;
 pub mod routing;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -39,6 +39,10 @@
     /// The control VMs, those of the own failure domain first; the tables come from files where
     /// there are none.
     pub control: Vec<SocketAddr>,
+    /// The admin listeners of the other routers of the failure domain.
+    pub peers: Vec<SocketAddr>,
+    /// Time between two readings of a peer's quarantine.
+    pub peer_period_ms: u64,
     /// Where the platform's list of VMs is asked for, if there is one.
     pub platform: Option<SocketAddr>,
     /// Time between two readings of that list.
@@ -101,6 +105,8 @@
             drain_delay_ms: 5_000,
             files: Files::default(),
             control: Vec::new(),
+            peers: Vec::new(),
+            peer_period_ms: 500,
             platform: None,
             platform_period_ms: 1_000,
             server: Server::default(),
@@ -159,6 +165,8 @@
             workspaces: reader.optional("workspaces_file", FILE),
             command_token: reader.optional("command_token_file", FILE),
         },
+        peers: reader.list("peers", "addresses and ports separated by commas"),
+        peer_period_ms: reader.or_default("peer_period_ms", MILLISECONDS, default.peer_period_ms),
         platform: reader.optional("platform", ADDRESS),
         platform_period_ms: reader.or_default(
             "platform_period_ms",
--- a/crates/router/tests/crash_quarantine.rs
+++ b/crates/router/tests/crash_quarantine.rs
@@ -6,26 +6,31 @@
 use httpio::{client::Request as ClientRequest, server::Reply};
 use support::{Ending, Fake, Setup, run, stream, whole_chat};
 
+fn crashing_engines() -> Vec<Fake> {
+    let engine = || {
+        Fake::start(async |req| {
+            let is_cancel = req.method == httpio::Method::DELETE;
+            if is_cancel || String::from_utf8_lossy(&req.body).contains("poison") {
+                return Reply::abort();
+            }
+            stream(&req, &[" fine"], Ending::Whole)
+        })
+    };
+    (0..3).map(|_| engine()).collect()
+}
+
+fn poison() -> ClientRequest {
+    let body = r#"{"model":"m","messages":[{"role":"user","content":"poison"}]}"#;
+    ClientRequest { body: body.into(), ..whole_chat() }
+}
+
 #[test]
 fn third_server_is_spared() {
     run(async {
-        let crashes_on = |text: &'static str| {
-            Fake::start(async move |req| {
-                let is_cancel = req.method == httpio::Method::DELETE;
-                if is_cancel || String::from_utf8_lossy(&req.body).contains(text) {
-                    return Reply::abort();
-                }
-                stream(&req, &[" fine"], Ending::Whole)
-            })
-        };
-        let engines: Vec<_> = (0..3).map(|_| crashes_on("poison")).collect();
+        let engines = crashing_engines();
         let addrs = engines.iter().map(|it| it.addr).collect();
         let chat = "retries_max = 5";
         let router = Setup { engines: addrs, chat, ..Setup::default() }.start();
-        let poison = || ClientRequest {
-            body: r#"{"model":"m","messages":[{"role":"user","content":"poison"}]}"#.into(),
-            ..whole_chat()
-        };
         expect![[r#"
             422 Unprocessable Entity
             x-outcome: may-have-run
@@ -42,3 +47,24 @@
         assert!(innocent.starts_with("200 OK"), "{innocent}");
     });
 }
+
+#[test]
+fn other_router_is_told() {
+    run(async {
+        let engines = crashing_engines();
+        let addrs: Vec<_> = engines.iter().map(|it| it.addr).collect();
+        let chat = "retries_max = 5";
+        let first = Setup { engines: addrs.clone(), chat, ..Setup::default() }.start();
+        let peers = vec![first.admin];
+        let second = Setup { engines: addrs, chat, peers, ..Setup::default() }.start();
+        first.exchange(poison()).await;
+        let runs = |it: &Fake| it.paths().iter().filter(|it| it.starts_with("POST")).count();
+        let crashed = || engines.iter().map(runs).sum::<usize>();
+        let before = crashed();
+        // The second router reads of both crashes before it sees the request.
+        while second.admin("/quarantine").await.matches("server-hash").count() < 2 {}
+        let refused = second.exchange(poison()).await;
+        assert!(refused.starts_with("422 Unprocessable Entity\nx-outcome: not-run"), "{refused}");
+        assert_eq!(crashed(), before);
+    });
+}
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -218,6 +218,8 @@
     pub(crate) chat: &'static str,
     /// The router's time.
     pub(crate) clock: Rc<dyn Clock>,
+    /// The admin listeners of the other routers.
+    pub(crate) peers: Vec<SocketAddr>,
     /// The platform's list.
     pub(crate) platform: Option<SocketAddr>,
     /// Further lines of the pool of engines.
@@ -234,6 +236,7 @@
             backends: BackendSettings::default(),
             chat: "",
             clock: Rc::new(SystemClock),
+            peers: Vec::new(),
             platform: None,
             pool: "",
         }
@@ -256,6 +259,8 @@
                 ..Default::default()
             },
             waits: self.waits,
+            peers: self.peers,
+            peer_period_ms: 10,
             platform: self.platform,
             platform_period_ms: 10,
             backends: self.backends,
