--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -244,12 +244,12 @@
         // Dropping the response closes the connection, whose next answer would be crossed too.
         return Err(AttemptError::in_doubt("the answer belongs to another request"));
     }
-    let is_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE;
-    if is_refusal && head.headers.contains_key(NOT_STARTED_HEADER) {
+    if !head.status.is_success() && head.headers.contains_key(NOT_STARTED_HEADER) {
+        let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE;
         return Err(AttemptError {
-            failure: Failure::Overloaded,
+            failure: if is_full { Failure::Overloaded } else { Failure::Other },
             execution: Execution::NotRun,
-            detail: "the backend server refused the request before starting it".to_owned(),
+            detail: format!("the backend server refused the request by {} unstarted", head.status),
         });
     }
     Ok(response)
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -218,6 +218,8 @@
     pub(crate) chat: &'static str,
     /// The router's time.
     pub(crate) clock: Rc<dyn Clock>,
+    /// The seed of its identities, which no two routers share.
+    pub(crate) seed: u64,
     /// The admin listeners of the other routers.
     pub(crate) peers: Vec<SocketAddr>,
     /// The platform's list.
@@ -236,6 +238,7 @@
             backends: BackendSettings::default(),
             chat: "",
             clock: Rc::new(SystemClock),
+            seed: 7,
             peers: Vec::new(),
             platform: None,
             pool: "",
@@ -272,7 +275,7 @@
             ledger: self.ledger,
             workspaces: Rc::new(Workspaces::parse(&workspaces).expect("the workspaces are right")),
             clock: self.clock,
-            seed: 7,
+            seed: self.seed,
         };
         let bound = Bound::new(any_port(), any_port()).expect("free ports");
         let addr = bound.callers.local_addr().expect("a bound listener");
