--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use engine_model::EngineSettings;
-use policy::ClassSpec;
+use policy::{ClassSpec, Hedge};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -44,6 +44,8 @@
     pub lease_tick: Duration,
     /// Start of the burst; it lasts to the end.
     pub burst_from: Duration,
+    /// Whether the urgent class hedges.
+    pub hedge: Hedge,
     /// Which routers get what.
     pub traffic: Traffic,
     /// What fails.
@@ -70,6 +72,7 @@
             burst_load: 3.0,
             lease_tick: Duration::from_millis(500),
             burst_from: Duration::from_secs(10),
+            hedge: Hedge::Off,
             traffic: Traffic::Uneven,
             faults: Vec::new(),
         }
@@ -153,7 +156,7 @@
             Users::Consortium => (9, Duration::from_micros(500)),
         };
         let mut workload = Self {
-            classes: classes(settings.users),
+            classes: classes(&settings),
             engine: EngineSettings { batch_max: 16, ..EngineSettings::default() },
             servers,
             lag,
@@ -232,8 +235,8 @@
     }
 }
 
-fn classes(users: Users) -> Vec<ClassSpec> {
-    let names = match users {
+fn classes(settings: &WorkloadSettings) -> Vec<ClassSpec> {
+    let names = match settings.users {
         Users::VanDalen => ["dawn-reply", "announcement", "timetable"],
         Users::Consortium => ["chat", "highlight", "summary"],
     };
@@ -245,6 +248,7 @@
         between_token_target_ms: 100,
         whole_target_ms: 40_000,
         deadline_ms: 40_000,
+        hedge: settings.hedge,
         ..ClassSpec::default()
     };
     let middle = ClassSpec {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,8 +14,9 @@
 //! 3. For a request [`Scheduler::offer`]. An error is answered to the caller at once. A [`Ticket`]
 //!    stays valid until [`Action::Refuse`], [`Action::Cancel`], [`Scheduler::finished`],
 //!    [`Scheduler::cancelled`] or a [`RetryDecision::GiveUp`].
-//! 4. [`Scheduler::poll`] after each event and at [`Scheduler::next_wakeup`]; carry out its
-//!    actions in their order.
+//! 4. [`Scheduler::poll`] after an offer, a first token, an end, a cancellation, a failure, news
+//!    of servers and a grant, and at [`Scheduler::next_wakeup`]; carry out its actions in their
+//!    order. [`Scheduler::tokens`] needs no poll: more tokens free no slot.
 //! 5. For each dispatched ticket: [`Scheduler::dispatched`] when the request was written,
 //!    [`Scheduler::first_token`], [`Scheduler::tokens`] for every chunk after it, and at its end
 //!    [`Scheduler::finished`], or [`Scheduler::retry`] for a failed attempt that may be tried
@@ -25,7 +26,9 @@
 //! 7. [`Scheduler::connection_silent`] when an open connection fell silent. Answer each
 //!    [`Action::Probe`] by [`Scheduler::probe_result`] from a new connection.
 //! 8. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other routers
-//!    of the failure domain, [`Scheduler::set_credits`] with the leases of the servers' owners.
+//!    of the failure domain, and the leases: each router sends [`Scheduler::claim`] for each server
+//!    to the server's [`leases::owner`], which answers with its part of [`leases::grant`] for
+//!    [`Scheduler::set_credits`].
 //!
 //! Calls with a ticket that is closed do nothing, so late events are harmless.
 
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -22,7 +22,7 @@
 }
 
 impl Scheduler {
-    /// Everything that is to be done now; call it after each event and at [`Self::next_wakeup`].
+    /// Everything that is to be done now; the crate's documentation says when to call it.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         self.release_delayed(now);
         self.expire(now);
