--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -50,18 +50,29 @@
 pub(crate) struct Platform {
     clock: Rc<dyn Clock>,
     vms: RefCell<Lagged<Vec<VmEntry>>>,
+    /// The list before the newest change.
+    earlier: RefCell<Vec<VmEntry>>,
+    stale_read_every: u64,
     reads: Cell<u64>,
 }
 
 impl Platform {
     pub(crate) fn new(settings: PlatformSettings, clock: Rc<dyn Clock>) -> Platform {
         let lag = settings.list_lag();
-        let vms = RefCell::new(Lagged::new(lag, clock.now(), settings.vms));
-        Platform { clock, vms, reads: Cell::new(0) }
+        Platform {
+            earlier: RefCell::new(settings.vms.clone()),
+            vms: RefCell::new(Lagged::new(lag, clock.now(), settings.vms)),
+            stale_read_every: settings.stale_read_every,
+            reads: Cell::new(0),
+            clock,
+        }
     }
 
     fn list(&self) -> Reply {
         self.reads.set(self.reads.get() + 1);
+        if self.stale_read_every > 0 && self.reads.get().is_multiple_of(self.stale_read_every) {
+            return reply::ok(&*self.earlier.borrow());
+        }
         reply::ok(self.vms.borrow().seen(self.clock.now()).0)
     }
 
@@ -69,6 +80,7 @@
         match reply::body::<Vec<VmEntry>>(request) {
             Ok(vms) => {
                 let reply = reply::ok(&vms);
+                self.earlier.replace(self.vms.borrow().latest().clone());
                 self.vms.borrow_mut().set(self.clock.now(), vms);
                 reply
             }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -175,6 +175,9 @@
 pub struct PlatformSettings {
     /// How old the list is that readers see.
     pub list_lag_ms: u64,
+    /// Shows, at each read whose number is a multiple of this, the list before the newest change,
+    /// as a list that comes out of order does; 0 never does.
+    pub stale_read_every: u64,
     /// The VMs at the start.
     pub vms: Vec<VmEntry>,
 }
--- a/crates/standin/src/settings/ini.rs
+++ b/crates/standin/src/settings/ini.rs
@@ -127,6 +127,7 @@
     let section = document.section_or_empty("platform");
     let mut reader = document.read(&section, faults);
     over(&mut reader, "list_lag_ms", NUMBER, &mut platform.list_lag_ms);
+    over(&mut reader, "stale_read_every", NUMBER, &mut platform.stale_read_every);
     reader.finish();
     let vms = document.sections().iter().filter(|it| it.name.starts_with(VM_PREFIX));
     for section in vms {
--- a/crates/standin/tests/small_services.rs
+++ b/crates/standin/tests/small_services.rs
@@ -16,25 +16,32 @@
     assert_eq!(call(server.addr, "GET", "/lookup/", "").status, 404);
 }
 
-fn list_after_change(list_lag_ms: u64) -> usize {
-    let settings = PlatformSettings { list_lag_ms, ..PlatformSettings::default() };
+/// Adds a VM to the empty list and returns the lengths of the lists read after it.
+fn lengths_after_change(settings: PlatformSettings) -> [usize; 3] {
     let server = serve(ServiceSettings::Platform(settings));
     let vms = json!([{
         "vm": "vm1", "addr": "127.0.0.1:9", "failure_domain": "a", "pool": "chat",
         "incarnation": 1, "state": "leaving",
     }]);
     assert_eq!(call(server.addr, "POST", "/vms", &vms.to_string()).json(), vms);
-    call(server.addr, "GET", "/vms", "").json().as_array().expect("a list").len()
+    [(); 3].map(|()| call(server.addr, "GET", "/vms", "").json().as_array().expect("a list").len())
 }
 
 #[test]
 fn list_changes() {
-    assert_eq!(list_after_change(0), 1);
+    assert_eq!(lengths_after_change(PlatformSettings::default()), [1, 1, 1]);
 }
 
 #[test]
 fn list_lags() {
-    assert_eq!(list_after_change(3_600_000), 0);
+    let settings = PlatformSettings { list_lag_ms: 3_600_000, ..PlatformSettings::default() };
+    assert_eq!(lengths_after_change(settings), [0, 0, 0]);
+}
+
+#[test]
+fn list_out_of_order() {
+    let settings = PlatformSettings { stale_read_every: 2, ..PlatformSettings::default() };
+    assert_eq!(lengths_after_change(settings), [1, 0, 1]);
 }
 
 #[test]
