Bound the stored answers by their sum and test what is forgotten

Ruled out: dropping older answers for new ones: a resend would then get two different answers. Change: at most 16 MiB of answers; above it an order's answer is noted as run and not kept (StoredAnswer::NotKept, was TooLong). Tests of all four bounds. Conclusion: memory is bounded; keys allow 2.2 new orders a second over 25 h.

--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -20,7 +20,7 @@
     ChangeId, ClaimId, ClaimOrder, Command, ControlNode, Fencing, OrderKey, Plan, PlannedServer,
     ProposeTables, RouterId,
 };
-pub use orders::{ANSWER_MAX_BYTES, KEY_LIFE, KEYS_MAX, RELEASED_MAX};
+pub use orders::{ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, KEY_LIFE, KEYS_MAX, RELEASED_MAX};
 pub use response::{ClaimAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer};
 pub use state::State;
 pub use table_store::CHANGE_IDS_MAX;
--- a/crates/control-state/src/orders.rs
+++ b/crates/control-state/src/orders.rs
@@ -18,6 +18,8 @@
 pub const KEY_LIFE: Duration = Duration::from_secs(25 * 3_600);
 /// The longest answer that is kept for resends, in bytes.
 pub const ANSWER_MAX_BYTES: usize = 16 * 1024;
+/// The longest sum of all kept answers, in bytes.
+pub const ANSWERS_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// How many keys are remembered; above that, new orders are refused as not run.
 pub const KEYS_MAX: usize = 200_000;
 /// How many claims are remembered that were given back before they were seen.
@@ -31,6 +33,7 @@
     /// Keys that were claimed at this time or before may be forgotten.
     expired_ms: u64,
     claims: BTreeMap<OrderKey, Claim>,
+    kept_bytes: usize,
     /// Claims that were given back, since a delayed copy of the claim may still be in the log.
     released: BTreeSet<ClaimId>,
     released_order: VecDeque<ClaimId>,
@@ -87,10 +90,15 @@
         claim: ClaimId,
         answer: Vec<u8>,
     ) -> SettleAnswer {
+        let room_bytes = ANSWERS_MAX_BYTES - self.kept_bytes;
         let Some(held) = self.held(order, claim) else { return SettleAnswer::NotHeld };
-        if !matches!(held.state, OrderState::Done(_)) {
-            held.state = OrderState::Done(StoredAnswer::bounded(answer));
+        if matches!(held.state, OrderState::Done(_)) {
+            return SettleAnswer::Settled;
         }
+        let answer = StoredAnswer::bounded(answer, room_bytes.min(ANSWER_MAX_BYTES));
+        let kept_bytes = answer.kept_bytes();
+        held.state = OrderState::Done(answer);
+        self.kept_bytes += kept_bytes;
         SettleAnswer::Settled
     }
 
@@ -129,6 +137,7 @@
         self.expired_ms = self.expired_ms.max(now_ms.saturating_sub(life_ms));
         let expired_ms = self.expired_ms;
         self.claims.retain(|_, it| it.at_ms > expired_ms);
+        self.kept_bytes = self.claims.values().map(Claim::kept_bytes).sum();
         self.claims.values_mut().filter(|it| it.until_ms <= now_ms).for_each(Claim::doubt);
     }
 
@@ -168,6 +177,13 @@
         }
     }
 
+    fn kept_bytes(&self) -> usize {
+        match &self.state {
+            OrderState::Done(answer) => answer.kept_bytes(),
+            OrderState::Running | OrderState::MayHaveRun => 0,
+        }
+    }
+
     fn doubt(&mut self) {
         if self.state == OrderState::Running {
             self.state = OrderState::MayHaveRun;
@@ -176,10 +192,17 @@
 }
 
 impl StoredAnswer {
-    fn bounded(answer: Vec<u8>) -> StoredAnswer {
-        if answer.len() > ANSWER_MAX_BYTES {
-            return StoredAnswer::TooLong { len_bytes: answer.len() as u64 };
+    fn bounded(answer: Vec<u8>, limit_bytes: usize) -> StoredAnswer {
+        if answer.len() > limit_bytes {
+            return StoredAnswer::NotKept { len_bytes: answer.len() as u64 };
         }
         StoredAnswer::Kept(answer)
     }
+
+    fn kept_bytes(&self) -> usize {
+        match self {
+            StoredAnswer::Kept(answer) => answer.len(),
+            StoredAnswer::NotKept { .. } => 0,
+        }
+    }
 }
--- /dev/null
+++ b/crates/control-state/tests/bounded_memory.rs
@@ -0,0 +1,98 @@
+//! What is remembered is bounded, and what is forgotten breaks no promise.
+
+use control_state::{
+    ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, CHANGE_IDS_MAX, ClaimAnswer, ClaimId, ClaimOrder, Command,
+    KEY_LIFE, KEYS_MAX, OrderKey, ProposeTables, Response, RouterId, SettleAnswer, State,
+    StoredAnswer, TablesAnswer,
+};
+use tables::{Revision, TablesText};
+
+fn order(key: u64) -> OrderKey {
+    OrderKey { workspace: "w".to_owned(), route: "r".to_owned(), key: key.to_string() }
+}
+
+/// An attempt with the key's number.
+fn claim(state: &mut State, key: u64, at_ms: u64) -> ClaimAnswer {
+    let response = state.apply(Command::ClaimOrder(ClaimOrder {
+        order: order(key),
+        body_hash: 0,
+        router: RouterId("router".to_owned()),
+        claim: ClaimId(key),
+        at_ms,
+        until_ms: u64::MAX,
+    }));
+    let Response::Claim(answer) = response else { panic!("{response:?}") };
+    answer
+}
+
+/// Claims an order, stores an answer of this length, and gives what a resend gets.
+fn run(state: &mut State, key: u64, at_ms: u64, len_bytes: usize) -> ClaimAnswer {
+    assert_eq!(claim(state, key, at_ms), ClaimAnswer::Granted);
+    let answer = vec![0; len_bytes];
+    let complete = Command::CompleteOrder { order: order(key), claim: ClaimId(key), answer };
+    assert_eq!(state.apply(complete), Response::Settle(SettleAnswer::Settled));
+    claim(state, key, at_ms)
+}
+
+fn propose(state: &mut State, change: u64, base: u64) -> TablesAnswer {
+    let response = state.apply(Command::ProposeTables(ProposeTables {
+        change: change.to_string().into(),
+        base: Revision(base),
+        text: TablesText::default(),
+    }));
+    let Response::Tables(answer) = response else { panic!("{response:?}") };
+    answer
+}
+
+fn not_kept(len_bytes: usize) -> ClaimAnswer {
+    ClaimAnswer::Done(StoredAnswer::NotKept { len_bytes: len_bytes as u64 })
+}
+
+fn kept(len_bytes: usize) -> ClaimAnswer {
+    ClaimAnswer::Done(StoredAnswer::Kept(vec![0; len_bytes]))
+}
+
+#[test]
+fn long_answers() {
+    let mut state = State::default();
+    assert_eq!(run(&mut state, 1, 1, ANSWER_MAX_BYTES), kept(ANSWER_MAX_BYTES));
+    assert_eq!(run(&mut state, 2, 1, ANSWER_MAX_BYTES + 1), not_kept(ANSWER_MAX_BYTES + 1));
+}
+
+#[test]
+fn many_answers() {
+    let mut state = State::default();
+    let fitting = (ANSWERS_MAX_BYTES / ANSWER_MAX_BYTES) as u64;
+    for key in 0..fitting {
+        assert_eq!(run(&mut state, key, 1, ANSWER_MAX_BYTES), kept(ANSWER_MAX_BYTES));
+    }
+    assert_eq!(run(&mut state, fitting, 1, 1), not_kept(1));
+    let now_ms = KEY_LIFE.as_millis() as u64 + 1;
+    state.apply(Command::AdvanceTime { now_ms });
+    assert_eq!(run(&mut state, fitting, now_ms, 1), kept(1));
+}
+
+#[test]
+fn many_keys() {
+    let mut state = State::default();
+    for key in 0..KEYS_MAX as u64 {
+        assert_eq!(claim(&mut state, key, 1), ClaimAnswer::Granted);
+    }
+    assert_eq!(claim(&mut state, KEYS_MAX as u64, 1), ClaimAnswer::Full);
+    assert_eq!(claim(&mut state, 0, 1), ClaimAnswer::Granted, "a known attempt keeps its claim");
+}
+
+#[test]
+fn forgotten_change() {
+    let mut state = State::default();
+    let accepted = |revision| TablesAnswer::Accepted { revision: Revision(revision) };
+    assert_eq!(propose(&mut state, 0, 0), accepted(1));
+    for change in 1..CHANGE_IDS_MAX as u64 {
+        assert_eq!(propose(&mut state, change, change), accepted(change + 1));
+    }
+    assert_eq!(propose(&mut state, 0, 0), accepted(1), "still remembered");
+    let last = CHANGE_IDS_MAX as u64;
+    assert_eq!(propose(&mut state, last, last), accepted(last + 1));
+    let conflict = TablesAnswer::Conflict { current: Revision(last + 1) };
+    assert_eq!(propose(&mut state, 0, 0), conflict, "forgotten, and never in force twice");
+}
