--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -1,24 +1,35 @@
 //! Brings members in: nodes say under which disk they run, and the leader takes the next safe step.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use consensus::{MemberChange, Peer, RepairStep, next_repair_step};
+use control_state::{Command, encode_command};
 
 use super::Replica;
 use crate::envelope::Envelope;
 
-const HELLO_INTERVAL: Duration = Duration::from_secs(1);
+const STEP_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A node says hello with every this many steps, once a second.
+const STEPS_PER_HELLO: u32 = 5;
 
 /// A node that was not heard for this long is taken for stopped.
 const HELLO_FRESH: Duration = Duration::from_secs(5);
 
 impl Replica {
-    /// Says hello and looks for the next step, once an interval.
+    /// Looks for the next step once an interval, and says hello and moves time on once a second.
     pub(super) async fn keep_members(self: Rc<Self>) {
-        loop {
-            self.say_hello();
+        for step in (0..STEPS_PER_HELLO).cycle() {
+            if step == 0 {
+                self.say_hello();
+                self.advance_time();
+            }
             self.take_step();
-            monoio::time::sleep(HELLO_INTERVAL).await;
+            monoio::time::sleep(STEP_INTERVAL).await;
         }
     }
 
@@ -51,6 +62,20 @@
         self.pump();
     }
 
+    /// Lets claims and keys expire by the leader's wall clock, while there are any.
+    fn advance_time(&self) {
+        let is_due = self.core.borrow_mut().is_time_due();
+        if !is_due || !self.leads() {
+            return;
+        }
+        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let command = Command::AdvanceTime { now_ms: since_epoch.as_millis() as u64 };
+        let now = self.clock.now();
+        // A leader that just lost its lease proposes nothing; the next one does.
+        let _ = self.core.borrow_mut().node.propose(now, encode_command(&command));
+        self.pump();
+    }
+
     /// The peers that run now: this one and those heard of late.
     fn running(&self) -> BTreeSet<Peer> {
         let now = self.clock.now();
--- a/crates/load/src/capacity/sample.rs
+++ b/crates/load/src/capacity/sample.rs
@@ -1,8 +1,12 @@
 //! What is measured, and against what it is measured.
 
-use derive_more::{Display, FromStr};
+use std::{str::FromStr, time::Duration};
+
+use derive_more::{Display, Error, FromStr};
 use serde::{Deserialize, Serialize};
 
+use crate::report::LatencySummary;
+
 /// The size that a series of samples varies.
 #[derive(
     Debug,
@@ -106,6 +110,32 @@
     pub value: f64,
 }
 
+/// A size that was kept while another one was varied.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct HeldSize {
+    /// What was kept.
+    pub driver: Driver,
+    /// Its size.
+    pub size: f64,
+}
+
+/// A text that is no held size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("write DRIVER=SIZE, such as workspaces=10")]
+pub struct HeldSizeFault;
+
+impl FromStr for HeldSize {
+    type Err = HeldSizeFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (driver, size) = text.split_once('=').ok_or(HeldSizeFault)?;
+        let driver = driver.parse().map_err(|_| HeldSizeFault)?;
+        let size = size.parse().map_err(|_| HeldSizeFault)?;
+        Ok(HeldSize { driver, size })
+    }
+}
+
 /// All values measured at one size.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -116,6 +146,19 @@
     pub driver: Driver,
     /// The size.
     pub size: f64,
+    /// The sizes of the role's other drivers meanwhile.
+    pub held: Vec<HeldSize>,
     /// The values.
     pub readings: Vec<Reading>,
 }
+
+/// The readings of the times from the acceptance of changes until routers had them in force.
+pub fn in_force_readings(times: &[Duration]) -> Vec<Reading> {
+    let summary = LatencySummary::new(times.iter().copied());
+    let in_ms = |latency_us: u64| latency_us as f64 / 1_000.0;
+    vec![
+        Reading { measure: Measure::InForceP50Ms, value: in_ms(summary.p50_us) },
+        Reading { measure: Measure::InForceP99Ms, value: in_ms(summary.p99_us) },
+        Reading { measure: Measure::InForceMaxMs, value: in_ms(summary.max_us) },
+    ]
+}
--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use policy_bench::{Design, Fault, FaultKind, Results, Users, Workload, WorkloadSettings, run};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use policy_bench::{
+    Design, Fault, FaultKind, Results, Traffic, Users, Workload, WorkloadSettings, run,
+};
 
 const DESIGNS: [Design; 6] = [
     Design::Independent,
@@ -20,7 +22,9 @@
 fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
     let workload = Workload::new(settings(&matches));
-    let results: Vec<_> = DESIGNS.into_iter().map(|it| run(&workload, it)).collect();
+    let only = matches.get_one::<String>("design");
+    let designs = DESIGNS.into_iter().filter(|it| only.is_none_or(|name| *name == it.to_string()));
+    let results: Vec<_> = designs.map(|it| run(&workload, it)).collect();
     if matches.get_flag("json") {
         println!("{}", serde_json::to_string_pretty(&results)?);
     } else {
@@ -39,10 +43,22 @@
                 .default_value("van-dalen")
                 .help("Whose sizes and classes"),
         )
+        .arg(
+            Arg::new("design")
+                .long("design")
+                .value_parser(PossibleValuesParser::new(DESIGNS.map(|it| it.to_string())))
+                .help("One design in place of all"),
+        )
         .arg(number("seed", "1", "Seed of all draws"))
         .arg(number("seconds", "60", "Time with arrivals"))
+        .arg(number("burst-from", "10", "Start of the burst in seconds"))
+        .arg(number("lease-tick", "200", "Time between two grants in milliseconds"))
         .arg(number("routers", "6", "Routers"))
         .arg(number("burst-permille", "3000", "Offered load in the burst"))
+        .arg(flag(
+            "by-class",
+            "Send the urgent class to one half of the routers, the rest to the other",
+        ))
         .arg(flag("straggler", "Slow one server down to a fifth"))
         .arg(flag("crash", "Crash one server"))
         .arg(flag("lost-router", "Lose one router"))
@@ -60,15 +76,18 @@
 fn settings(matches: &ArgMatches) -> WorkloadSettings {
     let number = |name| *matches.get_one::<u64>(name).expect("it has a default");
     let is_consortium = matches.get_one::<String>("users").is_some_and(|it| it == "consortium");
-    let base = WorkloadSettings::default();
+    let burst_from = Duration::from_secs(number("burst-from"));
     WorkloadSettings {
         users: if is_consortium { Users::Consortium } else { Users::VanDalen },
         seed: number("seed"),
         duration: Duration::from_secs(number("seconds")),
         routers: number("routers") as usize,
         burst_load: number("burst-permille") as f64 / 1e3,
-        faults: faults(matches, base.burst_from + FAULT_AFTER_BURST),
-        ..base
+        faults: faults(matches, burst_from + FAULT_AFTER_BURST),
+        lease_tick: Duration::from_millis(number("lease-tick")),
+        burst_from,
+        traffic: if matches.get_flag("by-class") { Traffic::ByClass } else { Traffic::Uneven },
+        ..WorkloadSettings::default()
     }
 }
 
--- a/crates/policy-bench/src/sim.rs
+++ b/crates/policy-bench/src/sim.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use derive_more::Display;
 use policy::{LoadReport, Settings};
 
 use crate::{
@@ -23,13 +24,15 @@
 };
 
 /// How the routers decide.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
 pub enum Design {
     /// The policy crate; other routers' load is known from lagging reports.
     Independent,
     /// The policy crate; each server's slots are leased by its owner router by demand.
     Leases,
-    /// The policy crate; a request is forwarded to the router that owns its prefix's server.
+    /// The policy crate; each server is used by its owner router alone, and a request is forwarded
+    /// to the owner of a server drawn by its hash.
     Forward,
     /// Each server in its turn.
     RoundRobin,
@@ -205,8 +208,13 @@
         ..Settings::default()
     };
     match design {
-        Design::Independent | Design::Leases | Design::Forward => {
-            Box::new(PolicyRouter::new(workload, idx, now, settings))
+        Design::Independent | Design::Leases => {
+            Box::new(PolicyRouter::new(workload, idx, now, settings, 0..servers))
+        }
+        Design::Forward => {
+            let all: Vec<_> = (0..workload.settings.routers).collect();
+            let owned = (0..servers).filter(|it| leases::owner_of(*it, &all) == Some(idx));
+            Box::new(PolicyRouter::new(workload, idx, now, settings, owned))
         }
         Design::RoundRobin => Box::new(Direct::new(idx, servers, Spread::RoundRobin)),
         Design::LeastInFlight => Box::new(Direct::new(idx, servers, Spread::LeastInFlight)),
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -7,7 +7,7 @@
     backend::Health,
     keys::{ClassKey, PoolKey, Ticket},
     lane::Waiting,
-    request::{Offer, Phase, Refusal, RefusalReason, Request, Standing},
+    request::{Offer, Phase, Refusal, RefusalReason, Request, Room, Standing},
     spec::WHOLE_PERMILLE,
 };
 
@@ -31,7 +31,7 @@
         let cost = self.expected_tokens(&offer);
         let service = self.service_time(offer.pool, cost);
         self.check_deadline(now, &offer, cost, service)?;
-        self.make_room(now, &offer)?;
+        self.make_place(now, &offer)?;
         Ok(self.admit(now, offer, cost, service))
     }
 
@@ -161,12 +161,15 @@
         }
         let gap_ms = self.pools[pool].median_gap_ms?;
         let members = self.pools[pool].members.iter();
-        let slots: u32 = members.map(|it| self.backends[*it].limit(now, &self.settings)).sum();
+        // A router without a lease gets one soon, so each usable server counts for a slot.
+        let usable = members.filter(|it| self.backends[**it].is_usable());
+        let limits = usable.map(|it| self.backends[*it].limit(now, &self.settings).max(1));
+        let slots: u32 = limits.sum();
         Some(f64::from(slots) * 1e3 / gap_ms.max(0.001))
     }
 
     /// Makes a place in the queue, at the cost of less urgent work before all else.
-    fn make_room(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
+    fn make_place(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
         let pool = &self.pools[offer.pool];
         let class_limit = self.classes[offer.class].spec.queue_limit;
         if pool.lanes[offer.class].waiting >= class_limit {
@@ -233,6 +236,7 @@
             attempts: 0,
             tried: None,
             standing: Standing::Pausable,
+            room: Room::NotMade,
             twin: None,
         });
         let weight = self.workspaces[offer.workspace].spec.weight;
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -4,6 +4,9 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
+use control_client::{TablesWatch, WatchSettings};
+use control_state::RouterId;
+use daemon::Admin;
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::{
     server::{self, ServerSettings, StopSignals},
@@ -13,19 +16,22 @@
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use telemetry::LogSettings;
+use rpc::LinkSettings;
+use telemetry::{LogSettings, Secret};
 
 use crate::{
-    admin::{Admin, Readiness},
     arrival::Reception,
     backends::Backends,
     class_limits::ClassLimits,
+    control::{ControlLedger, ControlTables},
     dispatch::Dispatcher,
     identity::{Identity, Workspaces},
     load_reports,
     metrics::Metrics,
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
+    platform,
+    readiness::{Readiness, RouterHealth},
     services::Services,
     settings::RouterSettings,
     table_source::{FixedTables, TableSource},
@@ -93,20 +99,37 @@
 }
 
 fn parts(settings: &RouterSettings) -> anyhow::Result<Parts> {
-    let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
-        bail!("name routes_file and pools_file in the settings");
-    };
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let workspaces = match &settings.files.workspaces {
         Some(path) => Workspaces::read(path)?,
         None => Workspaces::default(),
     };
-    Ok(Parts {
-        tables: Rc::new(FixedTables::read(routes, pools)?),
-        ledger: Rc::new(NoLedger),
-        workspaces: Rc::new(workspaces),
-        clock: Rc::new(SystemClock),
-        seed: rand::random(),
-    })
+    let (tables, ledger) = match settings.control.is_empty() {
+        true => from_files(settings)?,
+        false => from_control(settings, &clock)?,
+    };
+    Ok(Parts { tables, ledger, workspaces: Rc::new(workspaces), clock, seed: rand::random() })
+}
+
+type Shared = (Rc<dyn TableSource>, Rc<dyn OrderLedger>);
+
+fn from_files(settings: &RouterSettings) -> anyhow::Result<Shared> {
+    let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
+        bail!("name routes_file and pools_file in the settings");
+    };
+    Ok((Rc::new(FixedTables::read(routes, pools)?), Rc::new(NoLedger)))
+}
+
+fn from_control(settings: &RouterSettings, clock: &Rc<dyn Clock>) -> anyhow::Result<Shared> {
+    let token = settings.files.command_token.as_ref().context("name command_token_file")?;
+    let token = Secret::read(token)?;
+    let watch = TablesWatch::start(WatchSettings {
+        link: LinkSettings { addrs: settings.control.clone(), ..LinkSettings::default() },
+        ..WatchSettings::default()
+    });
+    let life = RouterId(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
+    let ledger = ControlLedger::new(watch.link().clone(), token, life, clock.clone());
+    Ok((Rc::new(ControlTables(watch)), Rc::new(ledger)))
 }
 
 /// Serves until the second step of a stop is over.
@@ -123,7 +146,8 @@
     telemetry::register_process_metrics(&registry)?;
     let pipeline = pipeline(&settings, &parts, &registry)?;
     let readiness = Rc::new(Cell::new(Readiness::Starting));
-    let admin = Rc::new(Admin { readiness: Rc::clone(&readiness), registry });
+    let health = RouterHealth { readiness: Rc::clone(&readiness) };
+    let admin = Rc::new(Admin::new(registry, Rc::new(health)));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
     monoio::spawn(follow_tables(
@@ -133,6 +157,12 @@
     ));
     monoio::spawn(load_reports::poll(Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables)));
 
+    if let Some(addr) = settings.platform {
+        let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
+        let period = Duration::from_millis(settings.platform_period_ms);
+        monoio::spawn(platform::follow(addr, period, services, tables));
+    }
+
     let (drain, draining) = signal::signal();
     let (close, closing) = signal::signal();
     let stop = StopSignals { draining, closing };
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,9 +1,11 @@
 //! A place at a backend server, held by one request from its offer to its end.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use futures::channel::oneshot;
-use policy::{Execution, Failure, GiveUp, Outcome, ProbeResult, Refusal, RetryDecision, Ticket};
+use futures::channel::{mpsc, oneshot};
+use policy::{
+    Execution, Failure, GiveUp, Offer, Outcome, ProbeResult, Refusal, RetryDecision, Ticket,
+};
 
 use super::{
     Server, UNKNOWN,
@@ -14,24 +16,41 @@
 pub struct Lease {
     desk: Rc<Desk>,
     ticket: Ticket,
+    offer: Offer,
     server: Option<Server>,
+    controls: Option<mpsc::UnboundedReceiver<Control>>,
     is_open: bool,
 }
 
+/// What the scheduler asks of a running stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Control {
+    /// Make way for more urgent work.
+    Pause,
+    /// Go on.
+    Resume,
+}
+
 /// What follows a failed attempt.
 #[derive(Debug)]
 pub enum Retried {
     /// The request has a place again, at another server where there is one.
     Placed,
     /// It is not tried again.
-    GivenUp(GiveUp),
+    GivenUp {
+        /// Why.
+        reason: GiveUp,
+        /// When the class's queue is expected to have drained.
+        retry_after: Duration,
+    },
     /// It waited for another place and was refused.
     Refused(Refusal),
 }
 
 impl Lease {
-    pub(super) fn new(desk: Rc<Desk>, ticket: Ticket) -> Lease {
-        Lease { desk, ticket, server: None, is_open: true }
+    pub(super) fn new(desk: Rc<Desk>, ticket: Ticket, offer: Offer) -> Lease {
+        let controls = Some(desk.await_controls(ticket));
+        Lease { desk, ticket, offer, server: None, controls, is_open: true }
     }
 
     pub(super) async fn wait(&mut self, placed: oneshot::Receiver<Placed>) -> Result<(), Refusal> {
@@ -43,6 +62,7 @@
             Err(refusal) => {
                 // The scheduler has closed the ticket.
                 self.is_open = false;
+                self.desk.forget(self.ticket);
                 Err(refusal)
             }
         }
@@ -57,6 +77,15 @@
         self.server.expect("a lease is handed out once it has a place")
     }
 
+    /// What the scheduler asks of the stream, for the one who relays it.
+    ///
+    /// # Panics
+    /// When it is taken a second time.
+    #[must_use]
+    pub fn take_controls(&mut self) -> mpsc::UnboundedReceiver<Control> {
+        self.controls.take().expect("one relay takes the controls")
+    }
+
     /// The request was written.
     pub fn dispatched(&self) {
         self.desk.note(|scheduler, now| scheduler.dispatched(self.ticket, now));
@@ -95,7 +124,10 @@
             RetryDecision::GiveUp(reason) => {
                 self.is_open = false;
                 self.desk.forget(self.ticket);
-                Retried::GivenUp(reason)
+                let Offer { class, pool, .. } = self.offer;
+                let retry_after =
+                    self.desk.note(|scheduler, now| scheduler.retry_after(now, class, pool));
+                Retried::GivenUp { reason, retry_after }
             }
         }
     }
@@ -111,6 +143,7 @@
 
     fn end(mut self, outcome: Outcome) {
         self.is_open = false;
+        self.desk.forget(self.ticket);
         self.desk.tell(|scheduler, now| scheduler.finished(self.ticket, now, outcome));
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,15 +6,16 @@
 //! the crate `policy`; the tables and the order ledger come in through [`table_source`] and
 //! [`order_ledger`].
 
-pub mod admin;
 pub mod arrival;
 pub mod backends;
 mod call;
 pub mod chat;
 mod chat_call;
 pub mod class_limits;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
+mod engine_stream;
 pub mod identity;
 mod load_reports;
 pub mod metrics;
@@ -22,6 +23,8 @@
 pub mod order_ledger;
 pub mod outcome;
 pub mod pipeline;
+pub mod platform;
+pub mod readiness;
 mod refusals;
 pub mod routing;
 mod service_call;
--- a/crates/router/src/order_ledger.rs
+++ b/crates/router/src/order_ledger.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Display, Error};
 use futures::{FutureExt, future::LocalBoxFuture};
+use serde::{Deserialize, Serialize};
 
 /// What a key of an order is unique within, and the key itself.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
@@ -54,7 +55,8 @@
 }
 
 /// An answer kept for resends.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct StoredAnswer {
     /// The HTTP status.
     pub status: u16,
@@ -68,10 +70,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum LedgerError {
     /// No majority can be reached; the claim was not made.
-    #[display("the order ledger cannot be reached: send the order again later")]
+    #[display(
+        "the order ledger cannot be reached, so this send did not run and what became of an \
+         earlier one is not known here: send the order again later with the same key"
+    )]
     Unreachable,
     /// The claim may have been made or not; the order was not sent in any case.
-    #[display("the order ledger did not confirm in time: send the order again later")]
+    #[display(
+        "the order ledger did not confirm in time, so this send did not run and what became of an \
+         earlier one is not known here: send the order again later with the same key"
+    )]
     InDoubt,
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -36,8 +36,13 @@
     pub drain_delay_ms: u64,
     /// Where the tables and workspaces come from.
     pub files: Files,
-    /// The control VMs; the tables come from files where there are none.
+    /// The control VMs, those of the own failure domain first; the tables come from files where
+    /// there are none.
     pub control: Vec<SocketAddr>,
+    /// Where the platform's list of VMs is asked for, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// Time between two readings of that list.
+    pub platform_period_ms: u64,
     /// Bounds of callers' connections.
     pub server: Server,
     /// Connections to backend servers.
@@ -55,6 +60,8 @@
     pub pools: Option<PathBuf>,
     /// The workspaces with their tokens.
     pub workspaces: Option<PathBuf>,
+    /// The token for commands to the control VMs.
+    pub command_token: Option<PathBuf>,
 }
 
 /// Bounds of the listener for callers.
@@ -94,6 +101,8 @@
             drain_delay_ms: 5_000,
             files: Files::default(),
             control: Vec::new(),
+            platform: None,
+            platform_period_ms: 1_000,
             server: Server::default(),
             backends: BackendSettings::default(),
             waits: Waits::default(),
@@ -148,7 +157,14 @@
             routes: reader.optional("routes_file", FILE),
             pools: reader.optional("pools_file", FILE),
             workspaces: reader.optional("workspaces_file", FILE),
+            command_token: reader.optional("command_token_file", FILE),
         },
+        platform: reader.optional("platform", ADDRESS),
+        platform_period_ms: reader.or_default(
+            "platform_period_ms",
+            MILLISECONDS,
+            default.platform_period_ms,
+        ),
         control: reader.list("control", "addresses and ports separated by commas"),
         ..default
     };
@@ -160,6 +176,9 @@
             "name control VMs, or routes_file and pools_file",
         );
     }
+    if !settings.control.is_empty() && settings.files.command_token.is_none() {
+        reader.fault("command_token_file", "is missing beside control", "name the token's file");
+    }
     reader.finish();
     settings
 }
@@ -192,6 +211,7 @@
     read(reader, "first_silence_ms", MILLISECONDS, &mut waits.first_silence_ms);
     read(reader, "silence_ms", MILLISECONDS, &mut waits.silence_ms);
     read(reader, "resumes_max", COUNT, &mut waits.resumes_max);
+    read(reader, "engine_call_timeout_ms", MILLISECONDS, &mut waits.engine_call_timeout_ms);
     read(reader, "ledger_timeout_ms", MILLISECONDS, &mut waits.ledger_timeout_ms);
 }
 
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -1,6 +1,6 @@
 //! The events of one answer as an engine sends them, each checked before it is passed on.
 
-use http::{HeaderValue, header};
+use http::{HeaderValue, StatusCode, header};
 use httpio::{
     Bytes,
     client::{Body, Response},
@@ -15,6 +15,7 @@
 
 const EVENT_BYTES_MAX: usize = 256 << 10;
 const DONE: &[u8] = b"[DONE]";
+const PAUSED: &[u8] = b"paused";
 
 /// One event of an answer.
 #[derive(Debug)]
@@ -30,6 +31,15 @@
     Done(Bytes),
 }
 
+/// What a read of the stream brings.
+#[derive(Debug)]
+pub(crate) enum Received {
+    /// An event to pass on.
+    Event(Event),
+    /// The engine has paused the answer; it goes on when it is resumed.
+    Paused,
+}
+
 /// Reads the events of one answer.
 #[derive(Debug)]
 pub(crate) struct TokenStream {
@@ -60,6 +70,14 @@
         let content_type = response.head.headers.get(header::CONTENT_TYPE);
         let is_stream =
             content_type.is_some_and(|it| it.as_bytes().starts_with(sse::CONTENT_TYPE.as_bytes()));
+        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
+            // Another engine would say the same.
+            return Err(AttemptError {
+                failure: Failure::Other,
+                execution: Execution::Ran,
+                detail: format!("the engine refused the request by {status}"),
+            });
+        }
         if !status.is_success() || !is_stream {
             return Err(AttemptError::in_doubt(format!("the engine answered {status}")));
         }
@@ -76,7 +94,7 @@
     ///
     /// # Errors
     /// An answer that is cut, crossed or malformed.
-    pub(crate) async fn next(&mut self) -> Option<Result<Event, AttemptError>> {
+    pub(crate) async fn next(&mut self) -> Option<Result<Received, AttemptError>> {
         loop {
             if self.finish == Finish::Done {
                 self.drain().await;
@@ -106,8 +124,11 @@
         }
     }
 
-    fn read(&mut self, raw: Bytes) -> Result<Option<Event>, AttemptError> {
+    fn read(&mut self, raw: Bytes) -> Result<Option<Received>, AttemptError> {
         if let Some(name) = sse::field(&raw, "event") {
+            if name == PAUSED {
+                return Ok(Some(Received::Paused));
+            }
             let name = String::from_utf8_lossy(name);
             return Err(AttemptError::in_doubt(format!("the engine sent the event `{name}`")));
         }
@@ -116,7 +137,7 @@
             return Ok(None);
         };
         if data == DONE {
-            return self.done(raw).map(Some);
+            return self.done(raw).map(|it| Some(Received::Event(it)));
         }
         let chunk = Chunk::parse(data, &self.id)
             .map_err(|fault| AttemptError::in_doubt(fault.to_string()))?;
@@ -124,7 +145,7 @@
             self.finish = Finish::Last;
         }
         self.usage = chunk.usage.or(self.usage);
-        Ok(Some(Event::Chunk { chunk, raw }))
+        Ok(Some(Received::Event(Event::Chunk { chunk, raw })))
     }
 
     fn done(&mut self, raw: Bytes) -> Result<Event, AttemptError> {
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -1,9 +1,14 @@
 //! A router and fake backend servers in one process, for the tests of features.
 #![allow(dead_code)]
 
-use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+};
 
-use clock::SystemClock;
+use clock::{Clock, SystemClock};
 use futures::{
     channel::mpsc,
     future::{FutureExt, LocalBoxFuture},
@@ -13,7 +18,12 @@
     client::{Pool, PoolSettings, Request as ClientRequest, Response},
     server::{self, Reply, Request, ServerSettings, StopSignals, StreamSender},
 };
-use monoio::{LegacyDriver, RuntimeBuilder, task::JoinHandle};
+use monoio::{
+    LegacyDriver, RuntimeBuilder,
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+    task::JoinHandle,
+};
 use router::{
     backends::BackendSettings,
     daemon::{self, Bound, Parts, Stopped},
@@ -21,7 +31,7 @@
     order_ledger::{NoLedger, OrderLedger},
     services::Waits,
     settings::RouterSettings,
-    table_source::FixedTables,
+    table_source::{FixedTables, TableSource},
 };
 use tables::{Revision, TablesText};
 
@@ -50,6 +60,8 @@
 pub(crate) struct Fake {
     pub(crate) addr: SocketAddr,
     pub(crate) seen: Rc<RefCell<Vec<Request>>>,
+    /// Whether it answers probes.
+    pub(crate) is_healthy: Rc<Cell<bool>>,
 }
 
 impl Fake {
@@ -58,10 +70,15 @@
         let addr = listener.local_addr().expect("a bound listener");
         let seen = Rc::new(RefCell::new(Vec::new()));
         let (all, answer) = (Rc::clone(&seen), Rc::new(answer));
+        let is_healthy = Rc::new(Cell::new(true));
+        let healthy = Rc::clone(&is_healthy);
         let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
             if req.uri.path() == "/healthz" {
-                return async { Reply::typed(StatusCode::OK, "text/plain", "ok".into()) }
-                    .boxed_local();
+                let reply = match healthy.get() {
+                    true => Reply::typed(StatusCode::OK, "text/plain", "ok".into()),
+                    false => Reply::abort(),
+                };
+                return async { reply }.boxed_local();
             }
             if req.uri.path() == "/v1/load" {
                 return async { Reply::typed(StatusCode::NOT_FOUND, "text/plain", "".into()) }
@@ -74,7 +91,7 @@
         let settings = ServerSettings::default();
         let stop = StopSignals::default();
         monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
-        Fake { addr, seen }
+        Fake { addr, seen, is_healthy }
     }
 
     /// An engine that answers each request with the same tokens.
@@ -100,6 +117,7 @@
     match path.strip_prefix("/v1/streams/").and_then(|it| it.split_once('/')) {
         Some((_, rest)) => format!("/v1/streams/ID/{rest}"),
         None if path.starts_with("/v1/streams/") => "/v1/streams/ID".to_owned(),
+        None if path.starts_with("/v1/kv/") => "/v1/kv/ID".to_owned(),
         None => path.to_owned(),
     }
 }
@@ -193,6 +211,12 @@
     pub(crate) backends: BackendSettings,
     /// Further lines of the route of chat.
     pub(crate) chat: &'static str,
+    /// The router's time.
+    pub(crate) clock: Rc<dyn Clock>,
+    /// The platform's list.
+    pub(crate) platform: Option<SocketAddr>,
+    /// Further lines of the pool of engines.
+    pub(crate) pool: &'static str,
 }
 
 impl Default for Setup {
@@ -204,6 +228,9 @@
             waits: Waits::default(),
             backends: BackendSettings::default(),
             chat: "",
+            clock: Rc::new(SystemClock),
+            platform: None,
+            pool: "",
         }
     }
 }
@@ -211,6 +238,10 @@
 impl Setup {
     pub(crate) fn start(self) -> TestRouter {
         let tables = tables::check(Revision(1), &self.tables()).expect("the tables are right");
+        self.start_with(Rc::new(FixedTables::new(tables)))
+    }
+
+    pub(crate) fn start_with(self, tables: Rc<dyn TableSource>) -> TestRouter {
         let settings = RouterSettings {
             vm: "vm-1".to_owned(),
             failure_domain: "fd-1".to_owned(),
@@ -220,15 +251,17 @@
                 ..Default::default()
             },
             waits: self.waits,
+            platform: self.platform,
+            platform_period_ms: 10,
             backends: self.backends,
             ..RouterSettings::default()
         };
         let workspaces = format!("[north]\ntoken = {TOKEN}\n[south]\ntoken = token-of-south\n");
         let parts = Parts {
-            tables: Rc::new(FixedTables::new(tables)),
+            tables,
             ledger: self.ledger,
             workspaces: Rc::new(Workspaces::parse(&workspaces).expect("the workspaces are right")),
-            clock: Rc::new(SystemClock),
+            clock: self.clock,
             seed: 7,
         };
         let bound = Bound::new(any_port(), any_port()).expect("free ports");
@@ -240,13 +273,14 @@
         TestRouter { addr, admin, stop, stopped, pool }
     }
 
-    fn tables(&self) -> TablesText {
+    pub(crate) fn tables(&self) -> TablesText {
         let list = |all: &[SocketAddr]| {
             all.iter().map(|it| format!("{it}@fd-1")).collect::<Vec<_>>().join(", ")
         };
         let pools = format!(
-            "[llm]\nkind = engine\nmodel = m\nservers = {}\n[svc]\nkind = service\nservers = {}\n",
+            "[llm]\nkind = engine\nmodel = m\nservers = {}\n{}\n[svc]\nkind = service\nservers = {}\n",
             list(&self.engines),
+            self.pool,
             list(&self.services),
         );
         let routes = format!(
@@ -294,6 +328,19 @@
     }
 }
 
+/// Sends `bytes` and reads until the server closes.
+pub(crate) async fn raw_exchange(addr: SocketAddr, bytes: &'static str) -> String {
+    let mut stream = TcpStream::connect_addr(addr).await.expect("the router listens");
+    stream.write_all(bytes).await.0.expect("the request is taken");
+    let mut all = Vec::new();
+    loop {
+        match stream.read(Vec::with_capacity(4096)).await {
+            (Ok(1..), chunk) => all.extend(chunk),
+            _ => return String::from_utf8_lossy(&all).into_owned(),
+        }
+    }
+}
+
 pub(crate) fn with_header(
     mut request: ClientRequest,
     name: &'static str,
