--- a/crates/control-state/src/orders.rs
+++ b/crates/control-state/src/orders.rs
@@ -194,7 +194,7 @@
 impl StoredAnswer {
     fn bounded(answer: Vec<u8>, limit_bytes: usize) -> StoredAnswer {
         if answer.len() > limit_bytes {
-            return StoredAnswer::NotKept { len_bytes: answer.len() as u64 };
+            return StoredAnswer::TooLong { len_bytes: answer.len() as u64 };
         }
         StoredAnswer::Kept(answer)
     }
@@ -202,7 +202,7 @@
     fn kept_bytes(&self) -> usize {
         match self {
             StoredAnswer::Kept(answer) => answer.len(),
-            StoredAnswer::NotKept { .. } => 0,
+            StoredAnswer::TooLong { .. } => 0,
         }
     }
 }
--- a/crates/control-state/src/response.rs
+++ b/crates/control-state/src/response.rs
@@ -77,8 +77,8 @@
 pub enum StoredAnswer {
     /// The whole answer.
     Kept(Vec<u8>),
-    /// The answer was too long to keep, or there was no room for more answers.
-    NotKept {
+    /// The answer was longer than the room for it: a limit for each, and one for all together.
+    TooLong {
         /// Its length.
         len_bytes: u64,
     },
--- a/crates/control-state/tests/bounded_memory.rs
+++ b/crates/control-state/tests/bounded_memory.rs
@@ -44,8 +44,8 @@
     answer
 }
 
-fn not_kept(len_bytes: usize) -> ClaimAnswer {
-    ClaimAnswer::Done(StoredAnswer::NotKept { len_bytes: len_bytes as u64 })
+fn too_long(len_bytes: usize) -> ClaimAnswer {
+    ClaimAnswer::Done(StoredAnswer::TooLong { len_bytes: len_bytes as u64 })
 }
 
 fn kept(len_bytes: usize) -> ClaimAnswer {
@@ -56,7 +56,7 @@
 fn long_answers() {
     let mut state = State::default();
     assert_eq!(run(&mut state, 1, 1, ANSWER_MAX_BYTES), kept(ANSWER_MAX_BYTES));
-    assert_eq!(run(&mut state, 2, 1, ANSWER_MAX_BYTES + 1), not_kept(ANSWER_MAX_BYTES + 1));
+    assert_eq!(run(&mut state, 2, 1, ANSWER_MAX_BYTES + 1), too_long(ANSWER_MAX_BYTES + 1));
 }
 
 #[test]
@@ -66,7 +66,7 @@
     for key in 0..fitting {
         assert_eq!(run(&mut state, key, 1, ANSWER_MAX_BYTES), kept(ANSWER_MAX_BYTES));
     }
-    assert_eq!(run(&mut state, fitting, 1, 1), not_kept(1));
+    assert_eq!(run(&mut state, fitting, 1, 1), too_long(1));
     let now_ms = KEY_LIFE.as_millis() as u64 + 1;
     state.apply(Command::AdvanceTime { now_ms });
     assert_eq!(run(&mut state, fitting, now_ms, 1), kept(1));
