--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -18,6 +18,7 @@
 
 const EVENTS: usize = 80;
 const LEASE_SEEDS: u64 = 40;
+const LEADER_SEEDS: u64 = 200;
 const CLOCK_BOUND_PERMILLE: i64 = 200;
 
 proptest! {
@@ -87,3 +88,31 @@
 fn fast_leader_clock() {
     check_clock_rates(CLOCK_BOUND_PERMILLE, -CLOCK_BOUND_PERMILLE);
 }
+
+/// The fake time from the kill of the leader to the lease of the next, for many seeds, sorted.
+fn times_to_new_leader() -> Vec<Duration> {
+    let time = |seed| {
+        let mut cluster: Cluster<Journal> = Cluster::new(3, seed);
+        cluster.settle();
+        cluster.run(Duration::from_millis(seed * 7));
+        cluster.kill(1);
+        let killed_at = cluster.elapsed;
+        while cluster.leader().is_none() {
+            cluster.run(Duration::from_millis(5));
+        }
+        cluster.elapsed - killed_at
+    };
+    let mut times: Vec<_> = (0..LEADER_SEEDS).map(time).collect();
+    times.sort();
+    times
+}
+
+#[test]
+fn new_leader_in_time() {
+    let times = times_to_new_leader();
+    let timeout = cluster::settings().election_timeout;
+    let median = times[times.len() / 2];
+    let worst = times[times.len() - 1];
+    assert!(median <= timeout * 2, "median {median:?}");
+    assert!(worst <= timeout * 4, "worst {worst:?}");
+}
