--- a/crates/storage/tests/crash_recovery.rs
+++ b/crates/storage/tests/crash_recovery.rs
@@ -72,19 +72,4 @@
         let is_last_change = found.hard_state.term == Term(number);
         prop_assert!(found == saved || is_last_change, "saved {saved:?}\nfound {found:?}");
     }
-
-    #[test]
-    fn flipped_bit(position in any::<prop::sample::Index>(), bit in 0..8_u8) {
-        let medium = Medium::default();
-        let mut log = LogFile::with_backend(medium.clone(), &Settings::default(), DISK).unwrap();
-        log.save(&append(1, 1..=200)).unwrap();
-        let saved = log.load().unwrap();
-        drop(log);
-        let mut bytes = medium.bytes();
-        let position = position.index(bytes.len());
-        bytes[position] ^= 1 << bit;
-        let found = LogFile::with_backend(Medium::holding(bytes), &Settings::default(), DISK)
-            .and_then(|it| it.load());
-        prop_assert!(found.as_ref().map_or(true, |it| *it == saved), "found {found:?}");
-    }
 }
--- a/crates/storage/tests/data_folder.rs
+++ b/crates/storage/tests/data_folder.rs
@@ -6,6 +6,7 @@
 use std::fs;
 
 use consensus::{Members, Recovered, Snapshot, Storage, StorageError};
+use proptest::{prelude::*, test_runner::RngSeed};
 use redb::{Database, ReadableTable, TableDefinition};
 use sample::{append, truncate};
 use storage::{LogFile, Settings, format};
@@ -117,3 +118,27 @@
     }
     transaction.commit().unwrap();
 }
+
+fn config() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(5);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn flipped_bit(position in any::<prop::sample::Index>(), bit in 0..8_u8) {
+        let (folder, mut log) = formatted();
+        log.save(&append(1, 1..=200)).unwrap();
+        let saved = log.load().unwrap();
+        drop(log);
+        let path = folder.path().join("log.redb");
+        let mut bytes = fs::read(&path).unwrap();
+        let position = position.index(bytes.len());
+        bytes[position] ^= 1 << bit;
+        fs::write(&path, bytes).unwrap();
+        let found = open(&folder).and_then(|it| it.load());
+        prop_assert!(found.as_ref().map_or(true, |it| *it == saved), "found {found:?}");
+    }
+}
--- a/crates/storage/tests/support/medium.rs
+++ b/crates/storage/tests/support/medium.rs
@@ -43,14 +43,10 @@
         Medium::holding(bytes)
     }
 
-    pub(crate) fn holding(bytes: Vec<u8>) -> Medium {
+    fn holding(bytes: Vec<u8>) -> Medium {
         let content = Content { synced: bytes.clone(), visible: bytes, ..Content::default() };
         Medium(Arc::new(Mutex::new(content)))
     }
-
-    pub(crate) fn bytes(&self) -> Vec<u8> {
-        self.0.lock().unwrap().visible.clone()
-    }
 }
 
 impl Content {
