--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -89,6 +89,24 @@
     check_clock_rates(CLOCK_BOUND_PERMILLE, -CLOCK_BOUND_PERMILLE);
 }
 
+/// A voter restarts just after it answered a heartbeat that the leader still counts its lease from,
+/// while another node that cannot hear the leader asks for votes.
+#[test]
+fn restarted_voter() {
+    for seed in 0..LEASE_SEEDS {
+        let mut cluster: Cluster<Journal> = Cluster::new(3, seed);
+        cluster.settle();
+        cluster.cut_pair(1, 3);
+        cluster.run(Duration::from_millis(1_000 + seed * 7));
+        assert_eq!(cluster.lease_holders(), [1], "seed {seed}");
+        cluster.kill(2);
+        cluster.start(2);
+        cluster.cut_pair(1, 2);
+        cluster.run(Duration::from_millis(2_000));
+        assert!(cluster.leader().is_some_and(|it| it != 1), "seed {seed}: nobody took over");
+    }
+}
+
 /// The fake time from the kill of the leader to the lease of the next, for many seeds, sorted.
 fn times_to_new_leader() -> Vec<Duration> {
     let time = |seed| {
