--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,79 +8,21 @@
 set -euo pipefail
 
 out=${1:?name a folder for the results}
-bin=${BIN:-target/release}
+here=$(dirname "${BASH_SOURCE[0]}")
+# shellcheck source=scripts/daemons.sh
+source "$here/daemons.sh"
+
 window_ms=${WINDOW_MS:-5000}
 load=$bin/gooseberry-load
-work=$(mktemp -d)
 samples=$out/samples.jsonl
 token=capacity-$$
-pids=()
 
 router_port=19601
-admin_port=19602
+router_admin_port=19602
 engine_port=19603
 control_port=19604
 control_admin_port=19605
 
-stop_all() {
-    for pid in "${pids[@]}"; do
-        kill "$pid" 2>/dev/null || true
-    done
-    for pid in "${pids[@]}"; do
-        wait "$pid" 2>/dev/null || true
-    done
-    pids=()
-}
-
-finish() {
-    stop_all
-    rm -rf "$work"
-}
-trap finish EXIT
-
-# Starts a daemon with its log in the work folder; its process id is then in `started`.
-start() {
-    local name=$1
-    shift
-    "$@" >"$work/$name.log" 2>&1 &
-    started=$!
-    pids+=("$started")
-}
-
-# Waits for a listener for ten seconds at most.
-wait_for_port() {
-    local port=$1
-    for _ in $(seq 100); do
-        if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-            return
-        fi
-        sleep 0.1
-    done
-    echo "nothing listens on port $port; the logs say:" >&2
-    tail -n 5 "$work"/*.log >&2
-    exit 1
-}
-
-# Starts a router on the tables in the folder $1; its process id is then in `router`.
-start_router() {
-    local site=$1
-    cat >"$work/router.ini" <<SETTINGS
-[router]
-vm = vm-1
-failure_domain = fd-1
-listen = 127.0.0.1:$router_port
-admin_listen = 127.0.0.1:$admin_port
-log = warn
-drain_delay_ms = 0
-routes_file = $site/routes.ini
-pools_file = $site/pools.ini
-workspaces_file = $site/workspaces.ini
-SETTINGS
-    start router "$bin/gooseberry-router" --config "$work/router.ini"
-    router=$started
-    wait_for_port "$router_port"
-}
-
 # Samples a router at rest on a site of $2 replicas and $3 workspaces, of which driver $1 is varied
 # and driver $4 kept at $5.
 sample_at_rest() {
@@ -88,14 +30,14 @@
     local size=${!driver}
     "$load" capacity site --replicas "$replicas" --workspaces "$workspaces" --out "$work/site"
     start backends "$load" capacity backends --replicas "$replicas"
-    start_router "$work/site"
+    start_router "$router_port" "$router_admin_port" "$work/site"
     sleep 2
     "$load" capacity sample --pid "$router" --role router --driver "$driver" --size "$size" \
         --held "$held=$held_size" --window-ms "$window_ms" --samples "$samples"
     stop_all
 }
 
-# Samples a router that relays streams of one engine at 44 ms a token.
+# Samples a router that relays $@ streams of one engine at 44 ms a token.
 sample_streams() {
     mkdir -p "$work/streams"
     cat >"$work/streams/routes.ini" <<TABLE
@@ -117,51 +59,20 @@
 TABLE
     printf '[workspace-0]\ntoken = token-0\n' >"$work/streams/workspaces.ini"
     for streams in "$@"; do
-        start engine "$bin/gooseberry-standin" engine --listen "127.0.0.1:$engine_port" \
-            --set server.front=direct --set model.batch_max=2000 --set model.waiting_max=2000 \
-            --set model.step_base_us=44000 --set model.step_per_sequence_us=0 \
-            --set model.prefill_per_token_us=0 --set model.kv_blocks=1000000
-        wait_for_port "$engine_port"
-        start_router "$work/streams"
+        start_engine "$engine_port" 44000
+        start_router "$router_port" "$router_admin_port" "$work/streams"
         "$load" capacity streams --router "127.0.0.1:$router_port" --pid "$router" \
             --streams "$streams" --token token-0 --window-ms "$window_ms" --samples "$samples"
         stop_all
     done
 }
 
-# Starts a control VM on its own disk; its process id is then in `control`.
-start_control() {
-    rm -rf "$work/data"
-    mkdir -p "$work/data"
-    printf '%s' "$token" >"$work/command-token"
-    printf 'peer-%s' "$token" >"$work/peer-token"
-    cat >"$work/control.ini" <<SETTINGS
-[control]
-node = 1
-failure_domain = fd-1
-listen = 127.0.0.1:$control_port
-admin_listen = 127.0.0.1:$control_admin_port
-data_dir = $work/data
-command_token_file = $work/command-token
-peer_token_file = $work/peer-token
-voters_max = 1
-log = warn
-
-[peers]
-1 = 127.0.0.1:$control_port
-SETTINGS
-    "$bin/gooseberry-control" format --found --config "$work/control.ini" >/dev/null
-    start control "$bin/gooseberry-control" run --config "$work/control.ini"
-    control=$started
-    wait_for_port "$control_port"
-}
-
 # Samples a control VM with $@ light routers, which share the replicas of a failure domain at the
 # target size, and times changes to all of them.
 sample_routers() {
     local replicas=118
     for routers in "$@"; do
-        start_control
+        start_control "$control_port" "$control_admin_port" "$token"
         "$load" capacity routers --control "127.0.0.1:$control_port" --pid "$control" \
             --token "$token" --followers "$routers" --replicas "$replicas" \
             --servers-each "$(((replicas + routers - 1) / routers))" \
@@ -173,7 +84,7 @@
 # Samples a control VM with 32 light routers under $@ changes an hour.
 sample_changes() {
     for changes in "$@"; do
-        start_control
+        start_control "$control_port" "$control_admin_port" "$token"
         "$load" capacity changes --control "127.0.0.1:$control_port" --pid "$control" \
             --token "$token" --followers 32 --changes-per-hour "$changes" \
             --window-ms "$window_ms" --samples "$samples"
