--- a/crates/dissemination/examples/flat_against_hub.rs
+++ b/crates/dissemination/examples/flat_against_hub.rs
@@ -9,8 +9,8 @@
 };
 
 use dissemination::{
-    Demand, Hub, HubSettings, Load, MemberState, ServerLoad, ServerRef, Summary, encode_digest,
-    encode_summary, owner,
+    Demand, Hub, HubSettings, Load, MemberState, PoolHash, ServerLoad, ServerRef, ServerState,
+    Sighting, Slots, Summary, encode_digest, encode_summary, owner,
 };
 
 const SECONDS: u64 = 120;
@@ -45,8 +45,20 @@
     for second in 0..SECONDS {
         for (name, member) in names.iter().zip(&mut members) {
             let loads = owned_loads(&names, name, servers, second, |it| member.server_ref(it));
-            let demand = (0..POOLS).map(|pool| Demand { pool: pool * 0x1357_9bdf, weight: 40 });
-            let summary = Summary { loads, demand: demand.collect(), ..member.summary() };
+            let demand = (0..POOLS).map(|pool| Demand {
+                pool: PoolHash(pool * 0x1357_9bdf),
+                requests: 200,
+                urgent: 20,
+            });
+            let held = member.servers().map(|it| Slots { server: it.row.idx, count: 2 });
+            let is_first = second == 0;
+            let summary = Summary {
+                loads,
+                sightings: if is_first { sightings(servers) } else { Vec::new() },
+                demand: demand.collect(),
+                held_slots: held.collect(),
+                ..member.summary()
+            };
             sent += encode_summary(&summary).len();
             let digest = hub.exchange(start + Duration::from_secs(second), summary);
             received += encode_digest(&digest).len();
@@ -61,6 +73,17 @@
     }
 }
 
+fn sightings(servers: u16) -> Vec<Sighting> {
+    let sighting = |it: u16| Sighting {
+        addr: SocketAddr::from(([10, 0, 0, 1], 9000 + it)),
+        state: ServerState::Live,
+        incarnation: 1,
+        pool: PoolHash(u32::from(it) % POOLS * 0x1357_9bdf),
+        slots: 64,
+    };
+    (0..servers).map(sighting).collect()
+}
+
 fn flat(routers: usize, servers: u16) -> usize {
     let names: Vec<_> = (0..routers).map(|it| format!("router-{it}")).collect();
     let mut sent = 0;
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -7,8 +7,9 @@
 };
 
 use crate::{
-    Demand, Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
-    ServerRow, ServerState, Share, Summary, Version, owner::WHOLE_65536THS,
+    Digest, Load, PoolHash, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
+    ServerRow, ServerState, Sighting, Summary, Version,
+    grants::{self, Account},
 };
 
 /// How a hub keeps its entries.
@@ -17,14 +18,13 @@
     /// The number of this life of the hub; another one at each start, never 0.
     pub epoch: u64,
     /// A router that was silent for this long is no longer live.
+    /// Its grants are given to others then, so a router uses no grant for that long unrenewed.
     pub router_timeout: Duration,
-    /// The part of a pool that is divided evenly, in thousandths; the rest goes by demand.
-    pub even_permille: u32,
 }
 
 impl Default for HubSettings {
     fn default() -> Self {
-        HubSettings { epoch: 1, router_timeout: Duration::from_secs(5), even_permille: 250 }
+        HubSettings { epoch: 1, router_timeout: Duration::from_secs(5) }
     }
 }
 
@@ -34,6 +34,7 @@
     settings: HubSettings,
     version: Version,
     routers: BTreeMap<RouterIdx, Router>,
+    accounts: BTreeMap<RouterIdx, Account>,
     routers_version: Version,
     next_router: u16,
     servers: Vec<Server>,
@@ -45,7 +46,6 @@
 struct Router {
     name: String,
     heard: Instant,
-    demand: Vec<Demand>,
 }
 
 #[derive(Debug)]
@@ -70,6 +70,7 @@
             settings,
             version: Version(0),
             routers: BTreeMap::new(),
+            accounts: BTreeMap::new(),
             routers_version: Version(0),
             next_router: 0,
             servers: Vec::new(),
@@ -85,9 +86,8 @@
         let is_current = summary.epoch == self.settings.epoch;
         let held = if is_current { summary.held } else { Version(0) };
         let you = self.router(now, summary.from, is_current);
-        self.take_demand(you, summary.demand);
-        for (addr, state, incarnation) in summary.sightings {
-            self.take_sighting(addr, state, incarnation);
+        for sighting in summary.sightings {
+            self.take_sighting(sighting);
         }
         for load in summary.loads {
             self.take_load(load, is_current);
@@ -95,6 +95,11 @@
         for row in summary.quarantine {
             self.take_quarantine(now, row);
         }
+        if let Some(account) = self.accounts.get_mut(&you) {
+            // Indexes of another life of the hub name other servers.
+            let held_slots = if is_current { summary.held_slots } else { Vec::new() };
+            account.take(summary.demand, held_slots);
+        }
         self.digest(now, you, held)
     }
 
@@ -113,6 +118,8 @@
         let before = self.routers.len();
         self.routers.retain(|_, it| now.saturating_duration_since(it.heard) < timeout);
         if self.routers.len() != before {
+            let routers = &self.routers;
+            self.accounts.retain(|idx, _| routers.contains_key(idx));
             self.routers_version = self.version;
         }
         self.quarantine.retain(|_, it| it.expires > now);
@@ -137,26 +144,25 @@
         let Sender::Name(name) = from else { return RouterIdx(u16::MAX) };
         let idx = RouterIdx(self.next_router);
         self.next_router += 1;
-        self.routers.insert(idx, Router { name, heard: now, demand: Vec::new() });
+        self.routers.insert(idx, Router { name, heard: now });
+        self.accounts.insert(idx, Account::default());
         self.routers_version = self.version;
         idx
     }
 
-    fn take_demand(&mut self, you: RouterIdx, demand: Vec<Demand>) {
-        if let Some(router) = self.routers.get_mut(&you) {
-            router.demand = demand;
-        }
-    }
-
     /// A server seen leaving stays leaving until it shows a newer incarnation.
-    fn take_sighting(&mut self, addr: SocketAddr, state: ServerState, incarnation: u64) {
-        let idx = self.server(addr);
+    fn take_sighting(&mut self, seen: Sighting) {
+        let idx = self.server(seen.addr);
         let version = self.version;
         let server = &mut self.servers[idx.0 as usize];
-        let is_newer = incarnation > server.row.incarnation;
-        let is_worse = incarnation == server.row.incarnation && state > server.row.state;
+        let mut row = ServerRow { pool: seen.pool, slots: seen.slots, ..server.row };
+        let is_newer = seen.incarnation > row.incarnation;
+        let is_worse = seen.incarnation == row.incarnation && seen.state > row.state;
         if is_newer || is_worse {
-            server.row = ServerRow { state, incarnation, ..server.row };
+            row = ServerRow { state: seen.state, incarnation: seen.incarnation, ..row };
+        }
+        if row != server.row {
+            server.row = row;
             server.row_version = version;
         }
     }
@@ -195,7 +201,14 @@
             return *idx;
         }
         let idx = ServerIdx(self.servers.len() as u16);
-        let row = ServerRow { idx, addr, state: ServerState::Live, incarnation: 0 };
+        let row = ServerRow {
+            idx,
+            addr,
+            state: ServerState::Live,
+            incarnation: 0,
+            pool: PoolHash(0),
+            slots: 0,
+        };
         let version = self.version;
         self.servers.push(Server {
             row,
@@ -207,7 +220,10 @@
         idx
     }
 
-    fn digest(&self, now: Instant, you: RouterIdx, held: Version) -> Digest {
+    fn digest(&mut self, now: Instant, you: RouterIdx, held: Version) -> Digest {
+        let live = self.servers.iter().map(|it| it.row);
+        let live: Vec<_> = live.filter(|it| it.state == ServerState::Live).collect();
+        let grants = grants::grant(you, &mut self.accounts, &live);
         let loads = self.servers.iter().filter(|it| it.load_version > held);
         let rows = self.servers.iter().filter(|it| it.row_version > held);
         let quarantine = self.quarantine.iter().filter(|(_, it)| it.version > held);
@@ -227,69 +243,11 @@
                     expires_in_s: (it.expires - now).as_secs() as u32,
                 })
                 .collect(),
-            shares: self.shares(you),
+            grants,
         }
     }
 
     fn router_list(&self) -> Vec<(u16, String)> {
         self.routers.iter().map(|(idx, it)| (idx.0, it.name.clone())).collect()
     }
-
-    fn shares(&self, you: RouterIdx) -> Vec<Share> {
-        let Some(router) = self.routers.get(&you) else { return Vec::new() };
-        router.demand.iter().map(|it| self.share(you, it.pool)).collect()
-    }
-
-    /// Walks the routers in order, so that their parts follow one another without a gap.
-    fn share(&self, you: RouterIdx, pool: u32) -> Share {
-        let total: u64 = self.routers.values().map(|it| it.weight(pool)).sum();
-        let mut edges = Edges::new(self.routers.len() as u64, total, self.settings.even_permille);
-        for (idx, router) in &self.routers {
-            let start = edges.position();
-            edges.pass(router.weight(pool));
-            if *idx == you {
-                let width_65536ths = edges.position() - start;
-                return Share { pool, start_65536ths: start, width_65536ths };
-            }
-        }
-        Share { pool, start_65536ths: 0, width_65536ths: 0 }
-    }
-}
-
-impl Router {
-    fn weight(&self, pool: u32) -> u64 {
-        let demand = self.demand.iter().find(|it| it.pool == pool);
-        demand.map_or(0, |it| it.weight.into())
-    }
-}
-
-/// The running sum of the parts; the last one always ends at the whole.
-struct Edges {
-    routers: u64,
-    total: u64,
-    even_permille: u64,
-    passed_routers: u64,
-    passed_weight: u64,
-}
-
-impl Edges {
-    fn new(routers: u64, total: u64, even_permille: u32) -> Edges {
-        let even_permille = if total == 0 { 1000 } else { even_permille.min(1000).into() };
-        Edges { routers, total, even_permille, passed_routers: 0, passed_weight: 0 }
-    }
-
-    fn pass(&mut self, weight: u64) {
-        self.passed_routers += 1;
-        self.passed_weight += weight;
-    }
-
-    fn position(&self) -> u32 {
-        if self.passed_routers == self.routers {
-            return WHOLE_65536THS;
-        }
-        let whole = u64::from(WHOLE_65536THS);
-        let even = whole * self.passed_routers * self.even_permille / (self.routers * 1000);
-        let by_demand = whole * self.passed_weight * (1000 - self.even_permille);
-        (even + by_demand / (self.total.max(1) * 1000)) as u32
-    }
 }
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -6,6 +6,7 @@
 //! number stands for the router's complete state, so a lost answer needs no repair of its own.
 //! The crate does no I/O and reads no clock.
 
+mod grants;
 mod hub;
 mod member;
 mod owner;
@@ -14,9 +15,9 @@
 
 pub use hub::{Hub, HubSettings};
 pub use member::{MemberState, ServerEntry};
-pub use owner::{owner, weighted_share};
+pub use owner::owner;
 pub use rows::{
-    Demand, Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
-    ServerRow, ServerState, Share, Summary, Version,
+    Demand, Digest, Load, PoolHash, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad,
+    ServerRef, ServerRow, ServerState, Sighting, Slots, Summary, Version,
 };
 pub use wire::{DecodeError, decode_digest, decode_summary, encode_digest, encode_summary};
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
-    Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, Share,
+    Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, Slots,
     Summary, Version,
 };
 
@@ -26,7 +26,7 @@
     routers: Vec<String>,
     servers: BTreeMap<ServerIdx, ServerEntry>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
-    shares: Vec<Share>,
+    grants: Vec<Slots>,
 }
 
 impl MemberState {
@@ -40,7 +40,7 @@
             routers: vec![name.to_owned()],
             servers: BTreeMap::new(),
             by_addr: BTreeMap::new(),
-            shares: Vec::new(),
+            grants: Vec::new(),
         }
     }
 
@@ -55,6 +55,7 @@
             sightings: Vec::new(),
             quarantine: Vec::new(),
             demand: Vec::new(),
+            held_slots: Vec::new(),
         }
     }
 
@@ -82,7 +83,7 @@
                 entry.load = load.load;
             }
         }
-        self.shares = digest.shares;
+        self.grants = digest.grants;
         digest.quarantine
     }
 
@@ -101,9 +102,22 @@
         self.routers.iter().map(String::as_str)
     }
 
-    /// This router's part of a pool, if the hub has given one.
-    pub fn share(&self, pool: u32) -> Option<Share> {
-        self.shares.iter().find(|it| it.pool == pool).copied()
+    /// The slots that this router may hold, with the servers' addresses.
+    pub fn grants(&self) -> impl Iterator<Item = (SocketAddr, u16)> + '_ {
+        self.grants.iter().filter_map(|it| {
+            let entry = self.servers.get(&it.server)?;
+            Some((entry.row.addr, it.count))
+        })
+    }
+
+    /// The hub's life that the entries belong to; 0 before the first digest.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The index of a server that the hub knows.
+    pub fn server_idx(&self, addr: SocketAddr) -> Option<ServerIdx> {
+        self.by_addr.get(&addr).copied()
     }
 
     fn take_row(&mut self, row: ServerRow) {
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A router's place in the hub's list.
 #[derive(
@@ -69,12 +70,14 @@
     pub held: Version,
     /// Load reports of the servers that the router owns.
     pub loads: Vec<ServerLoad>,
-    /// News of the platform's list.
-    pub sightings: Vec<(SocketAddr, ServerState, u64)>,
+    /// Servers of the tables and of the platform's list, when they are new or have changed.
+    pub sightings: Vec<Sighting>,
     /// Fingerprints of requests that crash servers, new or prolonged here.
     pub quarantine: Vec<QuarantineRow>,
-    /// The capacity that the router could use now, by pool.
+    /// What the router could use now, by pool.
     pub demand: Vec<Demand>,
+    /// Slots that its requests hold now.
+    pub held_slots: Vec<Slots>,
 }
 
 /// What the hub answers: all that has changed since the version held.
@@ -95,11 +98,39 @@
     pub loads: Vec<ServerLoad>,
     /// Quarantined fingerprints that are new.
     pub quarantine: Vec<QuarantineRow>,
-    /// The receiver's part of each pool.
-    pub shares: Vec<Share>,
+    /// The slots that the receiver may hold until the next exchange.
+    pub grants: Vec<Slots>,
 }
 
-/// A backend server as the platform's list tells it.
+/// A hash of a pool's name, short enough to be sent every second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PoolHash(pub u32);
+
+impl PoolHash {
+    /// The hash of `name`.
+    pub fn of(name: &str) -> PoolHash {
+        PoolHash(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// A backend server as a router knows it from the tables or the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Sighting {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Whether it may get new work.
+    pub state: ServerState,
+    /// The number that its restarts raise.
+    pub incarnation: u64,
+    /// The pool that it serves.
+    pub pool: PoolHash,
+    /// How many requests it takes at a time.
+    pub slots: u16,
+}
+
+/// A backend server as the hub knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct ServerRow {
@@ -111,6 +142,10 @@
     pub state: ServerState,
     /// The number that its restarts raise.
     pub incarnation: u64,
+    /// The pool that it serves.
+    pub pool: PoolHash,
+    /// How many requests it takes at a time.
+    pub slots: u16,
 }
 
 /// Whether a backend server may get new work.
@@ -163,20 +198,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Demand {
-    /// A hash of the pool's name.
-    pub pool: u32,
-    /// Requests in flight and waiting, weighted by urgency.
-    pub weight: u32,
+    /// The pool.
+    pub pool: PoolHash,
+    /// Requests that wait or run at the router.
+    pub requests: u32,
+    /// Of these, the ones of the most urgent class.
+    pub urgent: u32,
 }
 
-/// A router's part of a pool's capacity.
+/// Slots of one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Share {
-    /// A hash of the pool's name.
-    pub pool: u32,
-    /// The first part before this router's, in 65,536ths of the whole.
-    pub start_65536ths: u32,
-    /// The part, in 65,536ths of the whole.
-    pub width_65536ths: u32,
+pub struct Slots {
+    /// The server.
+    pub server: ServerIdx,
+    /// How many of its slots.
+    pub count: u16,
 }
--- /dev/null
+++ b/crates/dissemination/tests/capacity_grants.rs
@@ -0,0 +1,138 @@
+//! Routers together never hold more slots of a server than it has, and grants follow demand.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use dissemination::{
+    Demand, Hub, HubSettings, MemberState, PoolHash, ServerState, Sighting, Slots, Summary, owner,
+};
+use proptest::prelude::*;
+
+const POOL: PoolHash = PoolHash(5);
+const SLOTS: u16 = 16;
+const SERVERS: u16 = 3;
+
+/// A router that holds slots only under its last grant, and finishes requests at random.
+struct Router {
+    member: MemberState,
+    held: Vec<u16>,
+}
+
+struct Domain {
+    now: Instant,
+    hub: Hub,
+    routers: Vec<Router>,
+}
+
+impl Domain {
+    fn new(routers: usize) -> Domain {
+        let router = |it| Router {
+            member: MemberState::new(&format!("router-{it}")),
+            held: vec![0; SERVERS.into()],
+        };
+        let hub = Hub::new(HubSettings::default());
+        Domain { now: Instant::now(), hub, routers: (0..routers).map(router).collect() }
+    }
+
+    fn exchange(&mut self, router: usize, requests: u32, urgent: u32) {
+        let it = &mut self.routers[router];
+        let held = it.held.iter().zip(0..).filter_map(|(count, server)| {
+            Some(Slots { server: it.member.server_idx(addr(server))?, count: *count })
+        });
+        let summary = Summary {
+            sightings: (0..SERVERS).map(sighting).collect(),
+            demand: vec![Demand { pool: POOL, requests, urgent }],
+            held_slots: held.collect(),
+            ..it.member.summary()
+        };
+        it.member.take(self.hub.exchange(self.now, summary));
+    }
+
+    /// Starts requests up to the grants, then finishes some.
+    fn work(&mut self, router: usize, finished: u16) {
+        let it = &mut self.routers[router];
+        for (addr, granted) in it.member.grants() {
+            let held = &mut it.held[usize::from(addr.port() - 9000)];
+            *held = (*held).max(granted).saturating_sub(finished);
+        }
+    }
+
+    fn held(&self, server: usize) -> u16 {
+        self.routers.iter().map(|it| it.held[server]).sum()
+    }
+
+    fn granted(&self, router: usize) -> Vec<u16> {
+        self.routers[router].member.grants().map(|(_, count)| count).collect()
+    }
+}
+
+fn addr(server: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 9000 + server))
+}
+
+fn sighting(server: u16) -> Sighting {
+    let state = ServerState::Live;
+    Sighting { addr: addr(server), state, incarnation: 1, pool: POOL, slots: SLOTS }
+}
+
+proptest! {
+    #[test]
+    fn never_overfilled(
+        steps in prop::collection::vec((0..4usize, 0..60u32, 0..10u32, 0..6u16), 1..80),
+    ) {
+        let mut domain = Domain::new(4);
+        for (router, requests, urgent, finished) in steps {
+            domain.now += Duration::from_millis(100);
+            domain.exchange(router, requests, urgent);
+            domain.work(router, finished);
+            for server in 0..usize::from(SERVERS) {
+                prop_assert!(domain.held(server) <= SLOTS, "server {server}");
+            }
+        }
+    }
+
+    #[test]
+    fn owner_changes_little(lost in 0..8usize) {
+        let names: Vec<String> = (0..8).map(|it| format!("router-{it}")).collect();
+        for server in 0..200 {
+            let before = owner(names.iter().map(String::as_str), addr(server));
+            let left = names.iter().map(String::as_str).filter(|it| *it != names[lost]);
+            let after = owner(left, addr(server));
+            prop_assert!(before == after || before == Some(names[lost].as_str()));
+        }
+    }
+}
+
+#[test]
+fn urgent_before_demand() {
+    let mut domain = Domain::new(2);
+    for _ in 0..3 {
+        domain.exchange(0, 1000, 0);
+        domain.exchange(1, 12, 12);
+    }
+    let urgent: u16 = domain.granted(1).iter().sum();
+    assert!(urgent >= 12, "the urgent requests have a place at once: {urgent}");
+}
+
+#[test]
+fn lost_router() {
+    let mut domain = Domain::new(2);
+    domain.exchange(0, 100, 0);
+    domain.exchange(1, 100, 0);
+    domain.exchange(0, 100, 0);
+    let before: u16 = domain.granted(0).iter().sum();
+
+    domain.now += Duration::from_secs(6);
+    domain.exchange(0, 100, 0);
+    domain.exchange(0, 100, 0);
+    let after: u16 = domain.granted(0).iter().sum();
+    assert!(before < SLOTS * SERVERS, "{before}");
+    assert_eq!(after, SLOTS * SERVERS, "the lost router's slots come back");
+}
+
+#[test]
+fn nobody_owns() {
+    assert_eq!(owner([], addr(0)), None);
+}
--- a/crates/dissemination/tests/lost_digests.rs
+++ b/crates/dissemination/tests/lost_digests.rs
@@ -1,10 +1,13 @@
 //! Routers hold the hub's state after any digest, however many were lost before it.
 
-use std::{net::SocketAddr, time::Duration, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use dissemination::{
-    Hub, HubSettings, Load, MemberState, QuarantineRow, ServerLoad, ServerState, decode_digest,
-    decode_summary, encode_digest, encode_summary,
+    Hub, HubSettings, Load, MemberState, PoolHash, QuarantineRow, ServerLoad, ServerState,
+    Sighting, Summary, decode_digest, decode_summary, encode_digest, encode_summary,
 };
 use proptest::prelude::*;
 
@@ -60,7 +63,8 @@
                 self.exchange(router, vec![ServerLoad { server, load }], Vec::new(), is_lost);
             }
             Step::Sighting { router, server, state, incarnation, is_lost } => {
-                let sightings = vec![(addr(server), state, incarnation)];
+                let (addr, pool) = (addr(server), PoolHash(1));
+                let sightings = vec![Sighting { addr, state, incarnation, pool, slots: 8 }];
                 self.exchange(router, Vec::new(), sightings, is_lost);
             }
             Step::HubRestart => {
@@ -74,11 +78,11 @@
         &mut self,
         router: usize,
         loads: Vec<ServerLoad>,
-        sightings: Vec<(SocketAddr, ServerState, u64)>,
+        sightings: Vec<Sighting>,
         is_lost: bool,
     ) {
         let summary = self.members[router].summary();
-        let summary = dissemination::Summary { loads, sightings, ..summary };
+        let summary = Summary { loads, sightings, ..summary };
         let summary = decode_summary(&encode_summary(&summary)).expect("a whole summary");
         let digest = encode_digest(&self.hub.exchange(self.now, summary));
         if !is_lost {
@@ -148,7 +152,7 @@
     let mut world = World::new();
     let row = QuarantineRow { fingerprint: 7, crashes: 2, expires_in_s: 60 };
     let summary = world.members[0].summary();
-    world.hub.exchange(world.now, dissemination::Summary { quarantine: vec![row], ..summary });
+    world.hub.exchange(world.now, Summary { quarantine: vec![row], ..summary });
 
     let digest = world.hub.exchange(world.now, world.members[2].summary());
     assert_eq!(world.members[2].take(digest), [row]);
