Reserve time for long answers, and never wake for a server that is gone

A server that left while it was out kept its probe time, so next_wakeup lay in the past for good (test no_wakeup_for_gone failed). Change: three times the expected service time, at most a third of the deadline, is kept free at admission; probe times count only while the health is in question.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -156,6 +156,12 @@
         self.slots = slots;
     }
 
+    /// When the next probe is due, if the server's health is in question.
+    pub(crate) fn probe_due(&self) -> Option<Instant> {
+        let is_open = matches!(self.health, Health::Suspect | Health::Out);
+        self.next_probe.filter(|_| is_open)
+    }
+
     pub(crate) fn is_usable(&self) -> bool {
         matches!(self.health, Health::Up | Health::Suspect)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 //!    to the server's [`leases::owner`], which answers with its part of [`leases::grant`] for
 //!    [`Scheduler::set_credits`].
 //!
+//! The router itself ends a running request at its deadline and calls [`Scheduler::cancelled`].
 //! Calls with a ticket that is closed do nothing, so late events are harmless.
 
 mod backend;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -152,7 +152,8 @@
 
     /// Puts a revision in force; rows that keep their name keep their state and key.
     ///
-    /// Waiting requests of rows that are gone are refused by the next poll; running ones finish.
+    /// Waiting requests of classes and pools that are gone are refused by the next poll; running
+    /// ones finish. A workspace that is gone gets no new requests admitted.
     ///
     /// # Errors
     /// A revision older than the present one, and faults in the rows; nothing is applied then.
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -12,6 +12,10 @@
 };
 
 const DEFAULT_ANSWER_TOKENS: u32 = 256;
+/// An answer rarely exceeds this multiple of its expected length.
+const LENGTH_MARGIN: u32 = 3;
+/// The margin takes at most this part of the deadline.
+const MARGIN_DEADLINE_DIVISOR: u32 = 3;
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The drain rate counts once requests have waited for this time; before, it shows the demand.
 const SATURATION: Duration = Duration::from_secs(3);
@@ -29,7 +33,7 @@
         self.check_quarantine(now, &offer)?;
         self.check_backends(&offer)?;
         let cost = self.expected_tokens(&offer);
-        let service = self.service_time(offer.pool, cost);
+        let service = self.service_with_margin(&offer, cost);
         self.check_deadline(now, &offer, cost, service)?;
         self.make_place(now, &offer)?;
         Ok(self.admit(now, offer, cost, service))
@@ -56,6 +60,13 @@
         Duration::from_secs_f64(gap_ms * f64::from(tokens) / 1e3)
     }
 
+    /// The time to reserve before the deadline, because an answer may be longer than its estimate.
+    fn service_with_margin(&self, offer: &Offer, cost: u32) -> Duration {
+        let service = self.service_time(offer.pool, cost);
+        let most = self.classes[offer.class].spec.deadline() / MARGIN_DEADLINE_DIVISOR;
+        service.max(most.min(service * LENGTH_MARGIN))
+    }
+
     fn check_known(&self, offer: &Offer) -> Result<(), Refusal> {
         let class = self.classes.get(offer.class).is_some_and(|it| !it.retired);
         let pool = self.pools.get(offer.pool).is_some_and(|it| !it.retired);
--- a/crates/policy/src/scheduler/watch.rs
+++ b/crates/policy/src/scheduler/watch.rs
@@ -4,7 +4,6 @@
 
 use super::{Action, Scheduler};
 use crate::{
-    backend::Health,
     keys::{BackendKey, ClassKey, PoolKey},
     request::Standing,
 };
@@ -32,7 +31,7 @@
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
         let timers = [&self.give_ups, &self.delayed, &self.hedges];
         let first = timers.into_iter().filter_map(|it| it.first().map(|it| it.0)).min();
-        let probe = self.backends.values().filter_map(|it| it.next_probe).min();
+        let probe = self.backends.values().filter_map(|it| it.probe_due()).min();
         let busy = self.pools.values().any(|it| it.waiting > 0 || !it.is_idle());
         let check = busy.then(|| now + WAITING_WAKEUP);
         [first, probe, check].into_iter().flatten().min()
@@ -68,8 +67,7 @@
             self.check_peers(now, pool);
         }
         for (backend, entry) in &mut self.backends {
-            let wants_probe = matches!(entry.health, Health::Suspect | Health::Out);
-            if wants_probe && entry.next_probe.is_some_and(|it| it <= now) {
+            if entry.probe_due().is_some_and(|it| it <= now) {
                 entry.next_probe = Some(now + self.settings.probe_interval);
                 self.actions.push(Action::Probe { backend });
             }
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -123,3 +123,21 @@
     world.poll();
     assert_eq!(world.scheduler.in_flight(new), 10, "half of them after half of the slow start");
 }
+
+/// A server that left while it was out must not keep the router awake.
+#[test]
+fn no_wakeup_for_gone() {
+    let mut world = world(2);
+    let ticket = world.offer("chat");
+    let crashed = world.dispatched()[0].1;
+    fail(&mut world, ticket, Failure::ConnectRefused);
+    world.scheduler.cancelled(ticket);
+    for name in ["s0", "s1"] {
+        let sighting = world.sighting(name, 1);
+        world.scheduler.backend_gone(world.now, &sighting);
+    }
+    assert_eq!(world.scheduler.health(crashed), Some(Health::Gone));
+    world.pass(10_000);
+    world.poll();
+    assert_eq!(world.scheduler.next_wakeup(world.now), None);
+}
