Read a stream's own error event before the close that follows it

Ruled out: a fault of the router; its records showed the event. Change: a close after an error event is a clear failure; a test for it and one for a bare close.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -130,7 +130,7 @@
         let timeout = Duration::from_millis(self.settings.timeout_ms);
         let ending = match time::timeout(timeout, self.exchange(to, call, &mut reading)).await {
             Ok(Ok(ending)) => ending,
-            Ok(Err(err)) => Ending::Broken(err.to_string()),
+            Ok(Err(err)) => reading.cut_off(&err),
             Err(_) => Ending::TimedOut,
         };
         reading.finish(ending)
--- a/crates/load/src/caller/reading.rs
+++ b/crates/load/src/caller/reading.rs
@@ -3,7 +3,11 @@
 use std::{rc::Rc, time::Instant};
 
 use clock::Clock;
-use httpio::{HeaderMap, StatusCode, client::ResponseHead, header, sse};
+use httpio::{
+    HeaderMap, StatusCode,
+    client::{ClientError, ResponseHead},
+    header, sse,
+};
 
 use super::{
     Call, Reply,
@@ -152,6 +156,15 @@
         }
     }
 
+    /// How the reply ended when its connection failed: a stream that told of its failure before
+    /// is closed without the last chunk on purpose.
+    pub(super) fn cut_off(&self, err: &ClientError) -> Ending {
+        match (self.status, self.end) {
+            (Some(status), StreamEnd::Failed) => Ending::Failed(status.as_u16()),
+            _ => Ending::Broken(err.to_string()),
+        }
+    }
+
     fn whole(&mut self) -> Ending {
         if self.call.kind != RequestKind::Chat {
             self.text = String::from_utf8_lossy(&self.body).into_owned();
--- a/crates/load/tests/caller_check.rs
+++ b/crates/load/tests/caller_check.rs
@@ -5,7 +5,7 @@
 use engine_model::answer;
 use expect_test::{Expect, expect};
 use httpio::{
-    Bytes, StatusCode,
+    Bytes, HeaderMap, HeaderValue, StatusCode,
     server::{Reply, Request},
     sse,
 };
@@ -116,21 +116,33 @@
     check_stream(events, expect!["Failed(200), ran, 2 tokens, fault foreign, retry after None"]);
 }
 
+/// Streams `events` and closes the connection without the last chunk.
+fn cut_off(events: Vec<Bytes>) -> Reply {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-type", HeaderValue::from_static(sse::CONTENT_TYPE));
+    headers.insert("x-outcome", HeaderValue::from_static("ran"));
+    let (mut sender, reply) = Reply::stream(StatusCode::OK, headers, 1);
+    monoio::spawn(async move {
+        for event in events {
+            let _ = sender.send(event).await;
+        }
+    });
+    reply
+}
+
 #[test]
 fn broken_stream() {
+    check(&chat(), |it| cut_off(token_events(&tokens_for(it)[..2])), expect![[r#"Broken("the connection ended before the answer did (head received)"), ran, 2 tokens, fault none, retry after None"#]]);
+}
+
+#[test]
+fn broken_after_clear_failure() {
     let reply = |request: &Request| {
-        let mut reply = stream(request, Vec::new());
-        let (sender, cut) = Reply::stream(reply.status, std::mem::take(&mut reply.headers), 1);
-        drop(sender);
-        cut
+        let error = json!({ "error": { "code": "lost", "outcome": "may-have-run" } });
+        let failed = sse::named_event("error", &error.to_string());
+        cut_off([token_events(&tokens_for(request)[..2]), vec![failed]].concat())
     };
-    check(
-        &chat(),
-        reply,
-        expect![[
-            r#"Broken("the connection ended before the answer did (head received)"), ran, 0 tokens, fault none, retry after None"#
-        ]],
-    );
+    check(&chat(), reply, expect!["Failed(200), may-have-run, 2 tokens, fault none, retry after None"]);
 }
 
 #[test]
