--- a/crates/control-state/src/response.rs
+++ b/crates/control-state/src/response.rs
@@ -77,7 +77,7 @@
 pub enum StoredAnswer {
     /// The whole answer.
     Kept(Vec<u8>),
-    /// The answer was longer than what is kept.
+    /// The answer was longer than the room for it: a limit for each, and one for all together.
     TooLong {
         /// Its length.
         len_bytes: u64,
