Name the remedy when a data folder is in use

Cause: a second process on the folder was told to check the disk. Ruled out: nothing else. Change: StorageError::InUse. Figures: the new test failed before with "Database already open. Cannot acquire lock.: check the disk, then restart the process", and passes. Conclusion: done.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -58,6 +58,12 @@
         /// The data folder.
         path: PathBuf,
     },
+    /// Another process has the folder open.
+    #[display("{}: in use: stop the other process that runs on this folder", path.display())]
+    InUse {
+        /// The file.
+        path: PathBuf,
+    },
     /// Saved data fails its checksum or does not fit together.
     #[display(
         "{}: {what}: move the folder away, format a new one and let the node join as a new member",
--- a/crates/storage/src/log_file.rs
+++ b/crates/storage/src/log_file.rs
@@ -224,6 +224,7 @@
     let path = path.to_owned();
     match err {
         redb::Error::Corrupted(what) => StorageError::Corrupt { path, what },
+        redb::Error::DatabaseAlreadyOpen => StorageError::InUse { path },
         err => StorageError::Io { path, reason: err.to_string() },
     }
 }
--- a/crates/storage/tests/data_folder.rs
+++ b/crates/storage/tests/data_folder.rs
@@ -73,6 +73,15 @@
     assert!(matches!(again, Err(StorageError::AlreadyFormatted { .. })), "{again:?}");
 }
 
+#[test]
+fn used_twice() {
+    let (folder, _log) = formatted();
+    assert_eq!(
+        refusal(&folder),
+        "/log.redb: in use: stop the other process that runs on this folder"
+    );
+}
+
 #[test]
 fn unfinished_format() {
     let folder = TempDir::new().unwrap();
