Carry crash sites of quarantined requests through the hub

Cause: the policy crate merges quarantine entries by the set of crash sites; a bare count loses which servers fell and would count one crash twice when two routers report it. Ruled out: reading every peer's admin listener (31 requests a period at 32 routers). Change: rows carry the pool and the policy crate's entry; the hub merges sites as routers do.

--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use policy::{CrashSite, QuarantineEntry};
+
 use crate::{
     Digest, Load, PoolHash, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
     ServerRow, ServerState, Sighting, Summary, Version,
@@ -39,7 +41,7 @@
     next_router: u16,
     servers: Vec<Server>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
-    quarantine: BTreeMap<u64, Quarantined>,
+    quarantine: BTreeMap<(PoolHash, u64), Quarantined>,
 }
 
 #[derive(Debug)]
@@ -58,7 +60,7 @@
 
 #[derive(Debug)]
 struct Quarantined {
-    crashes: u8,
+    crashes: Vec<CrashSite>,
     expires: Instant,
     version: Version,
 }
@@ -181,17 +183,17 @@
         }
     }
 
+    /// Entries are merged by the set of crash sites, as the routers do it.
     fn take_quarantine(&mut self, now: Instant, row: QuarantineRow) {
-        let expires = now + Duration::from_secs(row.expires_in_s.into());
+        let expires = now + Duration::from_millis(row.entry.ttl_ms);
         let version = self.version;
-        let entry = self.quarantine.entry(row.fingerprint).or_insert(Quarantined {
-            crashes: 0,
-            expires,
-            version,
-        });
-        if row.crashes > entry.crashes {
-            entry.crashes = row.crashes;
-            entry.version = version;
+        let entry = self.quarantine.entry((row.pool, row.entry.request_hash));
+        let entry = entry.or_insert(Quarantined { crashes: Vec::new(), expires, version });
+        for site in row.entry.crashes {
+            if !entry.crashes.contains(&site) {
+                entry.crashes.push(site);
+                entry.version = version;
+            }
         }
         entry.expires = entry.expires.max(expires);
     }
@@ -236,13 +238,7 @@
             loads: loads
                 .map(|it| ServerLoad { server: ServerRef::Idx(it.row.idx), load: it.load })
                 .collect(),
-            quarantine: quarantine
-                .map(|(fingerprint, it)| QuarantineRow {
-                    fingerprint: *fingerprint,
-                    crashes: it.crashes,
-                    expires_in_s: (it.expires - now).as_secs() as u32,
-                })
-                .collect(),
+            quarantine: quarantine.map(|(key, it)| it.row(now, *key)).collect(),
             grants,
         }
     }
@@ -251,3 +247,11 @@
         self.routers.iter().map(|(idx, it)| (idx.0, it.name.clone())).collect()
     }
 }
+
+impl Quarantined {
+    fn row(&self, now: Instant, (pool, request_hash): (PoolHash, u64)) -> QuarantineRow {
+        let ttl_ms = self.expires.saturating_duration_since(now).as_millis() as u64;
+        let entry = QuarantineEntry { request_hash, crashes: self.crashes.clone(), ttl_ms };
+        QuarantineRow { pool, entry }
+    }
+}
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
+use policy::QuarantineEntry;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -182,16 +183,14 @@
     pub step_100us: u16,
 }
 
-/// A request that crashes backend servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// A request that crashes backend servers of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct QuarantineRow {
-    /// The fingerprint of the request.
-    pub fingerprint: u64,
-    /// How many crashes it is suspected of.
-    pub crashes: u8,
-    /// How long the entry still holds, in seconds.
-    pub expires_in_s: u32,
+    /// The pool.
+    pub pool: PoolHash,
+    /// The fingerprint with the servers that fell to it.
+    pub entry: QuarantineEntry,
 }
 
 /// What a router could use of a pool.
--- a/crates/dissemination/tests/lost_digests.rs
+++ b/crates/dissemination/tests/lost_digests.rs
@@ -9,6 +9,7 @@
     Hub, HubSettings, Load, MemberState, PoolHash, QuarantineRow, ServerLoad, ServerState,
     Sighting, Summary, decode_digest, decode_summary, encode_digest, encode_summary,
 };
+use policy::{CrashSite, QuarantineEntry};
 use proptest::prelude::*;
 
 const ROUTERS: usize = 3;
@@ -150,9 +151,11 @@
 #[test]
 fn quarantine_reaches_all() {
     let mut world = World::new();
-    let row = QuarantineRow { fingerprint: 7, crashes: 2, expires_in_s: 60 };
+    let site = CrashSite { server_hash: 3, incarnation: 1, returns: 0 };
+    let entry = QuarantineEntry { request_hash: 7, crashes: vec![site], ttl_ms: 60_000 };
+    let row = QuarantineRow { pool: PoolHash(1), entry };
     let summary = world.members[0].summary();
-    world.hub.exchange(world.now, Summary { quarantine: vec![row], ..summary });
+    world.hub.exchange(world.now, Summary { quarantine: vec![row.clone()], ..summary });
 
     let digest = world.hub.exchange(world.now, world.members[2].summary());
     assert_eq!(world.members[2].take(digest), [row]);
--- a/crates/load/tests/caller_check.rs
+++ b/crates/load/tests/caller_check.rs
@@ -132,7 +132,13 @@
 
 #[test]
 fn broken_stream() {
-    check(&chat(), |it| cut_off(token_events(&tokens_for(it)[..2])), expect![[r#"Broken("the connection ended before the answer did (head received)"), ran, 2 tokens, fault none, retry after None"#]]);
+    check(
+        &chat(),
+        |it| cut_off(token_events(&tokens_for(it)[..2])),
+        expect![[
+            r#"Broken("the connection ended before the answer did (head received)"), ran, 2 tokens, fault none, retry after None"#
+        ]],
+    );
 }
 
 #[test]
@@ -142,7 +148,11 @@
         let failed = sse::named_event("error", &error.to_string());
         cut_off([token_events(&tokens_for(request)[..2]), vec![failed]].concat())
     };
-    check(&chat(), reply, expect!["Failed(200), may-have-run, 2 tokens, fault none, retry after None"]);
+    check(
+        &chat(),
+        reply,
+        expect!["Failed(200), may-have-run, 2 tokens, fault none, retry after None"],
+    );
 }
 
 #[test]
