Share loads, quarantine and slots among routers through the hub

Cause: each router polled every engine twice a second and took other routers' work from lagging reports; at the target that is 35 KB/s a node, and routers overfill engines together. Ruled out: peers reading one another (31 requests a period at 32 routers). Change: control_client::Domain exchanges once a second; a router reads only the reports of the servers it owns, takes the others', quarantine entries and its grants; without the hub for 4 s it reads all itself, and its grants lapse after 3 s. Conclusion: works beside the flat exchange of quarantine, which stays for routers without control VMs.

--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -4,9 +4,11 @@
 //! tables over: a revision never falls, and a start prefers tables that the leader confirmed.
 
 mod commands;
+mod domain;
 mod first_tables;
 mod tables_watch;
 
 pub use commands::{CommandError, submit};
+pub use domain::{Domain, DomainMember};
 pub use first_tables::{FirstTables, Freshness};
 pub use tables_watch::{TablesWatch, WatchSettings};
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// The name from the settings.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// A summary without rows, to be filled by the router.
     pub fn summary(&self) -> Summary {
         let from = self.me.map_or_else(|| Sender::Name(self.name.clone()), Sender::Idx);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use control_client::{TablesWatch, WatchSettings};
+use control_client::{Domain, TablesWatch, WatchSettings};
 use control_state::RouterId;
 use daemon::Admin;
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
@@ -16,7 +16,7 @@
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rpc::LinkSettings;
+use rpc::{Link, LinkSettings};
 use telemetry::{LogSettings, Secret};
 
 use crate::{
@@ -25,8 +25,9 @@
     class_limits::ClassLimits,
     control::{ControlLedger, ControlTables},
     dispatch::Dispatcher,
+    domain::RouterMember,
     identity::{Identity, Workspaces},
-    load_reports,
+    load_reports::{self, Owns, Readings},
     metrics::Metrics,
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
@@ -46,6 +47,8 @@
     pub ledger: Rc<dyn OrderLedger>,
     /// The callers.
     pub workspaces: Rc<Workspaces>,
+    /// The link to the hub of the failure domain, if there is one.
+    pub link: Option<Link>,
     /// The time.
     pub clock: Rc<dyn Clock>,
     /// The seed of identities and random choices.
@@ -105,20 +108,20 @@
         Some(path) => Workspaces::read(path)?,
         None => Workspaces::default(),
     };
-    let (tables, ledger) = match settings.control.is_empty() {
+    let (tables, ledger, link) = match settings.control.is_empty() {
         true => from_files(settings)?,
         false => from_control(settings, &clock)?,
     };
-    Ok(Parts { tables, ledger, workspaces: Rc::new(workspaces), clock, seed: rand::random() })
+    Ok(Parts { tables, ledger, workspaces: Rc::new(workspaces), link, clock, seed: rand::random() })
 }
 
-type Shared = (Rc<dyn TableSource>, Rc<dyn OrderLedger>);
+type Shared = (Rc<dyn TableSource>, Rc<dyn OrderLedger>, Option<Link>);
 
 fn from_files(settings: &RouterSettings) -> anyhow::Result<Shared> {
     let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
         bail!("name routes_file and pools_file in the settings");
     };
-    Ok((Rc::new(FixedTables::read(routes, pools)?), Rc::new(NoLedger)))
+    Ok((Rc::new(FixedTables::read(routes, pools)?), Rc::new(NoLedger), None))
 }
 
 fn from_control(settings: &RouterSettings, clock: &Rc<dyn Clock>) -> anyhow::Result<Shared> {
@@ -129,8 +132,9 @@
         ..WatchSettings::default()
     });
     let life = RouterId(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
-    let ledger = ControlLedger::new(watch.link().clone(), token, life, clock.clone());
-    Ok((Rc::new(ControlTables(watch)), Rc::new(ledger)))
+    let link = watch.link().clone();
+    let ledger = ControlLedger::new(link.clone(), token, life, clock.clone());
+    Ok((Rc::new(ControlTables(watch)), Rc::new(ledger), Some(link)))
 }
 
 /// Serves until the second step of a stop is over.
@@ -157,7 +161,7 @@
         Rc::clone(&parts.workspaces),
         Rc::clone(&readiness),
     ));
-    monoio::spawn(load_reports::poll(Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables)));
+    share_with_domain(&settings, &parts, &pipeline);
 
     for peer in &settings.peers {
         let period = Duration::from_millis(settings.peer_period_ms);
@@ -199,6 +203,25 @@
     }
 }
 
+/// Reads load reports, and shares them through the hub where there is one.
+fn share_with_domain(settings: &RouterSettings, parts: &Parts, pipeline: &Pipeline) {
+    let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
+    let readings = Readings::default();
+    let owns: Owns = match &parts.link {
+        None => Rc::new(|_| true),
+        Some(link) => {
+            let member =
+                RouterMember::new(Rc::clone(&services), Rc::clone(&tables), readings.clone());
+            let interval = Duration::from_millis(settings.exchange_period_ms);
+            let clock = Rc::clone(&parts.clock);
+            let domain =
+                Domain::start(&settings.vm, link.clone(), clock, interval, Rc::new(member));
+            Rc::new(move |addr| domain.owns(addr))
+        }
+    };
+    monoio::spawn(load_reports::poll(services, tables, owns, readings));
+}
+
 fn pipeline(
     settings: &RouterSettings,
     parts: &Parts,
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,11 +7,14 @@
 mod lease;
 mod server_list;
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
 use clock::Clock;
 use futures::future::LocalBoxFuture;
-use policy::{BackendKey, LoadReport, ProbeResult, Refusal, RefusalReason, Repeat, Settings};
+use policy::{
+    BackendKey, LoadReport, ProbeResult, QuarantineEntry, Refusal, RefusalReason, Repeat, Settings,
+    leases::Claim,
+};
 use tables::{Revision, Tables};
 
 use self::desk::Desk;
@@ -119,9 +122,47 @@
     /// Takes in the fingerprints of another router.
     pub fn import_quarantine(&self, report: &QuarantineReport) {
         for (pool, entries) in &report.pools {
-            if let Some(desk) = self.desk(pool) {
-                desk.tell(|scheduler, now| scheduler.import_quarantine(now, entries));
-            }
+            self.import_entries(pool, entries);
+        }
+    }
+
+    /// Takes in fingerprints of one pool.
+    pub fn import_entries(&self, pool: &str, entries: &[QuarantineEntry]) {
+        if let Some(desk) = self.desk(pool) {
+            desk.tell(|scheduler, now| scheduler.import_quarantine(now, entries));
+        }
+    }
+
+    /// What is known of a pool's servers, for the failure domain.
+    #[must_use]
+    pub fn seen(&self, pool: &str) -> Vec<Seen> {
+        self.desk(pool).map(|it| it.seen()).unwrap_or_default()
+    }
+
+    /// What this router could use of a pool's servers, and holds there.
+    #[must_use]
+    pub fn claims(&self, pool: &str) -> Vec<ServerClaim> {
+        self.desk(pool).map(|it| it.claims()).unwrap_or_default()
+    }
+
+    /// Takes in the load report of a server that another router reads.
+    pub fn load_at(&self, pool: &str, addr: SocketAddr, report: &LoadReport) {
+        if let Some(desk) = self.desk(pool) {
+            desk.load_at(addr, report);
+        }
+    }
+
+    /// Takes in the slots of a server that this router may hold until `expires`.
+    pub fn grant(&self, pool: &str, addr: SocketAddr, slots: u32, expires: Instant) {
+        if let Some(desk) = self.desk(pool) {
+            desk.grant(addr, slots, expires);
+        }
+    }
+
+    /// Carries out what follows from reports and grants.
+    pub fn pump(&self, pool: &str) {
+        if let Some(desk) = self.desk(pool) {
+            desk.pump();
         }
     }
 
@@ -130,6 +171,28 @@
     }
 }
 
+/// What a router knows of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The number that its restarts raise.
+    pub incarnation: u64,
+    /// Whether the platform said that it is leaving.
+    pub is_leaving: bool,
+    /// How many requests it takes at a time.
+    pub slots: u32,
+}
+
+/// What a router could use of a backend server, and holds there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerClaim {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The claim on its slots.
+    pub claim: Claim,
+}
+
 /// A backend server of one pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Server {
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    net::SocketAddr,
     rc::{Rc, Weak},
     time::Instant,
 };
@@ -21,7 +22,8 @@
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
 use super::{
-    Asked, Control, Lease, Prober, Server, UNKNOWN, revision_number, server_list::ServerList,
+    Asked, Control, Lease, Prober, Seen, Server, ServerClaim, UNKNOWN, revision_number,
+    server_list::ServerList,
 };
 use crate::{
     identity::{ANONYMOUS, Workspaces},
@@ -44,6 +46,7 @@
 struct State {
     scheduler: Scheduler,
     pool: String,
+    slots: u32,
     waiting: BTreeMap<Ticket, oneshot::Sender<Placed>>,
     controls: BTreeMap<Ticket, mpsc::UnboundedSender<Control>>,
     servers: ServerList,
@@ -61,6 +64,7 @@
         let state = State {
             scheduler: Scheduler::new(settings),
             pool: String::new(),
+            slots: 0,
             waiting: BTreeMap::new(),
             controls: BTreeMap::new(),
             servers: ServerList::default(),
@@ -80,6 +84,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.pool.clone_from(&pool.name);
+        state.slots = pool.in_flight_max;
         let spec = spec(tables, pool, workspaces);
         if let Err(error) = state.scheduler.configure(spec) {
             tracing::error!(pool = %pool.name, %error, "tables not applied");
@@ -171,7 +176,38 @@
         self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
     }
 
-    fn pump(self: &Rc<Self>) {
+    /// What this desk knows of its servers.
+    pub(super) fn seen(&self) -> Vec<Seen> {
+        let state = self.state.borrow();
+        state.servers.seen(state.slots)
+    }
+
+    /// What this router could use of each server, and holds there.
+    pub(super) fn claims(&self) -> Vec<ServerClaim> {
+        let state = self.state.borrow();
+        let claim =
+            |it: Server| ServerClaim { addr: it.addr, claim: state.scheduler.claim(it.key) };
+        state.servers.listed().into_iter().map(claim).collect()
+    }
+
+    /// Takes in the load report of a server that another router reads.
+    pub(super) fn load_at(self: &Rc<Self>, addr: SocketAddr, report: &LoadReport) {
+        let server = self.state.borrow().servers.at(addr);
+        if let Some(server) = server {
+            self.load_report(&server, report);
+        }
+    }
+
+    /// Takes in the slots that this router may hold of a server.
+    pub(super) fn grant(self: &Rc<Self>, addr: SocketAddr, slots: u32, expires: Instant) {
+        let server = self.state.borrow().servers.at(addr);
+        if let Some(server) = server {
+            self.note(|scheduler, _| scheduler.set_credits(server.key, slots, expires));
+        }
+    }
+
+    /// Carries out what follows from what was noted.
+    pub(super) fn pump(self: &Rc<Self>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         loop {
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -5,7 +5,7 @@
 use policy::{BackendKey, Scheduler, Sighting};
 use tables::Pool;
 
-use super::Server;
+use super::{Seen, Server};
 use crate::platform::{ListedVm, VmState};
 
 /// The servers that were named at any time.
@@ -51,6 +51,23 @@
         }
     }
 
+    /// What is known of the servers, without those that the table no longer names.
+    pub(super) fn seen(&self, slots: u32) -> Vec<Seen> {
+        let seen = self.known.iter().filter(|(_, it)| it.listing != Listing::Removed);
+        seen.map(|(addr, it)| Seen {
+            addr: *addr,
+            incarnation: it.incarnation,
+            is_leaving: it.listing == Listing::Leaving,
+            slots,
+        })
+        .collect()
+    }
+
+    /// The server at an address, if it gets new work.
+    pub(super) fn at(&self, addr: SocketAddr) -> Option<Server> {
+        self.listed().into_iter().find(|it| it.addr == addr)
+    }
+
     /// Takes in the servers of the table.
     pub(super) fn follow_table(&mut self, scheduler: &mut Scheduler, now: Instant, pool: &Pool) {
         for server in &pool.servers {
--- /dev/null
+++ b/crates/router/src/domain.rs
@@ -0,0 +1,194 @@
+//! What this router shares with the others of its failure domain, through the hub.
+//!
+//! Out go the load reports of the servers that this router reads, the servers that it knows, its
+//! demand and the slots that it holds, and fingerprints of requests that crash servers. In come
+//! the same from the others, and the slots that this router may hold from now on.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use control_client::DomainMember;
+use dissemination::{
+    Demand, Load, MemberState, PoolHash, QuarantineRow, ServerLoad, ServerRow, ServerState,
+    Sighting, Slots, Summary,
+};
+use policy::LoadReport;
+use tables::{Discovery, Pool, Tables};
+
+use crate::{
+    dispatch::ServerClaim,
+    load_reports::{Reading, Readings},
+    platform::{ListedVm, VmState},
+    services::Services,
+    table_source::TableSource,
+};
+
+/// How long a grant is used without a new one; below the time after which the hub gives a silent
+/// router's slots to others.
+const GRANT_LIFE: Duration = Duration::from_secs(3);
+
+const STEP_UNIT_US: u32 = 100;
+const PERMILLE: u32 = 1000;
+const KV_UNITS: u32 = 64;
+
+/// This router's side of the exchange.
+pub struct RouterMember {
+    services: Rc<Services>,
+    tables: Rc<dyn TableSource>,
+    readings: Readings,
+    sent: RefCell<Sent>,
+}
+
+/// What the hub has been told in its present life.
+#[derive(Debug, Default)]
+struct Sent {
+    epoch: u64,
+    sightings: BTreeMap<SocketAddr, Sighting>,
+    quarantine: BTreeSet<(PoolHash, u64, usize)>,
+}
+
+impl RouterMember {
+    /// Shares what `services` know.
+    pub fn new(
+        services: Rc<Services>,
+        tables: Rc<dyn TableSource>,
+        readings: Readings,
+    ) -> RouterMember {
+        RouterMember { services, tables, readings, sent: RefCell::default() }
+    }
+
+    fn new_sightings(&self, tables: &Tables) -> Vec<Sighting> {
+        let mut sent = self.sent.borrow_mut();
+        let mut news = Vec::new();
+        for pool in &tables.pools {
+            for seen in self.services.dispatcher.seen(&pool.name) {
+                let state = if seen.is_leaving { ServerState::Leaving } else { ServerState::Live };
+                let sighting = Sighting {
+                    addr: seen.addr,
+                    state,
+                    incarnation: seen.incarnation,
+                    pool: PoolHash::of(&pool.name),
+                    slots: seen.slots.min(u16::MAX.into()) as u16,
+                };
+                if sent.sightings.insert(seen.addr, sighting) != Some(sighting) {
+                    news.push(sighting);
+                }
+            }
+        }
+        news
+    }
+
+    fn new_quarantine(&self) -> Vec<QuarantineRow> {
+        let mut sent = self.sent.borrow_mut();
+        let exported = self.services.dispatcher.export_quarantine();
+        let rows = exported.pools.into_iter().flat_map(|(pool, entries)| {
+            let pool = PoolHash::of(&pool);
+            entries.into_iter().map(move |entry| QuarantineRow { pool, entry })
+        });
+        rows.filter(|it| {
+            let crashes = it.entry.crashes.len();
+            sent.quarantine.insert((it.pool, it.entry.request_hash, crashes))
+        })
+        .collect()
+    }
+
+    fn loads(&self, held: &MemberState) -> Vec<ServerLoad> {
+        let readings = self.readings.take();
+        let load = |(addr, it): (SocketAddr, Reading)| ServerLoad {
+            server: held.server_ref(addr),
+            load: short(&it),
+        };
+        readings.into_iter().map(load).collect()
+    }
+}
+
+impl DomainMember for RouterMember {
+    fn report(&self, held: &MemberState, empty: Summary) -> Summary {
+        if self.sent.borrow().epoch != held.epoch() {
+            self.sent.replace(Sent { epoch: held.epoch(), ..Sent::default() });
+        }
+        let tables = self.tables.current();
+        let claims = || tables.pools.iter().map(|it| self.services.dispatcher.claims(&it.name));
+        Summary {
+            loads: self.loads(held),
+            sightings: self.new_sightings(&tables),
+            quarantine: self.new_quarantine(),
+            demand: tables.pools.iter().zip(claims()).filter_map(demand).collect(),
+            held_slots: claims().flatten().filter_map(|it| held_slots(held, &it)).collect(),
+            ..empty
+        }
+    }
+
+    fn take(&self, held: &MemberState, sent: Instant, quarantine: &[QuarantineRow]) {
+        let tables = self.tables.current();
+        let dispatcher = &self.services.dispatcher;
+        let grants: BTreeMap<_, _> = held.grants().collect();
+        for pool in &tables.pools {
+            let hash = PoolHash::of(&pool.name);
+            let entries: Vec<_> = held.servers().filter(|it| it.row.pool == hash).collect();
+            let news: Vec<_> = entries.iter().filter_map(|it| news(pool, &it.row)).collect();
+            dispatcher.platform_list(&pool.name, &news.iter().collect::<Vec<_>>());
+            for entry in entries {
+                let (addr, load) = (entry.row.addr, long(&entry.load, &entry.row));
+                dispatcher.load_at(&pool.name, addr, &load);
+                if let Some(slots) = grants.get(&addr) {
+                    dispatcher.grant(&pool.name, addr, (*slots).into(), sent + GRANT_LIFE);
+                }
+            }
+            let rows = quarantine.iter().filter(|it| it.pool == hash);
+            let entries: Vec<_> = rows.map(|it| it.entry.clone()).collect();
+            dispatcher.import_entries(&pool.name, &entries);
+            dispatcher.pump(&pool.name);
+        }
+    }
+}
+
+/// What another router read on the platform's list; the table names its own servers.
+fn news(pool: &Pool, row: &ServerRow) -> Option<ListedVm> {
+    let state = match (row.state, pool.discovery) {
+        (ServerState::Leaving, _) => VmState::Leaving,
+        (ServerState::Live, Discovery::Platform) => VmState::Live,
+        (ServerState::Live, Discovery::Table) => return None,
+    };
+    let (addr, incarnation) = (row.addr, row.incarnation);
+    Some(ListedVm { addr, pool: pool.name.clone(), incarnation, state })
+}
+
+fn demand((pool, claims): (&Pool, Vec<ServerClaim>)) -> Option<Demand> {
+    let claim = claims.first()?.claim;
+    let pool = PoolHash::of(&pool.name);
+    Some(Demand { pool, requests: claim.demand, urgent: claim.urgent })
+}
+
+fn held_slots(held: &MemberState, claim: &ServerClaim) -> Option<Slots> {
+    let server = held.server_idx(claim.addr)?;
+    let count = claim.claim.held.min(u16::MAX.into()) as u16;
+    (count > 0).then_some(Slots { server, count })
+}
+
+fn short(reading: &Reading) -> Load {
+    let Reading { report, step_us } = reading;
+    let kv_used = report.kv_used_permille.min(PERMILLE) * KV_UNITS / PERMILLE;
+    Load {
+        running: report.running.min(u16::MAX.into()) as u16,
+        waiting: report.waiting.min(u16::MAX.into()) as u16,
+        kv_used_64ths: kv_used as u8,
+        step_100us: (step_us / STEP_UNIT_US).min(u16::MAX.into()) as u16,
+    }
+}
+
+fn long(load: &Load, row: &ServerRow) -> LoadReport {
+    LoadReport {
+        incarnation: row.incarnation,
+        running: load.running.into(),
+        waiting: load.waiting.into(),
+        batch_max: row.slots.into(),
+        kv_used_permille: u32::from(load.kv_used_64ths) * PERMILLE / KV_UNITS,
+        age: Duration::from_secs(1),
+    }
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -43,6 +43,8 @@
     pub peers: Vec<SocketAddr>,
     /// Time between two readings of a peer's quarantine.
     pub peer_period_ms: u64,
+    /// Time between two exchanges with the hub of the failure domain.
+    pub exchange_period_ms: u64,
     /// Where the platform's list of VMs is asked for, if there is one.
     pub platform: Option<SocketAddr>,
     /// Time between two readings of that list.
@@ -107,6 +109,7 @@
             control: Vec::new(),
             peers: Vec::new(),
             peer_period_ms: 500,
+            exchange_period_ms: 1_000,
             platform: None,
             platform_period_ms: 1_000,
             server: Server::default(),
@@ -167,6 +170,11 @@
         },
         peers: reader.list("peers", "addresses and ports separated by commas"),
         peer_period_ms: reader.or_default("peer_period_ms", MILLISECONDS, default.peer_period_ms),
+        exchange_period_ms: reader.or_default(
+            "exchange_period_ms",
+            MILLISECONDS,
+            default.exchange_period_ms,
+        ),
         platform: reader.optional("platform", ADDRESS),
         platform_period_ms: reader.or_default(
             "platform_period_ms",
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -271,6 +271,7 @@
             tables,
             ledger: self.ledger,
             workspaces: Rc::new(Workspaces::parse(&workspaces).expect("the workspaces are right")),
+            link: None,
             clock: self.clock,
             seed: 7,
         };
