--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -40,7 +40,7 @@
         .arg(
             Arg::new("users")
                 .long("users")
-                .value_parser(["van-dalen", "consortium"])
+                .value_parser(["van-dalen", "consortium", "large-domain"])
                 .default_value("van-dalen")
                 .help("Whose sizes and classes"),
         )
@@ -77,10 +77,14 @@
 
 fn settings(matches: &ArgMatches) -> WorkloadSettings {
     let number = |name| *matches.get_one::<u64>(name).expect("it has a default");
-    let is_consortium = matches.get_one::<String>("users").is_some_and(|it| it == "consortium");
+    let users = match matches.get_one::<String>("users").map(String::as_str) {
+        Some("consortium") => Users::Consortium,
+        Some("large-domain") => Users::LargeDomain,
+        _ => Users::VanDalen,
+    };
     let burst_from = Duration::from_secs(number("burst-from"));
     WorkloadSettings {
-        users: if is_consortium { Users::Consortium } else { Users::VanDalen },
+        users,
         seed: number("seed"),
         duration: Duration::from_secs(number("seconds")),
         routers: number("routers") as usize,
--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -23,6 +23,8 @@
     VanDalen,
     /// Three failure domains, 9 replicas, overnight uploads.
     Consortium,
+    /// One failure domain of the target size, 118 replicas; run it with 32 routers.
+    LargeDomain,
 }
 
 /// What a workload is made from.
@@ -154,6 +156,7 @@
         let (servers, lag) = match settings.users {
             Users::VanDalen => (12, Duration::from_millis(1)),
             Users::Consortium => (9, Duration::from_micros(500)),
+            Users::LargeDomain => (118, Duration::from_millis(1)),
         };
         let mut workload = Self {
             classes: classes(&settings),
@@ -237,7 +240,7 @@
 
 fn classes(settings: &WorkloadSettings) -> Vec<ClassSpec> {
     let names = match settings.users {
-        Users::VanDalen => ["dawn-reply", "announcement", "timetable"],
+        Users::VanDalen | Users::LargeDomain => ["dawn-reply", "announcement", "timetable"],
         Users::Consortium => ["chat", "highlight", "summary"],
     };
     let urgent = ClassSpec {
