--- a/scripts/four-classes.sh
+++ b/scripts/four-classes.sh
@@ -5,7 +5,8 @@
 #   scripts/four-classes.sh [ARGUMENT...]
 #
 # Arguments go to `gooseberry-load run`. BIN names the folder of the binaries (default
-# target/release). Loopback only, nine processes, under a minute.
+# target/release) and PLAN another plan of these classes. Loopback only, nine processes, under two
+# minutes.
 set -euo pipefail
 
 here=$(dirname "${BASH_SOURCE[0]}")
@@ -72,7 +73,7 @@
 done >"$work/workspaces.ini"
 
 start_control "$control_port" "$control_admin_port" "$token"
-arguments=(--plan "$here/../crates/load/plans/four-classes.ini")
+arguments=(--plan "${PLAN:-$here/../crates/load/plans/four-classes.ini}")
 for port in "${engine_ports[@]}"; do
     start "engine-$port" "$bin/gooseberry-standin" engine --listen "127.0.0.1:$port"
     wait_for_port "$port"
