--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,4 +23,5 @@
 pub use founding::{Founding, format};
 pub use log_state::{LogRules, LogState};
 pub use machine::ControlMachine;
+pub use replica::pending::Pending;
 pub use settings::Settings;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,7 @@
 //! Runs one member of the replicated log: feeds it time, messages and synced writes, and carries
 //! out what it hands back.
 
-mod pending;
+pub(crate) mod pending;
 mod repair;
 
 use std::{
@@ -333,6 +333,7 @@
 
     fn restore(&mut self, snapshot: &consensus::Snapshot) {
         self.snapshot_index = snapshot.index.0;
+        self.pending.restored(snapshot.index);
         if let Err(err) = self.machine.borrow_mut().restore(&snapshot.data) {
             tracing::error!(event = "snapshot_refused", %err);
         }
