Keep delivered streams for a resume

Cause: an engine does not know whether an answer's end arrived. On a silent connection the stand-in took the swallowed bytes for delivered and forgot the stream, so a resume got 404. Ruled out: keeping every delivered stream for detached_keep_ms, since a run at full speed would hold tens of thousands; the last 64 are kept. Change: delivered streams stay resumable until 64 others were delivered, detached_keep_ms passes, or their id is used again. Conclusion: a router can resume after a silence, whatever the engine had finished meanwhile.

--- a/crates/standin/src/engine/answers.rs
+++ b/crates/standin/src/engine/answers.rs
@@ -84,7 +84,7 @@
                     if sender.finish().await.is_err() {
                         return self.abandon(&reader);
                     }
-                    return self.state.borrow_mut().deliver(&reader);
+                    return self.deliver(&reader);
                 }
                 Some(_) => {
                     // The caller sees from the missing last events that the answer goes no further.
@@ -110,7 +110,7 @@
                 None => {}
                 Some(End::Broken) => return Reply::abort(),
                 Some(_) => {
-                    self.state.borrow_mut().deliver(&reader);
+                    self.deliver(&reader);
                     return Reply::whole(StatusCode::OK, headers, events.into());
                 }
             }
@@ -125,7 +125,7 @@
             match self.advance(&mut reader, &mut next, &gone, &mut events).await {
                 None => {}
                 Some(End::Whole) => {
-                    self.state.borrow_mut().deliver(&reader);
+                    self.deliver(&reader);
                     return whole_reply(&reader.shown, reader.shown.tokens.len());
                 }
                 Some(End::CutBody) => return whole_reply(&reader.shown, next as usize),
@@ -201,6 +201,10 @@
         }
     }
 
+    fn deliver(&self, reader: &Reader) {
+        self.state.borrow_mut().deliver(reader, self.clock.now());
+    }
+
     fn abandon(&self, reader: &Reader) {
         self.state.borrow_mut().abandon(reader, self.clock.now());
     }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -133,10 +133,11 @@
         }
     }
 
-    /// Forgets a stream whose answer was delivered.
-    pub(crate) fn deliver(&mut self, reader: &Reader) {
-        if self.streams.progress(reader).is_some() {
-            self.forget(reader.id);
+    /// Keeps a stream that was sent whole, for a caller whose connection has lost the end.
+    pub(crate) fn deliver(&mut self, reader: &Reader, now: Instant) {
+        if self.streams.detach(reader, now) {
+            self.settle(reader.id);
+            self.streams.keep_delivered(reader.id);
         }
     }
 
@@ -147,7 +148,9 @@
         if stream.phase != Phase::Finished {
             self.stats.requests_cancelled += 1;
         }
-        self.stats.tokens_wasted += u64::from(stream.produced_tokens);
+        if !(stream.is_delivered && stream.is_crossed()) {
+            self.stats.tokens_wasted += u64::from(stream.produced_tokens);
+        }
         self.record(now);
         Some(stream.produced_tokens)
     }
@@ -156,7 +159,11 @@
     pub(crate) fn expire(&mut self, now: Instant) {
         let Some(limit) = now.checked_sub(self.detached_keep) else { return };
         for id in self.streams.detached_before(limit) {
-            self.cancel(id, now);
+            if self.streams.by_id[&id].is_delivered {
+                self.streams.remove(id);
+            } else {
+                self.cancel(id, now);
+            }
         }
     }
 
@@ -235,19 +242,21 @@
         if stream.phase != Phase::Finished {
             return Err(SubmitError::DuplicateId);
         }
-        if stream.is_detached() {
+        if stream.is_detached() && !stream.is_delivered {
             self.cancel(id, now);
         }
-        self.forget(id);
+        self.settle(id);
+        self.streams.remove(id);
         Ok(())
     }
 
-    /// Removes a delivered stream.
-    fn forget(&mut self, id: RequestId) {
-        let delivered = self.streams.remove(id);
-        if let Some(crossed) = delivered.filter(Stream::is_crossed) {
-            self.stats.tokens_wasted += u64::from(crossed.produced_tokens);
+    /// Counts what the delivery of a stream was worth, once.
+    fn settle(&mut self, id: RequestId) {
+        let Some(stream) = self.streams.by_id.get_mut(&id) else { return };
+        if stream.is_crossed() && !stream.is_delivered {
+            self.stats.tokens_wasted += u64::from(stream.produced_tokens);
         }
+        stream.is_delivered = true;
     }
 
     fn record(&mut self, now: Instant) {
--- a/crates/standin/src/engine/streams.rs
+++ b/crates/standin/src/engine/streams.rs
@@ -1,12 +1,19 @@
 //! The streams of an engine: what each answers, how far it is and who reads it.
 
-use std::{collections::BTreeMap, rc::Rc, time::Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Instant,
+};
 
 use engine_model::{Priority, RequestId, RequestSpec, answer, prefix_blocks, token_count};
 use futures::channel::mpsc;
 
 use super::api::{FinishReason, Usage};
 
+/// Delivered streams that are kept for a resume.
+const DELIVERED_MAX: usize = 64;
+
 /// What a stream was asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Question {
@@ -77,6 +84,8 @@
     pub(crate) phase: Phase,
     reader: Option<mpsc::Sender<()>>,
     reader_no: u64,
+    /// Whether a reader was sent everything; whether it arrived is not known.
+    pub(crate) is_delivered: bool,
     /// Since when nobody reads.
     detached_at: Option<Instant>,
 }
@@ -108,6 +117,7 @@
             phase,
             reader: None,
             reader_no: 0,
+            is_delivered: false,
             detached_at: Some(now),
         }
     }
@@ -135,6 +145,8 @@
 pub(crate) struct Streams {
     pub(crate) by_id: BTreeMap<RequestId, Stream>,
     by_name: BTreeMap<String, RequestId>,
+    /// Delivered streams, the oldest first; some have been removed since.
+    delivered: VecDeque<RequestId>,
     last_id: u64,
 }
 
@@ -179,6 +191,20 @@
         true
     }
 
+    /// Notes a delivery and removes the oldest delivered stream beyond the bound.
+    pub(crate) fn keep_delivered(&mut self, id: RequestId) {
+        self.delivered.push_back(id);
+        if self.delivered.len() <= DELIVERED_MAX {
+            return;
+        }
+        let oldest = self.delivered.pop_front();
+        // A stream that was resumed is being read or stands in the queue once more.
+        let Some(oldest) = oldest.filter(|it| !self.delivered.contains(it)) else { return };
+        if self.by_id.get(&oldest).is_some_and(Stream::is_detached) {
+            self.remove(oldest);
+        }
+    }
+
     /// How far the stream is, unless a later reader took it over or it was cancelled.
     pub(crate) fn progress(&mut self, reader: &Reader) -> Option<Progress> {
         let stream = self.held(reader)?;
@@ -197,7 +223,7 @@
     }
 
     pub(crate) fn detached_tokens(&self) -> u64 {
-        let detached = self.by_id.values().filter(|it| it.is_detached());
+        let detached = self.by_id.values().filter(|it| it.is_detached() && !it.is_delivered);
         detached.map(|it| u64::from(it.produced_tokens)).sum()
     }
 
--- a/crates/standin/tests/stream_control.rs
+++ b/crates/standin/tests/stream_control.rs
@@ -74,6 +74,34 @@
     check(&prompt, &(first.concat() + &rest.streamed()));
 }
 
+#[test]
+fn delivered_stream_resumes() {
+    let server = engine(quick());
+    let prompt = long_prompt();
+    let mut caller = Caller::connect(server.addr);
+    ask(&mut caller, "r1", &prompt, true);
+    assert!(caller.receive().expect("a reply").is_done());
+    for _ in 0..2 {
+        check(&prompt, &resume(&server, 0).streamed());
+    }
+    assert_eq!(stat(server.addr, "tokens_wasted"), 0);
+}
+
+#[test]
+fn silent_stream_resumes() {
+    let server = slow();
+    let prompt = long_prompt();
+    let (_silent, received) = begin(&server, &prompt);
+    assert_eq!(call(server.addr, "POST", "/faults/silence", "").status, 200);
+    hurry(&server);
+    while stat(server.addr, "requests_finished") == 0 {
+        std::thread::yield_now();
+    }
+    let first = received.tokens();
+    let rest = resume(&server, first.len());
+    check(&prompt, &(first.concat() + &rest.streamed()));
+}
+
 #[test]
 fn moves_to_other_engine() {
     let source = slow();
