--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use engine_model::EngineSettings;
-use policy::ClassSpec;
+use policy::{ClassSpec, Hedge};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,6 +23,8 @@
     VanDalen,
     /// Three failure domains, 9 replicas, overnight uploads.
     Consortium,
+    /// One failure domain of the target size, 118 replicas; run it with 32 routers.
+    LargeDomain,
 }
 
 /// What a workload is made from.
@@ -44,6 +46,8 @@
     pub lease_tick: Duration,
     /// Start of the burst; it lasts to the end.
     pub burst_from: Duration,
+    /// Whether the urgent class hedges.
+    pub hedge: Hedge,
     /// Which routers get what.
     pub traffic: Traffic,
     /// What fails.
@@ -68,8 +72,9 @@
             routers: 6,
             base_load: 0.5,
             burst_load: 3.0,
-            lease_tick: Duration::from_millis(200),
+            lease_tick: Duration::from_millis(500),
             burst_from: Duration::from_secs(10),
+            hedge: Hedge::Off,
             traffic: Traffic::Uneven,
             faults: Vec::new(),
         }
@@ -151,9 +156,10 @@
         let (servers, lag) = match settings.users {
             Users::VanDalen => (12, Duration::from_millis(1)),
             Users::Consortium => (9, Duration::from_micros(500)),
+            Users::LargeDomain => (118, Duration::from_millis(1)),
         };
         let mut workload = Self {
-            classes: classes(settings.users),
+            classes: classes(&settings),
             engine: EngineSettings { batch_max: 16, ..EngineSettings::default() },
             servers,
             lag,
@@ -232,9 +238,9 @@
     }
 }
 
-fn classes(users: Users) -> Vec<ClassSpec> {
-    let names = match users {
-        Users::VanDalen => ["dawn-reply", "announcement", "timetable"],
+fn classes(settings: &WorkloadSettings) -> Vec<ClassSpec> {
+    let names = match settings.users {
+        Users::VanDalen | Users::LargeDomain => ["dawn-reply", "announcement", "timetable"],
         Users::Consortium => ["chat", "highlight", "summary"],
     };
     let urgent = ClassSpec {
@@ -245,6 +251,7 @@
         between_token_target_ms: 100,
         whole_target_ms: 40_000,
         deadline_ms: 40_000,
+        hedge: settings.hedge,
         ..ClassSpec::default()
     };
     let middle = ClassSpec {
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -62,6 +62,8 @@
     pub(crate) seen: Rc<RefCell<Vec<Request>>>,
     /// Whether it answers probes.
     pub(crate) is_healthy: Rc<Cell<bool>>,
+    /// How often it was probed.
+    pub(crate) probes: Rc<Cell<usize>>,
 }
 
 impl Fake {
@@ -72,8 +74,11 @@
         let (all, answer) = (Rc::clone(&seen), Rc::new(answer));
         let is_healthy = Rc::new(Cell::new(true));
         let healthy = Rc::clone(&is_healthy);
+        let probes = Rc::new(Cell::new(0));
+        let probed = Rc::clone(&probes);
         let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
             if req.uri.path() == "/healthz" {
+                probed.set(probed.get() + 1);
                 let reply = match healthy.get() {
                     true => Reply::typed(StatusCode::OK, "text/plain", "ok".into()),
                     false => Reply::abort(),
@@ -91,7 +96,7 @@
         let settings = ServerSettings::default();
         let stop = StopSignals::default();
         monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
-        Fake { addr, seen, is_healthy }
+        Fake { addr, seen, is_healthy, probes }
     }
 
     /// An engine that answers each request with the same tokens.
@@ -213,6 +218,8 @@
     pub(crate) chat: &'static str,
     /// The router's time.
     pub(crate) clock: Rc<dyn Clock>,
+    /// The admin listeners of the other routers.
+    pub(crate) peers: Vec<SocketAddr>,
     /// The platform's list.
     pub(crate) platform: Option<SocketAddr>,
     /// Further lines of the pool of engines.
@@ -229,6 +236,7 @@
             backends: BackendSettings::default(),
             chat: "",
             clock: Rc::new(SystemClock),
+            peers: Vec::new(),
             platform: None,
             pool: "",
         }
@@ -251,6 +259,8 @@
                 ..Default::default()
             },
             waits: self.waits,
+            peers: self.peers,
+            peer_period_ms: 10,
             platform: self.platform,
             platform_period_ms: 10,
             backends: self.backends,
@@ -261,6 +271,7 @@
             tables,
             ledger: self.ledger,
             workspaces: Rc::new(Workspaces::parse(&workspaces).expect("the workspaces are right")),
+            link: None,
             clock: self.clock,
             seed: 7,
         };
