Let a class admit only what its first-token target allows

Cause: in overload the middle class waited up to its deadline, so most of its answers missed the first-token target. Change: ClassSpec::admission; WithinTarget admits while the expected wait is half of the target; off by default.

--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
-use policy::Hedge;
+use policy::{Admission, Hedge};
 use policy_bench::{
     Design, Fault, FaultKind, Results, Traffic, Users, Workload, WorkloadSettings, run,
 };
@@ -60,6 +60,7 @@
             "by-class",
             "Send the urgent class to one half of the routers, the rest to the other",
         ))
+        .arg(flag("within-target", "Admit the middle class only within its first-token target"))
         .arg(flag("hedge", "Let the urgent class hedge"))
         .arg(flag("straggler", "Slow one server down to a fifth"))
         .arg(flag("crash", "Crash one server"))
@@ -92,12 +93,20 @@
         faults: faults(matches, burst_from + FAULT_AFTER_BURST),
         lease_tick: Duration::from_millis(number("lease-tick")),
         burst_from,
+        admission: admission(matches),
         hedge: if matches.get_flag("hedge") { Hedge::On } else { Hedge::Off },
         traffic: if matches.get_flag("by-class") { Traffic::ByClass } else { Traffic::Uneven },
         ..WorkloadSettings::default()
     }
 }
 
+fn admission(matches: &ArgMatches) -> Admission {
+    match matches.get_flag("within-target") {
+        true => Admission::WithinTarget,
+        false => Admission::UntilDeadline,
+    }
+}
+
 fn faults(matches: &ArgMatches, at: Duration) -> Vec<Fault> {
     let kinds = [
         ("straggler", FaultKind::Straggler { server: 1, slowdown_permille: STRAGGLER_PERMILLE }),
--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use engine_model::EngineSettings;
-use policy::{ClassSpec, Hedge};
+use policy::{Admission, ClassSpec, Hedge};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -46,6 +46,8 @@
     pub lease_tick: Duration,
     /// Start of the burst; it lasts to the end.
     pub burst_from: Duration,
+    /// How the middle class is admitted.
+    pub admission: Admission,
     /// Whether the urgent class hedges.
     pub hedge: Hedge,
     /// Which routers get what.
@@ -74,6 +76,7 @@
             burst_load: 3.0,
             lease_tick: Duration::from_millis(500),
             burst_from: Duration::from_secs(10),
+            admission: Admission::UntilDeadline,
             hedge: Hedge::Off,
             traffic: Traffic::Uneven,
             faults: Vec::new(),
@@ -262,6 +265,7 @@
         between_token_target_ms: 400,
         whole_target_ms: 60_000,
         deadline_ms: 60_000,
+        admission: settings.admission,
         ..ClassSpec::default()
     };
     let low = ClassSpec {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,4 +54,4 @@
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{Action, Figures, ProbeResult, Scheduler};
 pub use settings::{OtherLoad, Settings};
-pub use spec::{ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
+pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -8,12 +8,14 @@
     keys::{ClassKey, PoolKey, Ticket},
     lane::Waiting,
     request::{Offer, Phase, Refusal, RefusalReason, Request, Room, Standing},
-    spec::WHOLE_PERMILLE,
+    spec::{Admission, WHOLE_PERMILLE},
 };
 
 const DEFAULT_ANSWER_TOKENS: u32 = 256;
 /// An answer rarely exceeds this multiple of its expected length.
 const LENGTH_MARGIN: u32 = 3;
+/// A wait is expected to stay within the target if it is this part of it.
+const TARGET_MARGIN: u32 = 2;
 /// The margin takes at most this part of the deadline.
 const MARGIN_DEADLINE_DIVISOR: u32 = 3;
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -115,11 +117,16 @@
         let Some(wait) = self.drain_time(now, offer.class, offer.pool, cost) else {
             return Ok(());
         };
-        let deadline = self.classes[offer.class].spec.deadline();
-        if wait + service <= deadline {
+        let spec = &self.classes[offer.class].spec;
+        let by_deadline = spec.deadline().saturating_sub(service);
+        let longest = match spec.admission {
+            Admission::UntilDeadline => by_deadline,
+            Admission::WithinTarget => by_deadline.min(spec.first_token_target() / TARGET_MARGIN),
+        };
+        if wait <= longest {
             return Ok(());
         }
-        let retry_after = (wait + service - deadline).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let retry_after = (wait - longest).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Err(Refusal { reason: RefusalReason::DeadlineUnreachable, retry_after })
     }
 
--- a/crates/policy/src/spec.rs
+++ b/crates/policy/src/spec.rs
@@ -45,6 +45,19 @@
     pub max_attempts: u32,
     /// Whether a slow idempotent request gets a second attempt beside the first.
     pub hedge: Hedge,
+    /// Until when a request may wait to be worth admitting.
+    pub admission: Admission,
+}
+
+/// Until when a request may wait to be worth admitting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Admission {
+    /// Its answer is expected before the deadline.
+    #[default]
+    UntilDeadline,
+    /// Its first token is expected within the target as well, so fewer are admitted and more of
+    /// them meet the target.
+    WithinTarget,
 }
 
 /// Whether a class hedges.
@@ -71,6 +84,7 @@
             retry_budget_permille: 100,
             max_attempts: 3,
             hedge: Hedge::Off,
+            admission: Admission::UntilDeadline,
         }
     }
 }
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/early_refusal.rs
@@ -5,12 +5,15 @@
 
 use std::time::Duration;
 
-use policy::{Action, ClassSpec, RefusalReason};
+use policy::{Action, Admission, ClassSpec, RefusalReason};
 use world::{World, class};
 
 /// A pool whose four slots stream at 40 ms a token, so a request of 100 tokens takes 4 s.
 fn busy(deadline_ms: u64) -> World {
-    let draft = ClassSpec { deadline_ms, ..class("draft", 0, 50) };
+    busy_with(ClassSpec { deadline_ms, ..class("draft", 0, 50) })
+}
+
+fn busy_with(draft: ClassSpec) -> World {
     let mut world = World::new(vec![draft, class("chat", 5, 100)], 1, 4);
     let tickets = world.offer_many("draft", 4);
     world.poll();
@@ -58,3 +61,15 @@
     let refusal = world.try_offer("chat", "a").expect_err("the pool is empty");
     assert_eq!(refusal.reason, RefusalReason::NoBackend);
 }
+
+#[test]
+fn within_target_admits_less() {
+    let draft = ClassSpec { first_token_target_ms: 5_000, ..class("draft", 0, 50) };
+    let admitted = |admission| {
+        let mut world = busy_with(ClassSpec { admission, ..draft.clone() });
+        (0..200).filter(|_| world.try_offer("draft", "a").is_ok()).count()
+    };
+    let within = admitted(Admission::WithinTarget);
+    assert!((2..=4).contains(&within), "{within} of 100 tokens at 100 a second, half of 5 s");
+    assert!(admitted(Admission::UntilDeadline) > 4 * within);
+}
