Look for the end of an event no further than its first empty line

Ruled out: a search library (one pass over line ends is enough). Change: one pass over line ends, first empty line wins.

--- a/crates/httpio/src/sse.rs
+++ b/crates/httpio/src/sse.rs
@@ -84,11 +84,12 @@
     format!("event: {name}\ndata: {data}\n\n").into()
 }
 
+/// The end of the first empty line; looking no further keeps the cost of a chunk linear.
 fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let newline = bytes.windows(2).position(|it| it == b"\n\n").map(|at| at + 2);
-    let carriage = bytes.windows(4).position(|it| it == b"\r\n\r\n").map(|at| at + 4);
-    match (newline, carriage) {
-        (Some(newline), Some(carriage)) => Some(newline.min(carriage)),
-        (newline, carriage) => newline.or(carriage),
-    }
+    let line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    line_ends.map(|(at, _)| at + 1).find_map(|next| match &bytes[next..] {
+        [b'\n', ..] => Some(next + 1),
+        [b'\r', b'\n', ..] => Some(next + 2),
+        _ => None,
+    })
 }
