Double the exchange period in large domains, and load control VMs as real routers do

Ruled out: deltas of grants (a lost answer would need a second version number); a longer period everywhere (quarantine reaches the others later, and small domains have bytes to spare). Change: above 16 routers the period is 2 s; grants live 5 s, a silent router's slots go to others after 8 s, so they are never held twice; light routers exchange through control_client::Domain.

--- a/crates/control-client/src/domain.rs
+++ b/crates/control-client/src/domain.rs
@@ -28,7 +28,10 @@
 }
 
 /// Without an exchange for this long, the hub's word on the other routers is no longer used.
-const STALE_AFTER: Duration = Duration::from_secs(4);
+const STALE_AFTER: Duration = Duration::from_secs(6);
+
+/// Above this many routers the interval doubles, so that a link stays within its budget.
+const SMALL_DOMAIN_ROUTERS: usize = 16;
 
 impl Domain {
     /// Starts exchanging under `name`.
@@ -69,7 +72,8 @@
     async fn run(self: Rc<Self>, interval: Duration, member: Rc<dyn DomainMember>) {
         loop {
             self.exchange(&*member).await;
-            monoio::time::sleep(interval).await;
+            let is_small = self.held.borrow().routers().count() <= SMALL_DOMAIN_ROUTERS;
+            monoio::time::sleep(if is_small { interval } else { 2 * interval }).await;
         }
     }
 
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -26,7 +26,7 @@
 
 impl Default for HubSettings {
     fn default() -> Self {
-        HubSettings { epoch: 1, router_timeout: Duration::from_secs(5) }
+        HubSettings { epoch: 1, router_timeout: Duration::from_secs(8) }
     }
 }
 
--- a/crates/load/src/capacity/followers.rs
+++ b/crates/load/src/capacity/followers.rs
@@ -4,15 +4,18 @@
 //! callers or backend servers.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use clock::Clock;
-use control_client::{TablesWatch, WatchSettings};
-use dissemination::{Load, MemberState, ServerLoad, Summary, decode_digest, encode_summary};
+use control_client::{Domain, DomainMember, TablesWatch, WatchSettings};
+use dissemination::{
+    Demand, Load, MemberState, PoolHash, QuarantineRow, ServerEntry, ServerLoad, ServerState,
+    Sighting, Slots, Summary,
+};
 use futures::{
     FutureExt,
     future::{LocalBoxFuture, join_all},
@@ -27,6 +30,10 @@
 /// The pause between the starts of two followers, which spreads their exchanges.
 const START_SPACING: Duration = Duration::from_millis(7);
 
+/// The pool of the servers that followers report, and how many requests each takes.
+const POOL: PoolHash = PoolHash(1);
+const SLOTS: u16 = 64;
+
 /// How the followers behave.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FollowerSettings {
@@ -110,7 +117,10 @@
         if settings.exchange_interval_ms > 0 {
             let interval = Duration::from_millis(settings.exchange_interval_ms);
             let servers = owned_servers(idx, settings.servers_each);
-            monoio::spawn(Rc::clone(&follower).exchange(idx, servers, interval));
+            let link = follower.watch.link().clone();
+            let (clock, member) = (Rc::clone(&follower.clock), Rc::new(BusyMember::new(servers)));
+            // The exchange lasts as long as its link, which the follower holds.
+            let _domain = Domain::start(&format!("follower-{idx}"), link, clock, interval, member);
         }
         follower
     }
@@ -143,31 +153,58 @@
         let in_force = self.in_force.borrow();
         in_force.iter().find(|it| it.revision >= revision).map(|it| it.at)
     }
+}
 
-    async fn exchange(self: Rc<Self>, idx: usize, servers: Vec<SocketAddr>, interval: Duration) {
-        let mut member = MemberState::new(&format!("follower-{idx}"));
-        for round in 0_u16.. {
-            time::sleep(interval).await;
-            let Ok(client) = self.watch.link().client() else { continue };
-            let summary = summary(&member, &servers, round);
-            let Ok(digest) = client.exchange(&encode_summary(&summary)).await else { continue };
-            if let Ok(digest) = decode_digest(&digest) {
-                member.take(digest);
-            }
+/// A busy router's side of the exchange: loads that differ each round, demand, held slots.
+struct BusyMember {
+    servers: Vec<SocketAddr>,
+    round: Cell<u16>,
+    announced_epoch: Cell<u64>,
+}
+
+impl BusyMember {
+    fn new(servers: Vec<SocketAddr>) -> BusyMember {
+        BusyMember { servers, round: Cell::new(0), announced_epoch: Cell::new(0) }
+    }
+
+    /// Servers are announced once in each life of the hub, as real routers do.
+    fn sightings(&self, epoch: u64) -> Vec<Sighting> {
+        if epoch == 0 || self.announced_epoch.replace(epoch) == epoch {
+            return Vec::new();
         }
+        let sighting = |addr: &SocketAddr| Sighting {
+            addr: *addr,
+            state: ServerState::Live,
+            incarnation: 1,
+            pool: POOL,
+            slots: SLOTS,
+        };
+        self.servers.iter().map(sighting).collect()
     }
 }
 
-/// Loads that differ each round, as those of busy servers do.
-fn summary(member: &MemberState, servers: &[SocketAddr], round: u16) -> Summary {
-    let load = Load {
-        running: round % 64,
-        waiting: round % 8,
-        kv_used_64ths: (round % 64) as u8,
-        step_100us: 300 + round % 100,
-    };
-    let loads = servers.iter().map(|it| ServerLoad { server: member.server_ref(*it), load });
-    Summary { loads: loads.collect(), ..member.summary() }
+impl DomainMember for BusyMember {
+    fn report(&self, held: &MemberState, empty: Summary) -> Summary {
+        let round = self.round.get();
+        self.round.set(round.wrapping_add(1));
+        let load = Load {
+            running: round % 64,
+            waiting: round % 8,
+            kv_used_64ths: (round % 64) as u8,
+            step_100us: 300 + round % 100,
+        };
+        let loads = self.servers.iter().map(|it| ServerLoad { server: held.server_ref(*it), load });
+        let slots = |it: &ServerEntry| Slots { server: it.row.idx, count: 1 + round % 3 };
+        Summary {
+            loads: loads.collect(),
+            sightings: self.sightings(held.epoch()),
+            demand: vec![Demand { pool: POOL, requests: 200 + u32::from(round % 9), urgent: 20 }],
+            held_slots: held.servers().map(slots).collect(),
+            ..empty
+        }
+    }
+
+    fn take(&self, _held: &MemberState, _sent: Instant, _quarantine: &[QuarantineRow]) {}
 }
 
 /// Addresses of servers that nobody connects to; they are names here.
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -30,7 +30,7 @@
 
 /// How long a grant is used without a new one; below the time after which the hub gives a silent
 /// router's slots to others.
-const GRANT_LIFE: Duration = Duration::from_secs(3);
+const GRANT_LIFE: Duration = Duration::from_secs(5);
 
 const STEP_UNIT_US: u32 = 100;
 const PERMILLE: u32 = 1000;
