Say hello to the leader only while one is known

Cause: at 11 control VMs each told its member to the ten others every second, though only a leader takes member steps. Ruled out: longer hello times (a repair would start later). Change: hello goes to the leader, and to all while none is known.

--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -44,10 +44,14 @@
         }
     }
 
+    /// Only a leader takes member steps, so the others need not be told while one is known.
     fn say_hello(&self) {
-        let Some(bytes) = Envelope::Hello(self.me()).encode() else { return };
+        let status = self.status();
+        let Some(bytes) = Envelope::Hello(status.me).encode() else { return };
         for node in self.peers.nodes() {
-            self.peers.send(node, bytes.clone());
+            if status.leader.is_none_or(|it| it.node == node) {
+                self.peers.send(node, bytes.clone());
+            }
         }
     }
 
