Ask a server that cut a connection before calling it crashed

Cause: Each connection cut by a server was booked as its crash. The server went out for a probe interval, and two cuts quarantined the request. A replay whose answer differed booked the cut on the engine that gave the other answer. Ruled out: Probing sooner after taking the server out. The requests of the meantime are refused, and the quarantine entry stays. Change: A cut is followed by a probe at once. A server that answers keeps its place and nothing counts towards quarantine. A failed replay says nothing about the second engine. A server that crashes and answers a probe before the probe goes out is not seen as crashed, since the probe of the router does not carry an incarnation.

--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -11,7 +11,7 @@
     sse,
 };
 use monoio::time;
-use policy::Execution;
+use policy::{Execution, Failure as Symptom};
 
 use crate::{
     backends::AttemptError,
@@ -214,7 +214,8 @@
             }
             match self.skip_relayed().await {
                 Ok(Some(event)) => return Ok(event),
-                Ok(None) => return Err(cause),
+                // The engine at hand now is not the one that failed.
+                Ok(None) => return Err(AttemptError { failure: Symptom::Other, ..cause }),
                 Err(error) => cause = error,
             }
         }
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -112,7 +112,10 @@
     }
 
     /// The attempt failed; waits for another place if the outcome and the budgets allow one.
+    ///
+    /// A connection that was cut is a crash only if the server does not answer a probe.
     pub async fn retry(&mut self, failure: Failure, execution: Execution) -> Retried {
+        let failure = self.proven(failure).await;
         let outcome = Outcome::Failed(failure, execution);
         // Registered before the scheduler is told, since it may place the request at once.
         let placed = self.desk.await_place(self.ticket);
@@ -141,6 +144,14 @@
         result
     }
 
+    /// The failure by what a probe proves of the server.
+    async fn proven(&self, failure: Failure) -> Failure {
+        match failure {
+            Failure::Reset if self.probe().await != ProbeResult::Dead => Failure::Other,
+            _ => failure,
+        }
+    }
+
     fn end(mut self, outcome: Outcome) {
         self.is_open = false;
         self.desk.forget(self.ticket);
