Send no order on a claim that may have run out

Cause: The router sent an order whenever its claim was granted, however late. A claim counts as in doubt 300 s after it was asked for, so a resend could be told so while the order still went out. Ruled out: Trusting the deadline of the route, which a table may set above the claim's life, and the time limit on the ledger's answer, since the order also waits for a place after that. Change: OrderLedger tells the claim's life. The desk notes the monotonic time before it asks, and the order is checked before each attempt. One that is too late answers not-run with the new code order_claim_expired and gives its claim back. After 299.999 s it is sent, as before. The time from the check to the first byte, at most the time to connect, is not covered.

--- a/crates/router/src/control/ledger.rs
+++ b/crates/router/src/control/ledger.rs
@@ -72,6 +72,10 @@
 }
 
 impl OrderLedger for ControlLedger {
+    fn claim_life(&self) -> Duration {
+        CLAIM_LIFE
+    }
+
     fn claim(
         &self,
         key: OrderKey,
--- a/crates/router/src/order_desk.rs
+++ b/crates/router/src/order_desk.rs
@@ -31,13 +31,15 @@
     let body = body_hash(&routed);
     let claim =
         Claim { services: Rc::clone(&services), key, id: ClaimId(services.reception.nonce()) };
+    // The claim's life counts from here, since the ledger may have counted from any moment after.
+    let send_before = services.clock.now() + services.ledger.claim_life();
     match claim.take(body).await? {
         ClaimResult::Granted => {}
         ClaimResult::Answered(stored) => return Ok(Answer::from(stored).into_reply()),
         other => return Err(not_granted(other)),
     }
     let served = match Call::place(services, routed, permit, Shape::default()).await {
-        Ok(call) => service_call::order(call).await,
+        Ok(call) => service_call::order(call, send_before).await,
         Err(failure) => Err(failure),
     };
     claim.settle(served).await
--- a/crates/router/src/order_ledger.rs
+++ b/crates/router/src/order_ledger.rs
@@ -85,6 +85,10 @@
 
 /// Claims keys durably before an order's first byte goes out.
 pub trait OrderLedger {
+    /// How long a claim lives from the moment at which it was asked for. After that others may
+    /// have been told that the order may have run, so it must not be sent any more.
+    fn claim_life(&self) -> Duration;
+
     /// Claims `key` for one attempt.
     fn claim(
         &self,
@@ -114,6 +118,10 @@
 pub struct NoLedger;
 
 impl OrderLedger for NoLedger {
+    fn claim_life(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn claim(
         &self,
         _key: OrderKey,
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -76,6 +76,9 @@
     /// The order is under way.
     #[display("order_in_progress")]
     OrderInProgress,
+    /// The claim on the order's key ran out before the order was sent.
+    #[display("order_claim_expired")]
+    OrderClaimExpired,
     /// An earlier attempt of the order may have run.
     #[display("order_in_doubt")]
     OrderInDoubt,
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -1,6 +1,9 @@
 //! Serves plain service calls: idempotent ones with retries, orders at most once.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures::{FutureExt, pin_mut, select_biased};
 use http::{HeaderMap, StatusCode, header};
@@ -55,8 +58,13 @@
 }
 
 /// Sends an order at most once; attempts that are proven not to have run do not count.
-pub(crate) async fn order(mut call: Call) -> Result<Answer, Failure> {
+///
+/// No attempt starts from `send_before` on, because the claim may have run out by then.
+pub(crate) async fn order(mut call: Call, send_before: Instant) -> Result<Answer, Failure> {
     loop {
+        if call.services.clock.now() >= send_before {
+            return Err(claim_expired());
+        }
         let left = time_left(&call);
         let attempt = attempt(&mut call);
         // A connection that has been idle may be lost without a sign, and an order could not be
@@ -130,6 +138,12 @@
     call.routed.deadline().saturating_duration_since(call.services.clock.now())
 }
 
+fn claim_expired() -> Failure {
+    let message = "the claim on the key ran out before the order was sent; send the order again";
+    Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::OrderClaimExpired, message)
+        .retry_after(Duration::from_secs(1))
+}
+
 fn late(outcome: Outcome) -> Failure {
     Failure {
         status: StatusCode::GATEWAY_TIMEOUT,
--- a/crates/router/tests/at_most_once.rs
+++ b/crates/router/tests/at_most_once.rs
@@ -19,7 +19,7 @@
 use router::order_ledger::{
     BodyHash, ClaimId, ClaimResult, LedgerError, OrderEnd, OrderKey, OrderLedger,
 };
-use support::{Fake, Setup, not_started, order, run, with_header};
+use support::{CLAIM_LIFE, Fake, Setup, not_started, order, run, with_header};
 
 /// A ledger in memory that follows the contract of the replicated one.
 #[derive(Clone, Default)]
@@ -57,6 +57,10 @@
 }
 
 impl OrderLedger for MemoryLedger {
+    fn claim_life(&self) -> Duration {
+        CLAIM_LIFE
+    }
+
     fn claim(
         &self,
         key: OrderKey,
--- /dev/null
+++ b/crates/router/tests/late_claims.rs
@@ -0,0 +1,62 @@
+//! An order is not sent on a claim that may have run out meanwhile.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use clock::ManualClock;
+use expect_test::{Expect, expect};
+use support::{CLAIM_LIFE, Fake, GrantingLedger, Setup, order, run};
+
+/// Sends an order whose claim is granted after `delay`, and lists what followed.
+fn check(delay: Duration, expected: Expect) {
+    run(async {
+        let (clock, service, released) =
+            (ManualClock::default(), Fake::service(), Rc::new(Cell::new(0)));
+        let late = clock.clone();
+        let pass: Rc<dyn Fn()> = Rc::new(move || late.advance(delay));
+        let ledger = GrantingLedger { released: Rc::clone(&released), delay: Some(pass) };
+        let router = Setup {
+            services: vec![service.addr],
+            ledger: Rc::new(ledger),
+            clock: Rc::new(clock),
+            order_deadline_ms: 900_000,
+            ..Setup::default()
+        }
+        .start();
+        let answer = router.exchange(order("k1")).await;
+        let (seen, released) = (service.seen.borrow().len(), released.get());
+        expected.assert_eq(&format!("{answer}\nseen: {seen}, released: {released}\n"));
+    });
+}
+
+#[test]
+fn granted_in_time() {
+    check(
+        CLAIM_LIFE - Duration::from_millis(1),
+        expect![[r#"
+        200 OK
+        x-outcome: ran
+        x-request-id: q1
+        content-type: text/plain
+        /orders
+        seen: 1, released: 0
+    "#]],
+    );
+}
+
+#[test]
+fn granted_too_late() {
+    check(
+        CLAIM_LIFE,
+        expect![[r#"
+            503 Service Unavailable
+            x-outcome: not-run
+            x-request-id: q1
+            retry-after: 1
+            content-type: application/json
+            {"error":{"code":"order_claim_expired","message":"the claim on the key ran out before the order was sent; send the order again","outcome":"not-run","retry_after_ms":1000}}
+            seen: 0, released: 1
+        "#]],
+    );
+}
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -6,6 +6,7 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use clock::{Clock, SystemClock};
@@ -39,6 +40,8 @@
 
 pub(crate) const TOKEN: &str = "token-of-north";
 pub(crate) const ORDER_BODY: &str = r#"{"clip":7}"#;
+/// How long a claim of [`GrantingLedger`] lives.
+pub(crate) const CLAIM_LIFE: Duration = Duration::from_secs(300);
 
 pub(crate) fn run(test: impl Future<Output = ()>) {
     RuntimeBuilder::<LegacyDriver>::new()
@@ -235,6 +238,8 @@
     pub(crate) platform: Option<SocketAddr>,
     /// Further lines of the pool of engines.
     pub(crate) pool: &'static str,
+    /// The deadline of the route of orders.
+    pub(crate) order_deadline_ms: u64,
 }
 
 impl Default for Setup {
@@ -251,6 +256,7 @@
             peers: Vec::new(),
             platform: None,
             pool: "",
+            order_deadline_ms: 20_000,
         }
     }
 }
@@ -310,8 +316,8 @@
             "[chat]\npath = /v1/chat/completions\npriority = 1\npool = llm\ndeadline_ms = 20000\nidempotent = yes\n{}\n\
              [draft]\npath = /v1/chat/completions\npriority = 5\npool = llm\ndeadline_ms = 60000\nidempotent = yes\n\
              [lookup]\npath = /lookup/*\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = yes\nretries_max = 2\n\
-             [restore]\npath = /orders\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = no\n",
-            self.chat,
+             [restore]\npath = /orders\npriority = 3\npool = svc\ndeadline_ms = {}\nidempotent = no\n",
+            self.chat, self.order_deadline_ms,
         );
         TablesText { routes, pools }
     }
@@ -418,6 +424,10 @@
 }
 
 impl OrderLedger for GrantingLedger {
+    fn claim_life(&self) -> Duration {
+        CLAIM_LIFE
+    }
+
     fn claim(
         &self,
         _key: OrderKey,
