--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -6,6 +6,7 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use clock::{Clock, SystemClock};
@@ -28,7 +29,9 @@
     backends::BackendSettings,
     daemon::{self, Bound, Parts, Stopped},
     identity::Workspaces,
-    order_ledger::{NoLedger, OrderLedger},
+    order_ledger::{
+        BodyHash, ClaimId, ClaimResult, LedgerError, NoLedger, OrderEnd, OrderKey, OrderLedger,
+    },
     services::Waits,
     settings::RouterSettings,
     table_source::{FixedTables, TableSource},
@@ -37,6 +40,8 @@
 
 pub(crate) const TOKEN: &str = "token-of-north";
 pub(crate) const ORDER_BODY: &str = r#"{"clip":7}"#;
+/// How long a claim of [`GrantingLedger`] lives.
+pub(crate) const CLAIM_LIFE: Duration = Duration::from_secs(300);
 
 pub(crate) fn run(test: impl Future<Output = ()>) {
     RuntimeBuilder::<LegacyDriver>::new()
@@ -68,11 +73,18 @@
 
 impl Fake {
     pub(crate) fn start(answer: impl AsyncFn(Request) -> Reply + 'static) -> Fake {
+        Fake::start_with(Rc::new(Cell::new(true)), answer)
+    }
+
+    /// A server that answers probes as long as `is_healthy` holds.
+    pub(crate) fn start_with(
+        is_healthy: Rc<Cell<bool>>,
+        answer: impl AsyncFn(Request) -> Reply + 'static,
+    ) -> Fake {
         let listener = server::bind(any_port()).expect("a free port");
         let addr = listener.local_addr().expect("a bound listener");
         let seen = Rc::new(RefCell::new(Vec::new()));
         let (all, answer) = (Rc::clone(&seen), Rc::new(answer));
-        let is_healthy = Rc::new(Cell::new(true));
         let healthy = Rc::clone(&is_healthy);
         let probes = Rc::new(Cell::new(0));
         let probed = Rc::clone(&probes);
@@ -226,6 +238,8 @@
     pub(crate) platform: Option<SocketAddr>,
     /// Further lines of the pool of engines.
     pub(crate) pool: &'static str,
+    /// The deadline of the route of orders.
+    pub(crate) order_deadline_ms: u64,
 }
 
 impl Default for Setup {
@@ -242,6 +256,7 @@
             peers: Vec::new(),
             platform: None,
             pool: "",
+            order_deadline_ms: 20_000,
         }
     }
 }
@@ -301,8 +316,8 @@
             "[chat]\npath = /v1/chat/completions\npriority = 1\npool = llm\ndeadline_ms = 20000\nidempotent = yes\n{}\n\
              [draft]\npath = /v1/chat/completions\npriority = 5\npool = llm\ndeadline_ms = 60000\nidempotent = yes\n\
              [lookup]\npath = /lookup/*\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = yes\nretries_max = 2\n\
-             [restore]\npath = /orders\npriority = 3\npool = svc\ndeadline_ms = 20000\nidempotent = no\n",
-            self.chat,
+             [restore]\npath = /orders\npriority = 3\npool = svc\ndeadline_ms = {}\nidempotent = no\n",
+            self.chat, self.order_deadline_ms,
         );
         TablesText { routes, pools }
     }
@@ -399,3 +414,51 @@
 pub(crate) fn order(key: &str) -> ClientRequest {
     with_header(bare_order(), "idempotency-key", key)
 }
+
+/// A ledger that grants every claim, as late as a test wants by its own clock.
+#[derive(Clone, Default)]
+pub(crate) struct GrantingLedger {
+    pub(crate) released: Rc<Cell<usize>>,
+    /// Passes time before a claim is granted.
+    pub(crate) delay: Option<Rc<dyn Fn()>>,
+}
+
+impl OrderLedger for GrantingLedger {
+    fn claim_life(&self) -> Duration {
+        CLAIM_LIFE
+    }
+
+    fn claim(
+        &self,
+        _key: OrderKey,
+        _claim: ClaimId,
+        _body: BodyHash,
+    ) -> LocalBoxFuture<'static, Result<ClaimResult, LedgerError>> {
+        let delay = self.delay.clone();
+        async move {
+            if let Some(delay) = delay {
+                delay();
+            }
+            Ok(ClaimResult::Granted)
+        }
+        .boxed_local()
+    }
+
+    fn complete(
+        &self,
+        _key: OrderKey,
+        _claim: ClaimId,
+        _end: OrderEnd,
+    ) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn release(
+        &self,
+        _key: OrderKey,
+        _claim: ClaimId,
+    ) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
+        self.released.set(self.released.get() + 1);
+        async { Ok(()) }.boxed_local()
+    }
+}
