Keep at least one slot of each server when a lease has expired

Cause: with more routers than slots the equal part rounded down to none, so a router cut off from the owners served nothing (test expired_lease_keeps_a_slot failed: 0 instead of 1). Change: the part is rounded up. Conclusion: a cut-off router goes on with a small part.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -206,7 +206,7 @@
     fn shared_slots(&self, now: Instant, settings: &Settings) -> u32 {
         match (self.credits, settings.others) {
             (Some(credits), _) if credits.expires > now => credits.slots,
-            (Some(_), _) => self.slots() / settings.routers.max(1),
+            (Some(_), _) => self.slots().div_ceil(settings.routers.max(1)),
             (None, crate::OtherLoad::FromReports) => self.slots().saturating_sub(self.others),
             (None, crate::OtherLoad::Ignored) => self.slots(),
         }
--- a/crates/policy/tests/slot_leases.rs
+++ b/crates/policy/tests/slot_leases.rs
@@ -59,3 +59,19 @@
     let parts = divide(Capacity { slots: 16, idx: 1, servers: 3 }, &[Claim::default(); 4]);
     assert_eq!(parts.iter().sum::<u32>(), 16);
 }
+
+/// Routers that lose touch with an owner go on with an equal part, of at least one slot.
+#[test]
+fn expired_lease_keeps_a_slot() {
+    let settings = policy::Settings { routers: 32, ..policy::Settings::default() };
+    let spec = world::spec(vec![world::class("chat", 1, 100)], 16);
+    let mut world = world::World::with(settings, spec, 1);
+    let lease = std::time::Duration::from_secs(5);
+    world.scheduler.set_credits(world.backends[0], 4, world.now + lease);
+    world.offer_many("chat", 6);
+    let started = world.dispatched();
+    assert_eq!(started.len(), 4);
+    world.pass(5_000);
+    started.iter().for_each(|it| world.finish(it.0));
+    assert_eq!(world.dispatched().len(), 1);
+}
