--- a/crates/policy/tests/stream_pause.rs
+++ b/crates/policy/tests/stream_pause.rs
@@ -54,3 +54,30 @@
     world.pass(3_000);
     assert_eq!(world.poll(), []);
 }
+
+#[test]
+fn late_goes_beyond_limit() {
+    let mut world = World::new(vec![class("draft", 0, 50), class("chat", 5, 100)], 1, 2);
+    world.offer_many("chat", 4);
+    assert_eq!(world.dispatched().len(), 2);
+    world.pass(1_900);
+    assert_eq!(world.dispatched().len(), 0, "0.4 of the target of 5 s has not passed");
+    world.pass(100);
+    assert_eq!(world.dispatched().len(), 1, "one beyond the limit of two");
+}
+
+#[test]
+fn room_kept_until_token() {
+    let mut world = World::new(vec![class("draft", 0, 50), class("chat", 5, 100)], 1, 2);
+    let draft = world.offer("draft");
+    world.poll();
+    world.stream(&[draft], 40, 3);
+    let chat = world.offer("chat");
+    assert_eq!(world.dispatched().len(), 1);
+    world.pass(2_000);
+    let backend = world.backends[0];
+    assert_eq!(world.poll(), [Action::Pause { ticket: draft, backend }]);
+    assert_eq!(world.poll(), [], "the slot waits for the chat answer");
+    world.scheduler.first_token(chat, world.now);
+    assert_eq!(world.poll(), [Action::Resume { ticket: draft, backend }]);
+}
