Test orders at most once with real processes

Cause: the promises on orders were tested on state machines and on one process; nothing killed or froze a real router in the middle of an order. Change: crate system-tests starts a site of three control VMs, two routers, engines and the order service on loopback addresses of its own, and order_once asserts on the count of the order service: stored answer, other body, router killed and frozen in the middle, no majority.

--- /dev/null
+++ b/crates/system-tests/src/process.rs
@@ -0,0 +1,54 @@
+//! One program of the workspace, run as a process.
+
+use std::{
+    env,
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A process that ends with its owner.
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program` with its log appended to `log`.
+    pub(crate) fn start(program: &str, args: &[String], log: &Path) -> Process {
+        let log = File::options().create(true).append(true).open(log).expect("a log file");
+        let mut command = Command::new(binary(program));
+        let child = command.args(args).stdout(log.try_clone().expect("a log file")).stderr(log);
+        Process { child: child.spawn().expect("the program runs") }
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("the process is ours");
+    }
+
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process is ours")
+    }
+
+    pub(crate) fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("the process is ours").is_some()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that ended by itself needs no killing.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Where cargo puts the programs of the workspace: above the folder of the test programs.
+pub(crate) fn binary(program: &str) -> PathBuf {
+    let test = env::current_exe().expect("the path of the test program");
+    let path = test.parent().and_then(Path::parent).expect("target/PROFILE").join(program);
+    let remedy = "run `cargo build --workspace --all-targets` first";
+    assert!(path.exists(), "{program} is not built: {remedy}");
+    path
+}
--- /dev/null
+++ b/crates/system-tests/tests/order_once.rs
@@ -0,0 +1,77 @@
+//! An order runs at most once, whatever happens to the router that holds it.
+
+use std::thread;
+
+use system_tests::{Reply, Setup, Site, chat, order, until};
+
+const BODY: &str = r#"{"charge":1}"#;
+
+/// An order that takes long enough for a test to act while it runs.
+const SLOW: Setup = Setup { engines: 1, order_work_ms: 3_000 };
+
+/// Sends an order that a fault will meet, on a thread of its own.
+fn begin(site: &Site, router: &str, key: &'static str) -> thread::JoinHandle<Option<Reply>> {
+    let addr = site.addr(router);
+    let sent = thread::spawn(move || order(addr, key, BODY));
+    site.await_orders_begun(1);
+    sent
+}
+
+fn resend(site: &Site, router: &str, key: &str) -> Reply {
+    site.order(router, key, BODY).expect("the router answers")
+}
+
+#[test]
+fn stored_answer() {
+    let site = Site::start(Setup::default());
+    let first = resend(&site, "router-1", "k");
+    assert_eq!((first.status, first.outcome.as_str()), (200, "ran"), "{first:?}");
+    assert_eq!(resend(&site, "router-2", "k"), first);
+    let other = site.order("router-2", "k", r#"{"charge":2}"#).expect("the router answers");
+    assert_eq!((other.status, other.outcome.as_str()), (422, "not-run"), "{other:?}");
+    assert_eq!(site.order_count("k"), 1);
+}
+
+#[test]
+fn killed_router() {
+    let mut site = Site::start(SLOW);
+    let sent = begin(&site, "router-1", "k");
+    site.kill("router-1");
+    assert_eq!(sent.join().expect("the caller ends"), None);
+    let again = resend(&site, "router-2", "k");
+    assert_eq!((again.status, again.outcome.as_str()), (409, "may-have-run"), "{again:?}");
+    until("the execution", || (site.order_count("k") > 0).then_some(()));
+    let again = resend(&site, "router-2", "k");
+    assert_eq!((again.status, again.outcome.as_str()), (409, "may-have-run"), "{again:?}");
+    assert_eq!(site.order_count("k"), 1);
+}
+
+#[test]
+fn frozen_router() {
+    let site = Site::start(SLOW);
+    let sent = begin(&site, "router-1", "k");
+    site.freeze("router-1");
+    let again = resend(&site, "router-2", "k");
+    assert_eq!((again.status, again.outcome.as_str()), (409, "may-have-run"), "{again:?}");
+    until("the execution", || (site.order_count("k") > 0).then_some(()));
+    site.thaw("router-1");
+    let first = sent.join().expect("the caller ends").expect("the router answers");
+    assert_eq!((first.status, first.outcome.as_str()), (200, "ran"), "{first:?}");
+    let stored = resend(&site, "router-2", "k");
+    assert_eq!(stored, first);
+    assert_eq!(site.order_count("k"), 1);
+}
+
+#[test]
+fn no_majority() {
+    let mut site = Site::start(Setup::default());
+    site.kill("control-2");
+    site.kill("control-3");
+    for router in ["router-1", "router-2"] {
+        let refused = resend(&site, router, "k");
+        assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"), "{refused:?}");
+        let answer = chat(site.addr(router), "still there?", 4).expect("the router answers");
+        assert!(answer.status == 200 && answer.body.ends_with("data: [DONE]\n\n"), "{answer:?}");
+    }
+    assert_eq!(site.order_count("k"), 0);
+}
