Give a claim in doubt back for as long as it lives

Cause: an order that meets the loss of the majority is answered as not run while its claim is in doubt. The claim entered the log when the majority returned, but the router had stopped giving it back after five tries, so the caller's resends were told "in progress" although nothing had run. Ruled out: a control VM that does not come back; orders with other keys ran. Change: try once a second over the 300 s that a claim lives. Conclusion: safety was not touched by the fault, only the resend's success.

--- a/crates/router/src/order_desk.rs
+++ b/crates/router/src/order_desk.rs
@@ -18,8 +18,11 @@
 
 const KEY_LENGTH_MAX: usize = 128;
 const RETRY_AFTER: Duration = Duration::from_secs(2);
-const RECORD_TRIES: u32 = 5;
-const RECORD_PAUSE: Duration = Duration::from_millis(500);
+
+/// Together as long as a claim lives: a claim in doubt may enter the log only after an outage of
+/// the control VMs, and would block its key if nobody gave it back then.
+const RECORD_TRIES: u32 = 300;
+const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
 /// Serves an order: claim, send at most once, record how it ended.
 pub(crate) async fn serve(
--- a/crates/system-tests/tests/order_once.rs
+++ b/crates/system-tests/tests/order_once.rs
@@ -6,6 +6,9 @@
 
 const BODY: &str = r#"{"charge":1}"#;
 
+/// More tries than a short outage needs.
+const FAILED_TRIES: usize = 6;
+
 /// An order that takes long enough for a test to act while it runs.
 const SLOW: Setup = Setup { engines: 1, order_work_ms: 3_000 };
 
@@ -75,3 +78,23 @@
     }
     assert_eq!(site.order_count("k"), 0);
 }
+
+#[test]
+fn mended_majority() {
+    let mut site = Site::start(Setup::default());
+    site.kill("control-2");
+    site.kill("control-3");
+    let refused = resend(&site, "router-1", "k");
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"), "{refused:?}");
+    // The claim and several tries to give it back have failed before the majority returns.
+    until("tries to give the claim back", || {
+        let log = site.log("router-1");
+        let failed =
+            log.matches("command_refused").count() + log.matches("command_in_doubt").count();
+        (failed > FAILED_TRIES).then_some(())
+    });
+    site.restart("control-2");
+    // What was told as not run can be run now.
+    until("the order", || (resend(&site, "router-1", "k").status == 200).then_some(()));
+    assert_eq!(site.order_count("k"), 1);
+}
