Let gooseberryctl pass over a control VM that is frozen

Cause: the system accepts connections for a frozen process, and the tool stayed with the first address that accepts, so no change could be applied while the first control VM named was frozen. Change: an address counts when it has answered a ping within 2 s.

--- a/crates/gooseberryctl/src/control.rs
+++ b/crates/gooseberryctl/src/control.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use anyhow::{Context, bail};
-use rpc::{ByteCounters, Connection, TablesUpdate, dial};
+use rpc::{ByteCounters, Connection, RpcError, TablesUpdate, dial};
 use tables::{Revision, Rows, TablesText};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -16,11 +16,11 @@
     pub(crate) is_confirmed: bool,
 }
 
-/// Connects to the first of `addrs` that accepts.
+/// Connects to the first of `addrs` that answers.
 pub(crate) async fn connect(addrs: &[SocketAddr]) -> anyhow::Result<Connection> {
     let mut last = None;
     for addr in addrs {
-        match dial(*addr, CONNECT_TIMEOUT, &ByteCounters::default()).await {
+        match answering(*addr).await {
             Ok(connection) => return Ok(connection),
             Err(err) => last = Some(err),
         }
@@ -29,6 +29,13 @@
     Err(err).context("no control VM answers")
 }
 
+/// The system accepts connections for a frozen process too, so only an answer counts.
+async fn answering(addr: SocketAddr) -> Result<Connection, RpcError> {
+    let connection = dial(addr, CONNECT_TIMEOUT, &ByteCounters::default()).await?;
+    connection.client.ping(CONNECT_TIMEOUT).await?;
+    Ok(connection)
+}
+
 /// Reads the tables in force.
 pub(crate) async fn held(connection: &Connection) -> anyhow::Result<Held> {
     match connection.client.fetch_tables(0, 0, CONFIRM_WAIT).await? {
