--- a/crates/system-tests/src/site.rs
+++ b/crates/system-tests/src/site.rs
@@ -108,6 +108,12 @@
         self.net.addr(name)
     }
 
+    /// Where a process serves health and metrics.
+    #[must_use]
+    pub fn admin(&self, name: &str) -> SocketAddr {
+        self.net.admin(name)
+    }
+
     /// The addresses of the control VMs.
     #[must_use]
     pub fn control_addrs(&self) -> Vec<SocketAddr> {
