Wake the waiters of a signal outside its lock

Cause: futures::Shared wakes under its lock. Waking a task of a runtime that has ended drops the task, whose own clone then takes the same lock. Ruled out: Dropping the waiters before a raise, which their owners cannot do for spawned tasks. Change: The signal keeps its wakers by itself and takes them out before it wakes them. Signals may still be raised from another thread.

--- a/crates/httpio/src/signal.rs
+++ b/crates/httpio/src/signal.rs
@@ -1,29 +1,55 @@
-//! A one-shot event that many tasks of one thread can wait for.
+//! A one-shot event that many tasks can wait for.
+//!
+//! Waking a task of a runtime that has ended drops the task, and with it the waiter that it holds.
+//! So nobody is woken or dropped here while the waiters are locked.
 
-use std::future;
-
-use futures::{FutureExt, channel::oneshot, future::Shared};
+use std::{
+    collections::BTreeMap,
+    future, mem,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+};
 
 /// Raises its [`Signal`] when asked to; a dropped trigger never does.
 #[derive(Debug)]
-pub struct Trigger(oneshot::Sender<()>);
+pub struct Trigger(Arc<Shared>);
 
 /// Waits for a [`Trigger`]; clones wait for the same one.
 #[derive(Debug, Clone)]
-pub struct Signal(Option<Shared<oneshot::Receiver<()>>>);
+pub struct Signal(Option<Arc<Shared>>);
 
 /// Makes a trigger and the signal that it raises.
 #[must_use]
 pub fn signal() -> (Trigger, Signal) {
-    let (sender, receiver) = oneshot::channel();
-    (Trigger(sender), Signal(Some(receiver.shared())))
+    let shared = Arc::new(Shared::default());
+    (Trigger(Arc::clone(&shared)), Signal(Some(shared)))
+}
+
+#[derive(Debug, Default)]
+struct Shared(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    is_raised: bool,
+    next_waiter: u64,
+    wakers: BTreeMap<u64, Waker>,
+}
+
+/// One wait; dropping it takes its waker back.
+struct Waiter<'a> {
+    shared: &'a Shared,
+    number: u64,
 }
 
 impl Trigger {
     /// Raises the signal for all of its clones.
     pub fn raise(self) {
-        // Nobody may be waiting any more, which is no fault.
-        let _ = self.0.send(());
+        let wakers = {
+            let mut state = self.0.lock();
+            state.is_raised = true;
+            mem::take(&mut state.wakers)
+        };
+        wakers.into_values().for_each(Waker::wake);
     }
 }
 
@@ -37,14 +63,48 @@
     /// Whether the signal has been raised.
     #[must_use]
     pub fn is_raised(&self) -> bool {
-        self.0.as_ref().is_some_and(|it| matches!(it.clone().now_or_never(), Some(Ok(()))))
+        self.0.as_ref().is_some_and(|it| it.lock().is_raised)
     }
 
     /// Resolves when the signal is raised, at once if it already was.
     pub async fn raised(&self) {
         let Some(shared) = &self.0 else { return future::pending().await };
-        if shared.clone().await.is_err() {
-            future::pending().await
+        let waiter = shared.waiter();
+        future::poll_fn(|context| waiter.poll(context)).await;
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No code that may panic runs under the lock.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn waiter(&self) -> Waiter<'_> {
+        let mut state = self.lock();
+        let number = state.next_waiter;
+        state.next_waiter += 1;
+        Waiter { shared: self, number }
+    }
+}
+
+impl Waiter<'_> {
+    fn poll(&self, context: &mut Context<'_>) -> Poll<()> {
+        let waker = context.waker().clone();
+        let mut state = self.shared.lock();
+        if state.is_raised {
+            return Poll::Ready(());
         }
+        let former = state.wakers.insert(self.number, waker);
+        drop(state);
+        drop(former);
+        Poll::Pending
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let waker = self.shared.lock().wakers.remove(&self.number);
+        drop(waker);
     }
 }
