Pause after a failed accept

Cause: With no descriptors left, accept fails at once without yielding, so the loop kept the thread and no task could close a connection. Ruled out: Yielding without a pause, which uses a whole core until a descriptor is free. A stop is seen up to 50 ms later if it comes in the pause.

--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -8,7 +8,7 @@
 mod reply;
 mod request;
 
-use std::{io, net::SocketAddr, rc::Rc};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures::{
     FutureExt, StreamExt,
@@ -17,7 +17,10 @@
     pin_mut, select_biased,
 };
 use http::StatusCode;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::{
+    net::{ListenerOpts, TcpListener, TcpStream},
+    time,
+};
 
 use self::connection::Connection;
 pub use self::{
@@ -26,6 +29,9 @@
 };
 use crate::{Limits, signal::Signal};
 
+/// Time from a failed accept to the next one.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Answers the requests of all connections of a server.
 pub trait Handler {
     /// Answers one request. The future is run to its end even when the caller has gone.
@@ -102,9 +108,11 @@
     let closing = stop.closing.raised().fuse();
     pin_mut!(closing);
     while let Some(accepted) = accept(&mut slots, &listener, &mut closing).await {
-        // A failed accept concerns one connection, which its peer has given up.
-        if let Ok((stream, peer)) = accepted {
-            server.spawn(stream, peer, slots.take());
+        match accepted {
+            Ok((stream, peer)) => server.spawn(stream, peer, slots.take()),
+            // Without descriptors left, the next accept would fail at once and for ever, and no
+            // other task would get a turn to close a connection.
+            Err(_) => time::sleep(ACCEPT_PAUSE).await,
         }
     }
     // Connections whose handshake was over when the stop came are served too.
