Round the paced slots apart and keep guaranteed turns within them

Cause: routers hold two or three slots of a server, which all rounded up, and each guaranteed turn went beyond the limit. Change: rounding differs by router and server; a due class goes beyond the limit only once it is owed two of its next requests; the gap is kept from 0.86 to 0.93 of the target, with at least 0.4 of the slots.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
+    choice::mix,
     estimate::Ewma,
     keys::PoolKey,
     pace::{Ceiling, Pace},
@@ -202,12 +203,18 @@
         self.free_within(now, settings, Ceiling::Full)
     }
 
+    /// The part of the limit that lower classes may fill.
+    pub(crate) fn paced_limit(&self, now: Instant, settings: &Settings) -> u32 {
+        let drawn = mix(self.name_hash ^ mix(settings.seed));
+        self.pace.cap(self.limit(now, settings), drawn as f64 / u64::MAX as f64)
+    }
+
     /// Free slots for a request that may fill the server up to the ceiling.
     pub(crate) fn free_within(&self, now: Instant, settings: &Settings, ceiling: Ceiling) -> u32 {
         let limit = self.limit(now, settings);
         let limit = match ceiling {
             Ceiling::Full => limit,
-            Ceiling::Paced => limit.min(self.pace.cap(limit)),
+            Ceiling::Paced => self.paced_limit(now, settings),
         };
         limit.saturating_sub(self.in_flight + self.reserved)
     }
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -14,12 +14,12 @@
 /// Time for streams beyond the limit to end before it falls again.
 const SETTLE: Duration = Duration::from_secs(2);
 /// The limit falls above this part of the target and grows below the second one.
-const HIGH_PART: f64 = 0.97;
-const LOW_PART: f64 = 0.90;
+const HIGH_PART: f64 = 0.93;
+const LOW_PART: f64 = 0.86;
 const DECREASE: f64 = 0.9;
 const INCREASE: f64 = 0.03;
-/// A server that misses the target with half of its slots too is not held back further.
-const MIN_PART: f64 = 0.5;
+/// A server that misses the target with this part of its slots too is not held back further.
+const MIN_PART: f64 = 0.4;
 
 /// The target of the strictest active class in a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,12 +61,15 @@
     }
 
     /// At least one slot, so that lower work always advances.
-    pub(crate) fn cap(&self, slots: u32) -> u32 {
-        ((f64::from(slots) * self.part).ceil() as u32).max(1).min(slots)
+    ///
+    /// `rounding` is from 0 to 1 and differs among routers and servers, because all of them
+    /// rounding their few slots alike would miss the part that is meant.
+    pub(crate) fn cap(&self, slots: u32, rounding: f64) -> u32 {
+        ((f64::from(slots) * self.part + rounding) as u32).max(1).min(slots)
     }
 
     /// Moves the limit once an interval's gaps are known.
-    pub(crate) fn adjust(&mut self, now: Instant, target_ms: f64, in_flight: u32, slots: u32) {
+    pub(crate) fn adjust(&mut self, now: Instant, target_ms: f64, in_flight: u32, cap: u32) {
         let since = *self.since.get_or_insert(now);
         if now < since + INTERVAL || self.count == 0 {
             return;
@@ -76,8 +79,7 @@
         if gap_ms < target_ms * LOW_PART {
             self.part = (self.part + INCREASE).min(1.0);
         }
-        let is_settled =
-            in_flight <= self.cap(slots) || self.lowered.is_none_or(|it| now >= it + SETTLE);
+        let is_settled = in_flight <= cap || self.lowered.is_none_or(|it| now >= it + SETTLE);
         if gap_ms > target_ms * HIGH_PART && is_settled {
             self.part = (self.part * DECREASE).max(MIN_PART);
             self.lowered = Some(now);
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -107,6 +107,11 @@
         turns
     }
 
+    /// Whether the class is owed so much that it yields to nothing.
+    pub(crate) fn is_overdue(&self, class: ClassKey, cost: u32) -> bool {
+        self.lanes[class].owed >= scaled(cost.max(1)) * YIELD_FACTOR
+    }
+
     /// Books a dispatch of `cost` tokens on the accounts of all contenders.
     pub(crate) fn book(&mut self, contenders: &[Contender], class: ClassKey, cost: u32) {
         for it in contenders {
--- a/crates/policy/src/scheduler/pacing.rs
+++ b/crates/policy/src/scheduler/pacing.rs
@@ -6,16 +6,19 @@
 use crate::{
     keys::{ClassKey, PoolKey},
     pace::{ACTIVE_FOR, Ceiling, Pace, PaceTarget},
-    pool::Turn,
     settings::Pacing,
 };
 
 impl Scheduler {
-    /// What a class goes by; what its share owes it is never held back, so that none starves.
-    pub(super) fn ceiling(&self, pool: PoolKey, class: ClassKey, turn: Turn) -> Ceiling {
-        let target = self.pools[pool].pace_target;
+    /// What a class goes by.
+    ///
+    /// A due class is first at the next slot below the limit, so it goes beyond the limit only
+    /// once it is owed as much as when it no longer yields; that keeps it from starving.
+    pub(super) fn ceiling(&self, pool: PoolKey, class: ClassKey, cost: u32) -> Ceiling {
+        let pool = &self.pools[pool];
+        let target = pool.pace_target;
         let is_lower = target.is_some_and(|it| self.classes[class].spec.priority < it.priority);
-        if is_lower && turn == Turn::Priority { Ceiling::Paced } else { Ceiling::Full }
+        if is_lower && !pool.is_overdue(class, cost) { Ceiling::Paced } else { Ceiling::Full }
     }
 
     /// Follows the gaps of the pool's servers; stragglers are left to their own rule.
@@ -34,9 +37,9 @@
                 continue;
             }
             let Some(target) = target else { continue };
-            let slots = backend.limit(now, &self.settings);
+            let cap = backend.paced_limit(now, &self.settings);
             let target_ms = target.between_token_ms as f64;
-            backend.pace.adjust(now, target_ms, backend.in_flight, slots);
+            backend.pace.adjust(now, target_ms, backend.in_flight, cap);
         }
     }
 
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -169,7 +169,7 @@
         contender: Contender,
         turn: Turn,
     ) -> bool {
-        let Some((head, backend)) = self.placement(now, pool, contender.class, turn) else {
+        let Some((head, backend)) = self.placement(now, pool, &contender) else {
             return false;
         };
         let standing = match turn {
@@ -188,10 +188,10 @@
         &mut self,
         now: Instant,
         pool: PoolKey,
-        class: ClassKey,
-        turn: Turn,
+        contender: &Contender,
     ) -> Option<(Head, BackendKey)> {
-        let ceiling = self.ceiling(pool, class, turn);
+        let class = contender.class;
+        let ceiling = self.ceiling(pool, class, contender.cost);
         let paused = self.pools[pool].lanes[class].paused.iter();
         for ticket in paused {
             let run = self.requests[*ticket].run()?;
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -8,7 +8,7 @@
 use crate::{
     choice::Choice,
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
-    pool::{Contender, Turn, Urgency},
+    pool::{Contender, Urgency},
     request::{Phase, Repeat, Request, Room, Standing},
     spec::{Hedge, Pausing},
 };
@@ -229,8 +229,8 @@
             return;
         }
         request.tried = Some(run.backend);
-        let offer = request.offer;
-        let ceiling = self.ceiling(offer.pool, offer.class, Turn::Priority);
+        let (offer, cost) = (request.offer, request.cost);
+        let ceiling = self.ceiling(offer.pool, offer.class, cost);
         let picked = self.pick(now, ticket, ceiling);
         let Some(backend) = picked.filter(|it| *it != run.backend) else { return };
         if !self.pools[offer.pool].lane(offer.class).retries.spend() {
