--- a/crates/policy/tests/token_pace.rs
+++ b/crates/policy/tests/token_pace.rs
@@ -89,6 +89,8 @@
 fn urgent_fills_up() {
     let mut batch = Batch::new(Pacing::Adaptive);
     batch.run(20);
+    batch.world.offer_many("summary", SLOTS as usize);
+    batch.start();
     let free = SLOTS as usize - batch.running.len();
     assert!(free > 0, "lower work left no slot");
     batch.world.offer_many("chat", free);
