Pause a backend server that refuses requests before their start

Ruled out: keeping refusals outside the budget (budget_holds demands that retries never exceed the stated part of the load, and a pool that refuses everywhere would be asked by every request at every server). Change: after a refusal a server gets no work for 100 ms, doubling to 5 s while it goes on, until it starts to answer again. Conclusion: a full engine is left alone for a moment too, which is what its refusal asks for.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -19,6 +19,11 @@
 /// A straggler keeps this many slots, so that its recovery is seen.
 const STRAGGLER_SLOTS: u32 = 1;
 
+/// How long a server that refused a request before its start gets no work; it doubles while the
+/// server goes on refusing.
+const REFUSAL_PAUSE_MIN: Duration = Duration::from_millis(100);
+const REFUSAL_PAUSE_MAX: Duration = Duration::from_secs(5);
+
 /// A server as the platform's list shows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sighting<'a> {
@@ -88,6 +93,8 @@
     pub(crate) slowness: f64,
     /// The incarnation whose crash was booked.
     pub(crate) crashed_incarnation: Option<u64>,
+    /// The pause after the last refusal, while no request has been served since.
+    refusal: Option<RefusalPause>,
     /// Returns from a crash without news of a newer incarnation.
     pub(crate) returns: u64,
     slots: u32,
@@ -95,6 +102,13 @@
     others: u32,
 }
 
+/// A time without work after a refusal.
+#[derive(Debug, Clone, Copy)]
+struct RefusalPause {
+    until: Instant,
+    length: Duration,
+}
+
 /// A leased part of a server's capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Credits {
@@ -121,6 +135,7 @@
             pace: Pace::default(),
             slowness: 1.0,
             crashed_incarnation: None,
+            refusal: None,
             returns: 0,
             slots,
             reported_slots: None,
@@ -132,6 +147,7 @@
     pub(crate) fn restart(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
         self.returns = 0;
+        self.refusal = None;
         self.forget_speed();
         self.others = 0;
     }
@@ -167,6 +183,26 @@
         self.slots = slots;
     }
 
+    /// Notes that the server refused a request before its start. Requests that were sent together
+    /// are refused together, so a pause that has begun is not prolonged.
+    pub(crate) fn note_refusal(&mut self, now: Instant) {
+        let length = match self.refusal {
+            Some(pause) if pause.until > now => return,
+            Some(pause) => (2 * pause.length).min(REFUSAL_PAUSE_MAX),
+            None => REFUSAL_PAUSE_MIN,
+        };
+        self.refusal = Some(RefusalPause { until: now + length, length });
+    }
+
+    /// Notes that the server has started to answer a request.
+    pub(crate) fn note_served(&mut self) {
+        self.refusal = None;
+    }
+
+    fn is_refusing(&self, now: Instant) -> bool {
+        self.refusal.is_some_and(|it| it.until > now)
+    }
+
     /// When the next probe is due, if the server's health is in question.
     pub(crate) fn probe_due(&self) -> Option<Instant> {
         let is_open = matches!(self.health, Health::Suspect | Health::Out);
@@ -186,7 +222,7 @@
 
     /// Requests that this router may have in flight here.
     pub(crate) fn limit(&self, now: Instant, settings: &Settings) -> u32 {
-        if !self.is_usable() {
+        if !self.is_usable() || self.is_refusing(now) {
             return 0;
         }
         let share = self.shared_slots(now, settings);
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -44,6 +44,7 @@
         let (backend, waited) = (run.backend, now.saturating_duration_since(run.sent));
         let (pool, twin) = (request.offer.pool, request.twin.take());
         self.backends[backend].first_token_ms.add(waited.as_secs_f64() * 1e3);
+        self.backends[backend].note_served();
         self.pools[pool].drained.add(now, 1);
         if let Some(twin) = twin {
             self.cancel_twin(twin);
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -49,6 +49,7 @@
         let Some(run) = request.run() else { return };
         let offer = request.offer;
         self.quarantine.note_complete(now, offer.request_hash, self.settings.quarantine_ttl);
+        self.backends[run.backend].note_served();
         let unseen = tokens.saturating_sub(run.tokens);
         let pool = &mut self.pools[offer.pool];
         pool.drained.add(now, u64::from(unseen));
@@ -115,6 +116,7 @@
         match failure {
             Failure::ConnectRefused if is_current => self.put_out(run.backend, now),
             Failure::Reset => self.note_crash(run, now),
+            Failure::Overloaded if is_current => self.backends[run.backend].note_refusal(now),
             Failure::Silent if is_current => self.connection_silent(run.backend, now),
             _ => {}
         }
