--- a/crates/gooseberryctl/src/main.rs
+++ b/crates/gooseberryctl/src/main.rs
@@ -6,9 +6,16 @@
     let matches = gooseberryctl::command().get_matches();
     match gooseberryctl::run(&matches, &mut io::stdout().lock()) {
         Ok(verdict) => verdict.into(),
+        // A reader such as `head` that has seen enough is no fault.
+        Err(err) if is_broken_pipe(&err) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("gooseberryctl: {err:#}");
             ExitCode::from(2)
         }
     }
 }
+
+fn is_broken_pipe(err: &anyhow::Error) -> bool {
+    let io = err.downcast_ref::<io::Error>();
+    io.is_some_and(|it| it.kind() == io::ErrorKind::BrokenPipe)
+}
