Keep a router to its own failure domain while one of its servers is usable

Cause: a router used all servers of a table whatever their failure domain, while the hub of each domain divides them among its own routers only; with three domains a server's slots would have been granted three times, and a cut would have cost connect timeouts to unreachable servers. Ruled out: listing remote servers only when needed (a server that comes back into the list counts as restarted); asking operators for a pool a domain (tables are shared by all domains). Conclusion: spill-over is all or nothing; a load-based one is not built.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -234,7 +234,8 @@
         ..policy::Settings::default()
     };
     let prober = Rc::new(backends.clone());
-    let dispatcher = Dispatcher::new(Rc::clone(&parts.clock), prober, policy_settings);
+    let clock = Rc::clone(&parts.clock);
+    let dispatcher = Dispatcher::new(clock, prober, policy_settings, &settings.failure_domain);
     let services = Services {
         clock: Rc::clone(&parts.clock),
         backends,
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 mod desk;
 mod lease;
+mod locality;
 mod server_list;
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
@@ -52,13 +53,21 @@
     clock: Rc<dyn Clock>,
     prober: Rc<dyn Prober>,
     settings: Settings,
+    own_domain: String,
 }
 
 impl Dispatcher {
-    /// A dispatcher without pools.
+    /// A dispatcher without pools in the failure domain `own_domain`; with an empty name all
+    /// servers count as near.
     #[must_use]
-    pub fn new(clock: Rc<dyn Clock>, prober: Rc<dyn Prober>, settings: Settings) -> Dispatcher {
-        Dispatcher { desks: RefCell::default(), clock, prober, settings }
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        prober: Rc<dyn Prober>,
+        settings: Settings,
+        own_domain: &str,
+    ) -> Dispatcher {
+        let own_domain = own_domain.to_owned();
+        Dispatcher { desks: RefCell::default(), clock, prober, settings, own_domain }
     }
 
     /// Puts `tables` in force; what waits or runs goes on under them.
@@ -66,7 +75,8 @@
         let mut desks = self.desks.borrow_mut();
         for pool in &tables.pools {
             let desk = desks.entry(pool.name.clone()).or_insert_with(|| {
-                Desk::start(Rc::clone(&self.clock), Rc::clone(&self.prober), self.settings.clone())
+                let (clock, prober) = (Rc::clone(&self.clock), Rc::clone(&self.prober));
+                Desk::start(clock, prober, self.settings.clone(), &self.own_domain)
             });
             desk.configure(tables, pool, workspaces);
         }
@@ -88,10 +98,10 @@
         desk.dispatch(asked).await
     }
 
-    /// The backend servers of a pool that are not gone.
+    /// The backend servers of a pool in the own failure domain that are not gone.
     #[must_use]
-    pub fn servers(&self, pool: &str) -> Vec<Server> {
-        self.desk(pool).map(|it| it.servers()).unwrap_or_default()
+    pub fn near_servers(&self, pool: &str) -> Vec<Server> {
+        self.desk(pool).map(|it| it.near_servers()).unwrap_or_default()
     }
 
     /// Takes in the load report of a backend server.
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -22,8 +22,8 @@
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
 use super::{
-    Asked, Control, Lease, Prober, Seen, Server, ServerClaim, UNKNOWN, revision_number,
-    server_list::ServerList,
+    Asked, Control, Lease, Prober, Seen, Server, ServerClaim, UNKNOWN, locality::Locality,
+    revision_number, server_list::ServerList,
 };
 use crate::{
     identity::{ANONYMOUS, Workspaces},
@@ -50,6 +50,7 @@
     waiting: BTreeMap<Ticket, oneshot::Sender<Placed>>,
     controls: BTreeMap<Ticket, mpsc::UnboundedSender<Control>>,
     servers: ServerList,
+    locality: Locality,
     armed: Option<Instant>,
 }
 
@@ -59,6 +60,7 @@
         clock: Rc<dyn Clock>,
         prober: Rc<dyn Prober>,
         settings: Settings,
+        own_domain: &str,
     ) -> Rc<Desk> {
         let (rearm, rearmed) = mpsc::channel(0);
         let state = State {
@@ -68,6 +70,7 @@
             waiting: BTreeMap::new(),
             controls: BTreeMap::new(),
             servers: ServerList::default(),
+            locality: Locality::new(own_domain),
             armed: None,
         };
         let desk = Rc::new(Desk { state: RefCell::new(state), clock, prober, rearm });
@@ -90,7 +93,8 @@
             tracing::error!(pool = %pool.name, %error, "tables not applied");
             return;
         }
-        let State { scheduler, servers, .. } = &mut *state;
+        let State { scheduler, servers, locality, .. } = &mut *state;
+        locality.follow_table(pool);
         servers.follow_table(scheduler, now, pool);
         drop(state);
         self.pump();
@@ -158,14 +162,17 @@
         state.controls.remove(&ticket);
     }
 
-    pub(super) fn servers(&self) -> Vec<Server> {
-        self.state.borrow().servers.listed()
+    pub(super) fn near_servers(&self) -> Vec<Server> {
+        let state = self.state.borrow();
+        let listed = state.servers.listed().into_iter();
+        listed.filter(|it| !state.locality.is_remote(it.addr)).collect()
     }
 
     pub(super) fn platform_list(self: &Rc<Self>, vms: &[&ListedVm]) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let State { scheduler, servers, pool, .. } = &mut *state;
+        let State { scheduler, servers, pool, locality, .. } = &mut *state;
+        locality.follow_platform(vms);
         servers.follow_platform(scheduler, now, pool, vms);
         drop(state);
         self.pump();
@@ -176,18 +183,20 @@
         self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
     }
 
-    /// What this desk knows of its servers.
+    /// What this desk knows of the servers in its failure domain, whose hub divides them.
     pub(super) fn seen(&self) -> Vec<Seen> {
         let state = self.state.borrow();
-        state.servers.seen(state.slots)
+        let mut seen = state.servers.seen(state.slots);
+        seen.retain(|it| !state.locality.is_remote(it.addr));
+        seen
     }
 
     /// What this router could use of each server, and holds there.
     pub(super) fn claims(&self) -> Vec<ServerClaim> {
-        let state = self.state.borrow();
-        let claim =
-            |it: Server| ServerClaim { addr: it.addr, claim: state.scheduler.claim(it.key) };
-        state.servers.listed().into_iter().map(claim).collect()
+        let near = self.near_servers();
+        let scheduler = &self.state.borrow().scheduler;
+        let claim = |it: Server| ServerClaim { addr: it.addr, claim: scheduler.claim(it.key) };
+        near.into_iter().map(claim).collect()
     }
 
     /// Takes in the load report of a server that another router reads.
@@ -200,7 +209,9 @@
 
     /// Takes in the slots that this router may hold of a server.
     pub(super) fn grant(self: &Rc<Self>, addr: SocketAddr, slots: u32, expires: Instant) {
-        let server = self.state.borrow().servers.at(addr);
+        let state = self.state.borrow();
+        let server = state.servers.at(addr).filter(|it| !state.locality.is_remote(it.addr));
+        drop(state);
         if let Some(server) = server {
             self.note(|scheduler, _| scheduler.set_credits(server.key, slots, expires));
         }
@@ -210,6 +221,8 @@
     pub(super) fn pump(self: &Rc<Self>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
+        let State { scheduler, servers, locality, slots, .. } = &mut *state;
+        locality.decide(scheduler, servers, now, *slots);
         loop {
             let actions = state.scheduler.poll(now);
             if actions.is_empty() {
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -156,7 +156,8 @@
         (ServerState::Live, Discovery::Table) => return None,
     };
     let (addr, incarnation) = (row.addr, row.incarnation);
-    Some(ListedVm { addr, pool: pool.name.clone(), incarnation, state })
+    let failure_domain = String::new();
+    Some(ListedVm { addr, failure_domain, pool: pool.name.clone(), incarnation, state })
 }
 
 fn demand((pool, claims): (&Pool, Vec<ServerClaim>)) -> Option<Demand> {
--- a/crates/router/src/load_reports.rs
+++ b/crates/router/src/load_reports.rs
@@ -62,7 +62,7 @@
     loop {
         let now = tables.current();
         for pool in now.pools.iter().filter(|it| it.kind == PoolKind::Engine) {
-            let servers = services.dispatcher.servers(&pool.name);
+            let servers = services.dispatcher.near_servers(&pool.name);
             for server in servers.into_iter().filter(|it| owns(it.addr)) {
                 let (services, readings) = (Rc::clone(&services), readings.clone());
                 monoio::spawn(ask(services, pool.name.clone(), server, readings));
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -16,6 +16,9 @@
 pub struct ListedVm {
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Its failure domain; empty if it is not told.
+    #[serde(default)]
+    pub failure_domain: String,
     /// The pool that it serves.
     pub pool: String,
     /// A number that rises with each start.
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -222,6 +222,8 @@
 /// What a test changes of the router.
 pub(crate) struct Setup {
     pub(crate) engines: Vec<SocketAddr>,
+    /// Engines in another failure domain.
+    pub(crate) far_engines: Vec<SocketAddr>,
     pub(crate) services: Vec<SocketAddr>,
     pub(crate) ledger: Rc<dyn OrderLedger>,
     pub(crate) waits: Waits,
@@ -246,6 +248,7 @@
     fn default() -> Self {
         Setup {
             engines: vec![closed_port()],
+            far_engines: Vec::new(),
             services: vec![closed_port()],
             ledger: Rc::new(NoLedger),
             waits: Waits::default(),
@@ -306,8 +309,9 @@
         let list = |all: &[SocketAddr]| {
             all.iter().map(|it| format!("{it}@fd-1")).collect::<Vec<_>>().join(", ")
         };
+        let far: String = self.far_engines.iter().map(|it| format!(", {it}@fd-2")).collect();
         let pools = format!(
-            "[llm]\nkind = engine\nmodel = m\nservers = {}\n{}\n[svc]\nkind = service\nservers = {}\n",
+            "[llm]\nkind = engine\nmodel = m\nservers = {}{far}\n{}\n[svc]\nkind = service\nservers = {}\n",
             list(&self.engines),
             self.pool,
             list(&self.services),
