Divide a server among the routers that announced it, and tell the hub until it answers

Cause: a hub that serves routers of two domains (a site with one control VM, or a neighbour's hub that was lost) counted the demand of all for every server, so each domain wasted slots that the other never uses. And a summary that got lost counted as told: its servers stayed unknown. Ruled out: a failure domain in every row (the announcements say it already). Change: accounts keep the servers that their router announced; a router counts news as told only after the hub's answer, and tells everything to a hub that forgot it. The lost summary has no test of its own yet.

--- a/crates/dissemination/src/grants.rs
+++ b/crates/dissemination/src/grants.rs
@@ -4,7 +4,7 @@
 //! router the larger of what it holds and what it was granted. A part that shrinks is free for
 //! others only when its router has been told and its requests have ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use policy::leases::{Capacity, Claim, divide};
 
@@ -13,12 +13,19 @@
 /// What one router has asked for and been granted.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Account {
+    /// The servers that the router announced, which are those of its failure domain.
+    near: BTreeSet<ServerIdx>,
     demand: Vec<Demand>,
     held: BTreeMap<ServerIdx, u16>,
     granted: BTreeMap<ServerIdx, u16>,
 }
 
 impl Account {
+    /// Notes that the router may use a server.
+    pub(crate) fn announce(&mut self, server: ServerIdx) {
+        self.near.insert(server);
+    }
+
     /// Takes what a summary says.
     pub(crate) fn take(&mut self, demand: Vec<Demand>, held: Vec<Slots>) {
         self.demand = demand;
@@ -52,11 +59,15 @@
 ) -> Vec<Slots> {
     let mut places: BTreeMap<PoolHash, usize> = BTreeMap::new();
     let mut grants = Vec::new();
+    let near = accounts.get(&router).map(|it| it.near.clone()).unwrap_or_default();
     for server in servers {
         let place = places.entry(server.pool).or_default();
         let servers = servers.iter().filter(|it| it.pool == server.pool).count();
         let capacity = Capacity { slots: server.slots.into(), idx: *place, servers };
         *place += 1;
+        if !near.contains(&server.idx) {
+            continue;
+        }
         let count = grant_one(router, accounts, server, capacity);
         grants.push(Slots { server: server.idx, count });
     }
@@ -72,9 +83,10 @@
     server: &ServerRow,
     capacity: Capacity,
 ) -> u16 {
-    let Some(place) = accounts.keys().position(|it| *it == router) else { return 0 };
-    let claims: Vec<_> = accounts.values().map(|it| it.claim(server)).collect();
-    let others = accounts.iter().filter(|(idx, _)| **idx != router);
+    let users = || accounts.iter().filter(|(_, it)| it.near.contains(&server.idx));
+    let Some(place) = users().position(|(idx, _)| *idx == router) else { return 0 };
+    let claims: Vec<_> = users().map(|(_, it)| it.claim(server)).collect();
+    let others = users().filter(|(idx, _)| **idx != router);
     let taken: u32 = others.map(|(_, it)| it.outstanding(server.idx)).sum();
     let target = divide(capacity, &claims)[place];
     target.min(capacity.slots.saturating_sub(taken)) as u16
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -89,7 +89,7 @@
         let held = if is_current { summary.held } else { Version(0) };
         let you = self.router(now, summary.from, is_current);
         for sighting in summary.sightings {
-            self.take_sighting(sighting);
+            self.take_sighting(you, sighting);
         }
         for load in summary.loads {
             self.take_load(load, is_current);
@@ -153,8 +153,11 @@
     }
 
     /// A server seen leaving stays leaving until it shows a newer incarnation.
-    fn take_sighting(&mut self, seen: Sighting) {
+    fn take_sighting(&mut self, from: RouterIdx, seen: Sighting) {
         let idx = self.server(seen.addr);
+        if let Some(account) = self.accounts.get_mut(&from) {
+            account.announce(idx);
+        }
         let version = self.version;
         let server = &mut self.servers[idx.0 as usize];
         let mut row = ServerRow { pool: seen.pool, slots: seen.slots, ..server.row };
--- a/crates/dissemination/tests/capacity_grants.rs
+++ b/crates/dissemination/tests/capacity_grants.rs
@@ -132,6 +132,22 @@
     assert_eq!(after, SLOTS * SERVERS, "the lost router's slots come back");
 }
 
+#[test]
+fn other_domain_takes_none() {
+    let mut hub = Hub::new(HubSettings::default());
+    let mut members = ["router-a", "router-b"].map(MemberState::new);
+    let now = Instant::now();
+    for _ in 0..2 {
+        for (member, server) in members.iter_mut().zip(0..) {
+            let demand = vec![Demand { pool: POOL, requests: 50, urgent: 5 }];
+            let sightings = vec![sighting(server)];
+            member.take(hub.exchange(now, Summary { sightings, demand, ..member.summary() }));
+        }
+    }
+    let grants = members.map(|it| it.grants().collect::<Vec<_>>());
+    assert_eq!(grants, [vec![(addr(0), SLOTS)], vec![(addr(1), SLOTS)]]);
+}
+
 #[test]
 fn nobody_owns() {
     assert_eq!(owner([], addr(0)), None);
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -14,7 +14,7 @@
 
 use control_client::DomainMember;
 use dissemination::{
-    Demand, Load, MemberState, PoolHash, QuarantineRow, ServerLoad, ServerRow, ServerState,
+    Demand, Load, MemberState, PoolHash, QuarantineRow, Sender, ServerLoad, ServerRow, ServerState,
     Sighting, Slots, Summary,
 };
 use policy::LoadReport;
@@ -41,12 +41,14 @@
     services: Rc<Services>,
     tables: Rc<dyn TableSource>,
     readings: Readings,
-    sent: RefCell<Sent>,
+    told: RefCell<Told>,
+    /// Sent, but not answered yet; without an answer it is sent again.
+    telling: RefCell<Told>,
 }
 
 /// What the hub has been told in its present life.
-#[derive(Debug, Default)]
-struct Sent {
+#[derive(Debug, Clone, Default)]
+struct Told {
     epoch: u64,
     sightings: BTreeMap<SocketAddr, Sighting>,
     quarantine: BTreeSet<(PoolHash, u64, usize)>,
@@ -59,11 +61,17 @@
         tables: Rc<dyn TableSource>,
         readings: Readings,
     ) -> RouterMember {
-        RouterMember { services, tables, readings, sent: RefCell::default() }
+        RouterMember {
+            services,
+            tables,
+            readings,
+            told: RefCell::default(),
+            telling: RefCell::default(),
+        }
     }
 
     fn new_sightings(&self, tables: &Tables) -> Vec<Sighting> {
-        let mut sent = self.sent.borrow_mut();
+        let mut telling = self.telling.borrow_mut();
         let mut news = Vec::new();
         for pool in &tables.pools {
             for seen in self.services.dispatcher.seen(&pool.name) {
@@ -75,7 +83,7 @@
                     pool: PoolHash::of(&pool.name),
                     slots: seen.slots.min(u16::MAX.into()) as u16,
                 };
-                if sent.sightings.insert(seen.addr, sighting) != Some(sighting) {
+                if telling.sightings.insert(seen.addr, sighting) != Some(sighting) {
                     news.push(sighting);
                 }
             }
@@ -84,7 +92,7 @@
     }
 
     fn new_quarantine(&self) -> Vec<QuarantineRow> {
-        let mut sent = self.sent.borrow_mut();
+        let mut telling = self.telling.borrow_mut();
         let exported = self.services.dispatcher.export_quarantine();
         let rows = exported.pools.into_iter().flat_map(|(pool, entries)| {
             let pool = PoolHash::of(&pool);
@@ -92,7 +100,7 @@
         });
         rows.filter(|it| {
             let crashes = it.entry.crashes.len();
-            sent.quarantine.insert((it.pool, it.entry.request_hash, crashes))
+            telling.quarantine.insert((it.pool, it.entry.request_hash, crashes))
         })
         .collect()
     }
@@ -109,9 +117,12 @@
 
 impl DomainMember for RouterMember {
     fn report(&self, held: &MemberState, empty: Summary) -> Summary {
-        if self.sent.borrow().epoch != held.epoch() {
-            self.sent.replace(Sent { epoch: held.epoch(), ..Sent::default() });
+        // A hub that started anew, or that forgot this router, has to be told everything.
+        let is_known = matches!(empty.from, Sender::Idx(_));
+        if !is_known || self.told.borrow().epoch != held.epoch() {
+            self.told.replace(Told { epoch: held.epoch(), ..Told::default() });
         }
+        self.telling.replace(self.told.borrow().clone());
         let tables = self.tables.current();
         let claims = || tables.pools.iter().map(|it| self.services.dispatcher.claims(&it.name));
         Summary {
@@ -125,6 +136,7 @@
     }
 
     fn take(&self, held: &MemberState, sent: Instant, quarantine: &[QuarantineRow]) {
+        self.told.replace(self.telling.borrow().clone());
         let tables = self.tables.current();
         let dispatcher = &self.services.dispatcher;
         let grants: BTreeMap<_, _> = held.grants().collect();
