Watch a real router beside the light ones, which own servers as it does

Cause: a real router shares load reports through the hub now; light routers that reported servers of their own doubled the servers in the hub. Ruled out: fixed servers a light router; ownership follows dissemination::owner, as in the router.

--- a/crates/load/src/capacity/followers.rs
+++ b/crates/load/src/capacity/followers.rs
@@ -12,7 +12,7 @@
 
 use clock::Clock;
 use control_client::{TablesWatch, WatchSettings};
-use dissemination::{Load, MemberState, ServerLoad, Summary, decode_digest, encode_summary};
+use dissemination::{Load, MemberState, ServerLoad, Summary, decode_digest, encode_summary, owner};
 use futures::{
     FutureExt,
     future::{LocalBoxFuture, join_all},
@@ -21,7 +21,7 @@
 use rpc::LinkSettings;
 use tables::Revision;
 
-use super::WireBytes;
+use super::{WireBytes, site::backend_addr};
 use crate::{counters::CounterFault, loopback::LoopbackAddr};
 
 /// The pause between the starts of two followers, which spreads their exchanges.
@@ -34,8 +34,8 @@
     pub controls: Vec<LoopbackAddr>,
     /// How many followers there are.
     pub followers: usize,
-    /// Backend servers whose load each follower reports.
-    pub servers_each: usize,
+    /// Replicas of the site, whose loads the followers report, each for those that it owns.
+    pub replicas: usize,
     /// The time between two summaries, in milliseconds; 0 for none.
     pub exchange_interval_ms: u64,
 }
@@ -109,7 +109,7 @@
         monoio::spawn(Rc::clone(&follower).note_revisions());
         if settings.exchange_interval_ms > 0 {
             let interval = Duration::from_millis(settings.exchange_interval_ms);
-            let servers = owned_servers(idx, settings.servers_each);
+            let servers = (0..settings.replicas).map(backend_addr).collect();
             monoio::spawn(Rc::clone(&follower).exchange(idx, servers, interval));
         }
         follower
@@ -145,11 +145,12 @@
     }
 
     async fn exchange(self: Rc<Self>, idx: usize, servers: Vec<SocketAddr>, interval: Duration) {
-        let mut member = MemberState::new(&format!("follower-{idx}"));
+        let name = format!("follower-{idx}");
+        let mut member = MemberState::new(&name);
         for round in 0_u16.. {
             time::sleep(interval).await;
             let Ok(client) = self.watch.link().client() else { continue };
-            let summary = summary(&member, &servers, round);
+            let summary = summary(&name, &member, &servers, round);
             let Ok(digest) = client.exchange(&encode_summary(&summary)).await else { continue };
             if let Ok(digest) = decode_digest(&digest) {
                 member.take(digest);
@@ -158,23 +159,16 @@
     }
 }
 
-/// Loads that differ each round, as those of busy servers do.
-fn summary(member: &MemberState, servers: &[SocketAddr], round: u16) -> Summary {
+/// Loads that differ each round, as those of busy servers do, for the servers that this follower
+/// owns among the live routers.
+fn summary(name: &str, member: &MemberState, servers: &[SocketAddr], round: u16) -> Summary {
     let load = Load {
         running: round % 64,
         waiting: round % 8,
         kv_used_64ths: (round % 64) as u8,
         step_100us: 300 + round % 100,
     };
-    let loads = servers.iter().map(|it| ServerLoad { server: member.server_ref(*it), load });
+    let owned = servers.iter().filter(|it| owner(member.routers(), **it) == Some(name));
+    let loads = owned.map(|it| ServerLoad { server: member.server_ref(*it), load });
     Summary { loads: loads.collect(), ..member.summary() }
 }
-
-/// Addresses of servers that nobody connects to; they are names here.
-fn owned_servers(idx: usize, count: usize) -> Vec<SocketAddr> {
-    let addr = |number: usize| {
-        let number = idx * count + number;
-        SocketAddr::from(([127, 1, (number >> 8) as u8, number as u8], 8_000))
-    };
-    (0..count).map(addr).collect()
-}
--- a/crates/load/src/capacity/site.rs
+++ b/crates/load/src/capacity/site.rs
@@ -70,7 +70,7 @@
 }
 
 /// Loopback has 127.0.0.0/8 to itself, so each backend server gets an address of its own.
-fn backend_addr(idx: usize) -> SocketAddr {
+pub(super) fn backend_addr(idx: usize) -> SocketAddr {
     SocketAddr::from(([127, 2, (idx >> 8) as u8, idx as u8], BACKEND_PORT))
 }
 
--- a/crates/load/src/cli/capacity/routers.rs
+++ b/crates/load/src/cli/capacity/routers.rs
@@ -7,12 +7,13 @@
 };
 
 use anyhow::ensure;
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use clock::{Clock, SystemClock};
+use futures::{TryFutureExt, future::try_join};
 use load::{
     capacity::{
-        Accepted, Changer, Driver, FollowerSettings, Followers, HeldSize, Measure, Reading, Sample,
-        SampleLabel, SamplerSettings, SiteSize, in_force_readings, watch,
+        Accepted, Changer, Driver, FollowerSettings, Followers, HeldSize, Measure, NoWireBytes,
+        Reading, Sample, SampleLabel, SamplerSettings, SiteSize, in_force_readings, watch,
     },
     proc_stat::Pid,
 };
@@ -29,6 +30,13 @@
         Command::new("routers")
             .about("Samples a control VM against the number of routers linked to it"),
     )
+    .arg(
+        Arg::new("router-pid")
+            .long("router-pid")
+            .value_name("PID")
+            .help("A real router linked to the control VM, which is watched too")
+            .value_parser(value_parser!(u32)),
+    )
     .arg(args::number("changes", "20", "Changes whose way to all routers is timed"))
     .arg(args::number("change-pause-ms", "100", "The pause between two changes"))
 }
@@ -49,7 +57,6 @@
             ),
         )
         .arg(args::number("followers", "16", "How many light routers"))
-        .arg(args::number("servers-each", "4", "Backend servers that each reports on"))
         .arg(args::number("exchange-interval-ms", "1000", "Time between summaries; 0 for none"))
         .arg(args::number("replicas", "118", "Replicas in the tables"))
         .arg(args::number("window-ms", "5000", "How long the control VM is watched"))
@@ -59,14 +66,12 @@
 
 pub(crate) async fn run_routers(matches: &ArgMatches) -> anyhow::Result<()> {
     let mut bench = Bench::start(matches).await?;
-    let label = SampleLabel {
-        role: "control".to_owned(),
-        driver: Driver::Routers,
-        size: bench.count as f64,
-        held: Vec::new(),
-    };
-    let sampler = sampler(matches);
-    let mut sample = watch(sampler, label, &bench.followers, &*bench.clock).await?;
+    let router_pid = matches.get_one::<u32>("router-pid").copied().map(Pid);
+    let routers = bench.count + usize::from(router_pid.is_some());
+    let control =
+        watch(sampler(matches), label("control", routers), &bench.followers, &*bench.clock);
+    let router = watch_router(matches, router_pid, routers, &*bench.clock);
+    let (mut sample, router) = try_join(control.err_into(), router).await?;
 
     let pause = Duration::from_millis(args::value(matches, "change-pause-ms"));
     let mut times = Vec::new();
@@ -78,14 +83,33 @@
     }
     sample.readings.extend(in_force_readings(&times));
     let samples: PathBuf = args::value(matches, "samples");
-    append(&samples, &wire_of_each(&sample))?;
+    append(&samples, &wire_of_each(&sample, bench.count))?;
+    if let Some(router) = router {
+        append(&samples, &router)?;
+    }
     append(&samples, &sample)
 }
 
-/// The bytes on the wire of each router: all links end at the control VM that was watched.
-fn wire_of_each(control: &Sample) -> Sample {
+fn label(role: &str, routers: usize) -> SampleLabel {
+    let (role, size) = (role.to_owned(), routers as f64);
+    SampleLabel { role, driver: Driver::Routers, size, held: Vec::new() }
+}
+
+async fn watch_router(
+    matches: &ArgMatches,
+    pid: Option<Pid>,
+    routers: usize,
+    clock: &dyn Clock,
+) -> anyhow::Result<Option<Sample>> {
+    let Some(pid) = pid else { return Ok(None) };
+    let settings = SamplerSettings { pid, ..sampler(matches) };
+    Ok(Some(watch(settings, label("router", routers), &NoWireBytes, clock).await?))
+}
+
+/// The bytes on the wire of each light router, whose links all end at the watched control VM.
+fn wire_of_each(control: &Sample, followers: usize) -> Sample {
     let wire = control.readings.iter().filter(|it| it.measure == Measure::WireBytesPerS);
-    let readings = wire.map(|it| Reading { value: it.value / control.size, ..*it }).collect();
+    let readings = wire.map(|it| Reading { value: it.value / followers as f64, ..*it }).collect();
     Sample { role: "router".to_owned(), readings, ..control.clone() }
 }
 
@@ -129,13 +153,13 @@
 impl Bench {
     async fn start(matches: &ArgMatches) -> anyhow::Result<Bench> {
         let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+        let replicas = args::value::<u64>(matches, "replicas") as usize;
         let settings = FollowerSettings {
             controls: args::all_addrs(matches, "control"),
             followers: args::value::<u64>(matches, "followers") as usize,
-            servers_each: args::value::<u64>(matches, "servers-each") as usize,
+            replicas,
             exchange_interval_ms: args::value(matches, "exchange-interval-ms"),
         };
-        let replicas = args::value::<u64>(matches, "replicas") as usize;
         let size = SiteSize { replicas, workspaces: 0 };
         let token = args::value(matches, "token");
         let control = settings.controls[0];
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -67,15 +67,17 @@
     done
 }
 
-# Samples a control VM with $@ light routers, which share the replicas of a failure domain at the
-# target size, and times changes to all of them.
+# Samples a control VM and a real router beside $@ light ones, which share the replicas of a failure
+# domain at the target size, and times changes to all of them.
 sample_routers() {
     local replicas=118
+    "$load" capacity site --replicas "$replicas" --workspaces 10 --out "$work/site"
     for routers in "$@"; do
+        start backends "$load" capacity backends --replicas "$replicas"
         start_control "$control_port" "$control_admin_port" "$token"
+        start_linked_router "$router_port" "$router_admin_port" "$control_port" "$work/site"
         "$load" capacity routers --control "127.0.0.1:$control_port" --pid "$control" \
-            --token "$token" --followers "$routers" --replicas "$replicas" \
-            --servers-each "$(((replicas + routers - 1) / routers))" \
+            --token "$token" --followers "$routers" --router-pid "$router" --replicas "$replicas" \
             --window-ms "$window_ms" --samples "$samples"
         stop_all
     done
@@ -101,7 +103,7 @@
     sample_at_rest workspaces 10 "$workspaces" replicas 10
 done
 sample_streams 1 100 300 1000
-sample_routers 1 8 16 32 64
+sample_routers 1 7 15 31 63
 sample_changes 0 3600 14400 36000
 
 "$load" capacity report --samples "$samples" --out "$out" \
--- a/scripts/daemons.sh
+++ b/scripts/daemons.sh
@@ -103,3 +103,24 @@
     control=$started
     wait_for_port "$port"
 }
+
+# Starts a router on ports $1 and $2 that is linked to the control VM on port $3, with the
+# workspaces in the folder $4; its process id is then in `router`.
+start_linked_router() {
+    local port=$1 admin_port=$2 control_port=$3 site=$4
+    cat >"$work/router-$port.ini" <<SETTINGS
+[router]
+vm = vm-$port
+failure_domain = fd-1
+listen = 127.0.0.1:$port
+admin_listen = 127.0.0.1:$admin_port
+log = warn
+drain_delay_ms = 0
+control = 127.0.0.1:$control_port
+command_token_file = $work/command-token
+workspaces_file = $site/workspaces.ini
+SETTINGS
+    start "router-$port" "$bin/gooseberry-router" --config "$work/router-$port.ini"
+    router=$started
+    wait_for_port "$port"
+}
--- a/scripts/four-classes.sh
+++ b/scripts/four-classes.sh
@@ -101,20 +101,7 @@
 
 apply_tables
 for port in "${router_ports[@]}"; do
-    cat >"$work/router-$port.ini" <<SETTINGS
-[router]
-vm = vm-$port
-failure_domain = fd-1
-listen = 127.0.0.1:$port
-admin_listen = 127.0.0.1:$((port + 1))
-log = warn
-routers = ${#router_ports[@]}
-control = 127.0.0.1:$control_port
-command_token_file = $work/command-token
-workspaces_file = $work/workspaces.ini
-SETTINGS
-    start "router-$port" "$bin/gooseberry-router" --config "$work/router-$port.ini"
-    wait_for_port "$port"
+    start_linked_router "$port" "$((port + 1))" "$control_port" "$work"
     arguments+=(--router "127.0.0.1:$port")
 done
 sleep 2
