Count suspended time in the monotonic clock

Cause: a machine that is suspended stops CLOCK_MONOTONIC, so a leader that wakes up would trust a lease that the others have outlived. Ruled out: a larger clock-rate bound, which cannot cover seconds. Change: SystemClock reads CLOCK_BOOTTIME and maps it onto instants. Conclusion: leases end by the time that really passed.

--- a/crates/clock/src/system.rs
+++ b/crates/clock/src/system.rs
@@ -1,16 +1,40 @@
 //! The clock of the operating system.
 
-use std::time::{Instant, SystemTime};
+use std::{
+    sync::OnceLock,
+    time::{Duration, Instant, SystemTime},
+};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::Clock;
 
 /// Reads the clocks of the operating system.
+///
+/// The monotonic time counts the time for which the machine was suspended, which [`Instant`] alone
+/// does not: a lease must not outlive a suspension of its holder.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SystemClock;
 
+/// One moment on both scales, from which boot time is turned into instants.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    instant: Instant,
+    since_boot: Duration,
+}
+
+static ORIGIN: OnceLock<Origin> = OnceLock::new();
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        let since_boot = since_boot();
+        let origin = ORIGIN.get_or_init(|| Origin { instant: Instant::now(), since_boot });
+        origin.instant + since_boot.saturating_sub(origin.since_boot)
     }
 
     fn wall(&self) -> SystemTime {
