Let tables route by host and split, and name workspaces with keys

Cause: the users' operators route by host and longest path prefix, divide a class among pools by weight, and keep workspaces with several keys in the same tables; ours knew paths, one pool and a file of workspaces. Ruled out: a second set of types for relayed classes, since both are a class with a pool and targets.

--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -2,8 +2,8 @@
 
 use std::{rc::Rc, time::Instant};
 
-use http::StatusCode;
-use tables::{Pool, PoolKind, Priority, Repeat, Route, RouteIdx, Tables};
+use http::{StatusCode, header};
+use tables::{Pool, PoolIdx, PoolKind, Priority, Repeat, Route, RouteIdx, Tables};
 
 use crate::{
     arrival::Arrival,
@@ -25,6 +25,8 @@
     pub tables: Rc<Tables>,
     /// Its route in them.
     pub route: RouteIdx,
+    /// The pool that serves it.
+    pub pool: PoolIdx,
 }
 
 impl Routed {
@@ -37,7 +39,7 @@
     /// The row of the table of pools.
     #[must_use]
     pub fn pool(&self) -> &Pool {
-        self.tables.pool(self.route().pool)
+        self.tables.pool(self.pool)
     }
 
     /// The time after which the caller no longer wants the answer.
@@ -66,7 +68,8 @@
 pub fn apply(identified: Identified, tables: Rc<Tables>) -> Result<Routed, Failure> {
     let Identified { arrival, caller } = identified;
     let class = arrival.request.header(CLASS_HEADER);
-    let Some(route) = tables.find_route(arrival.request.uri.path(), class) else {
+    let host = arrival.request.header(header::HOST.as_str()).unwrap_or_default();
+    let Some(route) = tables.find_route(host_name(host), arrival.request.uri.path(), class) else {
         return Err(Failure::not_run(
             StatusCode::NOT_FOUND,
             Code::NoRoute,
@@ -74,7 +77,16 @@
         ));
     };
     check_caller(&caller, tables.route(route))?;
-    Ok(Routed { arrival, caller, tables, route })
+    let pool = tables.route(route).pool;
+    Ok(Routed { arrival, caller, tables, route, pool })
+}
+
+/// The host of a host header, without its port.
+pub(crate) fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|it| it.is_ascii_digit()) => name,
+        _ => host,
+    }
 }
 
 fn check_caller(caller: &Caller, route: &Route) -> Result<(), Failure> {
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -5,8 +5,8 @@
 use ini_settings::{Document, Faults, Section, SectionReader};
 
 use crate::{
-    Discovery, Fencing, Pool, PoolIdx, PoolKind, Priority, Repeat, Revision, Route, Tables,
-    TablesText, Targets,
+    Access, Discovery, Exchange, Fencing, Pool, PoolIdx, PoolKind, PoolShare, Priority, Repeat,
+    Revision, Route, Tables, TablesText, Targets,
 };
 
 const SHARE_WHOLE_PERMILLE: u32 = 1000;
@@ -15,10 +15,12 @@
 const QUEUE_DEFAULT: u32 = 256;
 const WORKSPACE_IN_FLIGHT_DEFAULT: u32 = 64;
 const IN_FLIGHT_DEFAULT: u32 = 32;
+const HEALTH_PATH_DEFAULT: &str = "/healthz";
 
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 450";
 const PERMILLE: &str = "a whole number of thousandths, such as 100";
 const COUNT: &str = "a whole number";
+const EXCHANGES: &str = "native, whole, events or resumable-events";
 
 /// Reads, checks and joins the tables.
 ///
@@ -32,7 +34,7 @@
     let pools = read_pools(&pools_document, &mut faults);
     let routes = read_routes(&routes_document, &pools, &mut faults);
     check_shares(&routes_document, &routes, &pools, &mut faults);
-    faults.or_value(Tables { revision, routes, pools })
+    faults.or_value(Tables { revision, routes, pools, ..Tables::default() })
 }
 
 fn parse(name: &str, text: &str, faults: &mut Faults) -> Option<Document> {
@@ -58,6 +60,8 @@
         engine: reader.or_default("engine", "the name of the engine", String::new()),
         model: reader.or_default("model", "the name of the model", String::new()),
         version: reader.or_default("version", "the version", String::new()),
+        health_path: reader.or_default("health_path", "a path", HEALTH_PATH_DEFAULT.to_owned()),
+        connections_max: reader.optional("connections_max", COUNT),
         in_flight_max: reader.or_default("in_flight_max", COUNT, IN_FLIGHT_DEFAULT),
         fencing: reader.or_default("fencing", "enforced or ignored", Fencing::default()),
         discovery: reader.or_default("discovery", "table or platform", Discovery::default()),
@@ -96,9 +100,13 @@
     let retries_default = u32::from(repeat.0 == Repeat::Idempotent);
     let route = Route {
         class: section.name.clone(),
+        host: reader.or_default("host", "the host of the requests", String::new()),
         path: reader.required("path", "the path of the requests, such as /v1/chat/completions"),
         priority: reader.required("priority", "a number from 0, the most urgent, to 5"),
         pool: read_join(&mut reader, pools),
+        split: read_split(&mut reader, pools),
+        exchange: reader.or_default("exchange", EXCHANGES, Exchange::default()),
+        access: reader.or_default("access", "workspace or public", Access::default()),
         targets: read_targets(&mut reader),
         deadline_ms: reader.required("deadline_ms", MILLISECONDS),
         share_permille: reader.or_default("share_permille", PERMILLE, SHARE_DEFAULT_PERMILLE),
@@ -122,15 +130,31 @@
     route
 }
 
+fn read_split(reader: &mut SectionReader<'_>, pools: &[Pool]) -> Vec<PoolShare> {
+    let shares: Vec<NamedShare> = reader.list("split", "POOL:WEIGHT, separated by commas");
+    if !shares.is_empty() && shares.iter().all(|it| it.weight == 0) {
+        reader.fault("split", "the weights add up to 0", "give one pool a weight");
+    }
+    let share = |it: &NamedShare| PoolShare {
+        pool: join(reader, "split", &it.pool, pools),
+        weight: it.weight,
+    };
+    shares.iter().map(share).collect()
+}
+
 fn read_join(reader: &mut SectionReader<'_>, pools: &[Pool]) -> PoolIdx {
     let name: String = reader.required("pool", "the name of a pool");
+    join(reader, "pool", &name, pools)
+}
+
+fn join(reader: &mut SectionReader<'_>, key: &str, name: &str, pools: &[Pool]) -> PoolIdx {
     if let Some(idx) = pools.iter().position(|it| it.name == name) {
         return PoolIdx(idx as u32);
     }
     if !name.is_empty() {
         let known: Vec<_> = pools.iter().map(|it| it.name.as_str()).collect();
         let remedy = format!("add the pool or use one of: {}", known.join(", "));
-        reader.fault("pool", &format!("no pool is named `{name}`"), &remedy);
+        reader.fault(key, &format!("no pool is named `{name}`"), &remedy);
     }
     PoolIdx::default()
 }
@@ -185,6 +209,21 @@
     }
 }
 
+/// One part of a split as operators write it.
+struct NamedShare {
+    pool: String,
+    weight: u32,
+}
+
+impl FromStr for NamedShare {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (pool, weight) = text.rsplit_once(':').ok_or(())?;
+        Ok(NamedShare { pool: pool.trim().to_owned(), weight: weight.parse().map_err(|_| ())? })
+    }
+}
+
 /// Reads whether a class is idempotent by the words that operators write.
 #[derive(Default)]
 struct Idempotent(Repeat);
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -11,6 +11,7 @@
 mod route;
 mod rows;
 mod text;
+mod workspace;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,9 +19,10 @@
 pub use delta::{Delta, DeltaError, RowChange, TableKind};
 pub use names::{PoolIdx, Revision, RouteIdx};
 pub use pool::{Discovery, Fencing, Pool, PoolKind, ServerAddr};
-pub use route::{Priority, Repeat, Route, Targets};
+pub use route::{Access, Exchange, PoolShare, Priority, Repeat, Route, Targets};
 pub use rows::{Row, Rows};
 pub use text::TablesText;
+pub use workspace::{CallerLimits, Workspace};
 
 /// Both tables at one revision, checked and joined.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +34,20 @@
     pub routes: Vec<Route>,
     /// The pools, sorted by name.
     pub pools: Vec<Pool>,
+    /// The workspaces; empty if they are known from elsewhere.
+    pub workspaces: Vec<Workspace>,
+    /// What a caller may send, where the tables say it.
+    pub caller_limits: Option<CallerLimits>,
+}
+
+/// A notation in which operators write both tables as one document.
+pub trait Notation {
+    /// Reads and checks a document.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it, for the operator.
+    fn read(&self, revision: Revision, text: &[u8]) -> Result<Tables, String>;
 }
 
 impl Tables {
@@ -55,13 +71,19 @@
 
     /// The route for a request: the class that the caller names if its path fits, otherwise the
     /// least urgent route with the longest path that fits, so that nobody gains by leaving the
-    /// class out.
-    pub fn find_route(&self, path: &str, class: Option<&str>) -> Option<RouteIdx> {
-        let fitting = || self.indexed_routes().filter(|(_, it)| it.fits(path));
+    /// class out. A route that names the host goes before those of any host.
+    pub fn find_route(&self, host: &str, path: &str, class: Option<&str>) -> Option<RouteIdx> {
+        let fitting = || self.indexed_routes().filter(|(_, it)| it.fits(host, path));
         if let Some(class) = class {
             return fitting().find(|(_, it)| it.class == class).map(|(idx, _)| idx);
         }
-        fitting().max_by_key(|(_, it)| (it.path.len(), it.priority)).map(|(idx, _)| idx)
+        let rank = |it: &Route| (!it.host.is_empty(), it.path.len(), it.priority);
+        fitting().max_by_key(|(_, it)| rank(it)).map(|(idx, _)| idx)
+    }
+
+    /// The workspace that holds a key.
+    pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
+        self.workspaces.iter().find(|it| it.keys.iter().any(|held| held == key))
     }
 
     fn indexed_routes(&self) -> impl Iterator<Item = (RouteIdx, &Route)> {
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -19,6 +19,10 @@
     pub model: String,
     /// The version of the model or service.
     pub version: String,
+    /// The path at which a backend server tells its health.
+    pub health_path: String,
+    /// How many connections one backend server takes, from all routers together.
+    pub connections_max: Option<u32>,
     /// How many requests one backend server takes at a time.
     pub in_flight_max: u32,
     /// Whether the engines refuse an order with an old fencing number.
--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -13,12 +13,21 @@
 pub struct Route {
     /// The class, which is the name of the row.
     pub class: String,
+    /// The host that callers name; empty for any.
+    pub host: String,
     /// The path of the requests; a trailing `*` stands for any rest.
     pub path: String,
     /// The urgency among all classes.
     pub priority: Priority,
     /// The pool that serves the class.
     pub pool: PoolIdx,
+    /// The pools among which the requests are divided, with their weights; empty if `pool` serves
+    /// all of them.
+    pub split: Vec<PoolShare>,
+    /// How requests and answers are exchanged with the pool.
+    pub exchange: Exchange,
+    /// Who may use the class without a key.
+    pub access: Access,
     /// The latency targets.
     pub targets: Targets,
     /// The time after which the caller no longer wants the answer, in milliseconds.
@@ -39,6 +48,55 @@
     pub workspaces: Vec<String>,
 }
 
+/// One part of a class whose requests are divided among pools.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PoolShare {
+    /// The pool.
+    pub pool: PoolIdx,
+    /// Its part of the sum of all weights.
+    pub weight: u32,
+}
+
+/// How requests and answers are exchanged with a pool.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, FromStr, Serialize, Deserialize,
+)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Exchange {
+    /// By the product's own interface: chat completions at engines, calls and orders at services.
+    #[default]
+    Native,
+    /// Passed on unchanged; the answer counts once it is whole.
+    Whole,
+    /// Passed on unchanged; the answer is a stream of events.
+    Events,
+    /// As [`Exchange::Events`], and another server can go on behind any whole event.
+    ResumableEvents,
+}
+
+impl Exchange {
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Exchange::Events | Exchange::ResumableEvents)
+    }
+}
+
+/// Who may use a class without a key.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, FromStr, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Access {
+    /// Only callers of a known workspace.
+    #[default]
+    Workspace,
+    /// Everybody; keys are not looked at.
+    Public,
+}
+
 /// What the class is owed; a target that is not set is not measured.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -87,14 +145,34 @@
 }
 
 impl Route {
-    /// Whether a request with this path can belong to the class.
-    pub fn fits(&self, path: &str) -> bool {
+    /// Whether a request with this host and path can belong to the class.
+    pub fn fits(&self, host: &str, path: &str) -> bool {
+        if !self.host.is_empty() && !self.host.eq_ignore_ascii_case(host) {
+            return false;
+        }
         match self.path.strip_suffix('*') {
             Some(prefix) => path.starts_with(prefix),
             None => self.path == path,
         }
     }
 
+    /// The pools that may serve a request.
+    pub fn pools(&self) -> impl Iterator<Item = PoolIdx> + '_ {
+        let whole = self.split.is_empty().then_some(self.pool);
+        whole.into_iter().chain(self.split.iter().map(|it| it.pool))
+    }
+
+    /// The pool of a request, for a number that is drawn evenly from all of its type.
+    pub fn pool_for(&self, drawn: u32) -> PoolIdx {
+        let sum: u64 = self.split.iter().map(|it| u64::from(it.weight)).sum();
+        let mut rest = (u64::from(drawn) * sum) >> u32::BITS;
+        for share in &self.split {
+            let Some(left) = rest.checked_sub(u64::from(share.weight)) else { return share.pool };
+            rest = left;
+        }
+        self.pool
+    }
+
     /// The time after which the caller no longer wants the answer.
     pub fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_ms)
--- a/crates/tables/tests/checked_tables.rs
+++ b/crates/tables/tests/checked_tables.rs
@@ -38,11 +38,11 @@
     let text = TablesText { routes: ROUTES.to_owned(), pools: POOLS.to_owned() };
     let tables = check(Revision(7), &text).expect("good tables");
 
-    let chat = tables.find_route("/v1/chat/completions", Some("chat")).expect("chat");
+    let chat = tables.find_route("", "/v1/chat/completions", Some("chat")).expect("chat");
     assert_eq!(tables.pool(tables.route(chat).pool).servers.len(), 2);
-    let unnamed = tables.find_route("/v1/chat/completions", None).expect("a route");
+    let unnamed = tables.find_route("", "/v1/chat/completions", None).expect("a route");
     assert_eq!(tables.route(unnamed).class, "summary");
-    assert_eq!(tables.find_route("/elsewhere", None), None);
+    assert_eq!(tables.find_route("", "/elsewhere", None), None);
 }
 
 #[test]
