--- a/crates/control-state/src/check.rs
+++ b/crates/control-state/src/check.rs
@@ -6,6 +6,7 @@
 use crate::{Command, OrderKey, codec::CodecError, decode_command};
 
 const TABLE_MAX_BYTES: usize = 1024 * 1024;
+const DOCUMENT_MAX_BYTES: usize = 8 * 1024 * 1024;
 const NAME_MAX_BYTES: usize = 256;
 
 /// Why a command does not enter the log.
@@ -58,6 +59,13 @@
             limit("the change id", &it.change.0, NAME_MAX_BYTES)?;
             rules.check(&it.text).map_err(CommandFault::Tables)
         }
+        Command::PutDocument(it) => match it.text.len() <= DOCUMENT_MAX_BYTES {
+            true => Ok(()),
+            false => {
+                let (what, limit_bytes) = ("the document", DOCUMENT_MAX_BYTES);
+                Err(CommandFault::TooLong { what, limit_bytes })
+            }
+        },
         Command::ClaimOrder(it) => check_key(&it.order),
         Command::ReleaseOrder { order, .. } => check_key(&order),
         _ => Ok(()),
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -10,6 +10,8 @@
 pub enum Command {
     /// Replaces the tables if nobody did so since `base`.
     ProposeTables(ProposeTables),
+    /// Replaces the operator's document if its version is above the one held.
+    PutDocument(Document),
     /// Claims the right to run an order.
     ClaimOrder(ClaimOrder),
     /// Stores the answer of an order that ran.
@@ -79,6 +81,16 @@
     pub text: TablesText,
 }
 
+/// A whole configuration under the operator's own version, kept as the text that was sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Document {
+    /// The operator's version; zero stands for no document.
+    pub version: u64,
+    /// The text, whose notation the log does not know.
+    pub text: Vec<u8>,
+}
+
 /// A claim on the key of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -7,6 +7,7 @@
 mod check;
 mod codec;
 mod command;
+mod document_store;
 mod engines;
 mod orders;
 mod registry;
@@ -17,10 +18,12 @@
 pub use check::{CommandFault, TablesCheck, TablesRules, check};
 pub use codec::{CodecError, decode_command, decode_response, encode_command, encode_response};
 pub use command::{
-    ChangeId, ClaimId, ClaimOrder, Command, ControlNode, Fencing, OrderKey, Plan, PlannedServer,
-    ProposeTables, RouterId,
+    ChangeId, ClaimId, ClaimOrder, Command, ControlNode, Document, Fencing, OrderKey, Plan,
+    PlannedServer, ProposeTables, RouterId,
 };
 pub use orders::{ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, KEY_LIFE, KEYS_MAX, RELEASED_MAX};
-pub use response::{ClaimAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer};
+pub use response::{
+    ClaimAnswer, DocumentAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer,
+};
 pub use state::State;
 pub use table_store::CHANGE_IDS_MAX;
--- a/crates/control-state/src/response.rs
+++ b/crates/control-state/src/response.rs
@@ -12,6 +12,8 @@
 pub enum Response {
     /// To a proposal of tables.
     Tables(TablesAnswer),
+    /// To a document.
+    Document(DocumentAnswer),
     /// To a claim.
     Claim(ClaimAnswer),
     /// To what became of a claimed order.
@@ -46,6 +48,22 @@
     ChangeReused,
 }
 
+/// What became of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DocumentAnswer {
+    /// It is in force from now on.
+    Accepted {
+        /// Its version.
+        version: u64,
+    },
+    /// A document of this or a higher version is in force, and stays.
+    Kept {
+        /// The version in force.
+        current: u64,
+    },
+}
+
 /// Whether an order may run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -1,11 +1,14 @@
 //! The state machine as a whole.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 use tables::{Revision, TablesText};
 
 use crate::{
-    CodecError, Command, ControlNode, Fencing, Plan, Response, codec, decode_command,
-    encode_response, engines::Engines, orders::Orders, registry::Registry, table_store::TableStore,
+    CodecError, Command, ControlNode, Document, Fencing, Plan, Response, codec, decode_command,
+    document_store::DocumentStore, encode_response, engines::Engines, orders::Orders,
+    registry::Registry, table_store::TableStore,
 };
 
 /// Everything that the log has decided.
@@ -13,6 +16,7 @@
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct State {
     tables: TableStore,
+    document: DocumentStore,
     orders: Orders,
     engines: Engines,
     registry: Registry,
@@ -23,6 +27,7 @@
     pub fn apply(&mut self, command: Command) -> Response {
         match command {
             Command::ProposeTables(it) => self.tables.propose(it).into(),
+            Command::PutDocument(it) => self.document.put(it).into(),
             Command::ClaimOrder(it) => self.orders.claim(it).into(),
             Command::CompleteOrder { order, claim, answer } => {
                 self.orders.complete(&order, claim, answer).into()
@@ -85,6 +90,11 @@
         self.tables.text()
     }
 
+    /// The operator's document in force; its version is zero before the first one.
+    pub fn document(&self) -> &Rc<Document> {
+        self.document.newest()
+    }
+
     /// The newest fencing number.
     pub fn fencing(&self) -> Fencing {
         self.engines.fencing()
--- a/crates/control-state/tests/support/script.rs
+++ b/crates/control-state/tests/support/script.rs
@@ -4,8 +4,8 @@
 
 use consensus::Proposal;
 use control_state::{
-    ClaimId, ClaimOrder, Command, Fencing, OrderKey, Plan, ProposeTables, Response, RouterId,
-    decode_response, encode_command,
+    ClaimId, ClaimOrder, Command, Document, Fencing, OrderKey, Plan, ProposeTables, Response,
+    RouterId, decode_response, encode_command,
 };
 use goldenscript::{Context, Runner};
 use tables::{Revision, TablesText};
@@ -32,6 +32,16 @@
         first_base: u64,
         count: u64,
     },
+    /// Sends the operator's document of a version.
+    Document {
+        name: String,
+        at: u64,
+        version: u64,
+        #[arg(key)]
+        text: String,
+    },
+    /// Prints the document of a node.
+    Held(u64),
     Claim {
         name: String,
         at: u64,
@@ -116,6 +126,11 @@
                 let state = &self.cluster()?.host(*id).app.0;
                 return Ok(format!("{}: {}\n", state.revision(), state.tables().routes));
             }
+            Step::Held(id) => {
+                let document = self.cluster()?.host(*id).app.0.document().clone();
+                let text = String::from_utf8_lossy(&document.text).into_owned();
+                return Ok(format!("{}: {text}\n", document.version));
+            }
             Step::ManyTables { at, first_base, count } => {
                 for base in *first_base..first_base + count {
                     let change = format!("many {base}");
@@ -155,6 +170,10 @@
 fn command_of(step: &Step) -> (&str, u64, Command) {
     match step {
         Step::Tables { name, at, change, base, text } => (name, *at, tables(change, *base, text)),
+        Step::Document { name, at, version, text } => {
+            let text = text.clone().into_bytes();
+            (name, *at, Command::PutDocument(Document { version: *version, text }))
+        }
         Step::Claim { name, at, key, id, body, router, at_ms, until_ms } => {
             let claim = ClaimOrder {
                 order: order(key),
@@ -203,6 +222,7 @@
     let show = |it: &dyn Debug| format!("{it:?}");
     match response {
         Response::Tables(it) => show(it),
+        Response::Document(it) => show(it),
         Response::Claim(it) => show(it),
         Response::Settle(it) => show(it),
         Response::Fencing(it) => show(it),
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -8,6 +8,7 @@
 use consensus::{NodeId, Peer, Storage};
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
+use httpio::Limits;
 use httpio::server::{self, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
@@ -15,8 +16,9 @@
 use telemetry::{LogSettings, Secret};
 
 use crate::{
-    LogRules, LogState, Settings,
+    AddressBook, Documents, LogRules, LogState, OperatorFront, Settings,
     commands::CommandCheck,
+    founding::prepare,
     handler::{Handler, Tokens},
     health::ControlHealth,
     machine::ControlMachine,
@@ -29,6 +31,9 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
 const HANDOVER_POLL: Duration = Duration::from_millis(20);
 
+/// The most bytes of a request on the operators' listener.
+const OPERATOR_BODY_BYTES_MAX: usize = 8 << 20;
+
 /// What a control VM is given beside its settings.
 pub struct Parts {
     /// The disk.
@@ -37,14 +42,14 @@
     pub machine: Rc<RefCell<dyn ControlMachine>>,
     /// What the log refuses to hold.
     pub check: Rc<dyn CommandCheck>,
-    /// The token of commands.
-    pub command_token: Secret,
-    /// The token of peers.
-    pub peer_token: Secret,
+    /// What callers prove that they belong to the system by; none on a trusted network.
+    pub tokens: Option<Tokens>,
     /// The time.
     pub clock: Rc<dyn Clock>,
     /// The seed of election times and of the hub's epoch.
     pub seed: u64,
+    /// The front of the operators' listener, if there is one.
+    pub front: Option<Rc<dyn OperatorFront>>,
 }
 
 /// The listeners of a control VM.
@@ -53,6 +58,8 @@
     pub calls: TcpListener,
     /// For health and metrics.
     pub admin: TcpListener,
+    /// For an operators' front.
+    pub operators: Option<TcpListener>,
 }
 
 impl Bound {
@@ -63,7 +70,8 @@
     /// Those of the system, such as an address in use.
     pub fn new(settings: &Settings) -> io::Result<Bound> {
         let calls = server::bind(settings.listen)?;
-        Ok(Bound { calls, admin: server::bind(settings.admin_listen)? })
+        let operators = settings.operators_listen.map(server::bind).transpose()?;
+        Ok(Bound { calls, admin: server::bind(settings.admin_listen)?, operators })
     }
 }
 
@@ -73,16 +81,38 @@
 ///
 /// Faults in the files, addresses that cannot be bound, and a disk that fails.
 pub fn run(settings_file: &Path) -> anyhow::Result<()> {
+    run_with_front(settings_file, None)
+}
+
+/// As [`run`], with a front on the operators' listener.
+///
+/// # Errors
+///
+/// As for [`run`].
+pub fn run_with_front(
+    settings_file: &Path,
+    front: Option<Rc<dyn OperatorFront>>,
+) -> anyhow::Result<()> {
     let settings = Settings::read(settings_file)?;
     telemetry::init_logs(&LogSettings { filter: settings.log.clone() })?;
+    if settings.peers.is_empty() {
+        prepare(&settings)?;
+    }
+    let tokens = match &settings.token_files {
+        Some(files) => Some(Tokens {
+            command: Secret::read(&files.command)?,
+            peer: Secret::read(&files.peer)?,
+        }),
+        None => None,
+    };
     let parts = Parts {
         storage: Box::new(LogFile::open(&settings.data_dir, &storage::Settings::default())?),
         machine: Rc::new(RefCell::new(LogState::default())),
         check: Rc::new(LogRules),
-        command_token: Secret::read(&settings.command_token_file)?,
-        peer_token: Secret::read(&settings.peer_token_file)?,
+        tokens,
         clock: Rc::new(SystemClock),
         seed: rand::random(),
+        front,
     };
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
@@ -113,7 +143,7 @@
         storage: parts.storage,
         machine: parts.machine,
         feed: feed.clone(),
-        peers: Peers::start(me.node, &settings.peers, &parts.peer_token),
+        peers: peers(&settings, parts.tokens.as_ref()),
         clock: parts.clock.clone(),
         voters_max: settings.voters_max,
         snapshot_every_entries: settings.snapshot_every_entries,
@@ -123,13 +153,19 @@
     let admin = Rc::new(Admin::new(registry, health));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
+    if let (Some(listener), Some(front)) = (bound.operators, parts.front) {
+        let handler = front.handler(Documents::new(replica.clone()));
+        let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
+        let settings = ServerSettings { limits, ..ServerSettings::default() };
+        monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
+    }
     let epoch = parts.seed.max(1);
     let handler = Handler {
         replica: replica.clone(),
         feed: feed.clone(),
         hub: RefCell::new(Hub::new(HubSettings { epoch, ..HubSettings::default() })),
         check: parts.check,
-        tokens: Tokens { command: parts.command_token, peer: parts.peer_token },
+        tokens: parts.tokens,
         clock: parts.clock,
     };
     monoio::spawn(rpc::serve(bound.calls, Rc::new(handler), feed.counters().clone()));
@@ -147,6 +183,13 @@
     }
 }
 
+fn peers(settings: &Settings, tokens: Option<&Tokens>) -> Peers {
+    let token = tokens.map(|it| it.peer.clone()).unwrap_or_default();
+    let book = AddressBook::new(settings.peers.clone());
+    let first: Vec<_> = book.numbered().chain(settings.seeds.iter().copied()).collect();
+    Peers::start(settings.node, book, &first, &token)
+}
+
 fn fail(fault: Option<consensus::StorageError>) -> anyhow::Result<()> {
     match fault {
         Some(fault) => Err(fault).context("the disk failed"),
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{bail, ensure};
-use consensus::{Members, Peer, Snapshot};
+use consensus::{DiskId, Members, Peer, Snapshot};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, dial};
 use std::time::Duration;
@@ -45,6 +45,37 @@
     Ok(me)
 }
 
+/// The disk id of the first members, which all of them know before any of them runs.
+const FOUNDING_DISK: DiskId = DiskId(1);
+
+/// Formats the data folder if it is empty, without an operator.
+///
+/// The seeds found the cluster together: each starts with the same list of members, so none has to
+/// wait for another, and no two clusters can come to be. Whoever is not a seed, or has lost its
+/// disk, joins under a new disk id.
+///
+/// # Errors
+///
+/// If the folder cannot be written.
+pub fn prepare(settings: &Settings) -> anyhow::Result<()> {
+    if storage::is_formatted(&settings.data_dir) {
+        return Ok(());
+    }
+    let sizes = storage::Settings::default();
+    let is_founder =
+        settings.founding == Founding::Found && settings.seeds.contains(&settings.node);
+    if !is_founder {
+        let disk = storage::format(&settings.data_dir, &sizes)?;
+        tracing::info!(event = "disk_formatted", %disk, purpose = "join");
+        return Ok(());
+    }
+    let voters = settings.seeds.iter().map(|node| Peer { node: *node, disk: FOUNDING_DISK });
+    let start = Snapshot::bootstrap(Members::of_voters(voters));
+    storage::format_founder(&settings.data_dir, &sizes, FOUNDING_DISK, start)?;
+    tracing::info!(event = "disk_formatted", disk = %FOUNDING_DISK, purpose = "found");
+    Ok(())
+}
+
 fn refuse_second_cluster(settings: &Settings) -> anyhow::Result<()> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     let others = settings.peers.iter().filter(|(node, _)| **node != settings.node);
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -9,7 +9,9 @@
 use clock::Clock;
 use dissemination::{Hub, decode_summary, encode_digest};
 use futures::{FutureExt, future::LocalBoxFuture};
-use rpc::{ControlHandler, PeerHandler, SubmitResult, TablesUpdate};
+use rpc::{
+    ControlHandler, DocumentUpdate, FetchedDocument, PeerHandler, SubmitResult, TablesUpdate,
+};
 use tables::Revision;
 use telemetry::Secret;
 
@@ -22,9 +24,11 @@
 
 /// The tokens that callers show.
 #[derive(Debug, Clone)]
-pub(crate) struct Tokens {
-    pub(crate) command: Secret,
-    pub(crate) peer: Secret,
+pub struct Tokens {
+    /// Of commands.
+    pub command: Secret,
+    /// Of peers.
+    pub peer: Secret,
 }
 
 /// Answers routers and operators.
@@ -33,7 +37,8 @@
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) hub: RefCell<Hub>,
     pub(crate) check: Rc<dyn CommandCheck>,
-    pub(crate) tokens: Tokens,
+    /// None on a network on which every process is trusted.
+    pub(crate) tokens: Option<Tokens>,
     pub(crate) clock: Rc<dyn Clock>,
 }
 
@@ -60,8 +65,37 @@
         .boxed_local()
     }
 
+    fn fetch_document(&self, held: u64, wait: Duration) -> LocalBoxFuture<'static, DocumentUpdate> {
+        let (replica, clock) = (self.replica.clone(), self.clock.clone());
+        let wait = wait.min(FETCH_WAIT_MAX);
+        let deadline = clock.now() + wait;
+        async move {
+            let confirmed = held == 0 && replica.confirm(wait).await;
+            while held > 0 && replica.has_leader() && replica.document().version <= held {
+                let left = deadline.saturating_duration_since(clock.now());
+                let change = replica.applied().changed();
+                if left.is_zero() || monoio::time::timeout(left, change).await.is_err() {
+                    break;
+                }
+            }
+            let document = replica.document();
+            let fetched = || FetchedDocument {
+                version: document.version,
+                text: document.text.clone(),
+                confirmed,
+            };
+            let is_news = held == 0 || document.version > held;
+            DocumentUpdate {
+                controls: replica.control_addrs(),
+                has_leader: replica.has_leader(),
+                document: is_news.then(fetched),
+            }
+        }
+        .boxed_local()
+    }
+
     fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
-        if token != self.tokens.command.expose() {
+        if self.tokens.as_ref().is_some_and(|it| token != it.command.expose()) {
             let remedy = "the command token is wrong: use the one from the control VMs' settings";
             return async { SubmitResult::Refused(remedy.to_owned()) }.boxed_local();
         }
@@ -96,7 +130,7 @@
     }
 
     fn peer(&self, token: &str) -> Option<Rc<dyn PeerHandler>> {
-        let is_known = token == self.tokens.peer.expose();
+        let is_known = self.tokens.as_ref().is_none_or(|it| token == it.peer.expose());
         is_known.then(|| Rc::new(FromPeer { replica: self.replica.clone() }) as Rc<dyn PeerHandler>)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,9 +3,11 @@
 //! It is the rim around the pure crates `consensus` and `control-state`: sockets, the disk's
 //! thread, timers. It never decides what a command means.
 
+mod address_book;
 mod commands;
 pub mod daemon;
 mod disk;
+mod documents;
 mod envelope;
 mod founding;
 mod handler;
@@ -19,9 +21,11 @@
 mod tables_feed;
 mod watch;
 
+pub use address_book::{AddressBook, node_named_after};
 pub use commands::CommandCheck;
-pub use founding::{Founding, format};
+pub use documents::{Documents, NotNow, OperatorFront};
+pub use founding::{Founding, format, prepare};
 pub use log_state::{LogRules, LogState};
 pub use machine::ControlMachine;
 pub use replica::pending::Pending;
-pub use settings::Settings;
+pub use settings::{Settings, TokenFiles};
--- a/crates/control/src/log_state.rs
+++ b/crates/control/src/log_state.rs
@@ -1,7 +1,9 @@
 //! Joins crate `control-state` to the replicated log.
 
+use std::rc::Rc;
+
 use consensus::LogIndex;
-use control_state::{State, TablesRules};
+use control_state::{Document, State, TablesRules};
 use tables::{Revision, TablesText};
 
 use crate::{CommandCheck, ControlMachine};
@@ -34,6 +36,10 @@
         (self.state.revision(), self.state.tables().clone())
     }
 
+    fn document(&self) -> Rc<Document> {
+        Rc::clone(self.state.document())
+    }
+
     fn has_timed_entries(&self) -> bool {
         self.state.order_keys() > 0
     }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,6 +1,9 @@
 //! The border between the replicated log and what it decides.
 
+use std::rc::Rc;
+
 use consensus::LogIndex;
+use control_state::Document;
 use tables::{Revision, TablesText};
 
 /// A deterministic state machine that is fed by the log.
@@ -24,6 +27,9 @@
     /// The tables in force with their revision.
     fn tables(&self) -> (Revision, TablesText);
 
+    /// The operator's document in force.
+    fn document(&self) -> Rc<Document>;
+
     /// Whether something in the state waits for time to pass.
     fn has_timed_entries(&self) -> bool;
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -13,6 +13,8 @@
 use rpc::{Link, LinkSettings, PeerClient, RpcError};
 use telemetry::Secret;
 
+use crate::address_book::AddressBook;
+
 /// Messages that may wait for one peer; the log repeats what is dropped.
 const QUEUE_MESSAGES: usize = 256;
 
@@ -22,32 +24,35 @@
 const DELIVER_TIMEOUT: Duration = Duration::from_secs(2);
 const IN_FLIGHT_PAUSE: Duration = Duration::from_millis(1);
 
-/// The other control VMs.
+/// The other control VMs; a link to one is made when it is first needed.
 pub(crate) struct Peers {
-    queues: RefCell<BTreeMap<NodeId, mpsc::Sender<Vec<u8>>>>,
-    remotes: BTreeMap<NodeId, Rc<Remote>>,
+    me: NodeId,
+    book: AddressBook,
+    token: Secret,
+    known: RefCell<BTreeMap<NodeId, Known>>,
+}
+
+#[derive(Clone)]
+struct Known {
+    queue: mpsc::Sender<Vec<u8>>,
+    remote: Rc<Remote>,
 }
 
 impl Peers {
-    /// Starts a link to each of `addrs` but `me`.
-    pub(crate) fn start(me: NodeId, addrs: &BTreeMap<NodeId, SocketAddr>, token: &Secret) -> Peers {
-        let mut queues = BTreeMap::new();
-        let mut remotes = BTreeMap::new();
-        for (&node, &addr) in addrs.iter().filter(|(node, _)| **node != me) {
-            let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
-            let remote = Rc::new(Remote::new(me, addr, token.clone()));
-            monoio::spawn(remote.clone().run(messages));
-            queues.insert(node, queue);
-            remotes.insert(node, remote);
+    /// Starts links to the nodes of `first`.
+    pub(crate) fn start(me: NodeId, book: AddressBook, first: &[NodeId], token: &Secret) -> Peers {
+        let peers = Peers { me, book, token: token.clone(), known: RefCell::default() };
+        for node in first {
+            peers.meet(*node);
         }
-        Peers { queues: RefCell::new(queues), remotes }
+        peers
     }
 
-    /// Queues a message; it is dropped if the queue is full or the node unknown.
+    /// Queues a message; it is dropped if the queue is full or the node has no address.
     pub(crate) fn send(&self, node: NodeId, message: Vec<u8>) {
-        if let Some(queue) = self.queues.borrow_mut().get_mut(&node) {
+        if let Some(mut known) = self.meet(node) {
             // A full queue belongs to a peer that does not keep up; the log repeats.
-            let _ = queue.try_send(message);
+            let _ = known.queue.try_send(message);
         }
     }
 
@@ -55,23 +60,45 @@
     ///
     /// # Errors
     ///
-    /// If the peer is unknown or cannot be reached now.
+    /// If the peer has no address or cannot be reached now.
     pub(crate) async fn client(&self, node: NodeId) -> Result<PeerClient, RpcError> {
-        let remote = self.remotes.get(&node).ok_or(RpcError::NoLink)?;
-        remote.client().await
+        let known = self.meet(node).ok_or(RpcError::NoLink)?;
+        known.remote.client().await
     }
 
     /// The nodes this one has links to.
-    pub(crate) fn nodes(&self) -> impl Iterator<Item = NodeId> + '_ {
-        self.remotes.keys().copied()
+    pub(crate) fn nodes(&self) -> Vec<NodeId> {
+        self.known.borrow().keys().copied().collect()
+    }
+
+    /// Where a node listens.
+    pub(crate) fn addr(&self, node: NodeId) -> Option<SocketAddr> {
+        self.book.addr(node)
     }
 
     /// Bytes sent to and received from the other control VMs over these links.
     pub(crate) fn bytes(&self) -> (u64, u64) {
-        self.remotes.values().map(|it| it.link.counters()).fold((0, 0), |(sent, received), it| {
+        let known = self.known.borrow();
+        known.values().map(|it| it.remote.link.counters()).fold((0, 0), |(sent, received), it| {
             (sent + it.sent_bytes(), received + it.received_bytes())
         })
     }
+
+    fn meet(&self, node: NodeId) -> Option<Known> {
+        if node == self.me {
+            return None;
+        }
+        if let Some(known) = self.known.borrow().get(&node) {
+            return Some(known.clone());
+        }
+        let addr = self.book.addr(node)?;
+        let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
+        let remote = Rc::new(Remote::new(self.me, addr, self.token.clone()));
+        monoio::spawn(remote.clone().run(messages));
+        let known = Known { queue, remote };
+        self.known.borrow_mut().insert(node, known.clone());
+        Some(known)
+    }
 }
 
 struct Remote {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,8 +5,9 @@
 mod repair;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,6 +16,7 @@
 use consensus::{
     Entry, Message, Node, NodeId, Payload, Peer, Ready, RoleChange, Status, Storage, StorageError,
 };
+use control_state::Document;
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::SubmitResult;
 
@@ -58,6 +60,8 @@
     clock: Rc<dyn Clock>,
     applied: Watch,
     voters_max: usize,
+    /// Since when this member has led without a break.
+    leads_since: Cell<Option<Instant>>,
 }
 
 struct Core {
@@ -101,6 +105,7 @@
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
+            leads_since: Cell::new(None),
         });
         replica.update_feed();
         replica.pump();
@@ -131,16 +136,24 @@
     pub(crate) fn deliver(&self, bytes: &[u8]) {
         match Envelope::decode(bytes) {
             Some(Envelope::Log(message)) => self.step(message),
-            Some(Envelope::Hello(peer)) => {
-                let now = self.clock.now();
-                self.core.borrow_mut().running.insert(peer.node, (peer, now));
-            }
+            Some(Envelope::Hello(peer)) => self.heard(peer, bytes),
             None => {
                 tracing::warn!(event = "delivery_refused", remedy = "run one version everywhere")
             }
         }
     }
 
+    /// Notes that a node runs, and passes its word on to the leader: a node that knows only some
+    /// seeds may not know who leads.
+    fn heard(&self, peer: Peer, hello: &[u8]) {
+        let now = self.clock.now();
+        self.core.borrow_mut().running.insert(peer.node, (peer, now));
+        let status = self.status();
+        if let Some(leader) = status.leader.filter(|it| *it != status.me && it.node != peer.node) {
+            self.peers.send(leader.node, hello.to_vec());
+        }
+    }
+
     /// Commits a command here, or at the leader if that is another member.
     pub(crate) async fn submit(&self, command: Vec<u8>) -> SubmitResult {
         let leader = self.status().leader;
@@ -190,11 +203,28 @@
         self.core.borrow().node.status(self.clock.now())
     }
 
+    /// The operator's document as far as the log is applied here.
+    pub(crate) fn document(&self) -> Rc<Document> {
+        self.core.borrow().machine.borrow().document()
+    }
+
+    /// Where the members of the log listen.
+    pub(crate) fn control_addrs(&self) -> Vec<SocketAddr> {
+        let status = self.status();
+        status.members.all().filter_map(|it| self.peers.addr(it.node)).collect()
+    }
+
     /// Whether this member leads under a lease.
     pub(crate) fn leads(&self) -> bool {
         !self.status().lease_left.is_zero()
     }
 
+    /// Whether this member leads under a lease or follows a leader.
+    pub(crate) fn has_leader(&self) -> bool {
+        let status = self.status();
+        status.leader.is_some_and(|it| it != status.me || !status.lease_left.is_zero())
+    }
+
     /// Starts to hand the leadership to the member with the newest log; nothing if there is none.
     pub(crate) fn start_transfer(&self) -> Option<Peer> {
         let status = self.status();
--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -6,7 +6,7 @@
     time::{Duration, UNIX_EPOCH},
 };
 
-use consensus::{MemberChange, Peer, RepairStep, next_repair_step};
+use consensus::{MemberChange, Peer, RepairStep, Status, next_repair_step};
 use control_state::{Command, encode_command};
 
 use super::Replica;
@@ -20,6 +20,9 @@
 /// A node that was not heard for this long is taken for stopped.
 const HELLO_FRESH: Duration = Duration::from_secs(5);
 
+/// A voter that has not answered the leader for this long gives its vote to a waiting learner.
+const LOST_AFTER: Duration = Duration::from_secs(6);
+
 impl Replica {
     /// Looks for the next step once an interval, and says hello and moves time on once a second.
     pub(super) async fn keep_members(self: Rc<Self>) {
@@ -28,27 +31,52 @@
                 self.say_hello();
                 self.advance_time();
             }
+            self.note_leadership();
             self.take_step();
             monoio::time::sleep(STEP_INTERVAL).await;
         }
     }
 
+    fn note_leadership(&self) {
+        let since = self.leads_since.get().unwrap_or_else(|| self.clock.now());
+        self.leads_since.set(self.leads().then_some(since));
+    }
+
     /// The next safe step towards members that are all synced.
     pub(crate) fn repair_step(&self) -> RepairStep {
         let status = self.status();
         let step = next_repair_step(&status, &self.running());
         let is_full = status.members.voters.len() >= self.voters_max;
         match step {
-            RepairStep::Change(MemberChange::Promote(_)) if is_full => RepairStep::Finished,
+            RepairStep::Change(MemberChange::Promote(_)) if is_full => {
+                let lost = self.lost_voter(&status);
+                lost.map_or(RepairStep::Finished, |it| RepairStep::Change(MemberChange::Remove(it)))
+            }
             step => step,
         }
     }
 
+    /// A voter that was not heard for long, whose vote a synced learner may take over.
+    fn lost_voter(&self, status: &Status) -> Option<Peer> {
+        // A leader that was just elected has not given the others time to answer.
+        let led_for = self.clock.now().saturating_duration_since(self.leads_since.get()?);
+        if led_for < LOST_AFTER {
+            return None;
+        }
+        let is_silent = |it: &Peer| {
+            let seen = status.peers.iter().find(|seen| seen.peer == *it);
+            seen.is_some_and(|seen| seen.answer_age.is_none_or(|age| age >= LOST_AFTER))
+        };
+        status.members.voters.iter().copied().find(is_silent)
+    }
+
     /// Only a leader takes member steps, so the others need not be told while one is known.
     fn say_hello(&self) {
         let status = self.status();
         let Some(bytes) = Envelope::Hello(status.me).encode() else { return };
-        for node in self.peers.nodes() {
+        let known = self.peers.nodes();
+        let members = status.members.all().map(|it| it.node).filter(|it| !known.contains(it));
+        for node in known.iter().copied().chain(members.collect::<Vec<_>>()) {
             if status.leader.is_none_or(|it| it.node == node) {
                 self.peers.send(node, bytes.clone());
             }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,11 +9,23 @@
 
 use anyhow::Context;
 use consensus::NodeId;
-use ini_settings::{Document, Faults};
+use derive_more::FromStr;
+use ini_settings::{Document, Faults, SectionReader};
+
+use crate::{Founding, address_book::node_named_after};
 
 const SECTIONS: [&str; 2] = ["control", "peers"];
 const ADDRESS: &str = "ADDRESS:PORT, such as 10.0.0.1:7100";
 
+/// What proves that a caller belongs to the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
+enum Trust {
+    /// The tokens of the settings.
+    Tokens,
+    /// The network, which only processes of the system can reach.
+    Network,
+}
+
 /// What a control VM is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -27,18 +39,32 @@
     pub admin_listen: SocketAddr,
     /// The one folder below which everything is kept.
     pub data_dir: PathBuf,
-    /// The file with the token that operators' and routers' commands carry.
-    pub command_token_file: PathBuf,
-    /// The file with the token that control VMs show one another.
-    pub peer_token_file: PathBuf,
+    /// Where an operators' front listens, if the daemon is built with one.
+    pub operators_listen: Option<SocketAddr>,
+    /// The files of the tokens; none on a network on which every process is trusted.
+    pub token_files: Option<TokenFiles>,
     /// How many members may vote; further ones stay learners.
     pub voters_max: usize,
     /// After how many applied entries a snapshot is taken.
     pub snapshot_every_entries: u64,
     /// The log filter.
     pub log: String,
-    /// The control VMs by node, this one included.
+    /// The control VMs that the operators numbered, this one included; empty if nodes are named
+    /// after their addresses.
     pub peers: BTreeMap<NodeId, SocketAddr>,
+    /// The control VMs that this one asks first when nodes are named after their addresses.
+    pub seeds: Vec<NodeId>,
+    /// Whether the seeds found a cluster if their disks are empty.
+    pub founding: Founding,
+}
+
+/// The files of the tokens.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TokenFiles {
+    /// The token that operators' and routers' commands carry.
+    pub command: PathBuf,
+    /// The token that control VMs show one another.
+    pub peer: PathBuf,
 }
 
 impl Default for Settings {
@@ -50,12 +76,14 @@
             listen: unset,
             admin_listen: unset,
             data_dir: PathBuf::new(),
-            command_token_file: PathBuf::new(),
-            peer_token_file: PathBuf::new(),
+            operators_listen: None,
+            token_files: None,
             voters_max: 5,
             snapshot_every_entries: 1000,
             log: "info".to_owned(),
             peers: BTreeMap::new(),
+            seeds: Vec::new(),
+            founding: Founding::Join,
         }
     }
 }
@@ -83,8 +111,10 @@
         let mut faults = Faults::default();
         document.check_section_names(&SECTIONS, &mut faults);
         let peers = read_peers(&document, &mut faults);
-        let settings = Settings { peers, ..read_control(&document, &mut faults) };
-        if !settings.peers.contains_key(&settings.node) {
+        let settings = read_control(&document, &peers, &mut faults);
+        let settings = Settings { peers, ..settings };
+        let is_listed = settings.peers.is_empty() || settings.peers.contains_key(&settings.node);
+        if !is_listed {
             let section = document.section_or_empty("peers");
             let remedy = "list every control VM, this one included, as NODE = ADDRESS:PORT";
             document.read(&section, &mut faults).fault("node", "this node is not listed", remedy);
@@ -93,27 +123,39 @@
     }
 }
 
-fn read_control(document: &Document, faults: &mut Faults) -> Settings {
+fn read_control(
+    document: &Document,
+    peers: &BTreeMap<NodeId, SocketAddr>,
+    faults: &mut Faults,
+) -> Settings {
     let defaults = Settings::default();
     let section = document.section_or_empty("control");
     let mut reader = document.read(&section, faults);
     let path = |it: String| PathBuf::from(it);
+    let listen = reader.optional("listen", ADDRESS).unwrap_or(defaults.listen);
+    let losses_max: Option<usize> = reader.optional("losses_max", "a whole number, such as 1");
+    let voters_default = losses_max.map_or(defaults.voters_max, |it| 2 * it + 1);
     let settings = Settings {
-        node: NodeId(reader.required("node", "the number of this node, such as 1")),
+        node: read_node(&mut reader, listen, peers),
         failure_domain: reader.required("failure_domain", "the failure domain of this VM"),
-        listen: reader.optional("listen", ADDRESS).unwrap_or(defaults.listen),
+        listen,
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(defaults.admin_listen),
+        operators_listen: reader.optional("operators_listen", ADDRESS),
         data_dir: path(reader.required("data_dir", "the folder for all state")),
-        command_token_file: path(reader.required("command_token_file", "a file with a token")),
-        peer_token_file: path(reader.required("peer_token_file", "a file with a token")),
-        voters_max: reader.or_default("voters_max", "an odd number", defaults.voters_max),
+        token_files: read_token_files(&mut reader),
+        voters_max: reader.or_default("voters_max", "an odd number", voters_default),
         snapshot_every_entries: reader.or_default(
             "snapshot_every_entries",
             "a whole number",
             defaults.snapshot_every_entries,
         ),
         log: reader.or_default("log", "a filter such as info", defaults.log),
-        peers: BTreeMap::new(),
+        seeds: read_seeds(&mut reader, listen),
+        founding: match reader.or_default("found", "true or false", false) {
+            true => Founding::Found,
+            false => Founding::Join,
+        },
+        ..defaults
     };
     if settings.voters_max.is_multiple_of(2) {
         reader.fault("voters_max", "is even", "write 1, 3 or 5");
@@ -122,6 +164,38 @@
     settings
 }
 
+/// The node's number, or its name after the address it listens on where nodes have no numbers.
+fn read_node(
+    reader: &mut SectionReader<'_>,
+    listen: SocketAddr,
+    peers: &BTreeMap<NodeId, SocketAddr>,
+) -> NodeId {
+    if !peers.is_empty() {
+        return NodeId(reader.required("node", "the number of this node, such as 1"));
+    }
+    node_named_after(listen).unwrap_or_else(|| {
+        reader.fault("listen", "names no node", "write an IPv4 address or number the nodes");
+        NodeId::default()
+    })
+}
+
+/// The seeds by the hosts of their addresses; the port is the one that all control VMs share.
+fn read_seeds(reader: &mut SectionReader<'_>, listen: SocketAddr) -> Vec<NodeId> {
+    let seeds: Vec<SocketAddr> = reader.list("seeds", "addresses and ports separated by commas");
+    let on_port = |it: &SocketAddr| node_named_after(SocketAddr::new(it.ip(), listen.port()));
+    seeds.iter().filter_map(on_port).collect()
+}
+
+fn read_token_files(reader: &mut SectionReader<'_>) -> Option<TokenFiles> {
+    if reader.or_default("trust", "tokens or network", Trust::Tokens) == Trust::Network {
+        return None;
+    }
+    let command =
+        PathBuf::from(reader.required::<String>("command_token_file", "a file with a token"));
+    let peer = PathBuf::from(reader.required::<String>("peer_token_file", "a file with a token"));
+    Some(TokenFiles { command, peer })
+}
+
 fn read_peers(document: &Document, faults: &mut Faults) -> BTreeMap<NodeId, SocketAddr> {
     let section = document.section_or_empty("peers");
     let mut reader = document.read(&section, faults);
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -14,13 +14,18 @@
 };
 
 use control_client::{CommandError, submit};
-use control_state::{ChangeId, Command as LogCommand, ProposeTables, Response, TablesAnswer};
+use control_state::{
+    ChangeId, Command as LogCommand, Document, DocumentAnswer, ProposeTables, Response,
+    TablesAnswer,
+};
 use monoio::{LegacyDriver, RuntimeBuilder};
-use rpc::{ByteCounters, Connection, TablesUpdate, dial};
+use rpc::{ByteCounters, Connection, FetchedDocument, TablesUpdate, dial};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tables::{Revision, TablesText};
 
+pub(crate) use files::Start;
+
 const FINISHED: &str = "finished: every voter is synced";
 
 pub(crate) const TOKEN: &str = "command-token";
@@ -55,6 +60,43 @@
         cluster
     }
 
+    /// Nodes that are named after their addresses; none of them is formatted or started.
+    pub(crate) fn unnumbered(size: usize) -> Cluster {
+        let dir = tempfile::tempdir().expect("a folder for the test");
+        let net = next_net();
+        let addrs = (1..=size).map(|node| files::loopback_addr(net, node)).collect();
+        Cluster { dir, addrs, children: (0..size).map(|_| None).collect() }
+    }
+
+    /// Starts an unnumbered node that knows the seeds.
+    pub(crate) fn run_seeded(&mut self, node: usize, seeds: &[usize], start: Start) {
+        let seeds: Vec<_> = seeds.iter().map(|it| self.addr(*it)).collect();
+        files::write_seeded(self.dir.path(), node, self.addr(node), &seeds, start);
+        self.run(node);
+    }
+
+    /// Puts the operator's document at a node, until it is answered.
+    pub(crate) fn put_until_answered(&self, node: usize, version: u64) -> DocumentAnswer {
+        let document = Document { version, text: version.to_string().into_bytes() };
+        let command = LogCommand::PutDocument(document);
+        until("an answer to the document", || match self.submit(node, &command).ok()? {
+            Response::Document(answer) => Some(answer),
+            other => panic!("an answer to a document, not {other:?}"),
+        })
+    }
+
+    /// The document of a node as the leader confirms it.
+    pub(crate) fn confirmed_document(&self, node: usize) -> FetchedDocument {
+        until("a confirmed document", || {
+            run(async {
+                let connection = self.connect(node).await?;
+                let wait = Duration::from_millis(500);
+                let update = connection.client.fetch_document(0, wait).await.ok()?;
+                update.document.filter(|it| it.confirmed)
+            })
+        })
+    }
+
     pub(crate) fn addr(&self, node: usize) -> SocketAddr {
         self.addrs[node - 1]
     }
--- a/crates/control/tests/support/files.rs
+++ b/crates/control/tests/support/files.rs
@@ -42,6 +42,34 @@
     }
 }
 
+/// Whether the seeds may found a cluster, as the platform says at its first start only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Start {
+    First,
+    Later,
+}
+
+/// Writes the settings of one node that is named after its address and knows some seeds.
+pub(crate) fn write_seeded(
+    dir: &Path,
+    node: usize,
+    addr: SocketAddr,
+    seeds: &[SocketAddr],
+    start: Start,
+) {
+    let admin = SocketAddr::new(addr.ip(), PORT + 1);
+    // Only the host of a seed counts.
+    let seeds: Vec<_> = seeds.iter().map(|it| format!("{}:9", it.ip())).collect();
+    let text = format!(
+        "[control]\nfailure_domain = fd-{node}\nlisten = {addr}\nadmin_listen = {admin}\n\
+         data_dir = {}/data-{node}\ntrust = network\nlosses_max = 1\nseeds = {}\nfound = {}\n",
+        dir.display(),
+        seeds.join(", "),
+        start == Start::First,
+    );
+    fs::write(settings_path(dir, node), text).expect("the folder is ours");
+}
+
 pub(crate) fn tables_text(number: u64) -> TablesText {
     TablesText {
         routes: format!(
--- a/crates/load/tests/light_routers.rs
+++ b/crates/load/tests/light_routers.rs
@@ -17,7 +17,9 @@
     capacity::{Accepted, Changer, FollowerSettings, Followers, SiteSize, tables_text},
     loopback::LoopbackAddr,
 };
-use rpc::{ByteCounters, ControlHandler, PeerHandler, SubmitResult, TablesUpdate, serve};
+use rpc::{
+    ByteCounters, ControlHandler, DocumentUpdate, PeerHandler, SubmitResult, TablesUpdate, serve,
+};
 use support::block_on;
 use tables::Revision;
 
@@ -76,6 +78,11 @@
 }
 
 impl ControlHandler for FakeControl {
+    fn fetch_document(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, DocumentUpdate> {
+        async { DocumentUpdate { controls: Vec::new(), has_leader: true, document: None } }
+            .boxed_local()
+    }
+
     fn fetch_tables(
         &self,
         held: u64,
--- a/crates/rpc/schema/control.capnp
+++ b/crates/rpc/schema/control.capnp
@@ -21,6 +21,31 @@
 
   peer @5 (token :Text) -> (peer :Peer);
   # The interface for control VMs, for those that know the token.
+
+  fetchDocument @6 (held :UInt64, waitMs :UInt32) -> (update :DocumentUpdate);
+  # Waits until a document of a version above `held` is in force here, or until the time is over.
+  # With `held` zero it does not wait for a newer one, but for the leader's confirmation.
+}
+
+struct DocumentUpdate {
+  controls @0 :List(Text);
+  # Where the control VMs listen now, for the links of routers.
+
+  union {
+    unchanged @1 :Void;
+    document @2 :Document;
+  }
+
+  hasLeader @3 :Bool;
+  # Whether this VM follows a leader; without one it may lag behind the others.
+}
+
+struct Document {
+  version @0 :UInt64;
+  # The operator's version; zero if there is no document yet.
+  text @1 :Data;
+  confirmed @2 :Bool;
+  # Whether the leader said, after the question came in, that nothing newer is committed.
 }
 
 struct TablesUpdate {
--- a/crates/rpc/src/calls.rs
+++ b/crates/rpc/src/calls.rs
@@ -3,8 +3,8 @@
 use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use crate::{
-    RpcError, SubmitResult, TablesUpdate,
-    control_capnp::{control, peer, submit_result, tables_update},
+    DocumentUpdate, FetchedDocument, RpcError, SubmitResult, TablesUpdate,
+    control_capnp::{control, document_update, peer, submit_result, tables_update},
 };
 
 /// How long a call that needs no waiting on the other side may take.
@@ -77,6 +77,25 @@
         Ok(read_update(reply.get()?.get_update()?)?)
     }
 
+    /// Waits up to `wait` for a document newer than version `held`; with version zero, for the
+    /// leader's confirmation of the newest one.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks or stays silent well beyond `wait`.
+    pub async fn fetch_document(
+        &self,
+        held: u64,
+        wait: Duration,
+    ) -> Result<DocumentUpdate, RpcError> {
+        let mut request = self.inner.fetch_document_request();
+        let mut params = request.get();
+        params.set_held(held);
+        params.set_wait_ms(wait.as_millis() as u32);
+        let reply = self.wire.within(wait + CALL_TIMEOUT, request.send().promise).await?;
+        Ok(read_document(reply.get()?.get_update()?)?)
+    }
+
     /// Puts an encoded command into the replicated log.
     ///
     /// # Errors
@@ -209,6 +228,27 @@
     }
 }
 
+fn read_document(update: document_update::Reader<'_>) -> capnp::Result<DocumentUpdate> {
+    let mut controls = Vec::new();
+    for addr in update.get_controls()? {
+        let addr = addr?.to_str()?;
+        let fault = |_| capnp::Error::failed(format!("`{addr}` is no address of a control VM"));
+        controls.push(addr.parse().map_err(fault)?);
+    }
+    let document = match update.which()? {
+        document_update::Unchanged(()) => None,
+        document_update::Document(document) => {
+            let document = document?;
+            Some(FetchedDocument {
+                version: document.get_version(),
+                text: document.get_text()?.to_vec(),
+                confirmed: document.get_confirmed(),
+            })
+        }
+    };
+    Ok(DocumentUpdate { controls, has_leader: update.get_has_leader(), document })
+}
+
 fn read_result(result: submit_result::Reader<'_>) -> capnp::Result<SubmitResult> {
     match result.which()? {
         submit_result::Response(bytes) => Ok(SubmitResult::Response(bytes?.to_vec())),
--- a/crates/rpc/src/control_capnp.rs
+++ b/crates/rpc/src/control_capnp.rs
@@ -30,6 +30,10 @@
         ::capnp::capability::Params<crate::control_capnp::control::peer_params::Owned>;
     pub type PeerResults =
         ::capnp::capability::Results<crate::control_capnp::control::peer_results::Owned>;
+    pub type FetchDocumentParams =
+        ::capnp::capability::Params<crate::control_capnp::control::fetch_document_params::Owned>;
+    pub type FetchDocumentResults =
+        ::capnp::capability::Results<crate::control_capnp::control::fetch_document_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -153,6 +157,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
+        pub fn fetch_document_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::control_capnp::control::fetch_document_params::Owned,
+            crate::control_capnp::control::fetch_document_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn ping(
@@ -209,6 +221,15 @@
                 "method control::Server::peer not implemented".to_string(),
             )))
         }
+        fn fetch_document(
+            self: ::capnp::capability::Rc<Self>,
+            _: FetchDocumentParams,
+            _: FetchDocumentResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method control::Server::fetch_document not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -310,6 +331,14 @@
                     )),
                     false,
                 ),
+                6 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::fetch_document(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -3831,6 +3860,1389 @@
             pub(crate) const TYPE_ID: u64 = 0x8865_bc53_b94e_01b2;
         }
     }
+
+    pub mod fetch_document_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_held(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_held(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_held(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(40, 23, 203, 25, 36, 222, 102, 155),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 68, 111, 99, 117, 109),
+                ::capnp::word(101, 110, 116, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0x9b66_de24_19cb_1728;
+        }
+    }
+
+    pub mod fetch_document_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_update(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::document_update::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_update(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_update(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::document_update::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_update(
+                &mut self,
+                value: crate::control_capnp::document_update::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_update(self) -> crate::control_capnp::document_update::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_update(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {
+            pub fn get_update(&self) -> crate::control_capnp::document_update::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(194, 87, 64, 59, 240, 65, 211, 234),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 68, 111, 99, 117, 109),
+                ::capnp::word(101, 110, 116, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 112, 100, 97, 116, 101, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 178, 122, 154, 31, 20, 169, 201),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::control_capnp::document_update::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xead3_41f0_3b40_57c2;
+        }
+    }
+}
+
+pub mod document_update {
+    pub use self::Which::{Document, Unchanged};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_controls(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_has_leader(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Document(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(1),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_controls(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_controls(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(0),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_controls(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_unchanged(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 0);
+        }
+        #[inline]
+        pub fn set_document(
+            &mut self,
+            value: crate::control_capnp::document::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_document(self) -> crate::control_capnp::document::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_document(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_has_leader(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_has_leader(&mut self, value: bool) {
+            self.builder.set_bool_field(16, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Document(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(1),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(68, 178, 122, 154, 31, 20, 169, 201),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
+            ::capnp::word(99, 117, 109, 101, 110, 116, 85, 112),
+            ::capnp::word(100, 97, 116, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 76, 101, 97, 100, 101),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::control_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc9a9_141f_9a7a_b244;
+    }
+    pub enum Which<A0> {
+        Unchanged(()),
+        Document(A0),
+    }
+    pub type WhichReader<'a> = Which<::capnp::Result<crate::control_capnp::document::Reader<'a>>>;
+    pub type WhichBuilder<'a> = Which<::capnp::Result<crate::control_capnp::document::Builder<'a>>>;
+}
+
+pub mod document {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_text(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_confirmed(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_text(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_text(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_text(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_confirmed(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_confirmed(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
+            ::capnp::word(99, 117, 109, 101, 110, 116, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xb92d_d7b0_e5d7_b6e9;
+    }
 }
 
 pub mod tables_update {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -14,6 +14,8 @@
 mod link;
 mod server;
 
+use std::net::SocketAddr;
+
 pub use calls::{ControlClient, PeerClient};
 pub use counted::ByteCounters;
 pub use dial::{Connection, dial};
@@ -41,6 +43,28 @@
     },
 }
 
+/// The answer to a question for a document newer than the one held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DocumentUpdate {
+    /// Where the control VMs listen now.
+    pub controls: Vec<SocketAddr>,
+    /// Whether the control VM follows a leader; without one it may lag behind the others.
+    pub has_leader: bool,
+    /// The document, if it is newer or was asked for the first time.
+    pub document: Option<FetchedDocument>,
+}
+
+/// The operator's document as a control VM holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FetchedDocument {
+    /// The operator's version; zero if there is no document yet.
+    pub version: u64,
+    /// The text as it was sent.
+    pub text: Vec<u8>,
+    /// Whether the leader confirmed, after the question, that nothing newer is committed.
+    pub confirmed: bool,
+}
+
 /// What became of a command for the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SubmitResult {
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use futures::channel::oneshot;
+
 use crate::{ByteCounters, Connection, ControlClient, RpcError, dial};
 
 /// How a link is kept.
@@ -40,16 +42,22 @@
 #[derive(Clone)]
 pub struct Link {
     current: Rc<RefCell<Option<Connection>>>,
+    addrs: Rc<RefCell<Vec<SocketAddr>>>,
+    leave: Rc<RefCell<Option<oneshot::Sender<()>>>>,
     counters: ByteCounters,
 }
 
 impl Link {
     /// Starts keeping a connection in the background, until every handle is dropped.
     pub fn start(settings: LinkSettings) -> Link {
-        let link = Link { current: Rc::default(), counters: ByteCounters::default() };
+        let addrs = Rc::new(RefCell::new(settings.addrs.clone()));
+        let (leave, counters) = (Rc::default(), ByteCounters::default());
+        let link = Link { current: Rc::default(), addrs, leave, counters };
         let keeper = Keeper {
             settings,
             current: Rc::downgrade(&link.current),
+            addrs: link.addrs.clone(),
+            leave: link.leave.clone(),
             counters: link.counters.clone(),
         };
         monoio::spawn(keeper.run());
@@ -66,6 +74,30 @@
         current.as_ref().map(|it| it.client.clone()).ok_or(RpcError::NoLink)
     }
 
+    /// The addresses that are tried, the preferred one first.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.addrs.borrow().clone()
+    }
+
+    /// Replaces the addresses that are tried from the next connection on.
+    pub fn set_addrs(&self, addrs: Vec<SocketAddr>) {
+        self.addrs.replace(addrs);
+    }
+
+    /// Gives the present connection up for one to another address, if there is one.
+    pub fn leave(&self) {
+        let current = self.current.borrow().as_ref().map(|it| it.client.addr());
+        if let Some(current) = current {
+            let mut addrs = self.addrs.borrow_mut();
+            addrs.retain(|it| *it != current);
+            addrs.push(current);
+        }
+        if let Some(leave) = self.leave.borrow_mut().take() {
+            // A keeper that has just lost the connection needs no word.
+            let _ = leave.send(());
+        }
+    }
+
     /// Bytes over all connections of this link.
     pub fn counters(&self) -> &ByteCounters {
         &self.counters
@@ -75,6 +107,8 @@
 struct Keeper {
     settings: LinkSettings,
     current: Weak<RefCell<Option<Connection>>>,
+    addrs: Rc<RefCell<Vec<SocketAddr>>>,
+    leave: Rc<RefCell<Option<oneshot::Sender<()>>>>,
     counters: ByteCounters,
 }
 
@@ -83,7 +117,8 @@
     /// as soon as its present connection ends.
     async fn run(self) {
         while self.is_wanted() {
-            for addr in self.settings.addrs.clone() {
+            let addrs = self.addrs.borrow().clone();
+            for addr in addrs {
                 if self.connect(addr).await {
                     self.beat().await;
                     break;
@@ -112,9 +147,13 @@
     async fn beat(&self) {
         let interval = Duration::from_millis(self.settings.heartbeat_interval_ms);
         let timeout = Duration::from_millis(self.settings.heartbeat_timeout_ms);
+        let (leave, mut left) = oneshot::channel();
+        self.leave.replace(Some(leave));
         while let Some(client) = self.client() {
             let before = client.answers();
-            monoio::time::sleep(interval).await;
+            if monoio::time::timeout(interval, &mut left).await.is_ok() {
+                break;
+            }
             let is_proven = client.answers() > before;
             if !is_proven && client.ping(timeout).await.is_err() {
                 break;
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -9,8 +9,8 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::{
-    ByteCounters, SubmitResult, TablesUpdate,
-    control_capnp::{control, peer, submit_result, tables_update},
+    ByteCounters, DocumentUpdate, SubmitResult, TablesUpdate,
+    control_capnp::{control, document_update, peer, submit_result, tables_update},
     counted::Counted,
 };
 
@@ -27,6 +27,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'static, TablesUpdate>;
 
+    /// Waits up to `wait` for a document newer than version `held`.
+    fn fetch_document(&self, held: u64, wait: Duration) -> LocalBoxFuture<'static, DocumentUpdate>;
+
     /// Puts a command into the replicated log.
     fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult>;
 
@@ -101,6 +104,18 @@
         Ok(())
     }
 
+    async fn fetch_document(
+        self: Rc<Self>,
+        params: control::FetchDocumentParams,
+        mut results: control::FetchDocumentResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(params.get_wait_ms().into());
+        let update = self.handler.fetch_document(params.get_held(), wait).await;
+        write_document(results.get().init_update(), &update);
+        Ok(())
+    }
+
     async fn submit(
         self: Rc<Self>,
         params: control::SubmitParams,
@@ -196,6 +211,19 @@
     }
 }
 
+fn write_document(mut builder: document_update::Builder<'_>, update: &DocumentUpdate) {
+    let mut controls = builder.reborrow().init_controls(update.controls.len() as u32);
+    for (idx, addr) in update.controls.iter().enumerate() {
+        controls.set(idx as u32, addr.to_string());
+    }
+    builder.set_has_leader(update.has_leader);
+    let Some(held) = &update.document else { return builder.set_unchanged(()) };
+    let mut document = builder.init_document();
+    document.set_version(held.version);
+    document.set_text(&held.text);
+    document.set_confirmed(held.confirmed);
+}
+
 fn write_result(mut builder: submit_result::Builder<'_>, result: SubmitResult) {
     match result {
         SubmitResult::Response(bytes) => builder.set_response(&bytes),
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -6,18 +6,49 @@
     path::{Path, PathBuf},
 };
 
-use consensus::{DiskId, StorageError};
+use consensus::{DiskId, Snapshot, StorageError};
 
 use crate::{LogFile, Settings};
 
 const LOG_FILE: &str = "log.redb";
 const UNFINISHED_FILE: &str = "log.redb.unfinished";
 
+/// Whether `folder` holds a store.
+pub fn is_formatted(folder: &Path) -> bool {
+    folder.join(LOG_FILE).exists()
+}
+
 /// Makes the store of a new disk in `folder` and returns the disk's id.
 ///
 /// # Errors
 /// Fails if the folder holds a store already or cannot be written.
 pub fn format(folder: &Path, settings: &Settings) -> Result<DiskId, StorageError> {
+    let disk = DiskId(rand::random());
+    make_store(folder, settings, disk, None)?;
+    Ok(disk)
+}
+
+/// Makes the store of a first member of a new cluster under a disk id that all members know.
+///
+/// The store comes into being with its members or not at all, whenever the process ends.
+///
+/// # Errors
+/// Fails if the folder holds a store already or cannot be written.
+pub fn format_founder(
+    folder: &Path,
+    settings: &Settings,
+    disk: DiskId,
+    start: Snapshot,
+) -> Result<(), StorageError> {
+    make_store(folder, settings, disk, Some(start))
+}
+
+fn make_store(
+    folder: &Path,
+    settings: &Settings,
+    disk: DiskId,
+    start: Option<Snapshot>,
+) -> Result<(), StorageError> {
     let path = folder.join(LOG_FILE);
     if path.exists() {
         return Err(StorageError::AlreadyFormatted { path: folder.to_owned() });
@@ -26,11 +57,13 @@
     fs::create_dir_all(folder).map_err(io_error)?;
     let unfinished = folder.join(UNFINISHED_FILE);
     remove_if_there(&unfinished).map_err(io_error)?;
-    let disk = DiskId(rand::random());
-    LogFile::create(&unfinished, settings, disk)?;
+    let mut log = LogFile::create(&unfinished, settings, disk)?;
+    if let Some(start) = start {
+        log.bootstrap(start)?;
+    }
+    drop(log);
     fs::rename(&unfinished, &path).map_err(io_error)?;
-    File::open(folder).and_then(|it| it.sync_all()).map_err(io_error)?;
-    Ok(disk)
+    File::open(folder).and_then(|it| it.sync_all()).map_err(io_error)
 }
 
 /// The path of the log in a formatted folder.
--- a/crates/storage/src/log_file.rs
+++ b/crates/storage/src/log_file.rs
@@ -72,9 +72,10 @@
         path: &Path,
         settings: &Settings,
         disk: DiskId,
-    ) -> Result<(), StorageError> {
+    ) -> Result<LogFile, StorageError> {
         let database = builder(settings).create(path).map_err(|err| open_error(path, err))?;
-        write_disk(path, &database, disk)
+        write_disk(path, &database, disk)?;
+        LogFile::start(path.to_owned(), database, settings)
     }
 
     fn start(
