--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -156,7 +156,7 @@
     if let (Some(listener), Some(front)) = (bound.operators, parts.front) {
         let handler = front.handler(Documents::new(replica.clone()));
         let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
-        let settings = ServerSettings { limits, ..ServerSettings::default() };
+        let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
     }
     let epoch = parts.seed.max(1);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,6 @@
 mod settings;
 mod status;
 mod tables_feed;
-mod watch;
 
 pub use address_book::{AddressBook, node_named_after};
 pub use commands::CommandCheck;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -12,6 +12,7 @@
     time::{Duration, Instant},
 };
 
+use ::daemon::Watch;
 use clock::Clock;
 use consensus::{
     Entry, Message, Node, NodeId, Payload, Peer, Ready, RoleChange, Status, Storage, StorageError,
@@ -27,7 +28,6 @@
     machine::ControlMachine,
     peers::Peers,
     tables_feed::TablesFeed,
-    watch::Watch,
 };
 
 /// How long a command may wait for its commit before it is in doubt.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,5 +4,7 @@
 
 mod admin;
 pub mod stop_requests;
+mod watch;
 
 pub use admin::{Admin, Health};
+pub use watch::Watch;
--- a/crates/control/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -5,14 +5,14 @@
 use futures::channel::oneshot;
 
 /// A change that tasks can wait for.
-#[derive(Default)]
-pub(crate) struct Watch {
+#[derive(Debug, Default)]
+pub struct Watch {
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl Watch {
     /// Wakes all who wait now.
-    pub(crate) fn notify(&self) {
+    pub fn notify(&self) {
         for waiter in self.waiting.take() {
             // A waiter that is gone does not want to know.
             let _ = waiter.send(());
@@ -20,7 +20,7 @@
     }
 
     /// Waits for the next change after this call.
-    pub(crate) fn changed(&self) -> impl Future<Output = ()> + 'static {
+    pub fn changed(&self) -> impl Future<Output = ()> + 'static {
         let (sender, receiver) = oneshot::channel();
         let mut waiting = self.waiting.borrow_mut();
         waiting.retain(|it| !it.is_canceled());
--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -40,3 +40,14 @@
     /// The body, read when asked for.
     pub body: Body,
 }
+
+impl Response {
+    /// Passes over this answer and reads the next one of the same connection, as when this one
+    /// belongs to an earlier request.
+    ///
+    /// # Errors
+    /// As for [`Connection::send`].
+    pub async fn next_answer(self) -> Result<Response, ClientError> {
+        self.body.next_answer().await
+    }
+}
--- a/crates/httpio/src/client/body.rs
+++ b/crates/httpio/src/client/body.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use monoio::time;
 
-use super::{ClientError, Connection, FailureKind, Stage, pool::Idle};
+use super::{ClientError, Connection, FailureKind, Response, Stage, pool::Idle};
 use crate::{
     framing::{BodyDecoder, BodyFault, Step},
     inbound::Filled,
@@ -66,6 +66,27 @@
         Ok(whole.freeze())
     }
 
+    pub(super) async fn next_answer(mut self) -> Result<Response, ClientError> {
+        let home = std::mem::take(&mut self.home);
+        let Some(mut reading) = self.reading.take() else {
+            let kind = FailureKind::CutShort;
+            return Err(ClientError { stage: Stage::Sent, kind, reused: true });
+        };
+        loop {
+            match reading.next().await {
+                Ok(Some(_)) => {}
+                Ok(None) if reading.keeps_alive => break,
+                Ok(None) => {
+                    return Err(reading.connection.fail(Stage::Sent, FailureKind::CutShort));
+                }
+                Err(kind) => return Err(reading.connection.fail(Stage::Sent, kind)),
+            }
+        }
+        let mut response = reading.connection.read_answer().await?;
+        response.body.return_to(home);
+        Ok(response)
+    }
+
     fn go_home(&mut self) {
         let Some(reading) = self.reading.take() else { return };
         // Bytes after the end belong to no request, so such a connection is not used again.
@@ -86,6 +107,7 @@
                 Step::End => return Ok(None),
                 Step::More => match time::timeout(idle_timeout, inbound.fill()).await {
                     Ok(Ok(Filled::Data)) => {}
+                    Ok(Ok(Filled::End)) if self.decoder.ends_with_connection() => return Ok(None),
                     Ok(Ok(Filled::End)) => return Err(FailureKind::CutShort),
                     Ok(Err(error)) => return Err(FailureKind::Io(error)),
                     Err(_) => return Err(FailureKind::IdleTimeout),
--- a/crates/httpio/src/client/connection.rs
+++ b/crates/httpio/src/client/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a server.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use futures::FutureExt;
 use http::{HeaderValue, StatusCode, Version, header};
@@ -22,6 +22,8 @@
     pub(super) limits: Limits,
     addr: SocketAddr,
     pub(super) reused: bool,
+    /// How long the server said that it keeps an idle connection.
+    pub(super) idle_max: Option<Duration>,
 }
 
 impl Connection {
@@ -42,7 +44,7 @@
         let (read, write) = stream.into_split();
         let inbound = Inbound::new(read);
         let outbound = Outbound::new(write, limits.write_timeout());
-        Ok(Connection { inbound, outbound, limits, addr, reused: false })
+        Ok(Connection { inbound, outbound, limits, addr, reused: false, idle_max: None })
     }
 
     /// The address of the server.
@@ -57,12 +59,18 @@
     /// With the stage that the exchange had come to; the connection is closed.
     pub async fn send(mut self, request: Request) -> Result<Response, ClientError> {
         self.write(request).await?;
+        self.read_answer().await
+    }
+
+    pub(super) async fn read_answer(mut self) -> Result<Response, ClientError> {
         let head = self.read_head().await?;
-        let framing = framing::of_response(head.status, &head.headers)
+        let framing = framing::of_response(head.status, &head.headers, self.limits.unsized_body)
             .map_err(|fault| self.fail(Stage::HeadReceived, FailureKind::Framing(fault)))?;
         let decoder = BodyDecoder::new(framing, &self.limits)
             .map_err(|fault| self.fail(Stage::HeadReceived, fault.into()))?;
-        let body = Body::new(self, decoder, keeps_alive(&head));
+        self.idle_max = kept_for(&head);
+        let keeps_alive = keeps_alive(&head) && !decoder.ends_with_connection();
+        let body = Body::new(self, decoder, keeps_alive);
         Ok(Response { head, body })
     }
 
@@ -129,6 +137,7 @@
     fn from(fault: HeadFault) -> Self {
         match fault {
             HeadFault::TooBig => FailureKind::HeadTooBig,
+            HeadFault::BareLineFeed => FailureKind::Malformed(fault.to_string()),
             HeadFault::Malformed(error) => FailureKind::Malformed(error.to_string()),
         }
     }
@@ -141,6 +150,13 @@
     }
 }
 
+/// The timeout of a `Keep-Alive` header field.
+fn kept_for(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 fn keeps_alive(head: &ResponseHead) -> bool {
     let closes = head
         .headers
--- a/crates/httpio/src/client/pool.rs
+++ b/crates/httpio/src/client/pool.rs
@@ -13,6 +13,10 @@
 use super::{ClientError, Connection, Request, Response};
 use crate::Limits;
 
+/// The part of a server's own idle timeout for which a connection is used again; a request sent
+/// close to the end may cross the close.
+const TOLD_PART: f64 = 0.7;
+
 /// Settings of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolSettings {
@@ -128,7 +132,9 @@
 
     fn is_young(&self, entry: &Entry) -> bool {
         let age = self.clock.now().saturating_duration_since(entry.since);
-        age < Duration::from_millis(self.settings.idle_age_ms)
+        let told = entry.connection.idle_max.map(|it| it.mul_f64(TOLD_PART));
+        let longest = Duration::from_millis(self.settings.idle_age_ms);
+        age < told.map_or(longest, |it| it.min(longest))
     }
 }
 
--- a/crates/httpio/src/framing.rs
+++ b/crates/httpio/src/framing.rs
@@ -6,7 +6,7 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
-use crate::Limits;
+use crate::{Limits, UnsizedBody};
 
 /// Room for a chunk's size line and line ends in the buffer.
 const CHUNK_OVERHEAD_BYTES: usize = 32;
@@ -37,6 +37,7 @@
     Empty,
     Fixed(usize),
     Chunked,
+    UntilClose,
 }
 
 /// Why a body could not be read on.
@@ -63,12 +64,17 @@
 pub(crate) fn of_response(
     status: StatusCode,
     headers: &HeaderMap,
+    unsized_body: UnsizedBody,
 ) -> Result<Framing, FramingFault> {
     let declared = declared(headers)?;
     if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
         return Ok(Framing::Empty);
     }
-    declared.ok_or(FramingFault::NoLength)
+    match (declared, unsized_body) {
+        (Some(framing), _) => Ok(framing),
+        (None, UnsizedBody::UntilClose) => Ok(Framing::UntilClose),
+        (None, UnsizedBody::Refused) => Err(FramingFault::NoLength),
+    }
 }
 
 fn declared(headers: &HeaderMap) -> Result<Option<Framing>, FramingFault> {
@@ -112,6 +118,7 @@
     Fixed(usize),
     ChunkStart(ChunkedBodyDecoder),
     InChunk(ChunkedBodyDecoder),
+    UntilClose,
     Done,
 }
 
@@ -123,6 +130,7 @@
             Framing::Fixed(length) if length > limits.body_bytes => return Err(BodyFault::TooBig),
             Framing::Fixed(length) => State::Fixed(length),
             Framing::Chunked => State::ChunkStart(ChunkedBodyDecoder::default()),
+            Framing::UntilClose => State::UntilClose,
         };
         Ok(BodyDecoder { state, bytes_left: limits.body_bytes, chunk_bytes: limits.chunk_bytes })
     }
@@ -134,7 +142,22 @@
             State::Fixed(left) => Ok(self.decode_fixed(left, buffer)),
             State::ChunkStart(decoder) => self.start_chunk(decoder, buffer),
             State::InChunk(decoder) => self.decode_chunk(decoder, buffer),
+            State::UntilClose => self.decode_until_close(buffer),
+        }
+    }
+
+    /// Whether the body is whole once the peer has closed the connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        matches!(self.state, State::UntilClose)
+    }
+
+    fn decode_until_close(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
+        self.state = State::UntilClose;
+        if buffer.is_empty() {
+            return Ok(Step::More);
         }
+        self.bytes_left = self.bytes_left.checked_sub(buffer.len()).ok_or(BodyFault::TooBig)?;
+        Ok(Step::Data(buffer.split().freeze()))
     }
 
     fn decode_fixed(&mut self, left: usize, buffer: &mut BytesMut) -> Step {
--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -31,6 +31,8 @@
 pub(crate) enum HeadFault {
     #[display("the head is larger than allowed")]
     TooBig,
+    #[display("a line of the head ends without a carriage return; end lines with CR LF")]
+    BareLineFeed,
     #[display("the head is malformed: {_0}")]
     Malformed(DecodeError),
 }
@@ -87,6 +89,8 @@
         }
         match decoder.decode(&mut self.buffer).map_err(head_fault)? {
             Decoded::Some(head) => Ok(Some(head)),
+            // The codec would wait for ever for the end of such a head.
+            _ if has_bare_line_feed(&self.buffer) => Err(HeadFault::BareLineFeed),
             Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => Ok(None),
         }
     }
@@ -96,6 +100,10 @@
     }
 }
 
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.first() == Some(&b'\n') || head.windows(2).any(|it| it[1] == b'\n' && it[0] != b'\r')
+}
+
 fn head_fault(error: DecodeError) -> HeadFault {
     match &error {
         DecodeError::Parse(parse) if parse.to_string() == "too many headers" => HeadFault::TooBig,
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -16,4 +16,7 @@
 pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 
-pub use crate::{framing::FramingFault, limits::Limits};
+pub use crate::{
+    framing::FramingFault,
+    limits::{Limits, UnsizedBody},
+};
--- a/crates/httpio/src/limits.rs
+++ b/crates/httpio/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::FromStr;
+
 /// Bounds of a connection, for servers and clients alike.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -22,12 +24,26 @@
     pub idle_timeout_ms: u64,
     /// How long one write may wait for the peer.
     pub write_timeout_ms: u64,
+    /// How long a server waits for the whole body of a request.
+    pub body_timeout_ms: u64,
+    /// What a client does with an answer that declares no length.
+    pub unsized_body: UnsizedBody,
     /// How long a server keeps a connection open between two requests.
     pub keep_alive_ms: u64,
     /// How long a stopping server waits for a request that is on its way to an idle connection.
     pub closing_grace_ms: u64,
 }
 
+/// What a client does with an answer that declares no length.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
+#[from_str(rename_all = "kebab-case")]
+pub enum UnsizedBody {
+    /// It is refused, since its end cannot be told from a broken connection.
+    Refused,
+    /// It ends with its connection, unless that is reset.
+    UntilClose,
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Limits {
@@ -39,6 +55,8 @@
             head_timeout_ms: 30_000,
             idle_timeout_ms: 30_000,
             write_timeout_ms: 30_000,
+            body_timeout_ms: 30_000,
+            unsized_body: UnsizedBody::Refused,
             keep_alive_ms: 60_000,
             closing_grace_ms: 500,
         }
@@ -62,6 +80,10 @@
         Duration::from_millis(self.write_timeout_ms)
     }
 
+    pub(crate) fn body_timeout(&self) -> Duration {
+        Duration::from_millis(self.body_timeout_ms)
+    }
+
     pub(crate) fn keep_alive(&self) -> Duration {
         Duration::from_millis(self.keep_alive_ms)
     }
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -8,7 +8,7 @@
 mod reply;
 mod request;
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures::{
     FutureExt, StreamExt,
@@ -71,11 +71,35 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerSettings {
     /// Bounds of each connection.
-    pub limits: Limits,
+    pub limits: LiveLimits,
     /// Bound on the open connections.
     pub connections: ConnectionBound,
 }
 
+/// Bounds that may change while the server runs; a connection goes by those in force when its next
+/// request begins. Clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct LiveLimits(Rc<Cell<Limits>>);
+
+impl From<Limits> for LiveLimits {
+    fn from(limits: Limits) -> Self {
+        LiveLimits(Rc::new(Cell::new(limits)))
+    }
+}
+
+impl LiveLimits {
+    /// The bounds in force.
+    #[must_use]
+    pub fn get(&self) -> Limits {
+        self.0.get()
+    }
+
+    /// Replaces the bounds.
+    pub fn set(&self, limits: Limits) {
+        self.0.set(limits);
+    }
+}
+
 /// The most connections that a server holds open; it accepts no more until one closes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionBound(pub usize);
@@ -142,15 +166,20 @@
 }
 
 struct Server {
-    limits: Limits,
+    limits: LiveLimits,
     stop: StopSignals,
     handler: Rc<dyn Handler>,
 }
 
 impl Server {
     fn spawn(&self, stream: TcpStream, peer: SocketAddr, slot: Slot) {
-        let connection =
-            Connection::new(stream, peer, self.limits, self.stop.clone(), Rc::clone(&self.handler));
+        let connection = Connection::new(
+            stream,
+            peer,
+            self.limits.clone(),
+            self.stop.clone(),
+            Rc::clone(&self.handler),
+        );
         monoio::spawn(async move {
             connection.run().await;
             drop(slot);
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -9,7 +9,7 @@
 use monoio_http::{common::request::RequestHead, h1::codec::decoder::RequestHeadDecoder};
 
 use super::{
-    Handler, Reply, Request, StopSignals,
+    Handler, LiveLimits, Reply, Request, StopSignals,
     reply::{Part, ReplyBody},
 };
 use crate::{
@@ -35,6 +35,7 @@
     inbound: Inbound,
     outbound: Outbound,
     peer: SocketAddr,
+    live: LiveLimits,
     limits: Limits,
     stop: StopSignals,
     handler: Rc<dyn Handler>,
@@ -44,7 +45,7 @@
     pub(super) fn new(
         stream: TcpStream,
         peer: SocketAddr,
-        limits: Limits,
+        live: LiveLimits,
         stop: StopSignals,
         handler: Rc<dyn Handler>,
     ) -> Connection {
@@ -52,10 +53,12 @@
         // set it costs latency only.
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
+        let limits = live.get();
         Connection {
             inbound: Inbound::new(read),
             outbound: Outbound::new(write, limits.write_timeout()),
             peer,
+            live,
             limits,
             stop,
             handler,
@@ -77,10 +80,11 @@
     }
 
     async fn next_request(&mut self) -> Result<RequestHeadAndBody, End> {
+        self.limits = self.live.get();
         self.await_first_byte().await?;
         let head = self.read_head().await?;
         check_host(&head)?;
-        let body = time::timeout(self.limits.head_timeout(), self.read_body(&head))
+        let body = time::timeout(self.limits.body_timeout(), self.read_body(&head))
             .await
             .map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "send the whole body faster"))??;
         Ok(RequestHeadAndBody { head, body })
@@ -297,7 +301,7 @@
 fn head_refusal(fault: HeadFault) -> End {
     let status = match fault {
         HeadFault::TooBig => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        HeadFault::Malformed(_) => StatusCode::BAD_REQUEST,
+        HeadFault::BareLineFeed | HeadFault::Malformed(_) => StatusCode::BAD_REQUEST,
     };
     refusal(status, fault)
 }
--- a/crates/httpio/tests/graceful_stop.rs
+++ b/crates/httpio/tests/graceful_stop.rs
@@ -6,7 +6,7 @@
 
 use futures::{FutureExt, StreamExt, channel::mpsc, future::LocalBoxFuture};
 use httpio::{
-    Limits, StatusCode,
+    Limits, StatusCode, UnsizedBody,
     client::Connection,
     server::{self, Reply, Request, ServerSettings, StopSignals},
     signal,
@@ -24,6 +24,8 @@
     idle_timeout_ms: 30_000,
     write_timeout_ms: 30_000,
     keep_alive_ms: 60_000,
+    body_timeout_ms: 1_000,
+    unsized_body: UnsizedBody::Refused,
 };
 
 fn ok() -> Reply {
@@ -47,7 +49,7 @@
         };
         let (listener, addr) = support::listen();
         let stop = StopSignals { closing, ..StopSignals::default() };
-        let settings = ServerSettings { limits: LIMITS, ..ServerSettings::default() };
+        let settings = ServerSettings { limits: LIMITS.into(), ..ServerSettings::default() };
         let ended = Rc::new(Cell::new(false));
         let flag = Rc::clone(&ended);
         let served = monoio::spawn(async move {
@@ -92,7 +94,8 @@
 fn connection_bound() {
     support::run(async {
         let (listener, addr) = support::listen();
-        let settings = ServerSettings { limits: LIMITS, connections: server::ConnectionBound(1) };
+        let settings =
+            ServerSettings { limits: LIMITS.into(), connections: server::ConnectionBound(1) };
         let handler =
             |_: Request| -> LocalBoxFuture<'static, Reply> { async { ok() }.boxed_local() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), Rc::new(handler)));
--- a/crates/httpio/tests/malformed_replies.rs
+++ b/crates/httpio/tests/malformed_replies.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use expect_test::{Expect, expect};
-use httpio::Limits;
+use httpio::{Limits, UnsizedBody};
 
 const SMALL: Limits = Limits {
     head_bytes: 200,
@@ -15,6 +15,8 @@
     idle_timeout_ms: 1_000,
     write_timeout_ms: 1_000,
     keep_alive_ms: 1_000,
+    body_timeout_ms: 1_000,
+    unsized_body: UnsizedBody::Refused,
     closing_grace_ms: 0,
 };
 
@@ -181,3 +183,28 @@
         ],
     );
 }
+
+/// A client that reads an answer without a length to the end of its connection.
+fn check_until_close(reply: &str, expected: Expect) {
+    let reply = reply.to_owned();
+    support::run(async move {
+        let (addr, _) = support::raw_server(reply);
+        let pool = support::pool(Limits { unsized_body: UnsizedBody::UntilClose, ..SMALL });
+        expected.assert_eq(&support::text(pool.send(addr, support::get("/")).await).await);
+        assert_eq!(pool.idle_count(addr), 0, "the connection has ended");
+    });
+}
+
+#[test]
+fn until_close() {
+    check_until_close("HTTP/1.1 200 OK\r\n\r\nwhole", expect!["200 whole"]);
+}
+
+#[test]
+fn endless_body() {
+    let reply = format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(101));
+    check_until_close(
+        &reply,
+        expect!["the body of the answer is larger than allowed (head received)"],
+    );
+}
--- a/crates/httpio/tests/refused_requests.rs
+++ b/crates/httpio/tests/refused_requests.rs
@@ -176,3 +176,17 @@
         "#]],
     );
 }
+
+#[test]
+fn bare_line_feeds() {
+    check(
+        "GET / HTTP/1.1\nhost: a\n\n",
+        expect![[r#"
+            HTTP/1.1 400 Bad Request
+            content-length: 75
+            content-type: text/plain
+            connection: close
+
+            a line of the head ends without a carriage return; end lines with CR LF"#]],
+    );
+}
--- a/crates/httpio/tests/support.rs
+++ b/crates/httpio/tests/support.rs
@@ -41,7 +41,7 @@
     Fut: Future<Output = Reply> + 'static,
 {
     let (listener, addr) = listen();
-    let settings = ServerSettings { limits, ..ServerSettings::default() };
+    let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
     let handler = move |req| -> LocalBoxFuture<'static, Reply> { Box::pin(handler(req)) };
     monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
     addr
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -7,7 +7,7 @@
     estimate::Ewma,
     keys::PoolKey,
     pace::{Ceiling, Pace},
-    settings::Settings,
+    settings::{OtherLoad, Settings},
 };
 
 const GAP_WEIGHT: f64 = 0.1;
@@ -22,6 +22,8 @@
 /// How long a server that refused a request before its start gets no work; it doubles while the
 /// server goes on refusing.
 const REFUSAL_PAUSE_MIN: Duration = Duration::from_millis(100);
+/// Requests last about this long, so a report says little about what runs later.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
 const REFUSAL_PAUSE_MAX: Duration = Duration::from_secs(5);
 
 /// A server as the platform's list shows it.
@@ -100,6 +102,8 @@
     slots: u32,
     reported_slots: Option<u32>,
     others: u32,
+    /// When the last report came.
+    reported: Option<Instant>,
 }
 
 /// A time without work after a refusal.
@@ -140,6 +144,7 @@
             slots,
             reported_slots: None,
             others: 0,
+            reported: None,
         }
     }
 
@@ -179,6 +184,11 @@
         self.reported_slots.unwrap_or(self.slots)
     }
 
+    /// Notes the slots that the platform's list or a report names.
+    pub(crate) fn note_slots(&mut self, slots: u32) {
+        self.reported_slots = Some(slots);
+    }
+
     pub(crate) fn set_table_slots(&mut self, slots: u32) {
         self.slots = slots;
     }
@@ -213,7 +223,8 @@
         matches!(self.health, Health::Up | Health::Suspect)
     }
 
-    pub(crate) fn apply_report(&mut self, report: &LoadReport) {
+    pub(crate) fn apply_report(&mut self, now: Instant, report: &LoadReport) {
+        self.reported = Some(now);
         if report.batch_max > 0 {
             self.reported_slots = Some(report.batch_max);
         }
@@ -260,18 +271,29 @@
     }
 
     /// Requests on the server as a part of its slots, as far as this router knows.
-    pub(crate) fn load(&self) -> f64 {
-        let others = if self.credits.is_some() { 0 } else { self.others };
+    pub(crate) fn load(&self, now: Instant, settings: &Settings) -> f64 {
+        let others = match (self.credits, settings.others) {
+            (Some(_), _) => 0.0,
+            (None, OtherLoad::Fading) => f64::from(self.others) * self.freshness(now),
+            (None, _) => f64::from(self.others),
+        };
         let slots = self.credits.map_or(self.slots(), |it| it.slots).max(1);
-        f64::from(self.in_flight + others) / f64::from(slots)
+        (f64::from(self.in_flight) + others) / f64::from(slots)
+    }
+
+    /// The part of a report that still counts; half of it is lost every [`REPORT_HALF_LIFE`].
+    fn freshness(&self, now: Instant) -> f64 {
+        let Some(reported) = self.reported else { return 0.0 };
+        let age = now.saturating_duration_since(reported).as_secs_f64();
+        0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
     }
 
     fn shared_slots(&self, now: Instant, settings: &Settings) -> u32 {
         match (self.credits, settings.others) {
             (Some(credits), _) if credits.expires > now => credits.slots,
             (Some(_), _) => self.slots().div_ceil(settings.routers.max(1)),
-            (None, crate::OtherLoad::FromReports) => self.slots().saturating_sub(self.others),
-            (None, crate::OtherLoad::Ignored) => self.slots(),
+            (None, OtherLoad::FromReports) => self.slots().saturating_sub(self.others),
+            (None, OtherLoad::Ignored | OtherLoad::Fading) => self.slots(),
         }
     }
 }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -88,18 +88,29 @@
         self.backends[key].is_straggler(self.settings)
     }
 
+    /// The first of the prefix's homes that is free and not much busier than the others. Several
+    /// homes keep a hot prefix in a few caches instead of in all.
     fn preferred(&self, candidates: &[BackendKey], prefix_hash: u64) -> Option<BackendKey> {
         if prefix_hash == 0 || candidates.is_empty() {
             return None;
         }
-        let key = *self.members.iter().max_by_key(|it| self.rendezvous(**it, prefix_hash))?;
-        if !candidates.contains(&key) {
-            return None;
-        }
-        let sum: f64 = candidates.iter().map(|it| self.backends[*it].load()).sum();
+        let sum: f64 = candidates.iter().map(|it| self.load(*it)).sum();
         let mean = sum / candidates.len() as f64;
         let bound = mean * self.settings.affinity_bound + AFFINITY_SLACK;
-        (self.backends[key].load() <= bound).then_some(key)
+        let is_fit = |it: &BackendKey| candidates.contains(it) && self.load(*it) <= bound;
+        self.homes(prefix_hash).into_iter().find(is_fit)
+    }
+
+    fn homes(&self, prefix_hash: u64) -> Vec<BackendKey> {
+        let members = self.members.iter().copied();
+        let mut ranked: Vec<_> = members.filter(|it| self.backends[*it].is_usable()).collect();
+        ranked.sort_by_cached_key(|it| std::cmp::Reverse(self.rendezvous(*it, prefix_hash)));
+        ranked.truncate(self.settings.prefix_homes);
+        ranked
+    }
+
+    fn load(&self, key: BackendKey) -> f64 {
+        self.backends[key].load(self.now, self.settings)
     }
 
     fn rendezvous(&self, key: BackendKey, prefix_hash: u64) -> u64 {
@@ -119,7 +130,7 @@
 
     fn score(&self, key: BackendKey) -> f64 {
         let backend = &self.backends[key];
-        backend.load() * backend.slowness.max(1.0)
+        self.load(key) * backend.slowness.max(1.0)
     }
 }
 
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -38,7 +38,14 @@
         self.note_incarnation(now, backend, report.incarnation);
         let Some(entry) = self.backends.get_mut(backend) else { return };
         if report.incarnation == entry.incarnation {
-            entry.apply_report(report);
+            entry.apply_report(now, report);
+        }
+    }
+
+    /// Notes how many requests a server runs at once, as the platform's list names it.
+    pub fn set_slots(&mut self, backend: BackendKey, slots: u32) {
+        if let Some(entry) = self.backends.get_mut(backend) {
+            entry.note_slots(slots);
         }
     }
 
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -17,6 +17,8 @@
     pub probe_interval: Duration,
     /// Load above the pool's mean, as a factor, up to which prefix affinity is followed.
     pub affinity_bound: f64,
+    /// Servers among which the requests of one prefix are kept.
+    pub prefix_homes: usize,
     /// Time that a quarantine entry lives after its last crash.
     pub quarantine_ttl: Duration,
     /// Retries that a class may spend in a pool before its budget has grown.
@@ -50,6 +52,9 @@
     FromReports,
     /// It is taken to be zero.
     Ignored,
+    /// It is derived from reports that come with answers, so it fades while none comes. It guides
+    /// the choice of server and bounds nothing.
+    Fading,
 }
 
 impl Default for Settings {
@@ -61,6 +66,7 @@
             slow_start: Duration::from_secs(5),
             probe_interval: Duration::from_millis(500),
             affinity_bound: 1.25,
+            prefix_homes: 1,
             quarantine_ttl: Duration::from_secs(600),
             retry_burst: 10,
             retry_jitter: Duration::from_millis(50),
--- /dev/null
+++ b/crates/router/src/account.rs
@@ -0,0 +1,55 @@
+//! What is known about a request when it is answered: one log line and one count each.
+
+use std::time::Duration;
+
+use crate::{
+    arrival::Arrival, backends::millis, metrics::Labels, outcome::Outcome, routing::Routed,
+    services::Services,
+};
+
+/// A request from its arrival to its answer.
+pub(crate) struct Account {
+    pub(crate) arrival: Arrival,
+    pub(crate) route: Option<Routed>,
+}
+
+/// How a request was answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Answered<'a> {
+    pub(crate) status: u16,
+    pub(crate) outcome: Outcome,
+    /// Why it was not answered as asked; empty if it was.
+    pub(crate) detail: &'a str,
+}
+
+impl Account {
+    pub(crate) fn new(arrival: &Arrival) -> Account {
+        Account { arrival: arrival.clone(), route: None }
+    }
+
+    /// Counts and logs the answer.
+    pub(crate) fn close(&self, services: &Services, answered: Answered<'_>) {
+        let Account { arrival, route } = self;
+        let labels = match route {
+            Some(routed) => Labels { class: &routed.route().class, pool: &routed.pool().name },
+            None => Labels { class: "", pool: "" },
+        };
+        let took: Duration = services.clock.now().saturating_duration_since(arrival.arrived);
+        let Answered { status, outcome, detail } = answered;
+        services.metrics.answered(labels, outcome, status, took);
+        tracing::info!(
+            event = "request",
+            trace_id = %arrival.trace.trace_id,
+            span_id = %arrival.trace.span_id,
+            request_id = %arrival.id,
+            class = labels.class,
+            pool = labels.pool,
+            workspace = route.as_ref().map_or("", |it| it.caller.name()),
+            revision = route.as_ref().map_or(0, |it| it.tables.revision.0),
+            status,
+            outcome = %outcome,
+            took_ms = millis(took),
+            detail,
+        );
+    }
+}
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -13,15 +13,14 @@
 use telemetry::TraceContext;
 
 use crate::{
-    dispatch::Prober,
+    dialect::Dialect,
+    dispatch::{ProbeTarget, Prober},
     outcome::{Outcome, REQUEST_ID_HEADER},
 };
 
 /// The header by which a backend server proves that it refused a request before starting it.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
 
-const HEALTH_PATH: &str = "/healthz";
-
 /// Settings of the connections to backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackendSettings {
@@ -122,11 +121,21 @@
     }
 }
 
+/// Which connection an exchange takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle one, or a new one where there is none.
+    Any,
+    /// A new one, since an idle one may have been lost without a sign.
+    New,
+}
+
 /// Sends requests to backend servers.
 #[derive(Clone)]
 pub struct Backends {
     pool: Pool,
     probes: Pool,
+    dialect: Option<Rc<dyn Dialect>>,
 }
 
 impl Backends {
@@ -143,9 +152,16 @@
         Backends {
             pool: Pool::new(settings.pool, Rc::clone(&clock)),
             probes: Pool::new(probe_settings, clock),
+            dialect: None,
         }
     }
 
+    /// The same client, which tells servers apart by the names that they answer probes with.
+    #[must_use]
+    pub fn speaking(self, dialect: Rc<dyn Dialect>) -> Backends {
+        Backends { dialect: Some(dialect), ..self }
+    }
+
     /// Sends an attempt and waits for the head of its answer.
     ///
     /// # Errors
@@ -166,18 +182,32 @@
         check(response, &id)
     }
 
+    /// Sends a request as it is and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// A failed exchange; what the answer says is the caller's to read.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request,
+        connection: ConnectionChoice,
+    ) -> Result<Response, ClientError> {
+        match connection {
+            ConnectionChoice::Any => self.pool.send(addr, request).await,
+            ConnectionChoice::New => self.pool.send_fresh(addr, request).await,
+        }
+    }
+
     /// Fetches a small document, such as a load report.
     ///
     /// # Errors
     /// A failed exchange, or a status other than success.
-    pub async fn fetch(&self, addr: SocketAddr, path: &'static str) -> Result<Bytes, AttemptError> {
-        let request = Request { uri: Uri::from_static(path), ..Request::default() };
-        let response = self.probes.send(addr, request).await?;
-        if !response.head.status.is_success() {
-            return Err(AttemptError::in_doubt(format!(
-                "{path} answered {}",
-                response.head.status
-            )));
+    pub async fn fetch(&self, addr: SocketAddr, uri: Uri) -> Result<Bytes, AttemptError> {
+        let path = uri.path().to_owned();
+        let response = self.probes.send(addr, Request { uri, ..Request::default() }).await?;
+        let status = response.head.status;
+        if !status.is_success() {
+            return Err(AttemptError::in_doubt(format!("{path} answered {status}")));
         }
         Ok(response.body.collect().await?)
     }
@@ -205,13 +235,22 @@
 }
 
 impl Prober for Backends {
-    fn probe(&self, addr: SocketAddr) -> LocalBoxFuture<'static, ProbeResult> {
-        let probes = self.probes.clone();
+    fn probe(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
+        let (probes, dialect) = (self.probes.clone(), self.dialect.clone());
+        let (addr, label) = (target.addr, target.label.clone());
+        // Tables are checked, but not whether a health path can stand in a request line.
+        let uri = target.health_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
         async move {
-            let request = Request { uri: Uri::from_static(HEALTH_PATH), ..Request::default() };
-            match probes.send_fresh(addr, request).await {
-                Ok(response) if response.head.status.is_success() => ProbeResult::Alive,
-                Ok(_) | Err(_) => ProbeResult::Dead,
+            let request = Request { uri, ..Request::default() };
+            let Ok(response) = probes.send_fresh(addr, request).await else {
+                return ProbeResult::Dead;
+            };
+            let headers = &response.head.headers;
+            let name = dialect.as_ref().and_then(|it| it.server_name(headers));
+            let is_other = !label.is_empty() && name.is_some_and(|it| it != &*label);
+            match response.head.status.is_success() && !is_other {
+                true => ProbeResult::Alive,
+                false => ProbeResult::Dead,
             }
         }
         .boxed_local()
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -7,6 +7,7 @@
 use httpio::Bytes;
 use monoio::time;
 use policy::{Execution, GiveUp, Repeat};
+use tables::Exchange;
 use telemetry::TraceContext;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -31,6 +32,7 @@
     /// The most that is known of all attempts so far.
     pub(crate) outcome: Outcome,
     attempts: u32,
+    is_under_way: bool,
     span: TraceContext,
     started: Instant,
     _permit: Permit,
@@ -88,6 +90,7 @@
             id,
             outcome,
             attempts: 0,
+            is_under_way: false,
             span,
             started,
             _permit: permit,
@@ -101,6 +104,36 @@
         Labels { class: &self.routed.route().class, pool: &self.routed.pool().name }
     }
 
+    /// Notes that an attempt begins at the place held.
+    pub(crate) fn begin(&mut self) {
+        self.attempts += 1;
+        self.is_under_way = true;
+        self.span = self.services.reception.child(&self.routed.arrival.trace);
+        self.started = self.services.clock.now();
+        self.lease.dispatched();
+    }
+
+    /// What is known of the request, with the attempt that is under way.
+    pub(crate) fn known_outcome(&self) -> Outcome {
+        match self.is_under_way {
+            true => worse(self.outcome, Outcome::MayHaveRun),
+            false => self.outcome,
+        }
+    }
+
+    /// Notes the time to the first token.
+    pub(crate) fn note_first_token(&self) {
+        let arrived = self.routed.arrival.arrived;
+        let waited = self.services.clock.now().saturating_duration_since(arrived);
+        self.services.metrics.first_token(self.labels(), waited);
+    }
+
+    /// Whether the engine has to be told that an answer is no longer wanted; elsewhere the end of
+    /// the connection says so.
+    fn cancels_at_engine(&self) -> bool {
+        self.routed.is_for_engine() && self.routed.route().exchange == Exchange::Native
+    }
+
     /// Starts an attempt at the place held.
     pub(crate) fn attempt(
         &mut self,
@@ -109,11 +142,8 @@
         headers: HeaderMap,
         body: Bytes,
     ) -> Attempt {
-        self.attempts += 1;
         self.id = self.services.attempt_id(&self.routed.arrival.id);
-        self.span = self.services.reception.child(&self.routed.arrival.trace);
-        self.started = self.services.clock.now();
-        self.lease.dispatched();
+        self.begin();
         let (addr, id, trace) = (self.lease.server().addr, self.id.clone(), self.span);
         Attempt { addr, method, uri, id, trace, headers, body }
     }
@@ -170,7 +200,8 @@
     pub(crate) async fn next_place(&mut self, error: AttemptError) -> Result<(), Failure> {
         self.log_attempt("failed", &error.detail);
         self.outcome = worse(self.outcome, error.outcome());
-        if error.execution != Execution::NotRun && self.routed.is_for_engine() {
+        self.is_under_way = false;
+        if error.execution != Execution::NotRun && self.cancels_at_engine() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
         match self.lease.retry(error.failure, error.execution).await {
@@ -202,7 +233,7 @@
     /// Nobody waits for the answer any more.
     pub(crate) fn abandon(self) {
         self.log_attempt("abandoned", "");
-        if self.attempts > 0 && self.routed.is_for_engine() {
+        if self.attempts > 0 && self.cancels_at_engine() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
     }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -4,26 +4,33 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use control_client::{Domain, TablesWatch, WatchSettings};
+use control_client::{DocumentWatch, Domain, TablesWatch, WatchSettings};
 use control_state::RouterId;
 use daemon::Admin;
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::{
-    server::{self, ServerSettings, StopSignals},
+    Limits,
+    server::{self, Handler, LiveLimits, ServerSettings, StopSignals},
     signal,
 };
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener, time};
+use policy::{OtherLoad, Pacing};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rpc::{Link, LinkSettings};
+use tables::{CallerLimits, Notation, Tables};
 use telemetry::{LogSettings, Secret};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     arrival::Reception,
     backends::Backends,
     class_limits::ClassLimits,
-    control::{ControlLedger, ControlTables},
+    control::{ControlLedger, ControlTables, DocumentTables},
+    dialect::Dialect,
+    directory::{Directory, VmList},
+    directory_watch::{self, DirectorySource},
     dispatch::Dispatcher,
     domain::RouterMember,
     identity::{Identity, Workspaces},
@@ -31,14 +38,21 @@
     metrics::Metrics,
     order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
-    platform,
     quarantine_exchange::{self, RouterAdmin},
     readiness::{Readiness, RouterHealth},
+    relay::Relay,
     services::Services,
     settings::RouterSettings,
     table_source::{FixedTables, TableSource},
 };
 
+/// How long one question for a newer document waits; its answer also tells whether the control VM
+/// still follows a leader.
+const DOCUMENT_POLL_MS: u64 = 1_000;
+
+/// Servers among which the requests of one prefix are kept on a platform.
+const PREFIX_HOMES: usize = 2;
+
 /// What a router is given beside its settings.
 pub struct Parts {
     /// The tables.
@@ -53,6 +67,29 @@
     pub clock: Rc<dyn Clock>,
     /// The seed of identities and random choices.
     pub seed: u64,
+    /// What callers and backend servers speak.
+    pub interface: Interface,
+    /// The notation of the platform's list.
+    pub directory: Rc<dyn Directory>,
+}
+
+/// What callers and backend servers speak.
+#[derive(Clone)]
+pub enum Interface {
+    /// The product's own interface.
+    Native,
+    /// A dialect whose requests are passed on unchanged.
+    Relayed(Rc<dyn Dialect>),
+}
+
+/// What a platform brings along for a router on it.
+pub struct Platform {
+    /// The notation of the operator's document.
+    pub notation: Rc<dyn Notation>,
+    /// The conventions of callers and backend servers.
+    pub dialect: Rc<dyn Dialect>,
+    /// The notation of the platform's list.
+    pub directory: Rc<dyn Directory>,
 }
 
 /// The listeners of a router.
@@ -87,6 +124,21 @@
 /// # Errors
 /// Faults in the files, addresses that cannot be bound, and a stop that cut requests off.
 pub fn run(settings_file: &Path) -> anyhow::Result<()> {
+    run_with(settings_file, parts)
+}
+
+/// As [`run`], on a platform with notations and conventions of its own.
+///
+/// # Errors
+/// As for [`run`].
+pub fn run_on(settings_file: &Path, platform: Platform) -> anyhow::Result<()> {
+    run_with(settings_file, |settings| Ok(parts_on(settings, platform)))
+}
+
+fn run_with(
+    settings_file: &Path,
+    parts: impl FnOnce(&RouterSettings) -> anyhow::Result<Parts>,
+) -> anyhow::Result<()> {
     let text = std::fs::read_to_string(settings_file)
         .with_context(|| format!("read {}: check --config", settings_file.display()))?;
     let settings = RouterSettings::parse(&settings_file.display().to_string(), &text)?;
@@ -112,7 +164,46 @@
         true => from_files(settings)?,
         false => from_control(settings, &clock)?,
     };
-    Ok(Parts { tables, ledger, workspaces: Rc::new(workspaces), link, clock, seed: rand::random() })
+    Ok(Parts {
+        tables,
+        ledger,
+        workspaces: Rc::new(workspaces),
+        link,
+        clock,
+        seed: rand::random(),
+        interface: Interface::Native,
+        directory: Rc::new(VmList),
+    })
+}
+
+fn parts_on(settings: &RouterSettings, platform: Platform) -> Parts {
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let first = first_control(&settings.vm);
+    let mut addrs = settings.control.clone();
+    first(&mut addrs);
+    let link = Link::start(LinkSettings { addrs, ..LinkSettings::default() });
+    let watch = WatchSettings { poll_ms: DOCUMENT_POLL_MS, ..WatchSettings::default() };
+    let documents = DocumentWatch::start(link.clone(), watch, Rc::clone(&clock), first);
+    Parts {
+        tables: Rc::new(DocumentTables::follow(documents, platform.notation)),
+        ledger: Rc::new(NoLedger),
+        workspaces: Rc::default(),
+        link: Some(link),
+        clock,
+        seed: rand::random(),
+        interface: Interface::Relayed(platform.dialect),
+        directory: platform.directory,
+    }
+}
+
+/// Orders control VMs so that the routers spread over them.
+fn first_control(vm: &str) -> impl Fn(&mut Vec<SocketAddr>) + 'static {
+    let hash = xxh3_64(vm.as_bytes());
+    move |addrs| {
+        addrs.sort();
+        let first = hash.checked_rem(addrs.len() as u64).unwrap_or_default();
+        addrs.rotate_left(first as usize);
+    }
 }
 
 type Shared = (Rc<dyn TableSource>, Rc<dyn OrderLedger>, Option<Link>);
@@ -149,36 +240,44 @@
 ) -> anyhow::Result<Stopped> {
     let registry = Registry::new();
     telemetry::register_process_metrics(&registry)?;
-    let pipeline = pipeline(&settings, &parts, &registry)?;
+    let services = Rc::new(services(&settings, &parts, &registry)?);
     let readiness = Rc::new(Cell::new(Readiness::Starting));
     let health = RouterHealth { readiness: Rc::clone(&readiness) };
     let admin = Admin::new(registry, Rc::new(health));
-    let admin = Rc::new(RouterAdmin { admin, services: Rc::clone(&pipeline.services) });
+    let admin = Rc::new(RouterAdmin { admin, services: Rc::clone(&services) });
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
-    monoio::spawn(follow_tables(
-        pipeline.clone(),
-        Rc::clone(&parts.workspaces),
-        Rc::clone(&readiness),
-    ));
-    share_with_domain(&settings, &parts, &pipeline);
+    let server_settings = settings.server.to_settings();
+    let followed = FollowedTables {
+        services: Rc::clone(&services),
+        tables: Rc::clone(&parts.tables),
+        workspaces: Rc::clone(&parts.workspaces),
+        readiness: Rc::clone(&readiness),
+        limits: server_settings.limits.clone(),
+    };
+    monoio::spawn(followed.follow());
+    share_with_domain(&settings, &parts, &services);
 
     for peer in &settings.peers {
         let period = Duration::from_millis(settings.peer_period_ms);
-        let services = Rc::clone(&pipeline.services);
+        let services = Rc::clone(&services);
         monoio::spawn(quarantine_exchange::follow(*peer, period, services));
     }
     if let Some(addr) = settings.platform {
-        let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
-        let period = Duration::from_millis(settings.platform_period_ms);
-        monoio::spawn(platform::follow(addr, period, services, tables));
+        let source = DirectorySource {
+            addr,
+            period: Duration::from_millis(settings.platform_period_ms),
+            directory: Rc::clone(&parts.directory),
+        };
+        let tables = Rc::clone(&parts.tables);
+        monoio::spawn(directory_watch::follow(source, Rc::clone(&services), tables));
     }
 
     let (drain, draining) = signal::signal();
     let (close, closing) = signal::signal();
     let stop = StopSignals { draining, closing };
-    let callers =
-        server::serve(bound.callers, settings.server.to_settings(), stop, Rc::new(pipeline));
+    let handler = handler(&parts, services);
+    let callers = server::serve(bound.callers, server_settings, stop, handler);
     let mut callers = monoio::spawn(callers).fuse();
     tracing::info!(event = "serving", vm = %settings.vm, failure_domain = %settings.failure_domain);
 
@@ -204,8 +303,13 @@
 }
 
 /// Reads load reports, and shares them through the hub where there is one.
-fn share_with_domain(settings: &RouterSettings, parts: &Parts, pipeline: &Pipeline) {
-    let (services, tables) = (Rc::clone(&pipeline.services), Rc::clone(&pipeline.tables));
+///
+/// Relayed answers bring their servers' loads along, so nobody reads reports there.
+fn share_with_domain(settings: &RouterSettings, parts: &Parts, services: &Rc<Services>) {
+    if matches!(parts.interface, Interface::Relayed(_)) {
+        return;
+    }
+    let (services, tables) = (Rc::clone(services), Rc::clone(&parts.tables));
     let readings = Readings::default();
     let owns: Owns = match &parts.link {
         None => Rc::new(|_| true),
@@ -222,21 +326,47 @@
     monoio::spawn(load_reports::poll(services, tables, owns, readings));
 }
 
-fn pipeline(
+/// The stages that serve callers.
+fn handler(parts: &Parts, services: Rc<Services>) -> Rc<dyn Handler> {
+    let (tables, limits) = (Rc::clone(&parts.tables), ClassLimits::default());
+    match &parts.interface {
+        Interface::Native => {
+            let identity = Identity::new(Rc::clone(&parts.workspaces));
+            Rc::new(Pipeline { services, identity, tables, limits })
+        }
+        Interface::Relayed(dialect) => {
+            Rc::new(Relay { services, tables, limits, dialect: Rc::clone(dialect) })
+        }
+    }
+}
+
+fn services(
     settings: &RouterSettings,
     parts: &Parts,
     registry: &Registry,
-) -> anyhow::Result<Pipeline> {
+) -> anyhow::Result<Services> {
     let backends = Backends::new(settings.backends, Rc::clone(&parts.clock));
-    let policy_settings = policy::Settings {
-        seed: parts.seed,
-        routers: settings.routers,
-        ..policy::Settings::default()
+    let (seed, routers) = (parts.seed, settings.routers);
+    let policy = policy::Settings { seed, routers, ..policy::Settings::default() };
+    // On a platform every router sends to all servers, and what it hears of the others comes with
+    // the answers.
+    let (backends, policy, own_domain) = match &parts.interface {
+        Interface::Native => (backends, policy, settings.failure_domain.as_str()),
+        Interface::Relayed(dialect) => {
+            let policy = policy::Settings {
+                others: OtherLoad::Fading,
+                pacing: Pacing::Off,
+                prefix_homes: PREFIX_HOMES,
+                retry_burst: 1,
+                ..policy
+            };
+            (backends.speaking(Rc::clone(dialect)), policy, "")
+        }
     };
     let prober = Rc::new(backends.clone());
     let clock = Rc::clone(&parts.clock);
-    let dispatcher = Dispatcher::new(clock, prober, policy_settings, &settings.failure_domain);
-    let services = Services {
+    let dispatcher = Dispatcher::new(clock, prober, policy, own_domain);
+    Ok(Services {
         clock: Rc::clone(&parts.clock),
         backends,
         dispatcher,
@@ -244,31 +374,48 @@
         metrics: Metrics::register(registry)?,
         reception: Reception::new(ChaCha8Rng::seed_from_u64(parts.seed)),
         waits: settings.waits,
-    };
-    Ok(Pipeline {
-        services: Rc::new(services),
-        identity: Identity::new(Rc::clone(&parts.workspaces)),
-        tables: Rc::clone(&parts.tables),
-        limits: ClassLimits::default(),
     })
 }
 
 /// Puts each new revision of the tables in force.
-async fn follow_tables(
-    pipeline: Pipeline,
+struct FollowedTables {
+    services: Rc<Services>,
+    tables: Rc<dyn TableSource>,
     workspaces: Rc<Workspaces>,
     readiness: Rc<Cell<Readiness>>,
-) {
-    loop {
-        let tables = pipeline.tables.current();
-        if !tables.routes.is_empty() {
-            pipeline.services.dispatcher.configure(&tables, &workspaces);
-            pipeline.services.metrics.revision(tables.revision.0);
-            tracing::info!(event = "tables", revision = %tables.revision);
-            if readiness.get() == Readiness::Starting {
-                readiness.set(Readiness::Ready);
+    limits: LiveLimits,
+}
+
+impl FollowedTables {
+    async fn follow(self) {
+        loop {
+            let tables = self.tables.current();
+            if !tables.routes.is_empty() {
+                self.put_in_force(&tables);
             }
+            self.tables.newer_than(tables.revision).await;
+        }
+    }
+
+    fn put_in_force(&self, tables: &Tables) {
+        self.services.dispatcher.configure(tables, &self.workspaces);
+        self.services.metrics.revision(tables.revision.0);
+        if let Some(limits) = &tables.caller_limits {
+            self.limits.set(limited(self.limits.get(), limits));
+        }
+        tracing::info!(event = "tables", revision = %tables.revision);
+        if self.readiness.get() == Readiness::Starting {
+            self.readiness.set(Readiness::Ready);
         }
-        pipeline.tables.newer_than(tables.revision).await;
+    }
+}
+
+fn limited(limits: Limits, told: &CallerLimits) -> Limits {
+    Limits {
+        head_bytes: told.head_bytes_max,
+        body_bytes: told.body_bytes_max,
+        head_timeout_ms: told.head_timeout_ms,
+        keep_alive_ms: told.idle_timeout_ms,
+        ..limits
     }
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -20,12 +20,23 @@
 
 use self::desk::Desk;
 pub use self::lease::{Control, Lease, Retried};
-use crate::{identity::Workspaces, platform::ListedVm, quarantine_exchange::QuarantineReport};
+use crate::{directory::ListedVm, identity::Workspaces, quarantine_exchange::QuarantineReport};
+
+/// A backend server whose health is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeTarget {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The path of its health.
+    pub health_path: String,
+    /// The name under which it answers; empty if it is known by its address alone.
+    pub label: Rc<str>,
+}
 
 /// Asks a backend server for its health on a new connection.
 pub trait Prober {
-    /// Tells whether the server at `addr` answers.
-    fn probe(&self, addr: SocketAddr) -> LocalBoxFuture<'static, ProbeResult>;
+    /// Tells whether the server answers.
+    fn probe(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult>;
 }
 
 /// A request that waits for a backend server.
@@ -118,6 +129,14 @@
         }
     }
 
+    /// Takes in a whole list of a pool's servers, from which the others are missing because they
+    /// have left.
+    pub fn whole_list(&self, pool: &str, vms: &[&ListedVm]) {
+        if let Some(desk) = self.desk(pool) {
+            desk.whole_list(vms);
+        }
+    }
+
     /// The fingerprints that crashed servers, for the other routers of the failure domain.
     #[must_use]
     pub fn export_quarantine(&self) -> QuarantineReport {
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -12,22 +12,23 @@
 use futures::{
     FutureExt, StreamExt,
     channel::{mpsc, oneshot},
+    future::LocalBoxFuture,
     pin_mut, select_biased,
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal,
-    Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
+    Action, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal, Scheduler,
+    Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
 use super::{
-    Asked, Control, Lease, Prober, Seen, Server, ServerClaim, UNKNOWN, locality::Locality,
-    revision_number, server_list::ServerList,
+    Asked, Control, Lease, ProbeTarget, Prober, Seen, Server, ServerClaim, UNKNOWN,
+    locality::Locality, revision_number, server_list::ServerList,
 };
 use crate::{
+    directory::ListedVm,
     identity::{ANONYMOUS, Workspaces},
-    platform::ListedVm,
 };
 
 /// Tables count urgency downwards and the scheduler upwards.
@@ -52,6 +53,9 @@
     servers: ServerList,
     locality: Locality,
     armed: Option<Instant>,
+    health_path: String,
+    /// Servers whose health is to be asked for next.
+    probes: Vec<Server>,
 }
 
 impl Desk {
@@ -72,6 +76,8 @@
             servers: ServerList::default(),
             locality: Locality::new(own_domain),
             armed: None,
+            health_path: String::new(),
+            probes: Vec::new(),
         };
         let desk = Rc::new(Desk { state: RefCell::new(state), clock, prober, rearm });
         monoio::spawn(run_timers(Rc::downgrade(&desk), rearmed));
@@ -88,6 +94,7 @@
         let mut state = self.state.borrow_mut();
         state.pool.clone_from(&pool.name);
         state.slots = pool.in_flight_max;
+        state.health_path.clone_from(&pool.health_path);
         let spec = spec(tables, pool, workspaces);
         if let Err(error) = state.scheduler.configure(spec) {
             tracing::error!(pool = %pool.name, %error, "tables not applied");
@@ -178,6 +185,26 @@
         self.pump();
     }
 
+    pub(super) fn whole_list(self: &Rc<Self>, vms: &[&ListedVm]) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let State { scheduler, servers, pool, .. } = &mut *state;
+        servers.drop_missing(scheduler, now, pool, vms);
+        drop(state);
+        self.platform_list(vms);
+    }
+
+    /// The name under which a server answers; empty if it is known by its address alone.
+    pub(super) fn label(&self, server: Server) -> Rc<str> {
+        self.state.borrow().servers.label(server.key)
+    }
+
+    fn probe_target(&self, server: Server) -> ProbeTarget {
+        let state = self.state.borrow();
+        let (health_path, label) = (state.health_path.clone(), state.servers.label(server.key));
+        ProbeTarget { addr: server.addr, health_path, label }
+    }
+
     pub(super) fn load_report(self: &Rc<Self>, server: &Server, report: &LoadReport) {
         self.state.borrow_mut().servers.note_incarnation(server.addr, report.incarnation);
         self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
@@ -238,7 +265,11 @@
             (Some(_), None) => true,
             (None, _) => false,
         };
+        let probes = std::mem::take(&mut state.probes);
         drop(state);
+        for server in probes {
+            self.start_probe(server);
+        }
         if is_sooner {
             // A full channel already makes the timers look again.
             let _ = self.rearm.clone().try_send(());
@@ -261,7 +292,7 @@
                     let _ = to.send(Err(refusal));
                 }
             }
-            Action::Probe { backend } => self.probe(state, backend),
+            Action::Probe { backend } => state.probes.extend(state.servers.find(backend)),
             Action::Pause { ticket, .. } => state.control(ticket, Control::Pause),
             Action::Resume { ticket, .. } => state.control(ticket, Control::Resume),
             // The classes are configured without hedging, so these do not come.
@@ -271,9 +302,8 @@
         }
     }
 
-    fn probe(self: &Rc<Self>, state: &State, backend: BackendKey) {
-        let Some(server) = state.servers.find(backend) else { return };
-        let (desk, probe) = (Rc::downgrade(self), self.prober.probe(server.addr));
+    fn start_probe(self: &Rc<Self>, server: Server) {
+        let (desk, probe) = (Rc::downgrade(self), self.probe(server));
         monoio::spawn(async move {
             let result = probe.await;
             if let Some(desk) = desk.upgrade() {
@@ -287,8 +317,9 @@
         self.tell(|scheduler, now| scheduler.probe_result(server.key, now, result));
     }
 
-    pub(super) fn prober(&self) -> &dyn Prober {
-        &*self.prober
+    /// Asks a server for its health on a new connection.
+    pub(super) fn probe(&self, server: Server) -> LocalBoxFuture<'static, ProbeResult> {
+        self.prober.probe(&self.probe_target(server))
     }
 }
 
@@ -339,13 +370,18 @@
 }
 
 fn spec(tables: &Tables, pool: &Pool, workspaces: &Workspaces) -> Spec {
-    let routes = tables.routes.iter().filter(|it| tables.pool(it.pool).name == pool.name);
+    let routes =
+        tables.routes.iter().filter(|it| it.pools().any(|it| tables.pool(it).name == pool.name));
     let anonymous = WorkspaceSpec { name: ANONYMOUS.to_owned(), ..WorkspaceSpec::default() };
     let known = workspaces.iter().map(|it| WorkspaceSpec {
         name: it.name.to_string(),
         weight: it.weight.max(1),
         in_flight_limit: it.in_flight_max,
     });
+    let tabled = tables
+        .workspaces
+        .iter()
+        .map(|it| WorkspaceSpec { name: it.name.clone(), ..WorkspaceSpec::default() });
     Spec {
         revision: revision_number(tables.revision),
         classes: routes.map(class_spec).collect(),
@@ -358,7 +394,7 @@
             },
             ..PoolSpec::default()
         }],
-        workspaces: known.chain([anonymous]).collect(),
+        workspaces: known.chain(tabled).chain([anonymous]).collect(),
     }
 }
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -4,7 +4,8 @@
 
 use futures::channel::{mpsc, oneshot};
 use policy::{
-    Execution, Failure, GiveUp, Offer, Outcome, ProbeResult, Refusal, RetryDecision, Ticket,
+    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, ProbeResult, Refusal, RetryDecision,
+    Ticket,
 };
 
 use super::{
@@ -77,6 +78,17 @@
         self.server.expect("a lease is handed out once it has a place")
     }
 
+    /// The name under which the backend server answers; empty if it has none.
+    #[must_use]
+    pub fn server_label(&self) -> Rc<str> {
+        self.desk.label(self.server())
+    }
+
+    /// Takes in a load report that came with an answer of the server.
+    pub fn load_report(&self, report: &LoadReport) {
+        self.desk.load_report(&self.server(), report);
+    }
+
     /// What the scheduler asks of the stream, for the one who relays it.
     ///
     /// # Panics
@@ -139,7 +151,7 @@
     pub async fn probe(&self) -> ProbeResult {
         let server = self.server();
         self.desk.note(|scheduler, now| scheduler.connection_silent(server.key, now));
-        let result = self.desk.prober().probe(server.addr).await;
+        let result = self.desk.probe(server).await;
         self.desk.probed(server, result);
         result
     }
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -1,12 +1,12 @@
 //! The backend servers of one pool as the table and the platform's list name them.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
 use policy::{BackendKey, Scheduler, Sighting};
 use tables::Pool;
 
 use super::{Seen, Server};
-use crate::platform::{ListedVm, VmState};
+use crate::directory::{ListedVm, VmState};
 
 /// The servers that were named at any time.
 #[derive(Debug, Default)]
@@ -14,11 +14,14 @@
     known: BTreeMap<SocketAddr, Known>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Known {
     key: BackendKey,
     incarnation: u64,
     listing: Listing,
+    label: Rc<str>,
+    /// Whole lists in a row from which it was missing.
+    missed: u32,
 }
 
 /// Who names a server now.
@@ -32,6 +35,9 @@
     Leaving,
 }
 
+/// A server that is missing from this many whole lists in a row has left.
+const MISSED_MAX: u32 = 2;
+
 impl ServerList {
     pub(super) fn listed(&self) -> Vec<Server> {
         let named = |it: &Known| matches!(it.listing, Listing::Table | Listing::Platform);
@@ -44,6 +50,12 @@
         Some(Server { addr: *addr, key })
     }
 
+    /// The name under which a server answers; empty if it is known by its address alone.
+    pub(super) fn label(&self, key: BackendKey) -> Rc<str> {
+        let known = self.known.values().find(|it| it.key == key);
+        known.map(|it| Rc::clone(&it.label)).unwrap_or_default()
+    }
+
     /// Notes the incarnation that a server reports of itself.
     pub(super) fn note_incarnation(&mut self, addr: SocketAddr, incarnation: u64) {
         if let Some(known) = self.known.get_mut(&addr) {
@@ -79,9 +91,13 @@
                 continue;
             }
             known.listing = Listing::Removed;
-            sight(scheduler, &pool.name, *addr, known.incarnation, |scheduler, seen| {
-                scheduler.backend_leaving(now, seen)
-            });
+            sight(
+                scheduler,
+                &pool.name,
+                &addr.to_string(),
+                known.incarnation,
+                |scheduler, seen| scheduler.backend_leaving(now, seen),
+            );
         }
     }
 
@@ -95,17 +111,25 @@
         vms: &[&ListedVm],
     ) {
         for vm in vms {
+            self.drop_renamed(scheduler, now, pool, vm);
+            let name = name(vm);
             let key =
-                sight(scheduler, pool, vm.addr, vm.incarnation, |scheduler, seen| match vm.state {
+                sight(scheduler, pool, &name, vm.incarnation, |scheduler, seen| match vm.state {
                     VmState::Live => scheduler.backend_seen(now, seen),
                     VmState::Leaving => scheduler.backend_leaving(now, seen),
                 });
             let Some(key) = key else { continue };
+            if vm.slots > 0 {
+                scheduler.set_slots(key, vm.slots);
+            }
             let known = self.known.entry(vm.addr).or_insert(Known {
                 key,
                 incarnation: vm.incarnation,
                 listing: Listing::Platform,
+                label: vm.label.as_str().into(),
+                missed: 0,
             });
+            known.missed = 0;
             // Old news of a server that has restarted since says nothing.
             if vm.incarnation >= known.incarnation {
                 known.incarnation = vm.incarnation;
@@ -118,6 +142,39 @@
         }
     }
 
+    /// Takes leave of the servers that are missing from whole lists.
+    pub(super) fn drop_missing(
+        &mut self,
+        scheduler: &mut Scheduler,
+        now: Instant,
+        pool: &str,
+        vms: &[&ListedVm],
+    ) {
+        let is_missing = |addr: &SocketAddr, known: &Known| {
+            known.listing != Listing::Table
+                && !vms.iter().any(|it| it.addr == *addr && *it.label == *known.label)
+        };
+        for (addr, known) in &mut self.known {
+            if is_missing(addr, known) {
+                known.missed += 1;
+            }
+        }
+        let gone = self.known.extract_if(.., |_, it| it.missed >= MISSED_MAX);
+        for (addr, known) in gone {
+            leave(scheduler, now, pool, addr, &known);
+        }
+    }
+
+    /// Takes leave of a server whose address another one has now.
+    fn drop_renamed(&mut self, scheduler: &mut Scheduler, now: Instant, pool: &str, vm: &ListedVm) {
+        let renamed = |it: &Known| !vm.label.is_empty() && *it.label != *vm.label;
+        if self.known.get(&vm.addr).is_some_and(renamed)
+            && let Some(known) = self.known.remove(&vm.addr)
+        {
+            leave(scheduler, now, pool, vm.addr, &known);
+        }
+    }
+
     fn list(&mut self, scheduler: &mut Scheduler, now: Instant, pool: &str, addr: SocketAddr) {
         // A server that comes back into the table counts as restarted, because the scheduler
         // lets one that has left return only under a newer incarnation.
@@ -126,11 +183,12 @@
             Some(known) => known.incarnation + 1,
             None => 0,
         };
-        let key = sight(scheduler, pool, addr, incarnation, |scheduler, seen| {
+        let key = sight(scheduler, pool, &addr.to_string(), incarnation, |scheduler, seen| {
             scheduler.backend_seen(now, seen)
         });
         if let Some(key) = key {
-            self.known.insert(addr, Known { key, incarnation, listing: Listing::Table });
+            let (listing, label) = (Listing::Table, Rc::default());
+            self.known.insert(addr, Known { key, incarnation, listing, label, missed: 0 });
         }
     }
 }
@@ -138,10 +196,29 @@
 fn sight(
     scheduler: &mut Scheduler,
     pool: &str,
-    addr: SocketAddr,
+    name: &str,
     incarnation: u64,
     tell: impl FnOnce(&mut Scheduler, &Sighting<'_>) -> Option<BackendKey>,
 ) -> Option<BackendKey> {
     let pool = scheduler.pool(pool)?;
-    tell(scheduler, &Sighting { name: &addr.to_string(), pool, incarnation })
+    tell(scheduler, &Sighting { name, pool, incarnation })
+}
+
+/// The scheduler's name of a server: its own, or its address.
+fn name(vm: &ListedVm) -> String {
+    match vm.label.is_empty() {
+        true => vm.addr.to_string(),
+        false => vm.label.clone(),
+    }
+}
+
+fn leave(scheduler: &mut Scheduler, now: Instant, pool: &str, addr: SocketAddr, known: &Known) {
+    let name = match known.label.is_empty() {
+        true => addr.to_string(),
+        false => known.label.to_string(),
+    };
+    tracing::info!(event = "server_left", pool, %addr, server = name);
+    sight(scheduler, pool, &name, known.incarnation, |scheduler, seen| {
+        scheduler.backend_gone(now, seen)
+    });
 }
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -21,9 +21,9 @@
 use tables::{Discovery, Pool, Tables};
 
 use crate::{
+    directory::{ListedVm, VmState},
     dispatch::ServerClaim,
     load_reports::{Reading, Readings},
-    platform::{ListedVm, VmState},
     services::Services,
     table_source::TableSource,
 };
@@ -169,7 +169,16 @@
     };
     let (addr, incarnation) = (row.addr, row.incarnation);
     let failure_domain = String::new();
-    Some(ListedVm { addr, failure_domain, pool: pool.name.clone(), incarnation, state })
+    let (label, slots) = (String::new(), 0);
+    Some(ListedVm {
+        addr,
+        failure_domain,
+        pool: pool.name.clone(),
+        incarnation,
+        label,
+        slots,
+        state,
+    })
 }
 
 fn demand((pool, claims): (&Pool, Vec<ServerClaim>)) -> Option<Demand> {
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -190,9 +190,7 @@
             return self.call.lease.tokens(1);
         }
         self.call.lease.first_token();
-        let arrived = self.call.routed.arrival.arrived;
-        let waited = self.call.services.clock.now().saturating_duration_since(arrived);
-        self.call.services.metrics.first_token(self.call.labels(), waited);
+        self.call.note_first_token();
     }
 
     /// Goes on with the stream at the same engine, on a new connection.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,9 +3,11 @@
 //! A request passes through stages of one job each: [`arrival`], [`identity`], [`routing`],
 //! [`class_limits`], then a place at a backend server ([`dispatch`]) and its service. [`pipeline`]
 //! connects them and [`daemon`] runs them. Decisions about queues, servers and retries are made by
-//! the crate `policy`; the tables and the order ledger come in through [`table_source`] and
+//! the crate `policy`. [`relay`] passes requests on unchanged for callers and backend servers that
+//! follow another [`dialect`], through the same stages. The tables and the order ledger come in through [`table_source`] and
 //! [`order_ledger`].
 
+mod account;
 pub mod arrival;
 pub mod backends;
 mod call;
@@ -14,6 +16,9 @@
 pub mod class_limits;
 pub mod control;
 pub mod daemon;
+pub mod dialect;
+pub mod directory;
+mod directory_watch;
 pub mod dispatch;
 pub mod domain;
 mod engine_stream;
@@ -23,11 +28,12 @@
 mod order_desk;
 pub mod order_ledger;
 pub mod outcome;
+mod patience;
 pub mod pipeline;
-pub mod platform;
 pub mod quarantine_exchange;
 pub mod readiness;
 mod refusals;
+pub mod relay;
 pub mod routing;
 mod service_call;
 pub mod services;
--- a/crates/router/src/load_reports.rs
+++ b/crates/router/src/load_reports.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use httpio::Uri;
 use monoio::time;
 use policy::LoadReport;
 use serde::Deserialize;
@@ -74,7 +75,9 @@
 
 async fn ask(services: Rc<Services>, pool: String, server: Server, readings: Readings) {
     // A server that gives no report is judged by what its streams show.
-    let Ok(body) = services.backends.fetch(server.addr, PATH).await else { return };
+    let Ok(body) = services.backends.fetch(server.addr, Uri::from_static(PATH)).await else {
+        return;
+    };
     let Ok(read) = serde_json::from_slice::<Report>(&body) else { return };
     let report = LoadReport {
         incarnation: read.incarnation,
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -1,6 +1,6 @@
 //! The path of a request through the stages, from its arrival to its reply.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use futures::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderValue, StatusCode};
@@ -8,14 +8,13 @@
 use tables::Tables;
 
 use crate::{
+    account::{Account, Answered},
     arrival::Arrival,
-    backends::millis,
     call::{Call, Shape},
     chat::{ChatRequest, Delivery},
     chat_call::ChatCall,
     class_limits::{ClassLimits, Permit},
     identity::Identity,
-    metrics::Labels,
     order_desk,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
     routing::{self, Routed},
@@ -48,12 +47,6 @@
     }
 }
 
-/// What is known about a request when it is answered.
-struct Account {
-    arrival: Arrival,
-    route: Option<Routed>,
-}
-
 impl Pipeline {
     async fn answer(self, request: Request) -> Reply {
         match self.services.reception.apply(request, &*self.services.clock) {
@@ -63,7 +56,7 @@
     }
 
     async fn serve(&self, arrival: Arrival) -> Reply {
-        let mut account = Account { arrival: arrival.clone(), route: None };
+        let mut account = Account::new(&arrival);
         let served = match self.admit(arrival) {
             Ok((routed, permit)) => {
                 account.route = Some(routed.clone());
@@ -109,35 +102,13 @@
     }
 
     fn note(&self, account: &Account, reply: &Reply, detail: &str) {
-        let Account { arrival, route } = account;
-        let labels = match route {
-            Some(routed) => Labels { class: &routed.route().class, pool: &routed.pool().name },
-            None => Labels { class: "", pool: "" },
-        };
         let outcome = reply.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok());
-        let took = since(arrival.arrived, self.services.clock.now());
-        let counted = match outcome {
+        let outcome = match outcome {
             Some("not-run") => Outcome::NotRun,
             Some("ran") => Outcome::Ran,
             _ => Outcome::MayHaveRun,
         };
-        self.services.metrics.answered(labels, counted, reply.status.as_u16(), took);
-        tracing::info!(
-            event = "request",
-            trace_id = %arrival.trace.trace_id,
-            span_id = %arrival.trace.span_id,
-            request_id = %arrival.id,
-            class = labels.class,
-            pool = labels.pool,
-            workspace = route.as_ref().map_or("", |it| it.caller.name()),
-            status = reply.status.as_u16(),
-            outcome = %counted,
-            took_ms = millis(took),
-            detail,
-        );
+        let status = reply.status.as_u16();
+        account.close(&self.services, Answered { status, outcome, detail });
     }
 }
-
-fn since(start: Instant, now: Instant) -> std::time::Duration {
-    now.saturating_duration_since(start)
-}
--- a/crates/router/src/quarantine_exchange.rs
+++ b/crates/router/src/quarantine_exchange.rs
@@ -8,7 +8,7 @@
 use daemon::Admin;
 use futures::{FutureExt, future::LocalBoxFuture};
 use httpio::{
-    Method, StatusCode,
+    Method, StatusCode, Uri,
     server::{Handler, Reply, Request},
 };
 use monoio::time;
@@ -56,6 +56,6 @@
 }
 
 async fn read(peer: SocketAddr, services: &Services) -> Option<QuarantineReport> {
-    let body = services.backends.fetch(peer, PATH).await.ok()?;
+    let body = services.backends.fetch(peer, Uri::from_static(PATH)).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,138 @@
+//! Passes requests on unchanged, for callers and backend servers of another dialect.
+//!
+//! The stages are those of every request: arrival, caller, route, limits, a place at a backend
+//! server, attempts, answer. What differs is that the answer is the server's own, byte for byte.
+
+mod events;
+mod passage;
+mod whole;
+
+use std::rc::Rc;
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderValue, StatusCode, header};
+use httpio::server::{Handler, Reply, Request};
+use tables::{Access, Exchange};
+
+use self::passage::Passage;
+use crate::{
+    account::{Account, Answered},
+    arrival::Arrival,
+    class_limits::{ClassLimits, Permit},
+    dialect::{Ask, Dialect},
+    identity::Caller,
+    outcome::{Code, Failure, Outcome},
+    routing::{Routed, host_name},
+    services::Services,
+    table_source::TableSource,
+};
+
+/// Answers relayed requests; clones share everything.
+#[derive(Clone)]
+pub struct Relay {
+    /// What the stages share.
+    pub services: Rc<Services>,
+    /// The tables in force.
+    pub tables: Rc<dyn TableSource>,
+    /// Limits of workspaces by class.
+    pub limits: ClassLimits,
+    /// The conventions of callers and backend servers.
+    pub dialect: Rc<dyn Dialect>,
+}
+
+impl Handler for Relay {
+    fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply> {
+        let relay = self.clone();
+        async move { relay.answer(request).await }.boxed_local()
+    }
+
+    fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
+        tracing::info!(event = "request_unreadable", status = status.as_u16(), remedy);
+        self.dialect.failure(&Failure::not_run(status, Code::BadRequest, remedy), None)
+    }
+}
+
+impl Relay {
+    async fn answer(self, request: Request) -> Reply {
+        let ask = self.dialect.read(&request);
+        let arrival = match self.services.reception.apply(request, &*self.services.clock) {
+            Ok(arrival) => arrival,
+            Err(failure) => return self.dialect.failure(&failure, None),
+        };
+        let mut account = Account::new(&arrival);
+        let served = match self.admit(arrival, &ask) {
+            Ok((routed, permit)) => {
+                account.route = Some(routed.clone());
+                self.serve(routed, permit, ask).await
+            }
+            Err(failure) => Err(failure),
+        };
+        match served {
+            Ok(reply) => {
+                let (status, outcome) = (reply.status.as_u16(), Outcome::Ran);
+                account.close(&self.services, Answered { status, outcome, detail: "" });
+                reply
+            }
+            Err(failure) => self.refused(&account, &failure),
+        }
+    }
+
+    fn refused(&self, account: &Account, failure: &Failure) -> Reply {
+        let (status, outcome) = (failure.status.as_u16(), failure.outcome);
+        let detail = failure.to_string();
+        account.close(&self.services, Answered { status, outcome, detail: &detail });
+        let id: &str = account.arrival.id.as_ref();
+        let id = HeaderValue::try_from(id).expect("an identity is made of plain characters");
+        self.dialect.failure(failure, Some(&id))
+    }
+
+    /// The stages that need no waiting.
+    fn admit(&self, arrival: Arrival, ask: &Ask) -> Result<(Routed, Permit), Failure> {
+        let tables = self.tables.current();
+        if tables.routes.is_empty() {
+            return Err(not_ready());
+        }
+        let request = &arrival.request;
+        let host = request.header(header::HOST.as_str()).unwrap_or_default();
+        let found = tables.find_route(host_name(host), request.uri.path(), None);
+        let Some(route) = found else { return Err(no_route()) };
+        let caller = match (tables.route(route).access, &ask.key) {
+            (Access::Public, _) => Caller::Anonymous,
+            (Access::Workspace, None) => return Err(unknown_key()),
+            (Access::Workspace, Some(key)) => {
+                let workspace = tables.workspace_of(key).ok_or_else(unknown_key)?;
+                Caller::Workspace(workspace.name.as_str().into())
+            }
+        };
+        let pool = tables.route(route).pool_for(self.services.reception.nonce() as u32);
+        let routed = Routed { arrival, caller, tables, route, pool };
+        let permit = self.limits.apply(&routed)?;
+        Ok((routed, permit))
+    }
+
+    async fn serve(&self, routed: Routed, permit: Permit, ask: Ask) -> Result<Reply, Failure> {
+        let exchange = routed.route().exchange;
+        let services = Rc::clone(&self.services);
+        let dialect = Rc::clone(&self.dialect);
+        let passage = Passage::place(services, dialect, routed, permit, ask).await?;
+        match exchange {
+            Exchange::Native | Exchange::Whole => whole::serve(passage).await,
+            Exchange::Events | Exchange::ResumableEvents => events::serve(passage).await,
+        }
+    }
+}
+
+fn not_ready() -> Failure {
+    let message = "the router has no tables yet; use another one";
+    Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute, message)
+}
+
+fn no_route() -> Failure {
+    let message = "no route fits the host and path; use one of the tables";
+    Failure::not_run(StatusCode::NOT_FOUND, Code::NoRoute, message)
+}
+
+fn unknown_key() -> Failure {
+    let message = "the key is missing or unknown; use one of a workspace";
+    Failure::not_run(StatusCode::UNAUTHORIZED, Code::UnknownToken, message)
+}
--- /dev/null
+++ b/crates/router/src/relay/events.rs
@@ -0,0 +1,263 @@
+//! Relays a stream of events, and lets it go on at another server where it broke.
+//!
+//! Only whole events are passed on, so a stream that breaks within an event can go on behind the
+//! last whole one with neither a gap nor a repeat.
+
+use http::{HeaderMap, StatusCode, header};
+use httpio::{
+    Bytes,
+    client::{Body, Response},
+    server::{Reply, StreamSender},
+    sse::{self, Splitter},
+};
+use policy::{Execution, Failure as Symptom};
+use tables::Exchange;
+
+use super::{
+    passage::{Passage, late},
+    whole::Answer,
+};
+use crate::{
+    backends::AttemptError,
+    outcome::Failure,
+    patience::{Worked, while_wanted},
+    watch::watch,
+};
+
+/// Events that wait for a slow caller.
+const WAITING_EVENTS: usize = 8;
+const EVENT_BYTES_MAX: usize = 256 << 10;
+
+/// The start of an answer.
+enum Opened {
+    /// The server answers with something else than events, such as a failure.
+    Whole(Answer),
+    /// The head and the first event.
+    Stream(Stream),
+}
+
+struct Stream {
+    status: StatusCode,
+    headers: HeaderMap,
+    first: Option<Bytes>,
+    source: EventSource,
+}
+
+/// The events of one attempt.
+struct EventSource {
+    body: Body,
+    splitter: Splitter,
+}
+
+/// How the relay of a stream ended.
+enum Relayed {
+    Whole,
+    /// It broke, and no server may go on with it.
+    Broken(String),
+    CallerGone,
+}
+
+pub(super) async fn serve(mut passage: Passage) -> Result<Reply, Failure> {
+    let gone = passage.call.routed.arrival.request.gone.clone();
+    let worked = while_wanted(&gone, passage.left(), open(&mut passage)).await;
+    let opened = match worked {
+        Worked::Done(opened) => opened,
+        Worked::Late | Worked::CallerGone => Err(late(passage.call.known_outcome())),
+    };
+    match opened {
+        Ok(Opened::Stream(stream)) => {
+            let Stream { status, headers, first, source } = stream;
+            let (sender, reply) = Reply::stream(status, headers, WAITING_EVENTS);
+            monoio::spawn(pump(passage, first, source, sender));
+            Ok(reply)
+        }
+        Ok(Opened::Whole(answer)) => {
+            passage.call.finish(0);
+            Ok(answer.into_reply())
+        }
+        Err(failure) => {
+            passage.call.abandon();
+            Err(failure)
+        }
+    }
+}
+
+async fn open(passage: &mut Passage) -> Result<Opened, Failure> {
+    loop {
+        match open_once(passage).await {
+            Ok(opened) => return Ok(opened),
+            Err(error) => passage.call.next_place(error).await?,
+        }
+    }
+}
+
+async fn open_once(passage: &mut Passage) -> Result<Opened, AttemptError> {
+    let response = passage.send().await?;
+    if !is_stream(&response) {
+        return Answer::collect(passage, response).await.map(Opened::Whole);
+    }
+    let status = response.head.status;
+    let headers = passage.dialect.returned(&response.head.headers);
+    let mut source = EventSource::new(response);
+    let first = passage.next_event(&mut source).await?;
+    if first.is_some() {
+        passage.call.lease.first_token();
+        passage.call.note_first_token();
+    }
+    Ok(Opened::Stream(Stream { status, headers, first, source }))
+}
+
+fn is_stream(response: &Response) -> bool {
+    let content_type = response.head.headers.get(header::CONTENT_TYPE);
+    let prefix = sse::CONTENT_TYPE.as_bytes();
+    response.head.status.is_success()
+        && content_type.is_some_and(|it| it.as_bytes().starts_with(prefix))
+}
+
+async fn pump(
+    mut passage: Passage,
+    first: Option<Bytes>,
+    mut source: EventSource,
+    mut sender: StreamSender,
+) {
+    let gone = passage.call.routed.arrival.request.gone.clone();
+    let left = passage.left();
+    let relay = relay(&mut passage, first, &mut source, &mut sender);
+    match while_wanted(&gone, left, relay).await {
+        Worked::Done(Relayed::Whole) => {
+            let events = passage.events;
+            passage.call.finish(events);
+            // A caller that left in this moment needs no end.
+            let _ = sender.finish().await;
+        }
+        Worked::Done(Relayed::Broken(detail)) => {
+            let error = AttemptError::in_doubt(detail);
+            passage.call.give_up(&error);
+        }
+        Worked::Late => {
+            let error = AttemptError::in_doubt("the deadline came within the stream");
+            passage.call.give_up(&error);
+        }
+        Worked::Done(Relayed::CallerGone) | Worked::CallerGone => passage.call.abandon(),
+    }
+}
+
+async fn relay(
+    passage: &mut Passage,
+    first: Option<Bytes>,
+    source: &mut EventSource,
+    sender: &mut StreamSender,
+) -> Relayed {
+    let mut next = Ok(first);
+    loop {
+        match next {
+            Ok(Some(event)) => {
+                if sender.send(event).await.is_err() {
+                    return Relayed::CallerGone;
+                }
+            }
+            Ok(None) => return Relayed::Whole,
+            Err(error) => match resume(passage, error).await {
+                Ok(resumed) => *source = resumed,
+                Err(detail) => return Relayed::Broken(detail),
+            },
+        }
+        next = passage.next_event(source).await;
+        if matches!(next, Ok(Some(_))) {
+            passage.call.lease.tokens(1);
+        }
+    }
+}
+
+/// Goes on behind the last event at another server, as long as one may be tried.
+async fn resume(passage: &mut Passage, error: AttemptError) -> Result<EventSource, String> {
+    if passage.call.routed.route().exchange != Exchange::ResumableEvents {
+        return Err(error.detail);
+    }
+    let mut error = error;
+    loop {
+        passage.call.next_place(error).await.map_err(|it| it.to_string())?;
+        match passage.send().await {
+            Ok(response) if is_stream(&response) => {
+                tracing::info!(
+                    event = "stream_resumed",
+                    request_id = %passage.call.routed.arrival.id,
+                    server = %passage.call.lease.server().addr,
+                    last_event = passage.last_event.unwrap_or_default(),
+                );
+                return Ok(EventSource::new(response));
+            }
+            Ok(response) => {
+                let status = response.head.status;
+                error = AttemptError::in_doubt(format!("the resume was answered {status}"));
+            }
+            Err(failed) => error = failed,
+        }
+    }
+}
+
+impl Passage {
+    /// The next event that the caller does not have yet; nothing at the end of a whole stream.
+    async fn next_event(
+        &mut self,
+        source: &mut EventSource,
+    ) -> Result<Option<Bytes>, AttemptError> {
+        loop {
+            let silence = match self.events {
+                0 => self.call.services.waits.first_silence(),
+                _ => self.call.services.waits.silence(),
+            };
+            let next = source.next();
+            let event = match self.is_repeatable() {
+                true => match watch(next, silence, &self.call.lease).await {
+                    Ok(event) => event?,
+                    Err(silent) => return Err(self.silence(silent)),
+                },
+                false => next.await?,
+            };
+            let Some(event) = event else { return Ok(None) };
+            if self.is_news(&event) {
+                self.events += 1;
+                return Ok(Some(event));
+            }
+        }
+    }
+
+    /// Notes the event's number; an event that the caller has is passed over.
+    fn is_news(&mut self, event: &[u8]) -> bool {
+        let id = sse::field(event, "id").and_then(|it| std::str::from_utf8(it).ok());
+        let Some(id) = id.and_then(|it| it.trim().parse::<u64>().ok()) else { return true };
+        if self.last_event.is_some_and(|last| id <= last) {
+            return false;
+        }
+        self.last_event = Some(id);
+        true
+    }
+}
+
+impl EventSource {
+    fn new(response: Response) -> EventSource {
+        EventSource { body: response.body, splitter: Splitter::new(EVENT_BYTES_MAX) }
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, AttemptError> {
+        loop {
+            match self.splitter.next_event() {
+                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(None) => {}
+                Err(error) => return Err(AttemptError::in_doubt(error.to_string())),
+            }
+            match self.body.next().await {
+                Some(Ok(data)) => self.splitter.push(&data),
+                Some(Err(error)) => return Err(error.into()),
+                None if self.splitter.is_mid_event() => return Err(cut()),
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+fn cut() -> AttemptError {
+    let detail = "the answer ended within an event".to_owned();
+    AttemptError { failure: Symptom::Other, execution: Execution::MayHaveRun, detail }
+}
--- /dev/null
+++ b/crates/router/src/relay/passage.rs
@@ -0,0 +1,224 @@
+//! One relayed request with its place at a backend server: attempts and what they prove.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderValue, StatusCode};
+use httpio::client::{Request as ClientRequest, Response};
+use policy::{Execution, Failure as Symptom, LoadReport};
+use tables::Priority;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    backends::{AttemptError, ConnectionChoice},
+    call::{Call, Shape},
+    class_limits::Permit,
+    dialect::{Ask, AttemptNote, Dialect, NotStarted, Prompt, ServerLoad},
+    outcome::{Code, Failure, Outcome, REQUEST_ID_HEADER},
+    patience::{Worked, while_wanted},
+    routing::Routed,
+    services::Services,
+    watch::{Silent, watch},
+};
+
+/// Answers to other requests that are passed over on one connection before it is given up.
+const CROSSED_ANSWERS_MAX: usize = 2;
+
+/// Retry-After of a request whose deadline came while it waited.
+const LATE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+pub(super) struct Passage {
+    pub(super) call: Call,
+    pub(super) dialect: Rc<dyn Dialect>,
+    pub(super) deadline: Instant,
+    /// The last event that the caller has.
+    pub(super) last_event: Option<u64>,
+    /// Events that were passed on.
+    pub(super) events: u32,
+    id: HeaderValue,
+}
+
+impl Passage {
+    /// Waits for a place.
+    ///
+    /// # Errors
+    /// When the request is refused, or its deadline comes first.
+    pub(super) async fn place(
+        services: Rc<Services>,
+        dialect: Rc<dyn Dialect>,
+        routed: Routed,
+        permit: Permit,
+        ask: Ask,
+    ) -> Result<Passage, Failure> {
+        let id: &str = routed.arrival.id.as_ref();
+        let id = HeaderValue::try_from(id).expect("an identity is made of plain characters");
+        let patience = ask.patience.unwrap_or(Duration::MAX);
+        let waits = patience.min(routed.route().deadline());
+        let deadline = routed.arrival.arrived + waits;
+        let left = deadline.saturating_duration_since(services.clock.now());
+        let gone = routed.arrival.request.gone.clone();
+        let placed = Call::place(services, routed, permit, shape(&ask.prompt));
+        let call = match while_wanted(&gone, left, placed).await {
+            Worked::Done(call) => call?,
+            Worked::Late | Worked::CallerGone => return Err(late(Outcome::NotRun)),
+        };
+        Ok(Passage { call, dialect, deadline, last_event: ask.last_event, events: 0, id })
+    }
+
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.call.services.clock.now())
+    }
+
+    /// Whether a request that may have run may be sent again.
+    pub(super) fn is_repeatable(&self) -> bool {
+        !self.call.routed.is_order()
+    }
+
+    /// Makes one attempt, up to the head of its answer.
+    ///
+    /// # Errors
+    /// What the attempt proves of the request and of the server.
+    pub(super) async fn send(&mut self) -> Result<Response, AttemptError> {
+        let left = self.left();
+        if left.is_zero() {
+            return Err(not_sent("the deadline came before the request was sent"));
+        }
+        self.call.begin();
+        let request = Rc::clone(&self.call.routed.arrival.request);
+        let label = self.call.lease.server_label();
+        let note = AttemptNote {
+            server: &label,
+            left,
+            workspace: self.workspace(),
+            urgency: self.urgency(),
+            last_event: self.last_event,
+        };
+        let outgoing = ClientRequest {
+            method: request.method.clone(),
+            uri: request.uri.clone(),
+            headers: self.dialect.forwarded(&request.headers, &note),
+            body: request.body.clone(),
+        };
+        let backends = self.call.services.backends.clone();
+        let addr = self.call.lease.server().addr;
+        let connection = ConnectionChoice::Any;
+        let id = self.id.clone();
+        let exchange = async move {
+            let response = backends.exchange(addr, outgoing, connection).await?;
+            own_answer(response, &id).await
+        };
+        if !self.is_repeatable() {
+            let response = exchange.await?;
+            return self.check(response);
+        }
+        let silence = self.call.services.waits.first_silence();
+        let answered = watch(exchange, silence, &self.call.lease).await;
+        let response = answered.unwrap_or_else(|silent| Err(self.silence(silent)))?;
+        self.check(response)
+    }
+
+    fn workspace(&self) -> Option<&str> {
+        match &self.call.routed.caller {
+            crate::identity::Caller::Workspace(name) => Some(name),
+            crate::identity::Caller::Anonymous => None,
+        }
+    }
+
+    /// The workspace's urgency goes before the route's.
+    fn urgency(&self) -> Option<Priority> {
+        let routed = &self.call.routed;
+        if !routed.is_for_engine() {
+            return None;
+        }
+        let name = routed.caller.name();
+        let workspace = routed.tables.workspaces.iter().find(|it| it.name == name);
+        Some(workspace.and_then(|it| it.priority).unwrap_or(routed.route().priority))
+    }
+
+    fn check(&self, response: Response) -> Result<Response, AttemptError> {
+        let note = self.dialect.answer(&response.head);
+        if let Some(load) = note.load {
+            self.call.lease.load_report(&report(load));
+        }
+        if let Some(refusal) = note.refusal {
+            return Err(not_started(refusal));
+        }
+        if response.head.status.is_success() && !note.is_signed {
+            return Err(AttemptError::in_doubt("the answer bears no server's signature"));
+        }
+        Ok(response)
+    }
+
+    /// What silence says; the idle connections may have been lost in the same way.
+    pub(super) fn silence(&self, silent: Silent) -> AttemptError {
+        self.call.services.backends.close_idle(self.call.lease.server().addr);
+        let detail = match silent {
+            Silent::Dead => "the backend server fell silent and does not answer a probe",
+            Silent::Alive => "the connection fell silent though the backend server answers a probe",
+        };
+        let (failure, execution) = (Symptom::Silent, Execution::MayHaveRun);
+        AttemptError { failure, execution, detail: detail.to_owned() }
+    }
+}
+
+/// Passes over answers that belong to earlier requests of the connection.
+async fn own_answer(mut response: Response, id: &HeaderValue) -> Result<Response, AttemptError> {
+    for _ in 0..CROSSED_ANSWERS_MAX {
+        let echo = response.head.headers.get(REQUEST_ID_HEADER);
+        if echo.is_none_or(|it| it == id) {
+            return Ok(response);
+        }
+        response = response.next_answer().await?;
+    }
+    Err(AttemptError::in_doubt("the answers belong to other requests"))
+}
+
+fn not_started(refusal: NotStarted) -> AttemptError {
+    let (failure, detail) = match refusal {
+        NotStarted::Full => (Symptom::Overloaded, "the backend server has no room"),
+        NotStarted::OtherServer => (Symptom::ConnectRefused, "another server has the address now"),
+        NotStarted::Refused => (Symptom::Other, "the backend server refused the request"),
+    };
+    AttemptError { failure, execution: Execution::NotRun, detail: detail.to_owned() }
+}
+
+fn not_sent(detail: &str) -> AttemptError {
+    let (failure, execution) = (Symptom::Other, Execution::NotRun);
+    AttemptError { failure, execution, detail: detail.to_owned() }
+}
+
+/// What the caller is told when its deadline came first.
+pub(super) fn late(outcome: Outcome) -> Failure {
+    let status = match outcome {
+        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::MayHaveRun | Outcome::Ran => StatusCode::GATEWAY_TIMEOUT,
+    };
+    Failure {
+        status,
+        code: Code::Deadline,
+        message: "no answer came before the deadline; come back later".to_owned(),
+        outcome,
+        retry_after: Some(LATE_RETRY_AFTER),
+    }
+}
+
+/// What the scheduler is told of a prompt: the parts that requests share lead it.
+fn shape(prompt: &Prompt) -> Shape {
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids: Vec<u8> = shared.iter().flat_map(|it| it.id.to_be_bytes()).collect();
+    let prefix_hash = if ids.is_empty() { 0 } else { xxh3_64(&ids).max(1) };
+    Shape { prefix_hash, max_tokens: prompt.max_tokens }
+}
+
+fn report(load: ServerLoad) -> LoadReport {
+    LoadReport {
+        incarnation: 0,
+        running: load.running,
+        waiting: load.waiting,
+        batch_max: load.slots,
+        kv_used_permille: 0,
+        age: Duration::ZERO,
+    }
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
+use derive_more::FromStr;
 use httpio::{
     Limits,
     client::PoolSettings,
@@ -39,6 +40,8 @@
     /// The control VMs, those of the own failure domain first; the tables come from files where
     /// there are none.
     pub control: Vec<SocketAddr>,
+    /// What proves to the control VMs that this router belongs to the system.
+    pub trust: Trust,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
     /// Time between two readings of a peer's quarantine.
@@ -57,6 +60,15 @@
     pub waits: Waits,
 }
 
+/// What proves that a process belongs to the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
+pub enum Trust {
+    /// The tokens of the settings.
+    Tokens,
+    /// The network, which only processes of the system can reach.
+    Network,
+}
+
 /// Files that the settings name.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Files {
@@ -90,7 +102,7 @@
     #[must_use]
     pub fn to_settings(&self) -> ServerSettings {
         let connections = ConnectionBound(self.connections_max);
-        ServerSettings { limits: self.limits, connections }
+        ServerSettings { limits: self.limits.into(), connections }
     }
 }
 
@@ -107,6 +119,7 @@
             drain_delay_ms: 5_000,
             files: Files::default(),
             control: Vec::new(),
+            trust: Trust::Tokens,
             peers: Vec::new(),
             peer_period_ms: 500,
             exchange_period_ms: 1_000,
@@ -181,7 +194,8 @@
             MILLISECONDS,
             default.platform_period_ms,
         ),
-        control: reader.list("control", "addresses and ports separated by commas"),
+        control: read_control(&mut reader),
+        trust: reader.or_default("trust", "tokens or network", default.trust),
         ..default
     };
     let has_tables = settings.files.routes.is_some() && settings.files.pools.is_some();
@@ -192,13 +206,23 @@
             "name control VMs, or routes_file and pools_file",
         );
     }
-    if !settings.control.is_empty() && settings.files.command_token.is_none() {
+    let needs_token = !settings.control.is_empty() && settings.trust == Trust::Tokens;
+    if needs_token && settings.files.command_token.is_none() {
         reader.fault("command_token_file", "is missing beside control", "name the token's file");
     }
     reader.finish();
     settings
 }
 
+/// The control VMs; with a port of its own, only the hosts of their addresses count.
+fn read_control(reader: &mut SectionReader<'_>) -> Vec<SocketAddr> {
+    let control: Vec<SocketAddr> =
+        reader.list("control", "addresses and ports separated by commas");
+    let port: Option<u16> = reader.optional("control_port", "a port");
+    let on_port = |it: SocketAddr| SocketAddr::new(it.ip(), port.unwrap_or(it.port()));
+    control.into_iter().map(on_port).collect()
+}
+
 fn read_callers(reader: &mut SectionReader<'_>, server: &mut Server) {
     let limits = &mut server.limits;
     read(reader, "head_bytes_max", BYTES, &mut limits.head_bytes);
@@ -218,6 +242,7 @@
     read(reader, "write_timeout_ms", MILLISECONDS, &mut limits.write_timeout_ms);
     read(reader, "answer_bytes_max", BYTES, &mut limits.body_bytes);
     read(reader, "chunk_bytes_max", BYTES, &mut limits.chunk_bytes);
+    read(reader, "unsized_answers", "refused or until-close", &mut limits.unsized_body);
     read(reader, "idle_per_server_max", COUNT, idle_per_server);
     read(reader, "idle_age_ms", MILLISECONDS, idle_age_ms);
     read(reader, "probe_timeout_ms", MILLISECONDS, &mut backends.probe_timeout_ms);
