--- a/crates/control-client/src/document_watch.rs
+++ b/crates/control-client/src/document_watch.rs
@@ -14,6 +14,9 @@
 
 use crate::{Freshness, WatchSettings, first_tables::CONFIRM_WAIT};
 
+/// Puts the addresses of the control VMs into an order of preference.
+type Order = Box<dyn Fn(&mut Vec<SocketAddr>)>;
+
 /// Follows the document; each one that is newer than all before comes out of the receiver.
 ///
 /// A version that was seen is never followed by a lower one. A start prefers what the leader
@@ -24,7 +27,7 @@
     settings: WatchSettings,
     clock: Rc<dyn Clock>,
     /// Puts the addresses of the control VMs into this process's order.
-    order: Box<dyn Fn(&mut Vec<SocketAddr>)>,
+    order: Order,
     held: Cell<u64>,
     freshness: Cell<Freshness>,
     best: RefCell<Option<Document>>,
@@ -75,7 +78,14 @@
             Freshness::Confirmed => (self.held.get(), Duration::from_millis(self.settings.poll_ms)),
             Freshness::None | Freshness::Unconfirmed => (0, CONFIRM_WAIT),
         };
-        let Ok(update) = client.fetch_document(held, wait).await else { return false };
+        let update = match client.fetch_document(held, wait).await {
+            Ok(update) => update,
+            Err(error) => {
+                tracing::info!(event = "control_silent", addr = %client.addr(), %error);
+                self.link.leave();
+                return false;
+            }
+        };
         self.follow_controls(&update);
         if let Some(fetched) = update.document {
             self.take(fetched);
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -1,6 +1,12 @@
 //! Runs a control VM: listeners, the member of the replicated log, and the planned stop.
 
-use std::{cell::RefCell, io, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
 
 use ::daemon::Admin;
 use anyhow::{Context, bail};
@@ -117,6 +123,7 @@
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
         let bound = Bound::new(&settings)?;
+        monoio::spawn(note_reloads(settings_file.to_owned()));
         serve(settings, parts, bound, ::daemon::stop_requests::from_signals()?).await
     })
 }
@@ -183,6 +190,20 @@
     }
 }
 
+/// A control VM knows the members from the log, so changed settings are checked and told only.
+async fn note_reloads(path: PathBuf) {
+    let mut reloads = match ::daemon::stop_requests::reloads() {
+        Ok(reloads) => reloads,
+        Err(error) => return tracing::error!(event = "reload_unavailable", %error),
+    };
+    while reloads.next().await.is_some() {
+        match Settings::read(&path) {
+            Ok(settings) => tracing::info!(event = "reloaded", seeds = ?settings.seeds),
+            Err(error) => tracing::error!(event = "reload_refused", %error),
+        }
+    }
+}
+
 fn peers(settings: &Settings, tokens: Option<&Tokens>) -> Peers {
     let token = tokens.map(|it| it.peer.clone()).unwrap_or_default();
     let book = AddressBook::new(settings.peers.clone());
--- a/crates/daemon/src/stop_requests.rs
+++ b/crates/daemon/src/stop_requests.rs
@@ -5,7 +5,7 @@
 use futures::{Stream, channel::mpsc};
 use monoio::{io::AsyncReadRent, net::UnixStream};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     low_level::pipe,
 };
 
@@ -14,11 +14,24 @@
 /// # Errors
 /// Those of the system while the handlers are installed.
 pub fn from_signals() -> io::Result<impl Stream<Item = ()> + Unpin> {
+    on_signals(&[SIGTERM, SIGINT])
+}
+
+/// Yields once for each SIGHUP, by which a daemon is told that its settings file has changed.
+///
+/// # Errors
+/// Those of the system while the handler is installed.
+pub fn reloads() -> io::Result<impl Stream<Item = ()> + Unpin> {
+    on_signals(&[SIGHUP])
+}
+
+fn on_signals(signals: &[i32]) -> io::Result<impl Stream<Item = ()> + Unpin + use<>> {
     // The handlers write to a socket that the event loop reads, as no other work is safe in them.
     let (read, write) = StdStream::pair()?;
     read.set_nonblocking(true)?;
-    pipe::register(SIGTERM, write.try_clone()?)?;
-    pipe::register(SIGINT, write)?;
+    for signal in signals {
+        pipe::register(*signal, write.try_clone()?)?;
+    }
     let mut read = UnixStream::from_std(read)?;
     let (sender, receiver) = mpsc::unbounded();
     monoio::spawn(async move {
--- a/crates/rpc/src/calls.rs
+++ b/crates/rpc/src/calls.rs
@@ -10,6 +10,10 @@
 /// How long a call that needs no waiting on the other side may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long the answer to a question for a document may take beyond the wait that was asked for.
+/// A control VM that is silent for longer may be cut off while the others put changes in force.
+const DOCUMENT_SLACK: Duration = Duration::from_millis(700);
+
 /// The calls that a control VM offers to routers and operators.
 #[derive(Clone)]
 pub struct ControlClient {
@@ -92,7 +96,7 @@
         let mut params = request.get();
         params.set_held(held);
         params.set_wait_ms(wait.as_millis() as u32);
-        let reply = self.wire.within(wait + CALL_TIMEOUT, request.send().promise).await?;
+        let reply = self.wire.within(wait + DOCUMENT_SLACK, request.send().promise).await?;
         Ok(read_document(reply.get()?.get_update()?)?)
     }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -123,7 +123,7 @@
     let handler = Rc::new(Front { service, board: Rc::clone(&board) });
     // A stop closes idle connections at once: a stand-in that stops is what is being tested.
     let limits = Limits { closing_grace_ms: 0, ..Limits::default() };
-    let settings = HttpSettings { limits, ..HttpSettings::default() };
+    let settings = HttpSettings { limits: limits.into(), ..HttpSettings::default() };
     let stop = StopSignals { closing: board.closing.clone(), ..StopSignals::default() };
     // The wait for the signal must end with this future: a task left behind would be dropped
     // inside the wake of a signal raised later, which then waits for itself.
