Count the tokens of an event, so that estimates are in tokens

The expected length came from the caller's most tokens and the gap from events, which hold 6 tokens each, so the estimated service was six times too long. Change: pools have tokens_per_event, read from the operator's engine entry.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,6 +1,13 @@
 //! Runs a router: listeners, the watch on the tables, load reports, and the graceful stop.
 
-use std::{cell::Cell, io, net::SocketAddr, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
@@ -139,13 +146,14 @@
     settings_file: &Path,
     parts: impl FnOnce(&RouterSettings) -> anyhow::Result<Parts>,
 ) -> anyhow::Result<()> {
-    let text = std::fs::read_to_string(settings_file)
-        .with_context(|| format!("read {}: check --config", settings_file.display()))?;
-    let settings = RouterSettings::parse(&settings_file.display().to_string(), &text)?;
+    let settings = read_settings(settings_file)?;
     telemetry::init_logs(&LogSettings { filter: settings.log.clone() })?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
         let parts = parts(&settings)?;
+        if let Some(link) = parts.link.clone() {
+            monoio::spawn(follow_settings(settings_file.to_owned(), link));
+        }
         let bound = Bound::new(settings.listen, settings.admin_listen)?;
         match serve(settings, parts, bound, daemon::stop_requests::from_signals()?).await? {
             Stopped::Gracefully => Ok(()),
@@ -196,6 +204,33 @@
     }
 }
 
+/// Takes the control VMs over from the settings file whenever it has changed; everything else
+/// there needs a restart.
+async fn follow_settings(path: PathBuf, link: Link) {
+    let mut reloads = match daemon::stop_requests::reloads() {
+        Ok(reloads) => reloads,
+        Err(error) => return tracing::error!(event = "reload_unavailable", %error),
+    };
+    while reloads.next().await.is_some() {
+        match read_settings(&path) {
+            Ok(settings) => {
+                tracing::info!(event = "reloaded", control = ?settings.control);
+                if link.client().is_err() && !settings.control.is_empty() {
+                    link.set_addrs(settings.control);
+                }
+            }
+            Err(error) => tracing::error!(event = "reload_refused", %error),
+        }
+    }
+}
+
+fn read_settings(path: &Path) -> anyhow::Result<RouterSettings> {
+    let name = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("read {name}: check --config"))?;
+    Ok(RouterSettings::parse(&name, &text)?)
+}
+
 /// Orders control VMs so that the routers spread over them.
 fn first_control(vm: &str) -> impl Fn(&mut Vec<SocketAddr>) + 'static {
     let hash = xxh3_64(vm.as_bytes());
@@ -358,6 +393,7 @@
                 pacing: Pacing::Off,
                 prefix_homes: PREFIX_HOMES,
                 retry_burst: 1,
+                straggler_ratio: 50.0,
                 ..policy
             };
             (backends.speaking(Rc::clone(dialect)), policy, "")
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -33,7 +33,7 @@
     /// The server answers with something else than events, such as a failure.
     Whole(Answer),
     /// The head and the first event.
-    Stream(Stream),
+    Stream(Box<Stream>),
 }
 
 struct Stream {
@@ -66,7 +66,7 @@
     };
     match opened {
         Ok(Opened::Stream(stream)) => {
-            let Stream { status, headers, first, source } = stream;
+            let Stream { status, headers, first, source } = *stream;
             let (sender, reply) = Reply::stream(status, headers, WAITING_EVENTS);
             monoio::spawn(pump(passage, first, source, sender));
             Ok(reply)
@@ -104,7 +104,7 @@
         passage.call.lease.first_token();
         passage.call.note_first_token();
     }
-    Ok(Opened::Stream(Stream { status, headers, first, source }))
+    Ok(Opened::Stream(Box::new(Stream { status, headers, first, source })))
 }
 
 fn is_stream(response: &Response) -> bool {
@@ -125,8 +125,8 @@
     let relay = relay(&mut passage, first, &mut source, &mut sender);
     match while_wanted(&gone, left, relay).await {
         Worked::Done(Relayed::Whole) => {
-            let events = passage.events;
-            passage.call.finish(events);
+            let tokens = passage.events * passage.tokens_per_event();
+            passage.call.finish(tokens);
             // A caller that left in this moment needs no end.
             let _ = sender.finish().await;
         }
@@ -164,7 +164,7 @@
         }
         next = passage.next_event(source).await;
         if matches!(next, Ok(Some(_))) {
-            passage.call.lease.tokens(1);
+            passage.call.lease.tokens(passage.tokens_per_event());
         }
     }
 }
@@ -223,6 +223,10 @@
         }
     }
 
+    fn tokens_per_event(&self) -> u32 {
+        self.call.routed.pool().tokens_per_event
+    }
+
     /// Notes the event's number; an event that the caller has is passed over.
     fn is_news(&mut self, event: &[u8]) -> bool {
         let id = sse::field(event, "id").and_then(|it| std::str::from_utf8(it).ok());
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -27,7 +27,8 @@
 };
 use router::{
     backends::BackendSettings,
-    daemon::{self, Bound, Parts, Stopped},
+    daemon::{self, Bound, Interface, Parts, Stopped},
+    directory::VmList,
     identity::Workspaces,
     order_ledger::{
         BodyHash, ClaimId, ClaimResult, LedgerError, NoLedger, OrderEnd, OrderKey, OrderLedger,
@@ -241,6 +242,7 @@
     /// Further lines of the pool of engines.
     pub(crate) pool: &'static str,
     /// The deadline of the route of orders.
+    pub(crate) interface: Interface,
     pub(crate) order_deadline_ms: u64,
 }
 
@@ -260,6 +262,7 @@
             platform: None,
             pool: "",
             order_deadline_ms: 20_000,
+            interface: Interface::Native,
         }
     }
 }
@@ -295,6 +298,8 @@
             link: None,
             clock: self.clock,
             seed: self.seed,
+            interface: self.interface,
+            directory: Rc::new(VmList),
         };
         let bound = Bound::new(any_port(), any_port()).expect("free ports");
         let addr = bound.callers.local_addr().expect("a bound listener");
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -62,6 +62,7 @@
         version: reader.or_default("version", "the version", String::new()),
         health_path: reader.or_default("health_path", "a path", HEALTH_PATH_DEFAULT.to_owned()),
         connections_max: reader.optional("connections_max", COUNT),
+        tokens_per_event: reader.or_default("tokens_per_event", COUNT, 1),
         in_flight_max: reader.or_default("in_flight_max", COUNT, IN_FLIGHT_DEFAULT),
         fencing: reader.or_default("fencing", "enforced or ignored", Fencing::default()),
         discovery: reader.or_default("discovery", "table or platform", Discovery::default()),
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -23,6 +23,8 @@
     pub health_path: String,
     /// How many connections one backend server takes, from all routers together.
     pub connections_max: Option<u32>,
+    /// How many tokens one event of an answer holds.
+    pub tokens_per_event: u32,
     /// How many requests one backend server takes at a time.
     pub in_flight_max: u32,
     /// Whether the engines refuse an order with an old fencing number.
