--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -15,6 +15,9 @@
 use crate::{Founding, address_book::node_named_after};
 
 const SECTIONS: [&str; 2] = ["control", "peers"];
+const MILLISECONDS: &str = "a whole number of milliseconds, such as 250";
+/// A lost heartbeat or two must not lead to an election.
+const HEARTBEATS_PER_TIMEOUT: u64 = 3;
 const ADDRESS: &str = "ADDRESS:PORT, such as 10.0.0.1:7100";
 
 /// What proves that a caller belongs to the system.
@@ -47,6 +50,11 @@
     pub voters_max: usize,
     /// After how many applied entries a snapshot is taken.
     pub snapshot_every_entries: u64,
+    /// How often a leader sends heartbeats.
+    pub heartbeat_ms: u64,
+    /// The shortest silence after which a member looks for a new leader; the lease is about as
+    /// long.
+    pub election_timeout_ms: u64,
     /// The log filter.
     pub log: String,
     /// The control VMs that the operators numbered, this one included; empty if nodes are named
@@ -80,6 +88,8 @@
             token_files: None,
             voters_max: 5,
             snapshot_every_entries: 1000,
+            heartbeat_ms: 250,
+            election_timeout_ms: 1_500,
             log: "info".to_owned(),
             peers: BTreeMap::new(),
             seeds: Vec::new(),
@@ -149,6 +159,12 @@
             "a whole number",
             defaults.snapshot_every_entries,
         ),
+        heartbeat_ms: reader.or_default("heartbeat_ms", MILLISECONDS, defaults.heartbeat_ms),
+        election_timeout_ms: reader.or_default(
+            "election_timeout_ms",
+            MILLISECONDS,
+            defaults.election_timeout_ms,
+        ),
         log: reader.or_default("log", "a filter such as info", defaults.log),
         seeds: read_seeds(&mut reader, listen),
         founding: match reader.or_default("found", "true or false", false) {
@@ -157,6 +173,13 @@
         },
         ..defaults
     };
+    if settings.heartbeat_ms * HEARTBEATS_PER_TIMEOUT > settings.election_timeout_ms {
+        reader.fault(
+            "election_timeout_ms",
+            "is short of three heartbeats",
+            "make it longer, or heartbeat_ms shorter",
+        );
+    }
     if settings.voters_max.is_multiple_of(2) {
         reader.fault("voters_max", "is even", "write 1, 3 or 5");
     }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -77,6 +77,8 @@
     pub(crate) give_up_at: Instant,
     pub(crate) phase: Phase,
     pub(crate) attempts: u32,
+    /// Attempts that found no connection, which do not count.
+    pub(crate) unreached: u32,
     pub(crate) tried: Option<BackendKey>,
     pub(crate) standing: Standing,
     pub(crate) room: Room,
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -252,6 +252,7 @@
             give_up_at,
             phase: Phase::Waiting,
             attempts: 0,
+            unreached: 0,
             tried: None,
             standing: Standing::Pausable,
             room: Room::NotMade,
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -32,10 +32,11 @@
             return RetryDecision::GiveUp(GiveUp::NotFailed);
         }
         self.note_failure(ticket, now, failure);
+        let reached = self.reach(ticket, failure, execution);
         if let Some(twin) = self.requests[ticket].twin {
             return self.leave_to_twin(ticket, twin);
         }
-        match self.may_retry(ticket, execution, now) {
+        match self.may_retry(ticket, execution, reached, now) {
             Ok(()) => self.schedule_retry(ticket, now),
             Err(reason) => {
                 self.cancelled(ticket);
@@ -73,6 +74,7 @@
         &mut self,
         ticket: Ticket,
         execution: Execution,
+        reached: Reached,
         now: Instant,
     ) -> Result<(), GiveUp> {
         let request = &self.requests[ticket];
@@ -93,12 +95,24 @@
         if !self.has_usable_backend(offer.pool) {
             return Err(GiveUp::NoBackend);
         }
-        if !self.pools[offer.pool].lane(offer.class).retries.spend() {
+        if reached == Reached::Server && !self.pools[offer.pool].lane(offer.class).retries.spend() {
             return Err(GiveUp::BudgetSpent);
         }
         Ok(())
     }
 
+    /// An attempt without a connection counts for nothing, but for a few of one request.
+    fn reach(&mut self, ticket: Ticket, failure: Failure, execution: Execution) -> Reached {
+        let request = &mut self.requests[ticket];
+        let is_unreached = failure == Failure::ConnectRefused && execution == Execution::NotRun;
+        if !is_unreached || request.unreached >= UNREACHED_MAX {
+            return Reached::Server;
+        }
+        request.unreached += 1;
+        request.attempts -= 1;
+        Reached::Nobody
+    }
+
     fn schedule_retry(&mut self, ticket: Ticket, now: Instant) -> RetryDecision {
         let delay = self.settings.retry_jitter.mul_f64(self.rng.random_range(0.0..1.0));
         let run = self.release(ticket);
@@ -162,6 +176,18 @@
     }
 }
 
+/// Whom an attempt has reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reached {
+    /// A server, perhaps.
+    Server,
+    /// Nobody: there was no connection.
+    Nobody,
+}
+
+/// Attempts without a connection that one request may have beside its others.
+const UNREACHED_MAX: u32 = 3;
+
 fn outcome_allows(request: &Request, execution: Execution) -> bool {
     match execution {
         Execution::NotRun => true,
--- a/crates/router/src/directory_watch.rs
+++ b/crates/router/src/directory_watch.rs
@@ -21,23 +21,34 @@
     pub(crate) directory: Rc<dyn Directory>,
 }
 
-/// Passes the list on to the schedulers.
+/// Passes the list on to the schedulers. New tables get the last list at once, since they may name
+/// pools whose servers are known.
 pub(crate) async fn follow(
     source: DirectorySource,
     services: Rc<Services>,
     tables: Rc<dyn TableSource>,
 ) {
     let mut was_read = true;
+    let mut vms = Vec::new();
     loop {
         let listed = list(&services, &source).await;
         if listed.is_some() != was_read {
             was_read = listed.is_some();
             tracing::info!(event = "platform_list", addr = %source.addr, is_readable = was_read);
         }
-        if let Some(vms) = listed {
+        if let Some(listed) = listed {
+            vms = listed;
             apply(&services, &*tables, &vms, source.directory.absence());
         }
-        time::sleep(source.period).await;
+        let due = services.clock.now() + source.period;
+        loop {
+            let left = due.saturating_duration_since(services.clock.now());
+            let newer = tables.newer_than(tables.current().revision);
+            if time::timeout(left, newer).await.is_err() {
+                break;
+            }
+            apply(&services, &*tables, &vms, Absence::MeansNothing);
+        }
     }
 }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,7 +7,7 @@
 mod passage;
 mod whole;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use futures::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderValue, StatusCode, header};
@@ -27,6 +27,9 @@
     table_source::TableSource,
 };
 
+/// How long a start takes until tables are in force, with an election of the control VMs.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// Answers relayed requests; clones share everything.
 #[derive(Clone)]
 pub struct Relay {
@@ -125,6 +128,7 @@
 fn not_ready() -> Failure {
     let message = "the router has no tables yet; use another one";
     Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute, message)
+        .retry_after(START_TIME)
 }
 
 fn no_route() -> Failure {
