Place prompts by what engines keep and by the expected time to the first token

Change: policy takes the parts of a prompt; of the free servers the one with the least cost wins: unread tokens five times, what waits ahead by urgency, running requests; the first home by rendezvous is believed to keep the part, the second a fifth of it, a server that was sent it within 5 s all of it.

--- a/crates/httpio/tests/malformed_replies.rs
+++ b/crates/httpio/tests/malformed_replies.rs
@@ -197,7 +197,7 @@
 
 #[test]
 fn until_close() {
-    check_until_close("HTTP/1.1 200 OK\r\n\r\nwhole", expect!["200 whole"]);
+    check_until_close("HTTP/1.1 200 OK\r\n\r\nwhole", expect!["200 OK: whole"]);
 }
 
 #[test]
@@ -205,6 +205,6 @@
     let reply = format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(101));
     check_until_close(
         &reply,
-        expect!["the body of the answer is larger than allowed (head received)"],
+        expect!["200 OK, then the body of the answer is larger than allowed (head received)"],
     );
 }
--- a/crates/httpio/tests/refused_requests.rs
+++ b/crates/httpio/tests/refused_requests.rs
@@ -183,7 +183,7 @@
         "GET / HTTP/1.1\nhost: a\n\n",
         expect![[r#"
             HTTP/1.1 400 Bad Request
-            content-length: 75
+            content-length: 71
             content-type: text/plain
             connection: close
 
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -1,6 +1,9 @@
 //! What the scheduler knows about one backend server: health, capacity and speed.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use crate::{
     choice::mix,
@@ -102,10 +105,48 @@
     slots: u32,
     reported_slots: Option<u32>,
     others: u32,
+    /// Of these, the ones that waited.
+    others_waiting: u32,
+    /// Prompt tokens of this router's requests that have no first token yet.
+    pub(crate) unread: Unread,
     /// When the last report came.
     reported: Option<Instant>,
 }
 
+/// Prompts that a server still has to read, by the urgency of their requests.
+#[derive(Debug, Default)]
+pub(crate) struct Unread {
+    requests: u32,
+    tokens: BTreeMap<u8, u64>,
+}
+
+impl Unread {
+    /// The part of less urgent prompts that delays a request, since they are read in chunks by
+    /// turns.
+    const BEHIND_PART: f64 = 0.25;
+
+    pub(crate) fn add(&mut self, priority: u8, tokens: u32) {
+        self.requests += 1;
+        *self.tokens.entry(priority).or_default() += u64::from(tokens);
+    }
+
+    pub(crate) fn remove(&mut self, priority: u8, tokens: u32) {
+        self.requests = self.requests.saturating_sub(1);
+        if let Some(unread) = self.tokens.get_mut(&priority) {
+            *unread = unread.saturating_sub(u64::from(tokens));
+        }
+    }
+
+    /// The tokens that are read before a request of this urgency.
+    pub(crate) fn ahead_of(&self, priority: u8) -> f64 {
+        let weigh = |(other, tokens): (&u8, &u64)| match *other >= priority {
+            true => *tokens as f64,
+            false => *tokens as f64 * Self::BEHIND_PART,
+        };
+        self.tokens.iter().map(weigh).sum()
+    }
+}
+
 /// A time without work after a refusal.
 #[derive(Debug, Clone, Copy)]
 struct RefusalPause {
@@ -144,6 +185,8 @@
             slots,
             reported_slots: None,
             others: 0,
+            others_waiting: 0,
+            unread: Unread::default(),
             reported: None,
         }
     }
@@ -228,6 +271,7 @@
         if report.batch_max > 0 {
             self.reported_slots = Some(report.batch_max);
         }
+        self.others_waiting = report.waiting.saturating_sub(self.unread.requests);
         self.others = (report.running + report.waiting).saturating_sub(self.in_flight);
     }
 
@@ -281,6 +325,13 @@
         (f64::from(self.in_flight) + others) / f64::from(slots)
     }
 
+    /// Running and waiting requests of other routers, as far as reports still count.
+    pub(crate) fn others_there(&self, now: Instant) -> (f64, f64) {
+        let running = self.others.saturating_sub(self.others_waiting);
+        let freshness = self.freshness(now);
+        (f64::from(running) * freshness, f64::from(self.others_waiting) * freshness)
+    }
+
     /// The part of a report that still counts; half of it is lost every [`REPORT_HALF_LIFE`].
     fn freshness(&self, now: Instant) -> f64 {
         let Some(reported) = self.reported else { return 0.0 };
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -15,16 +15,35 @@
     backend::{Backend, Health},
     keys::BackendKey,
     pace::Ceiling,
+    prompt::{Prompt, SentParts},
     quarantine::Isolation,
     settings::Settings,
 };
 
 const AFFINITY_SLACK: f64 = 0.05;
+/// How much of a shared prefix its first and second home are believed to keep; all routers send
+/// there.
+const HOME_BELIEFS: [f64; 2] = [1.0, 0.2];
+/// How much a token that has to be read weighs against one that waits to be read: it delays what
+/// runs and what comes after.
+const REREAD_WEIGHT: f64 = 5.0;
+/// Prompt tokens that another router's waiting request is taken to have unread.
+const OTHERS_PROMPT_TOKENS: f64 = 1_000.0;
+/// What one more running request costs the first token of a new one.
+const BATCH_MS: f64 = 1.0;
+/// What one more request beyond the slots costs.
+const OVER_SLOTS_MS: f64 = 100.0;
+/// The gaps between tokens differ by what runs, so slowness counts to this factor only.
+const SLOWNESS_MAX: f64 = 1.5;
 
 /// What a choice may and may not take.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Wanted<'a> {
     pub(crate) prefix_hash: u64,
+    /// The prompt in parts, where it is known.
+    pub(crate) prompt: Option<&'a Prompt>,
+    /// The urgency of the request; a higher number is more urgent.
+    pub(crate) priority: u8,
     /// The servers of earlier attempts, avoided while there is another.
     pub(crate) tried: Option<BackendKey>,
     /// If set, only these servers may be taken.
@@ -41,6 +60,7 @@
     pub(crate) backends: &'a SlotMap<BackendKey, Backend>,
     pub(crate) members: &'a [BackendKey],
     pub(crate) settings: &'a Settings,
+    pub(crate) sent: &'a SentParts,
     pub(crate) now: Instant,
 }
 
@@ -54,7 +74,8 @@
         if wanted.isolation == Isolation::Preferred {
             retain_some(&mut candidates, |it| !wanted.suspect_hosts.contains(&it));
         }
-        self.preferred(&candidates, wanted.prefix_hash)
+        self.soonest(&candidates, wanted)
+            .or_else(|| self.preferred(&candidates, wanted.prefix_hash))
             .or_else(|| self.better_of_two(&candidates, rng))
     }
 
@@ -88,24 +109,72 @@
         self.backends[key].is_straggler(self.settings)
     }
 
-    /// The first of the prefix's homes that is free and not much busier than the others. Several
-    /// homes keep a hot prefix in a few caches instead of in all.
     fn preferred(&self, candidates: &[BackendKey], prefix_hash: u64) -> Option<BackendKey> {
         if prefix_hash == 0 || candidates.is_empty() {
             return None;
         }
+        let key = *self.members.iter().max_by_key(|it| self.rendezvous(**it, prefix_hash))?;
+        if !candidates.contains(&key) {
+            return None;
+        }
         let sum: f64 = candidates.iter().map(|it| self.load(*it)).sum();
         let mean = sum / candidates.len() as f64;
         let bound = mean * self.settings.affinity_bound + AFFINITY_SLACK;
-        let is_fit = |it: &BackendKey| candidates.contains(it) && self.load(*it) <= bound;
-        self.homes(prefix_hash).into_iter().find(is_fit)
+        (self.load(key) <= bound).then_some(key)
+    }
+
+    /// The server where the first token of a prompt is expected soonest, with what reading it
+    /// anew would cost all others there.
+    ///
+    /// What is cached decides more than the queue: reading a long shared part anew takes longer
+    /// than waiting behind several requests at the server that keeps it, and takes the room of
+    /// another part in the cache.
+    fn soonest(&self, candidates: &[BackendKey], wanted: &Wanted<'_>) -> Option<BackendKey> {
+        let prompt = wanted.prompt?;
+        let homes = self.homes(prompt);
+        let cost = |it: &BackendKey| (*it, self.cost_ms(*it, prompt, wanted.priority, &homes));
+        let costs = candidates.iter().map(cost);
+        costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
+    }
+
+    fn cost_ms(&self, key: BackendKey, prompt: &Prompt, priority: u8, homes: &[BackendKey]) -> f64 {
+        let backend = &self.backends[key];
+        let (running, waiting) = backend.others_there(self.now);
+        let unread = f64::from(self.unread_tokens(key, prompt, homes));
+        let queued = backend.unread.ahead_of(priority) + waiting * OTHERS_PROMPT_TOKENS;
+        let reading_ms = (unread * REREAD_WEIGHT + queued) / self.settings.prefill_tokens_per_ms;
+        let batch = f64::from(backend.in_flight) + running;
+        let over = (batch - f64::from(backend.slots())).max(0.0);
+        let slowness = backend.slowness.clamp(1.0, SLOWNESS_MAX);
+        (reading_ms + batch * BATCH_MS + over * OVER_SLOTS_MS) * slowness
+    }
+
+    /// The tokens of a prompt that a server is taken to read.
+    pub(crate) fn unread_tokens(
+        &self,
+        key: BackendKey,
+        prompt: &Prompt,
+        homes: &[BackendKey],
+    ) -> u32 {
+        if self.sent.has(self.now, prompt, key) {
+            return prompt.tokens() - prompt.shared_tokens();
+        }
+        let home = homes.iter().position(|it| *it == key);
+        let belief = home.and_then(|it| HOME_BELIEFS.get(it)).copied().unwrap_or(0.0);
+        let kept = f64::from(prompt.shared_tokens()) * belief;
+        prompt.tokens().saturating_sub(kept as u32)
     }
 
-    fn homes(&self, prefix_hash: u64) -> Vec<BackendKey> {
+    /// The servers at which routers that know nothing of one another meet for a prefix.
+    pub(crate) fn homes(&self, prompt: &Prompt) -> Vec<BackendKey> {
+        let hash = prompt.shared_hash();
+        if hash == 0 {
+            return Vec::new();
+        }
         let members = self.members.iter().copied();
         let mut ranked: Vec<_> = members.filter(|it| self.backends[*it].is_usable()).collect();
-        ranked.sort_by_cached_key(|it| std::cmp::Reverse(self.rendezvous(*it, prefix_hash)));
-        ranked.truncate(self.settings.prefix_homes);
+        ranked.sort_by_cached_key(|it| std::cmp::Reverse(self.rendezvous(*it, hash)));
+        ranked.truncate(HOME_BELIEFS.len());
         ranked
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod leases;
 mod pace;
 mod pool;
+mod prompt;
 mod quarantine;
 mod request;
 mod retry;
@@ -50,6 +51,7 @@
 
 pub use backend::{Health, LoadReport, Sighting};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
+pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry};
 pub use request::{Offer, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -120,6 +120,8 @@
     pub(crate) tokens: u32,
     /// The last token, or the dispatch before the first one.
     pub(crate) last: Instant,
+    /// Prompt tokens that the server is taken to read before the first token.
+    pub(crate) unread_tokens: u32,
 }
 
 impl Request {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -17,12 +17,13 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 
 use crate::{
     backend::Backend,
     keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey},
     pool::Pool,
+    prompt::{Prompt, SentParts},
     quarantine::Quarantine,
     request::{Refusal, Request},
     settings::Settings,
@@ -109,6 +110,9 @@
     /// Servers on which a fingerprint runs, with the number of its requests there.
     sites: BTreeMap<u64, Vec<(BackendKey, u32)>>,
     quarantine: Quarantine,
+    /// The prompts of requests, where they are known; kept until their place is used again.
+    prompts: SecondaryMap<Ticket, Prompt>,
+    sent: SentParts,
     actions: Vec<Action>,
 }
 
@@ -147,6 +151,8 @@
             hedges: BTreeSet::new(),
             sites: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            prompts: SecondaryMap::default(),
+            sent: SentParts::default(),
             actions: Vec::new(),
         }
     }
--- a/crates/policy/src/scheduler/accounts.rs
+++ b/crates/policy/src/scheduler/accounts.rs
@@ -63,8 +63,9 @@
         standing: Standing,
     ) {
         let incarnation = self.backends[backend].incarnation;
+        let unread_tokens = self.send_prompt(now, ticket, backend);
         let request = &mut self.requests[ticket];
-        let run = Run { backend, incarnation, sent: now, tokens: 0, last: now };
+        let run = Run { backend, incarnation, sent: now, tokens: 0, last: now, unread_tokens };
         request.phase = Phase::Running(run);
         request.standing = standing;
         request.attempts += 1;
@@ -78,6 +79,29 @@
         lane.dispatched.add(now, u64::from(cost));
     }
 
+    /// Notes that the server reads the request's prompt; gives the tokens that it has to read.
+    fn send_prompt(&mut self, now: Instant, ticket: Ticket, backend: BackendKey) -> u32 {
+        let Some(prompt) = self.prompts.get(ticket) else { return 0 };
+        let offer = self.requests[ticket].offer;
+        let choice = self.choice(now, offer.pool);
+        let unread = choice.unread_tokens(backend, prompt, &choice.homes(prompt)).max(1);
+        self.sent.note(now, prompt, backend);
+        let priority = self.classes[offer.class].spec.priority;
+        self.backends[backend].unread.add(priority, unread);
+        unread
+    }
+
+    /// Notes that the server has read the request's prompt, or will not.
+    pub(super) fn prompt_read(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get_mut(ticket) else { return };
+        let (Phase::Running(run) | Phase::Paused(run)) = &mut request.phase else { return };
+        let unread = std::mem::take(&mut run.unread_tokens);
+        if unread > 0 {
+            let priority = self.classes[request.offer.class].spec.priority;
+            self.backends[run.backend].unread.remove(priority, unread);
+        }
+    }
+
     /// Ends the attempt of a running or paused request; the request itself stays.
     pub(super) fn release(&mut self, ticket: Ticket) -> Option<Run> {
         let request = self.requests.get(ticket)?;
@@ -85,6 +109,7 @@
         let is_running = matches!(request.phase, Phase::Running(_));
         let offer = request.offer;
         self.use_room(ticket);
+        self.prompt_read(ticket);
         self.hedges.retain(|it| it.1 != ticket);
         let lane = self.pools[offer.pool].lane(offer.class);
         lane.running.retain(|it| *it != ticket);
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -37,6 +37,7 @@
     /// The first token arrived; a hedged request's other attempt is cancelled.
     pub fn first_token(&mut self, ticket: Ticket, now: Instant) {
         self.use_room(ticket);
+        self.prompt_read(ticket);
         let Some(request) = self.requests.get_mut(ticket) else { return };
         let (Phase::Running(run) | Phase::Paused(run)) = &mut request.phase else { return };
         run.tokens = run.tokens.max(1);
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -7,6 +7,7 @@
     backend::Health,
     keys::{ClassKey, PoolKey, Ticket},
     lane::Waiting,
+    prompt::Prompt,
     request::{Offer, Phase, Refusal, RefusalReason, Request, Room, Standing},
     spec::{Admission, WHOLE_PERMILLE},
 };
@@ -41,6 +42,23 @@
         Ok(self.admit(now, offer, cost, service))
     }
 
+    /// As [`Scheduler::offer`], for a request whose prompt is known by its parts.
+    ///
+    /// # Errors
+    /// As for [`Scheduler::offer`].
+    pub fn offer_prompt(
+        &mut self,
+        now: Instant,
+        offer: Offer,
+        prompt: Prompt,
+    ) -> Result<Ticket, Refusal> {
+        let ticket = self.offer(now, offer)?;
+        if !prompt.parts.is_empty() {
+            self.prompts.insert(ticket, prompt);
+        }
+        Ok(ticket)
+    }
+
     /// Time after which the class's waiting work in the pool has drained, at the measured rate.
     pub fn retry_after(&mut self, now: Instant, class: ClassKey, pool: PoolKey) -> Duration {
         let wait = self.drain_time(now, class, pool, 0).unwrap_or(MIN_RETRY_AFTER);
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -248,15 +248,24 @@
         ceiling: Ceiling,
     ) -> Option<BackendKey> {
         let request = &self.requests[ticket];
-        let members = &self.pools[request.offer.pool].members;
         let only = self.allowed_sites(now, request);
         let suspect_hosts = self.suspect_hosts(now, request);
         let wanted = self.wanted(now, request, only.as_deref(), &suspect_hosts);
         let wanted = Wanted { ceiling, ..wanted };
-        let choice = Choice { backends: &self.backends, members, settings: &self.settings, now };
+        let wanted = Wanted { prompt: self.prompts.get(ticket), ..wanted };
+        let (backends, settings, sent) = (&self.backends, &self.settings, &self.sent);
+        let members = &self.pools[request.offer.pool].members;
+        let choice = Choice { backends, members, settings, sent, now };
         choice.pick(&wanted, &mut self.rng)
     }
 
+    /// The choice among all servers of a pool.
+    pub(super) fn choice(&self, now: Instant, pool: PoolKey) -> Choice<'_> {
+        let members = &self.pools[pool].members;
+        let (backends, settings, sent) = (&self.backends, &self.settings, &self.sent);
+        Choice { backends, members, settings, sent, now }
+    }
+
     pub(super) fn wanted<'a>(
         &self,
         now: Instant,
@@ -267,6 +276,8 @@
         let offer = &request.offer;
         Wanted {
             prefix_hash: offer.prefix_hash,
+            prompt: None,
+            priority: self.classes[offer.class].spec.priority,
             tried: request.tried,
             only,
             isolation: self.quarantine.isolation(now, offer.request_hash),
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -6,7 +6,6 @@
 
 use super::{Action, Scheduler};
 use crate::{
-    choice::Choice,
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
     pool::{Contender, Urgency},
     request::{Phase, Repeat, Request, Room, Standing},
@@ -158,7 +157,7 @@
         let only = self.allowed_sites(now, request);
         let suspect_hosts = self.suspect_hosts(now, request);
         let wanted = self.wanted(now, request, only.as_deref(), &suspect_hosts);
-        let choice = Choice { backends: &self.backends, members, settings: &self.settings, now };
+        let choice = self.choice(now, request.offer.pool);
         let hosts = members.iter().copied().filter(|it| choice.admits(*it, &wanted));
         hosts.filter(|it| choice.is_good_host(*it)).collect()
     }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -17,8 +17,9 @@
     pub probe_interval: Duration,
     /// Load above the pool's mean, as a factor, up to which prefix affinity is followed.
     pub affinity_bound: f64,
-    /// Servers among which the requests of one prefix are kept.
-    pub prefix_homes: usize,
+    /// Prompt tokens that an engine reads in a millisecond, to weigh a longer way to the cache
+    /// against a shorter queue.
+    pub prefill_tokens_per_ms: f64,
     /// Time that a quarantine entry lives after its last crash.
     pub quarantine_ttl: Duration,
     /// Retries that a class may spend in a pool before its budget has grown.
@@ -66,7 +67,7 @@
             slow_start: Duration::from_secs(5),
             probe_interval: Duration::from_millis(500),
             affinity_bound: 1.25,
-            prefix_homes: 1,
+            prefill_tokens_per_ms: 40.0,
             quarantine_ttl: Duration::from_secs(600),
             retry_burst: 10,
             retry_jitter: Duration::from_millis(50),
--- /dev/null
+++ b/crates/policy/tests/prompt_placement.rs
@@ -0,0 +1,123 @@
+//! Where prompts go when engines keep shared parts: patterns of load that decide a day.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::collections::BTreeSet;
+
+use policy::{BackendKey, Health, Offer, OtherLoad, Pacing, Prompt, PromptPart, Settings, Ticket};
+use world::{World, class, spec};
+
+const SERVERS: usize = 12;
+const SLOTS: u32 = 64;
+/// As many tokens as a long shared document.
+const LONG: u32 = 13_000;
+const SHORT: u32 = 300;
+/// What the request alone adds.
+const OWN: u32 = 1_000;
+
+fn world(seed: u64) -> World {
+    let classes = vec![class("draft", 1, 0), class("chat", 9, 0)];
+    let settings =
+        Settings { seed, others: OtherLoad::Fading, pacing: Pacing::Off, ..Settings::default() };
+    World::with(settings, spec(classes, SLOTS), SERVERS)
+}
+
+fn prompt(subject: u64, shared: u32) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt { parts: vec![part(subject, shared), part(subject ^ 0xffff_0000, OWN)] }
+}
+
+fn place(world: &mut World, class: &str, prompt: Prompt) -> (Ticket, BackendKey) {
+    let offer: Offer = world.offer_for(class, "a");
+    let ticket = world.scheduler.offer_prompt(world.now, offer, prompt).expect("it is admitted");
+    let placed = world.dispatched();
+    *placed.iter().find(|it| it.0 == ticket).expect("a slot is free")
+}
+
+/// Many routers, each with a part of the requests: they meet at one server for each subject.
+#[test]
+fn routers_meet() {
+    let (mut one, mut other) = (world(1), world(2));
+    let mut used = BTreeSet::new();
+    for subject in 1..=60 {
+        let (ticket, home) = place(&mut one, "draft", prompt(subject, LONG));
+        let (twin, same) = place(&mut other, "draft", prompt(subject, LONG));
+        assert_eq!(home, same, "subject {subject}");
+        used.insert(home);
+        one.finish(ticket);
+        other.finish(twin);
+    }
+    assert!(used.len() > SERVERS / 2, "subjects are spread: {}", used.len());
+}
+
+/// A few requests for one subject at once wait where it is kept, for reading it anew takes longer.
+#[test]
+fn short_queue_waits() {
+    let mut world = world(1);
+    let homes: BTreeSet<_> =
+        (0..4).map(|_| place(&mut world, "draft", prompt(7, LONG)).1).collect();
+    assert_eq!(homes.len(), 1);
+}
+
+/// One subject gets much of the traffic: a server's slots full of it spill over to a few servers
+/// instead of all.
+#[test]
+fn hot_subject_spills() {
+    let mut world = world(1);
+    let homes: BTreeSet<_> =
+        (0..SLOTS + 6).map(|_| place(&mut world, "draft", prompt(7, LONG)).1).collect();
+    assert!((2..SERVERS / 2).contains(&homes.len()), "{} servers", homes.len());
+}
+
+/// Long prompts arrive beside short chat: chat does not queue behind them.
+#[test]
+fn chat_beside_drafts() {
+    let mut world = world(1);
+    let (_, home) = place(&mut world, "chat", prompt(1, SHORT));
+    // Drafts whose home is the same server fill it with unread prompts.
+    let subjects: Vec<_> =
+        (100..2_000).filter(|it| home_of(*it) == home_index(&world, home)).collect();
+    for subject in subjects.iter().take(12) {
+        place(&mut world, "draft", prompt(*subject, LONG));
+    }
+    let (_, next) = place(&mut world, "chat", prompt(1, SHORT));
+    assert_ne!(next, home, "a short shared part is cheap to read elsewhere");
+}
+
+/// Servers are lost: their subjects move, all others stay.
+#[test]
+fn lost_servers() {
+    let mut world = world(1);
+    let homes: Vec<_> = (1..=40)
+        .map(|subject| {
+            let (ticket, home) = place(&mut world, "draft", prompt(subject, LONG));
+            world.finish(ticket);
+            home
+        })
+        .collect();
+    for idx in 0..SERVERS / 3 {
+        let name = format!("s{idx}");
+        let sighting = world.sighting(&name, 1);
+        world.scheduler.backend_gone(world.now, &sighting);
+    }
+    for (subject, before) in (1..=40).zip(homes) {
+        let (ticket, home) = place(&mut world, "draft", prompt(subject, LONG));
+        world.finish(ticket);
+        match world.scheduler.health(before) {
+            Some(Health::Gone) => assert_ne!(home, before),
+            _ => assert_eq!(home, before, "subject {subject}"),
+        }
+    }
+}
+
+/// The index of the server at which an idle world places a subject.
+fn home_of(subject: u64) -> usize {
+    let mut idle = world(1);
+    let (_, home) = place(&mut idle, "draft", prompt(subject, LONG));
+    home_index(&idle, home)
+}
+
+fn home_index(world: &World, key: BackendKey) -> usize {
+    world.backends.iter().position(|it| *it == key).expect("a server of the world")
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, GiveUp, Repeat};
+use policy::{Execution, GiveUp, Prompt, Repeat};
 use tables::Exchange;
 use telemetry::TraceContext;
 use xxhash_rust::xxh3::xxh3_64;
@@ -40,10 +40,11 @@
 }
 
 /// What the scheduler is told beside the route.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Shape {
     pub(crate) prefix_hash: u64,
     pub(crate) max_tokens: Option<u32>,
+    pub(crate) prompt: Prompt,
 }
 
 impl Call {
@@ -66,6 +67,7 @@
             prefix_hash: shape.prefix_hash,
             request_hash: request_hash(request.uri.path(), &request.body),
             max_tokens: shape.max_tokens,
+            prompt: &shape.prompt,
             repeat: match routed.is_order() {
                 true => Repeat::AtMostOnce,
                 false => Repeat::Idempotent,
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -57,9 +57,6 @@
 /// still follows a leader.
 const DOCUMENT_POLL_MS: u64 = 1_000;
 
-/// Servers among which the requests of one prefix are kept on a platform.
-const PREFIX_HOMES: usize = 2;
-
 /// What a router is given beside its settings.
 pub struct Parts {
     /// The tables.
@@ -391,7 +388,6 @@
             let policy = policy::Settings {
                 others: OtherLoad::Fading,
                 pacing: Pacing::Off,
-                prefix_homes: PREFIX_HOMES,
                 retry_burst: 1,
                 straggler_ratio: 50.0,
                 ..policy
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -10,6 +10,7 @@
     client::ResponseHead,
     server::{Reply, Request},
 };
+use policy::Prompt;
 use tables::Priority;
 
 use crate::outcome::Failure;
@@ -23,26 +24,10 @@
     pub patience: Option<Duration>,
     /// The prompt, for a model engine.
     pub prompt: Prompt,
-    /// The last event that the caller has of the answer.
-    pub last_event: Option<u64>,
-}
-
-/// What is known of a prompt.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Prompt {
-    /// Its parts in order; the last one belongs to this request or its session alone.
-    pub parts: Vec<PromptPart>,
     /// The most tokens of the answer.
     pub max_tokens: Option<u32>,
-}
-
-/// One part of a prompt; equal parts have equal ids.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromptPart {
-    /// What it is known by.
-    pub id: u64,
-    /// Its length.
-    pub tokens: u32,
+    /// The last event that the caller has of the answer.
+    pub last_event: Option<u64>,
 }
 
 /// What an attempt tells the backend server.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -13,8 +13,8 @@
 use clock::Clock;
 use futures::future::LocalBoxFuture;
 use policy::{
-    BackendKey, LoadReport, ProbeResult, QuarantineEntry, Refusal, RefusalReason, Repeat, Settings,
-    leases::Claim,
+    BackendKey, LoadReport, ProbeResult, Prompt, QuarantineEntry, Refusal, RefusalReason, Repeat,
+    Settings, leases::Claim,
 };
 use tables::{Revision, Tables};
 
@@ -54,6 +54,8 @@
     pub request_hash: u64,
     /// The most tokens of the answer, if the caller limits them.
     pub max_tokens: Option<u32>,
+    /// The prompt in parts; without parts if it is not known.
+    pub prompt: &'a Prompt,
     /// Whether it may run more than once.
     pub repeat: Repeat,
 }
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -116,7 +116,10 @@
 
     pub(super) async fn dispatch(self: Rc<Self>, asked: Asked<'_>) -> Result<Lease, Refusal> {
         let offer = self.to_offer(&asked)?;
-        let ticket = self.note(|scheduler, now| scheduler.offer(now, offer))?;
+        let ticket = {
+            let prompt = asked.prompt.clone();
+            self.note(|scheduler, now| scheduler.offer_prompt(now, offer, prompt))?
+        };
         let placed = self.await_place(ticket);
         // Dropping the lease while it waits takes the request out of the queue.
         let mut lease = Lease::new(Rc::clone(&self), ticket, offer);
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -93,7 +93,8 @@
         }
         let body = &routed.arrival.request.body;
         let chat = ChatRequest::parse(body, routed.pool(), routed.route().priority)?;
-        let shape = Shape { prefix_hash: chat.prefix_hash, max_tokens: chat.max_tokens };
+        let (prefix_hash, max_tokens) = (chat.prefix_hash, chat.max_tokens);
+        let shape = Shape { prefix_hash, max_tokens, ..Shape::default() };
         let call = Call::place(services, routed, permit, shape).await?;
         match chat.delivery {
             Delivery::Stream => ChatCall::new(call, chat).streamed().await,
--- a/crates/router/src/relay/passage.rs
+++ b/crates/router/src/relay/passage.rs
@@ -9,13 +9,12 @@
 use httpio::client::{Request as ClientRequest, Response};
 use policy::{Execution, Failure as Symptom, LoadReport};
 use tables::Priority;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     backends::{AttemptError, ConnectionChoice},
     call::{Call, Shape},
     class_limits::Permit,
-    dialect::{Ask, AttemptNote, Dialect, NotStarted, Prompt, ServerLoad},
+    dialect::{Ask, AttemptNote, Dialect, NotStarted, ServerLoad},
     outcome::{Code, Failure, Outcome, REQUEST_ID_HEADER},
     patience::{Worked, while_wanted},
     routing::Routed,
@@ -59,7 +58,12 @@
         let deadline = routed.arrival.arrived + waits;
         let left = deadline.saturating_duration_since(services.clock.now());
         let gone = routed.arrival.request.gone.clone();
-        let placed = Call::place(services, routed, permit, shape(&ask.prompt));
+        let shape = Shape {
+            prefix_hash: ask.prompt.shared_hash(),
+            max_tokens: ask.max_tokens,
+            prompt: ask.prompt,
+        };
+        let placed = Call::place(services, routed, permit, shape);
         let call = match while_wanted(&gone, left, placed).await {
             Worked::Done(call) => call?,
             Worked::Late | Worked::CallerGone => return Err(late(Outcome::NotRun)),
@@ -204,14 +208,6 @@
     }
 }
 
-/// What the scheduler is told of a prompt: the parts that requests share lead it.
-fn shape(prompt: &Prompt) -> Shape {
-    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let ids: Vec<u8> = shared.iter().flat_map(|it| it.id.to_be_bytes()).collect();
-    let prefix_hash = if ids.is_empty() { 0 } else { xxh3_64(&ids).max(1) };
-    Shape { prefix_hash, max_tokens: prompt.max_tokens }
-}
-
 fn report(load: ServerLoad) -> LoadReport {
     LoadReport {
         incarnation: 0,
