--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -36,6 +36,8 @@
 /// How often the leader moves the replicated time on, in seconds.
 const ADVANCE_EVERY_S: u32 = 10;
 
+/// Time between two questions for the leader while none is known.
+const LEADER_POLL: Duration = Duration::from_millis(20);
 const TICK_MIN: Duration = Duration::from_millis(2);
 const TICK_MAX: Duration = Duration::from_millis(100);
 
@@ -261,7 +263,7 @@
             if let Some(index) = self.leader_read_index().await {
                 break index;
             }
-            monoio::time::sleep(TICK_MAX).await;
+            monoio::time::sleep(LEADER_POLL).await;
         };
         while self.status().applied.0 < target {
             self.applied.changed().await;
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,6 +1,9 @@
 //! One request from its place in the queue to its end, whatever serves it.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures::{FutureExt, pin_mut, select_biased};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
@@ -32,6 +35,8 @@
     /// The most that is known of all attempts so far.
     pub(crate) outcome: Outcome,
     attempts: u32,
+    /// Time from arrival to the first token.
+    first_token: Option<Duration>,
     is_under_way: bool,
     span: TraceContext,
     started: Instant,
@@ -92,6 +97,7 @@
             id,
             outcome,
             attempts: 0,
+            first_token: None,
             is_under_way: false,
             span,
             started,
@@ -124,10 +130,11 @@
     }
 
     /// Notes the time to the first token.
-    pub(crate) fn note_first_token(&self) {
+    pub(crate) fn note_first_token(&mut self) {
         let arrived = self.routed.arrival.arrived;
         let waited = self.services.clock.now().saturating_duration_since(arrived);
         self.services.metrics.first_token(self.labels(), waited);
+        self.first_token = Some(waited);
     }
 
     /// Whether the engine has to be told that an answer is no longer wanted; elsewhere the end of
@@ -253,6 +260,7 @@
             server = %self.lease.server().addr,
             number = self.attempts,
             queued_ms = millis(queued),
+            first_ms = self.first_token.map(millis),
             took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
             result,
             detail,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,6 +12,7 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use http::{HeaderValue, StatusCode, header};
 use httpio::server::{Handler, Reply, Request};
+use monoio::time;
 use tables::{Access, Exchange};
 
 use self::passage::Passage;
@@ -63,6 +64,7 @@
             Err(failure) => return self.dialect.failure(&failure, None),
         };
         let mut account = Account::new(&arrival);
+        self.await_tables(&ask).await;
         let served = match self.admit(arrival, &ask) {
             Ok((routed, permit)) => {
                 account.route = Some(routed.clone());
@@ -80,6 +82,16 @@
         }
     }
 
+    /// A router that has just started has tables soon, so waiting for them beats coming back.
+    async fn await_tables(&self, ask: &Ask) {
+        let held = self.tables.current();
+        if held.routes.is_empty() {
+            let wait = ask.patience.unwrap_or(START_TIME).min(START_TIME) / 2;
+            // The stages that follow refuse the request if there are none still.
+            let _ = time::timeout(wait, self.tables.newer_than(held.revision)).await;
+        }
+    }
+
     fn refused(&self, account: &Account, failure: &Failure) -> Reply {
         let (status, outcome) = (failure.status.as_u16(), failure.outcome);
         let detail = failure.to_string();
