Give the streams with the strictest gaps engines of their own

Ruled out: a larger weight for unread prompts at the chosen engine, since the next long prompt may come after the stream has begun. Tests strict_engines_apart and side_is_lost; the document watch has tests with control VMs that lag, fall silent and lose their leader.

--- /dev/null
+++ b/crates/control-client/tests/document_watch.rs
@@ -0,0 +1,189 @@
+//! A router follows the operator's document through control VMs that lag, fall silent or lose
+//! their leader, and never goes back.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use clock::SystemClock;
+use control_client::{DocumentWatch, WatchSettings};
+use control_state::Document;
+use futures::{
+    FutureExt, StreamExt,
+    channel::mpsc::UnboundedReceiver,
+    future::{LocalBoxFuture, pending},
+};
+use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
+use rpc::{
+    ByteCounters, ControlHandler, DocumentUpdate, FetchedDocument, Link, LinkSettings, PeerHandler,
+    SubmitResult, TablesUpdate,
+};
+
+/// How a fake control VM behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mood {
+    /// It follows a leader.
+    Led,
+    /// It has lost its leader and confirms nothing.
+    Leaderless,
+    /// It takes questions and never answers.
+    Silent,
+}
+
+#[derive(Clone)]
+struct FakeControl {
+    addr: SocketAddr,
+    mood: Rc<Cell<Mood>>,
+    version: Rc<Cell<u64>>,
+    controls: Rc<RefCell<Vec<SocketAddr>>>,
+}
+
+impl FakeControl {
+    fn start(mood: Mood, version: u64) -> FakeControl {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("a bound listener");
+        let control = FakeControl {
+            addr,
+            mood: Rc::new(Cell::new(mood)),
+            version: Rc::new(Cell::new(version)),
+            controls: Rc::default(),
+        };
+        let handler = Rc::new(control.clone());
+        monoio::spawn(rpc::serve(listener, handler, ByteCounters::default()));
+        control
+    }
+}
+
+impl ControlHandler for FakeControl {
+    fn fetch_document(
+        &self,
+        held: u64,
+        _wait: Duration,
+    ) -> LocalBoxFuture<'static, DocumentUpdate> {
+        let control = self.clone();
+        async move {
+            if control.mood.get() == Mood::Silent {
+                pending::<()>().await;
+            }
+            // Long questions are not needed here, but a pause keeps the test from spinning.
+            monoio::time::sleep(Duration::from_millis(1)).await;
+            let is_led = control.mood.get() == Mood::Led;
+            let version = control.version.get();
+            let fetched = FetchedDocument {
+                version,
+                text: version.to_string().into_bytes(),
+                confirmed: is_led && held == 0,
+            };
+            DocumentUpdate {
+                controls: control.controls.borrow().clone(),
+                has_leader: is_led,
+                document: (held == 0 || version > held).then_some(fetched),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn fetch_tables(&self, _: u64, _: u64, _: Duration) -> LocalBoxFuture<'static, TablesUpdate> {
+        async { TablesUpdate::Unchanged }.boxed_local()
+    }
+
+    fn submit(&self, _: String, _: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
+        async { SubmitResult::Refused(String::new()) }.boxed_local()
+    }
+
+    fn status(&self) -> String {
+        String::new()
+    }
+
+    fn exchange(&self, _: Vec<u8>) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn peer(&self, _: &str) -> Option<Rc<dyn PeerHandler>> {
+        None
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    builder.build().expect("a runtime").block_on(test);
+}
+
+fn follow(controls: &[&FakeControl], patience_ms: u64) -> UnboundedReceiver<Document> {
+    let addrs = controls.iter().map(|it| it.addr).collect();
+    let link = Link::start(LinkSettings { addrs, ..LinkSettings::default() });
+    let settings = WatchSettings {
+        confirm_patience_ms: patience_ms,
+        poll_ms: 10,
+        retry_pause_ms: 1,
+        ..WatchSettings::default()
+    };
+    DocumentWatch::start(link, settings, Rc::new(SystemClock), |_| {})
+}
+
+#[test]
+fn only_newer() {
+    run(async {
+        let control = FakeControl::start(Mood::Led, 5);
+        let mut documents = follow(&[&control], 60_000);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(5));
+        // An older state, as from a VM that lags, is passed over.
+        control.version.set(3);
+        control.version.set(9);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(9));
+    });
+}
+
+#[test]
+fn leaves_leaderless() {
+    run(async {
+        let (first, second) = (FakeControl::start(Mood::Led, 5), FakeControl::start(Mood::Led, 5));
+        let mut documents = follow(&[&first, &second], 60_000);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(5));
+        first.mood.set(Mood::Leaderless);
+        second.version.set(8);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(8));
+    });
+}
+
+#[test]
+fn leaves_silent() {
+    run(async {
+        let (first, second) = (FakeControl::start(Mood::Led, 5), FakeControl::start(Mood::Led, 5));
+        let mut documents = follow(&[&first, &second], 60_000);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(5));
+        first.mood.set(Mood::Silent);
+        second.version.set(8);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(8));
+    });
+}
+
+#[test]
+fn follows_members() {
+    run(async {
+        let (seed, member) = (FakeControl::start(Mood::Led, 5), FakeControl::start(Mood::Led, 5));
+        seed.controls.borrow_mut().push(member.addr);
+        let mut documents = follow(&[&seed], 60_000);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(5));
+        // The seed goes away; the member that it named is asked from then on.
+        seed.mood.set(Mood::Silent);
+        member.version.set(8);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(8));
+    });
+}
+
+#[test]
+fn cut_off_start() {
+    run(async {
+        let control = FakeControl::start(Mood::Leaderless, 5);
+        let mut documents = follow(&[&control], 0);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(5));
+        // With a leader again, the confirmed one follows.
+        control.version.set(6);
+        control.mood.set(Mood::Led);
+        assert_eq!(documents.next().await.map(|it| it.version), Some(6));
+    });
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -33,6 +33,8 @@
 const BATCH_MS: f64 = 1.0;
 /// What one more request beyond the slots costs.
 const OVER_SLOTS_MS: f64 = 100.0;
+/// What a server of the other side costs.
+const OTHER_SIDE_MS: f64 = 200.0;
 /// The gaps between tokens differ by what runs, so slowness counts to this factor only.
 const SLOWNESS_MAX: f64 = 1.5;
 
@@ -44,6 +46,8 @@
     pub(crate) prompt: Option<&'a Prompt>,
     /// The urgency of the request; a higher number is more urgent.
     pub(crate) priority: u8,
+    /// The engines of the request's side; empty if the pool is not divided.
+    pub(crate) own_side: &'a [BackendKey],
     /// The servers of earlier attempts, avoided while there is another.
     pub(crate) tried: Option<BackendKey>,
     /// If set, only these servers may be taken.
@@ -131,22 +135,30 @@
     /// another part in the cache.
     fn soonest(&self, candidates: &[BackendKey], wanted: &Wanted<'_>) -> Option<BackendKey> {
         let prompt = wanted.prompt?;
-        let homes = self.homes(prompt);
-        let cost = |it: &BackendKey| (*it, self.cost_ms(*it, prompt, wanted.priority, &homes));
+        let homes = self.homes(prompt, wanted.own_side);
+        let cost = |it: &BackendKey| (*it, self.cost_ms(*it, prompt, wanted, &homes));
         let costs = candidates.iter().map(cost);
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
     }
 
-    fn cost_ms(&self, key: BackendKey, prompt: &Prompt, priority: u8, homes: &[BackendKey]) -> f64 {
+    fn cost_ms(
+        &self,
+        key: BackendKey,
+        prompt: &Prompt,
+        wanted: &Wanted<'_>,
+        homes: &[BackendKey],
+    ) -> f64 {
         let backend = &self.backends[key];
         let (running, waiting) = backend.others_there(self.now);
         let unread = f64::from(self.unread_tokens(key, prompt, homes));
-        let queued = backend.unread.ahead_of(priority) + waiting * OTHERS_PROMPT_TOKENS;
+        let queued = backend.unread.ahead_of(wanted.priority) + waiting * OTHERS_PROMPT_TOKENS;
         let reading_ms = (unread * REREAD_WEIGHT + queued) / self.settings.prefill_tokens_per_ms;
         let batch = f64::from(backend.in_flight) + running;
         let over = (batch - f64::from(backend.slots())).max(0.0);
         let slowness = backend.slowness.clamp(1.0, SLOWNESS_MAX);
-        (reading_ms + batch * BATCH_MS + over * OVER_SLOTS_MS) * slowness
+        let is_own = wanted.own_side.is_empty() || wanted.own_side.contains(&key);
+        let side_ms = if is_own { 0.0 } else { OTHER_SIDE_MS };
+        (reading_ms + batch * BATCH_MS + over * OVER_SLOTS_MS) * slowness + side_ms
     }
 
     /// The tokens of a prompt that a server is taken to read.
@@ -166,13 +178,14 @@
     }
 
     /// The servers at which routers that know nothing of one another meet for a prefix.
-    pub(crate) fn homes(&self, prompt: &Prompt) -> Vec<BackendKey> {
+    pub(crate) fn homes(&self, prompt: &Prompt, own_side: &[BackendKey]) -> Vec<BackendKey> {
         let hash = prompt.shared_hash();
         if hash == 0 {
             return Vec::new();
         }
-        let members = self.members.iter().copied();
-        let mut ranked: Vec<_> = members.filter(|it| self.backends[*it].is_usable()).collect();
+        let members = if own_side.is_empty() { self.members } else { own_side };
+        let usable = members.iter().copied().filter(|it| self.backends[*it].is_usable());
+        let mut ranked: Vec<_> = usable.collect();
         ranked.sort_by_cached_key(|it| std::cmp::Reverse(self.rendezvous(*it, hash)));
         ranked.truncate(HOME_BELIEFS.len());
         ranked
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 mod lane;
 pub mod leases;
 mod pace;
+mod partition;
 mod pool;
 mod prompt;
 mod quarantine;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -14,6 +14,7 @@
     keys::{BackendKey, ClassKey},
     lane::Lane,
     pace::PaceTarget,
+    partition::Partition,
     spec::{PoolSpec, WHOLE_PERMILLE},
 };
 
@@ -36,6 +37,8 @@
     /// Since when requests have waited without a break.
     pub(crate) saturated_since: Option<Instant>,
     pub(crate) without_backend_since: Option<Instant>,
+    /// Which engines are for streams with a strict target between tokens.
+    pub(crate) partition: Partition,
 }
 
 /// Why a class is next.
@@ -81,6 +84,7 @@
             next_peer_check: None,
             saturated_since: None,
             without_backend_since: None,
+            partition: Partition::default(),
         }
     }
 
--- a/crates/policy/src/scheduler/accounts.rs
+++ b/crates/policy/src/scheduler/accounts.rs
@@ -9,6 +9,9 @@
     request::{Phase, Refusal, RefusalReason, Room, Run, Standing},
 };
 
+/// Engine time of one token in a batch of usual size.
+const TOKEN_MS: f64 = 0.3;
+
 impl Scheduler {
     /// Takes a waiting request out and answers its caller.
     pub(super) fn refuse_waiting(&mut self, now: Instant, ticket: Ticket, reason: RefusalReason) {
@@ -82,10 +85,18 @@
     /// Notes that the server reads the request's prompt; gives the tokens that it has to read.
     fn send_prompt(&mut self, now: Instant, ticket: Ticket, backend: BackendKey) -> u32 {
         let Some(prompt) = self.prompts.get(ticket) else { return 0 };
-        let offer = self.requests[ticket].offer;
+        let request = &self.requests[ticket];
+        let (offer, cost) = (request.offer, request.cost);
+        let own_side = self.own_side(offer.pool, offer.class);
         let choice = self.choice(now, offer.pool);
-        let unread = choice.unread_tokens(backend, prompt, &choice.homes(prompt)).max(1);
+        let homes = choice.homes(prompt, &own_side);
+        let unread = choice.unread_tokens(backend, prompt, &homes).max(1);
         self.sent.note(now, prompt, backend);
+        if let Some(side) = self.side(&self.pools[offer.pool], offer.class) {
+            let reading_ms = f64::from(unread) / self.settings.prefill_tokens_per_ms;
+            let work_ms = reading_ms + f64::from(cost) * TOKEN_MS;
+            self.pools[offer.pool].partition.add(now, side, work_ms);
+        }
         let priority = self.classes[offer.class].spec.priority;
         self.backends[backend].unread.add(priority, unread);
         unread
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -7,7 +7,8 @@
     choice::{Choice, Wanted},
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
     pace::Ceiling,
-    pool::{Contender, Turn, Urgency},
+    partition::Side,
+    pool::{Contender, Pool, Turn, Urgency},
     quarantine::{CRASH_LIMIT, Isolation},
     request::{Phase, RefusalReason, Request, Standing},
 };
@@ -252,13 +253,34 @@
         let suspect_hosts = self.suspect_hosts(now, request);
         let wanted = self.wanted(now, request, only.as_deref(), &suspect_hosts);
         let wanted = Wanted { ceiling, ..wanted };
-        let wanted = Wanted { prompt: self.prompts.get(ticket), ..wanted };
+        let own_side = self.own_side(request.offer.pool, request.offer.class);
+        let prompt = self.prompts.get(ticket);
+        let wanted = Wanted { prompt, own_side: &own_side, ..wanted };
         let (backends, settings, sent) = (&self.backends, &self.settings, &self.sent);
         let members = &self.pools[request.offer.pool].members;
         let choice = Choice { backends, members, settings, sent, now };
         choice.pick(&wanted, &mut self.rng)
     }
 
+    /// The servers that the class prefers; none if all classes of the pool have one target.
+    pub(super) fn own_side(&self, pool: PoolKey, class: ClassKey) -> Vec<BackendKey> {
+        let pool = &self.pools[pool];
+        let Some(side) = self.side(pool, class) else { return Vec::new() };
+        pool.partition.side(&self.backends, &pool.members, side)
+    }
+
+    /// Whether the class has the strictest target between tokens of those with work in the pool.
+    pub(super) fn side(&self, pool: &Pool, class: ClassKey) -> Option<Side> {
+        let target = |it: ClassKey| self.classes[it].spec.between_token_target_ms;
+        let used = pool.lanes.keys().filter(|it| !self.classes[*it].retired);
+        let (least, most) = used
+            .fold((u64::MAX, 0), |(least, most), it| (least.min(target(it)), most.max(target(it))));
+        if least >= most {
+            return None;
+        }
+        Some(if target(class) <= least { Side::Strict } else { Side::Lenient })
+    }
+
     /// The choice among all servers of a pool.
     pub(super) fn choice(&self, now: Instant, pool: PoolKey) -> Choice<'_> {
         let members = &self.pools[pool].members;
@@ -277,6 +299,7 @@
         Wanted {
             prefix_hash: offer.prefix_hash,
             prompt: None,
+            own_side: &[],
             priority: self.classes[offer.class].spec.priority,
             tried: request.tried,
             only,
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeSet;
 
-use policy::{BackendKey, Health, Offer, OtherLoad, Pacing, Prompt, PromptPart, Settings, Ticket};
+use policy::{
+    BackendKey, ClassSpec, Health, Offer, OtherLoad, Pacing, Prompt, PromptPart, Settings, Ticket,
+};
 use world::{World, class, spec};
 
 const SERVERS: usize = 12;
@@ -17,7 +19,10 @@
 const OWN: u32 = 1_000;
 
 fn world(seed: u64) -> World {
-    let classes = vec![class("draft", 1, 0), class("chat", 9, 0)];
+    world_of(seed, vec![class("draft", 1, 0), class("chat", 9, 0)])
+}
+
+fn world_of(seed: u64, classes: Vec<ClassSpec>) -> World {
     let settings =
         Settings { seed, others: OtherLoad::Fading, pacing: Pacing::Off, ..Settings::default() };
     World::with(settings, spec(classes, SLOTS), SERVERS)
@@ -121,3 +126,50 @@
 fn home_index(world: &World, key: BackendKey) -> usize {
     world.backends.iter().position(|it| *it == key).expect("a server of the world")
 }
+
+/// Chat with a strict target between tokens and drafts with long prompts: they meet on no engine
+/// while neither side is full, whichever router sends them.
+#[test]
+fn strict_engines_apart() {
+    let classes = || {
+        let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
+        let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
+        vec![draft, chat]
+    };
+    let (mut one, mut other) = (world_of(1, classes()), world_of(2, classes()));
+    let (mut chats, mut drafts) = (BTreeSet::new(), BTreeSet::new());
+    for subject in 1..=60 {
+        for world in [&mut one, &mut other] {
+            let (chat, at) = place(world, "chat", prompt(subject, SHORT));
+            chats.insert(at);
+            world.finish(chat);
+            let (draft, at) = place(world, "draft", prompt(1_000 + subject, LONG));
+            drafts.insert(at);
+            world.finish(draft);
+        }
+    }
+    assert!(chats.is_disjoint(&drafts), "{} and {}", chats.len(), drafts.len());
+    assert!(!chats.is_empty() && drafts.len() > SERVERS / 2);
+}
+
+/// All engines that chat goes to are lost: it goes elsewhere at once.
+#[test]
+fn side_is_lost() {
+    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
+    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
+    let mut world = world_of(1, vec![draft, chat]);
+    place(&mut world, "draft", prompt(1_000, LONG));
+    let mut lost = BTreeSet::new();
+    for subject in 1..=60 {
+        let (ticket, at) = place(&mut world, "chat", prompt(subject, SHORT));
+        world.finish(ticket);
+        lost.insert(at);
+    }
+    for key in &lost {
+        let name = format!("s{}", home_index(&world, *key));
+        let sighting = world.sighting(&name, 1);
+        world.scheduler.backend_gone(world.now, &sighting);
+    }
+    let (_, at) = place(&mut world, "chat", prompt(1, SHORT));
+    assert!(!lost.contains(&at));
+}
