Write logs to the standard output without ever waiting for its reader

Cause: the users' engineers collect the standard output, and a reader that stops would have held the process up; logs went to the standard error stream, written in line. Ruled out: a limit by kind, since what is dropped is counted anyway and no kind floods so far (a request writes two or three lines). Change: tracing-appender writes from a thread with a buffer of 6,000 lines, drops beyond and counts; the count is the metric log_lines_dropped and a line at the end. The load tool and the stand-ins keep the standard error stream, for their results or tests read it so.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -100,7 +100,8 @@
     front: Option<Rc<dyn OperatorFront>>,
 ) -> anyhow::Result<()> {
     let settings = Settings::read(settings_file)?;
-    telemetry::init_logs(&LogSettings { filter: settings.log.clone() })?;
+    let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
+    let _logs = telemetry::init_logs(&logs)?;
     if settings.peers.is_empty() {
         prepare(&settings)?;
     }
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -115,7 +115,7 @@
             .append(true)
             .open(self.dir.path().join(format!("{node}.log")))
             .expect("a log file");
-        let child = self.command("run", node).stderr(log).spawn().expect("the program runs");
+        let child = self.command("run", node).stdout(log).spawn().expect("the program runs");
         self.children[node - 1] = Some(child);
     }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -144,7 +144,8 @@
     parts: impl FnOnce(&RouterSettings) -> anyhow::Result<Parts>,
 ) -> anyhow::Result<()> {
     let settings = read_settings(settings_file)?;
-    telemetry::init_logs(&LogSettings { filter: settings.log.clone() })?;
+    let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
+    let _logs = telemetry::init_logs(&logs)?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
         let parts = parts(&settings)?;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,11 +9,12 @@
     iterator::Signals,
 };
 use standin::cli;
-use telemetry::LogSettings;
+use telemetry::{LogOutput, LogSettings};
 
 fn main() -> anyhow::Result<()> {
     let matches = cli::command().get_matches();
-    telemetry::init_logs(&LogSettings::default())?;
+    let logs = LogSettings { output: LogOutput::Stderr, ..LogSettings::default() };
+    let _logs = telemetry::init_logs(&logs)?;
     let cli::Invocation { server, service } = cli::invocation(&matches)?;
     let listen = server.listen;
     standin::run(server, service, stop_signal()?, |addr| {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 mod secret;
 mod trace_context;
 
-pub use logs::{LogSettings, init_logs};
+pub use logs::{LogGuard, LogOutput, LogSettings, init_logs};
 pub use metrics::{register_process_metrics, render_metrics};
 pub use secret::Secret;
 pub use trace_context::{SpanId, TraceContext, TraceContextError, TraceId};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,8 @@
     proto::MetricFamily,
 };
 
+use crate::logs::dropped_lines;
+
 /// The size of a page of memory that the kernel counts in, in bytes.
 const PAGE_BYTES: i64 = 4096;
 
@@ -19,33 +21,37 @@
     TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default()
 }
 
-/// Adds the resident memory of the process to `registry`.
+/// Adds the resident memory of the process and the dropped lines of its log to `registry`.
 ///
 /// # Errors
 ///
-/// If the registry holds it already.
+/// If the registry holds them already.
 pub fn register_process_metrics(registry: &Registry) -> prometheus::Result<()> {
-    registry.register(Box::new(ResidentMemory::new()?))
+    let resident = ("process_resident_memory_bytes", "Resident memory in bytes.");
+    let dropped = ("log_lines_dropped", "Lines of the log that were dropped.");
+    registry.register(Box::new(ReadGauge::new(resident, || resident_bytes().unwrap_or(0))?))?;
+    registry.register(Box::new(ReadGauge::new(dropped, || dropped_lines() as i64)?))
 }
 
-struct ResidentMemory {
+/// A gauge whose value is read when it is asked for.
+struct ReadGauge {
     gauge: IntGauge,
+    read: fn() -> i64,
 }
 
-impl ResidentMemory {
-    fn new() -> prometheus::Result<Self> {
-        let gauge = IntGauge::new("process_resident_memory_bytes", "Resident memory in bytes.")?;
-        Ok(ResidentMemory { gauge })
+impl ReadGauge {
+    fn new((name, help): (&str, &str), read: fn() -> i64) -> prometheus::Result<Self> {
+        Ok(ReadGauge { gauge: IntGauge::new(name, help)?, read })
     }
 }
 
-impl Collector for ResidentMemory {
+impl Collector for ReadGauge {
     fn desc(&self) -> Vec<&Desc> {
         self.gauge.desc()
     }
 
     fn collect(&self) -> Vec<MetricFamily> {
-        self.gauge.set(resident_bytes().unwrap_or(0));
+        self.gauge.set((self.read)());
         self.gauge.collect()
     }
 }
