--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -241,7 +241,9 @@
 
     /// Nobody waits for the answer any more.
     pub(crate) fn abandon(self) {
-        self.log_attempt("abandoned", "");
+        if self.is_under_way {
+            self.log_attempt("abandoned", "");
+        }
         if self.attempts > 0 && self.cancels_at_engine() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -42,6 +42,12 @@
     if name.ends_with(".rs") && !name.ends_with(GENERATED_SUFFIX) {
         check_source(path, &fs::read_to_string(path)?, faults);
     }
+    if name == "Cargo.toml" && !path.starts_with("./platform") {
+        let text = fs::read_to_string(path)?;
+        if path.starts_with("./crates") && text.lines().any(|it| it.starts_with("platform")) {
+            faults.push(format!("{}: nothing may depend on platform/", path.display()));
+        }
+    }
     if name == "Cargo.toml" {
         check_manifest(path, &fs::read_to_string(path)?, faults);
     }
@@ -60,12 +66,26 @@
     if in_src && text.lines().any(|line| line.trim() == "#[cfg(test)]") {
         faults.push(format!("{}: move its tests to tests/", path.display()));
     }
+    if !path.starts_with("./platform") {
+        check_platform_words(path, text, faults);
+    }
     let driver = ["Fusion", "Driver"].concat();
     if text.contains(&driver) {
         faults.push(format!("{}: build the runtime with LegacyDriver", path.display()));
     }
 }
 
+/// The users' platform is spoken in one folder only.
+fn check_platform_words(path: &Path, text: &str, faults: &mut Vec<String>) {
+    let words = [["x-server", "-stamp"], ["x-expect", "-instance"], ["x-token", "-counts"]];
+    let more = [["x-prompt", "-prefix"], ["x-api", "-key"], ["/insta", "nces"]];
+    for word in words.iter().chain(&more).map(|it| it.concat()) {
+        if text.contains(&word) {
+            faults.push(format!("{}: `{word}` belongs into platform/", path.display()));
+        }
+    }
+}
+
 fn check_manifest(path: &Path, text: &str, faults: &mut Vec<String>) {
     let mut in_dependencies = false;
     let mut previous = "";
