--- a/crates/control-client/tests/document_watch.rs
+++ b/crates/control-client/tests/document_watch.rs
@@ -19,7 +19,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use rpc::{
     ByteCounters, ControlHandler, DocumentUpdate, FetchedDocument, Link, LinkSettings, PeerHandler,
-    SubmitResult, TablesUpdate,
+    ServerList, SubmitResult, TablesUpdate,
 };
 
 /// How a fake control VM behaves.
@@ -58,6 +58,10 @@
 }
 
 impl ControlHandler for FakeControl {
+    fn fetch_servers(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, ServerList> {
+        async { ServerList::default() }.boxed_local()
+    }
+
     fn fetch_document(
         &self,
         held: u64,
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -12,6 +12,7 @@
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
 use consensus::{NodeId, Peer, Storage};
+use directory::{Directory, Reader};
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::Limits;
@@ -30,6 +31,7 @@
     machine::ControlMachine,
     peers::Peers,
     replica::{self, Replica},
+    server_feed::ServerFeed,
     tables_feed::TablesFeed,
 };
 
@@ -54,8 +56,17 @@
     pub clock: Rc<dyn Clock>,
     /// The seed of election times and of the hub's epoch.
     pub seed: u64,
-    /// The front of the operators' listener, if there is one.
-    pub front: Option<Rc<dyn OperatorFront>>,
+    /// What a platform brings along, if the control VM runs on one.
+    pub platform: Option<Platform>,
+}
+
+/// What a platform brings along for a control VM on it.
+#[derive(Clone)]
+pub struct Platform {
+    /// The front of the operators' listener.
+    pub front: Rc<dyn OperatorFront>,
+    /// The notation of the platform's list.
+    pub directory: Rc<dyn Directory>,
 }
 
 /// The listeners of a control VM.
@@ -87,18 +98,19 @@
 ///
 /// Faults in the files, addresses that cannot be bound, and a disk that fails.
 pub fn run(settings_file: &Path) -> anyhow::Result<()> {
-    run_with_front(settings_file, None)
+    run_with(settings_file, None)
 }
 
-/// As [`run`], with a front on the operators' listener.
+/// As [`run`], on a platform with notations of its own.
 ///
 /// # Errors
 ///
 /// As for [`run`].
-pub fn run_with_front(
-    settings_file: &Path,
-    front: Option<Rc<dyn OperatorFront>>,
-) -> anyhow::Result<()> {
+pub fn run_on(settings_file: &Path, platform: Platform) -> anyhow::Result<()> {
+    run_with(settings_file, Some(platform))
+}
+
+fn run_with(settings_file: &Path, platform: Option<Platform>) -> anyhow::Result<()> {
     let settings = Settings::read(settings_file)?;
     let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
     let _logs = telemetry::init_logs(&logs)?;
@@ -119,7 +131,7 @@
         tokens,
         clock: Rc::new(SystemClock),
         seed: rand::random(),
-        front,
+        platform,
     };
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
@@ -163,16 +175,23 @@
     let admin = Rc::new(Admin::new(registry, health));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
-    if let (Some(listener), Some(front)) = (bound.operators, parts.front) {
-        let handler = front.handler(Documents::new(replica.clone()));
+    let epoch = parts.seed.max(1);
+    let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone()));
+    if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
+        let reader = Reader::new(addr, platform.directory.clone(), parts.clock.clone());
+        let period = Duration::from_millis(settings.platform_period_ms);
+        monoio::spawn(servers.clone().follow(reader, period));
+    }
+    if let (Some(listener), Some(platform)) = (bound.operators, parts.platform) {
+        let handler = platform.front.handler(Documents::new(replica.clone()));
         let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
         let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
     }
-    let epoch = parts.seed.max(1);
     let handler = Handler {
         replica: replica.clone(),
         feed: feed.clone(),
+        servers,
         hub: RefCell::new(Hub::new(HubSettings { epoch, ..HubSettings::default() })),
         check: parts.check,
         tokens: parts.tokens,
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -10,13 +10,15 @@
 use dissemination::{Hub, decode_summary, encode_digest};
 use futures::{FutureExt, future::LocalBoxFuture};
 use rpc::{
-    ControlHandler, DocumentUpdate, FetchedDocument, PeerHandler, SubmitResult, TablesUpdate,
+    ControlHandler, DocumentUpdate, FetchedDocument, PeerHandler, ServerList, SubmitResult,
+    TablesUpdate,
 };
 use tables::Revision;
 use telemetry::Secret;
 
 use crate::{
-    commands::CommandCheck, replica::Replica, status::StatusReport, tables_feed::TablesFeed,
+    commands::CommandCheck, replica::Replica, server_feed::ServerFeed, status::StatusReport,
+    tables_feed::TablesFeed,
 };
 
 /// The longest time that a question may wait here, so that a client's limit is never reached.
@@ -35,6 +37,7 @@
 pub(crate) struct Handler {
     pub(crate) replica: Rc<Replica>,
     pub(crate) feed: Rc<TablesFeed>,
+    pub(crate) servers: Rc<ServerFeed>,
     pub(crate) hub: RefCell<Hub>,
     pub(crate) check: Rc<dyn CommandCheck>,
     /// None on a network on which every process is trusted.
@@ -94,6 +97,11 @@
         .boxed_local()
     }
 
+    fn fetch_servers(&self, held: u64, wait: Duration) -> LocalBoxFuture<'static, ServerList> {
+        let servers = Rc::clone(&self.servers);
+        async move { servers.newer(held, wait.min(FETCH_WAIT_MAX)).await }.boxed_local()
+    }
+
     fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
         if self.tokens.as_ref().is_some_and(|it| token != it.command.expose()) {
             let remedy = "the command token is wrong: use the one from the control VMs' settings";
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod machine;
 mod peers;
 mod replica;
+mod server_feed;
 mod settings;
 mod status;
 mod tables_feed;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -44,6 +44,10 @@
     pub data_dir: PathBuf,
     /// Where an operators' front listens, if the daemon is built with one.
     pub operators_listen: Option<SocketAddr>,
+    /// Where the platform's list of servers is asked for, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// Time between two readings of that list.
+    pub platform_period_ms: u64,
     /// The files of the tokens; none on a network on which every process is trusted.
     pub token_files: Option<TokenFiles>,
     /// How many members may vote; further ones stay learners.
@@ -85,6 +89,8 @@
             admin_listen: unset,
             data_dir: PathBuf::new(),
             operators_listen: None,
+            platform: None,
+            platform_period_ms: 1_000,
             token_files: None,
             voters_max: 5,
             snapshot_every_entries: 1000,
@@ -151,6 +157,12 @@
         listen,
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(defaults.admin_listen),
         operators_listen: reader.optional("operators_listen", ADDRESS),
+        platform: reader.optional("platform", ADDRESS),
+        platform_period_ms: reader.or_default(
+            "platform_period_ms",
+            MILLISECONDS,
+            defaults.platform_period_ms,
+        ),
         data_dir: path(reader.required("data_dir", "the folder for all state")),
         token_files: read_token_files(&mut reader),
         voters_max: reader.or_default("voters_max", "an odd number", voters_default),
--- a/crates/router/src/directory.rs
+++ b/crates/directory/src/list.rs
@@ -4,10 +4,10 @@
 
 use derive_more::{Display, Error};
 use http::Uri;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// One backend server on the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ListedVm {
     /// Where it listens.
@@ -31,7 +31,7 @@
 }
 
 /// What the platform says of a VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum VmState {
     /// It runs.
@@ -102,3 +102,17 @@
         Absence::MeansNothing
     }
 }
+
+/// Writes a list for the other processes of the system.
+#[must_use]
+pub fn encode_list(vms: &[ListedVm]) -> Vec<u8> {
+    postcard::to_stdvec(vms).expect("addresses, names and numbers in memory can be written")
+}
+
+/// Reads a list of another process of the system.
+///
+/// # Errors
+/// When the bytes are no list of this version.
+pub fn decode_list(bytes: &[u8]) -> Result<Vec<ListedVm>, Unreadable> {
+    postcard::from_bytes(bytes).map_err(|error| Unreadable { reason: error.to_string() })
+}
--- a/crates/load/tests/light_routers.rs
+++ b/crates/load/tests/light_routers.rs
@@ -18,7 +18,8 @@
     loopback::LoopbackAddr,
 };
 use rpc::{
-    ByteCounters, ControlHandler, DocumentUpdate, PeerHandler, SubmitResult, TablesUpdate, serve,
+    ByteCounters, ControlHandler, DocumentUpdate, PeerHandler, ServerList, SubmitResult,
+    TablesUpdate, serve,
 };
 use support::block_on;
 use tables::Revision;
@@ -78,6 +79,10 @@
 }
 
 impl ControlHandler for FakeControl {
+    fn fetch_servers(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, ServerList> {
+        async { ServerList::default() }.boxed_local()
+    }
+
     fn fetch_document(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, DocumentUpdate> {
         async { DocumentUpdate { controls: Vec::new(), has_leader: true, document: None } }
             .boxed_local()
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -14,6 +14,7 @@
 use control_client::{DocumentWatch, Domain, TablesWatch, WatchSettings};
 use control_state::RouterId;
 use daemon::Admin;
+use directory::{Directory, Reader, VmList};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::{
     Limits,
@@ -36,8 +37,7 @@
     class_limits::ClassLimits,
     control::{ControlLedger, ControlTables, DocumentTables},
     dialect::Dialect,
-    directory::{Directory, VmList},
-    directory_watch::{self, DirectorySource},
+    directory_watch::{DirectorySource, DirectoryWatch, Held},
     dispatch::Dispatcher,
     domain::RouterMember,
     identity::{Identity, Workspaces},
@@ -297,13 +297,14 @@
         monoio::spawn(quarantine_exchange::follow(*peer, period, services));
     }
     if let Some(addr) = settings.platform {
+        let directory = Rc::clone(&parts.directory);
         let source = DirectorySource {
-            addr,
+            reader: Reader::new(addr, directory, Rc::clone(&parts.clock)),
             period: Duration::from_millis(settings.platform_period_ms),
-            directory: Rc::clone(&parts.directory),
+            link: parts.link.clone(),
         };
-        let tables = Rc::clone(&parts.tables);
-        monoio::spawn(directory_watch::follow(source, Rc::clone(&services), tables));
+        let (services, tables) = (Rc::clone(&services), Rc::clone(&parts.tables));
+        DirectoryWatch { source, services, tables, held: Held::default() }.start();
     }
 
     let (drain, draining) = signal::signal();
--- a/crates/router/src/directory_watch.rs
+++ b/crates/router/src/directory_watch.rs
@@ -1,104 +1,140 @@
-//! Follows the platform's list for as long as the router runs.
+//! Follows the platform's list for as long as the router runs: through a control VM that reads it
+//! for all, or by itself while none does.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
+use directory::{Absence, ListedVm, Reader, decode_list};
 use monoio::time;
+use rpc::Link;
 use tables::Discovery;
 
-use crate::{
-    directory::{Absence, Directory, ListPage, ListedVm},
-    services::Services,
-    table_source::TableSource,
-};
+use crate::{services::Services, table_source::TableSource};
+
+/// A control VM's list that is older than this is not used. The platform gives a leaving server at
+/// least three seconds, of which its list lags by up to one.
+const SHARED_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// More pages than any list has; one that names itself as the next would go on for ever.
-const PAGES_MAX: usize = 200;
+/// The pause after a question that no control VM answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Where and how the list is read.
 pub(crate) struct DirectorySource {
-    pub(crate) addr: SocketAddr,
+    pub(crate) reader: Reader,
     pub(crate) period: Duration,
-    pub(crate) directory: Rc<dyn Directory>,
+    /// To a control VM that reads the list, if there is one.
+    pub(crate) link: Option<Link>,
 }
 
-/// Passes the list on to the schedulers. New tables get the last list at once, since they may name
-/// pools whose servers are known.
-pub(crate) async fn follow(
-    source: DirectorySource,
-    services: Rc<Services>,
-    tables: Rc<dyn TableSource>,
-) {
-    let mut was_read = true;
-    let mut vms = Vec::new();
-    loop {
-        let listed = list(&services, &source).await;
-        if listed.is_some() != was_read {
-            was_read = listed.is_some();
-            tracing::info!(event = "platform_list", addr = %source.addr, is_readable = was_read);
-        }
-        if let Some(listed) = listed {
-            vms = listed;
-            apply(&services, &*tables, &vms, source.directory.absence());
+/// Passes the list on to the schedulers.
+pub(crate) struct DirectoryWatch {
+    pub(crate) source: DirectorySource,
+    pub(crate) services: Rc<Services>,
+    pub(crate) tables: Rc<dyn TableSource>,
+    pub(crate) held: Held,
+}
+
+/// The list as it was read last.
+#[derive(Default)]
+pub(crate) struct Held {
+    vms: RefCell<Vec<ListedVm>>,
+    /// The stamp of the control VM's list; zero for one that the router read itself.
+    stamp: Cell<u64>,
+    /// When the router last read the list itself.
+    own_read: Cell<Option<Instant>>,
+    is_unreadable: Cell<bool>,
+}
+
+impl DirectoryWatch {
+    /// Starts following, for as long as the process lives.
+    pub(crate) fn start(self) {
+        let watch = Rc::new(self);
+        monoio::spawn(Rc::clone(&watch).follow_tables());
+        monoio::spawn(watch.follow_list());
+    }
+
+    /// New tables get the last list at once, since they may name pools whose servers are known.
+    async fn follow_tables(self: Rc<Self>) {
+        loop {
+            let revision = self.tables.current().revision;
+            self.tables.newer_than(revision).await;
+            self.apply(Absence::MeansNothing);
         }
-        let due = services.clock.now() + source.period;
+    }
+
+    async fn follow_list(self: Rc<Self>) {
         loop {
-            let left = due.saturating_duration_since(services.clock.now());
-            let newer = tables.newer_than(tables.current().revision);
-            if time::timeout(left, newer).await.is_err() {
-                break;
+            if self.read_shared().await {
+                self.apply(self.source.reader.directory().absence());
+                continue;
             }
-            apply(&services, &*tables, &vms, Absence::MeansNothing);
+            self.read_if_due().await;
+            time::sleep(RETRY_PAUSE.min(self.source.period)).await;
         }
     }
-}
 
-async fn list(services: &Services, source: &DirectorySource) -> Option<Vec<ListedVm>> {
-    let (mut vms, mut token) = (Vec::new(), None);
-    for _ in 0..PAGES_MAX {
-        let page = page(services, source, token.as_deref()).await?;
-        vms.extend(page.vms);
-        token = page.next;
-        if token.is_none() {
-            return Some(vms);
+    /// Takes the list of the control VM, which answers once it has another one or the period is
+    /// over; gives whether that list is fresh.
+    async fn read_shared(&self) -> bool {
+        let Some(client) = self.source.link.as_ref().and_then(|it| it.client().ok()) else {
+            return false;
+        };
+        let Ok(list) = client.fetch_servers(self.held.stamp.get(), self.source.period).await else {
+            return false;
+        };
+        if list.stamp == 0 || list.age > SHARED_AGE_MAX {
+            return false;
+        }
+        if list.stamp == self.held.stamp.get() {
+            return true;
+        }
+        match decode_list(&list.servers) {
+            Ok(vms) => {
+                self.held.vms.replace(vms);
+                self.held.stamp.set(list.stamp);
+                true
+            }
+            Err(error) => {
+                tracing::warn!(event = "shared_list_refused", addr = %client.addr(), %error);
+                false
+            }
         }
     }
-    None
-}
 
-async fn page(
-    services: &Services,
-    source: &DirectorySource,
-    token: Option<&str>,
-) -> Option<ListPage> {
-    let uri = source.directory.page_uri(token);
-    let body = match services.backends.fetch(source.addr, uri).await {
-        Ok(body) => body,
-        Err(error) => {
-            tracing::debug!(event = "platform_list_failed", addr = %source.addr, %error.detail);
-            return None;
+    /// Reads the list itself, once a period.
+    async fn read_if_due(&self) {
+        let now = self.services.clock.now();
+        let last = self.held.own_read.get();
+        if last.is_some_and(|it| now.saturating_duration_since(it) < self.source.period) {
+            return;
         }
-    };
-    match source.directory.read_page(&body) {
-        Ok(page) => {
-            if page.unreadable > 0 {
-                tracing::debug!(event = "platform_entries_unreadable", count = page.unreadable);
-            }
-            Some(page)
+        self.held.own_read.set(Some(now));
+        let addr = self.source.reader.addr();
+        let read = self.source.reader.read().await;
+        if self.held.is_unreadable.replace(read.is_err()) != read.is_err() {
+            tracing::info!(event = "platform_list", %addr, is_readable = read.is_ok());
         }
-        Err(error) => {
-            tracing::warn!(event = "platform_list_unreadable", addr = %source.addr, %error);
-            None
+        match read {
+            Ok(vms) => {
+                self.held.vms.replace(vms);
+                self.held.stamp.set(0);
+                self.apply(self.source.reader.directory().absence());
+            }
+            Err(error) => tracing::debug!(event = "platform_list_failed", %addr, %error),
         }
     }
-}
 
-fn apply(services: &Services, tables: &dyn TableSource, vms: &[ListedVm], absence: Absence) {
-    let tables = tables.current();
-    for pool in tables.pools.iter().filter(|it| it.discovery == Discovery::Platform) {
-        let own: Vec<_> = vms.iter().filter(|it| it.pool == pool.name).collect();
-        match absence {
-            Absence::MeansNothing => services.dispatcher.platform_list(&pool.name, &own),
-            Absence::MeansGone => services.dispatcher.whole_list(&pool.name, &own),
+    fn apply(&self, absence: Absence) {
+        let (tables, vms) = (self.tables.current(), self.held.vms.borrow());
+        for pool in tables.pools.iter().filter(|it| it.discovery == Discovery::Platform) {
+            let own: Vec<_> = vms.iter().filter(|it| it.pool == pool.name).collect();
+            match absence {
+                Absence::MeansNothing => self.services.dispatcher.platform_list(&pool.name, &own),
+                Absence::MeansGone => self.services.dispatcher.whole_list(&pool.name, &own),
+            }
         }
     }
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,6 +11,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
 use clock::Clock;
+use directory::ListedVm;
 use futures::future::LocalBoxFuture;
 use policy::{
     BackendKey, LoadReport, ProbeResult, Prompt, QuarantineEntry, Refusal, RefusalReason, Repeat,
@@ -20,7 +21,7 @@
 
 use self::desk::Desk;
 pub use self::lease::{Control, Lease, Retried};
-use crate::{directory::ListedVm, identity::Workspaces, quarantine_exchange::QuarantineReport};
+use crate::{identity::Workspaces, quarantine_exchange::QuarantineReport};
 
 /// A backend server whose health is asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -9,6 +9,7 @@
 };
 
 use clock::Clock;
+use directory::ListedVm;
 use futures::{
     FutureExt, StreamExt,
     channel::{mpsc, oneshot},
@@ -26,10 +27,7 @@
     Asked, Control, Lease, ProbeTarget, Prober, Seen, Server, ServerClaim, UNKNOWN,
     locality::Locality, revision_number, server_list::ServerList,
 };
-use crate::{
-    directory::ListedVm,
-    identity::{ANONYMOUS, Workspaces},
-};
+use crate::identity::{ANONYMOUS, Workspaces};
 
 /// Tables count urgency downwards and the scheduler upwards.
 const PRIORITY_TOP: u8 = u8::MAX;
--- a/crates/router/src/dispatch/locality.rs
+++ b/crates/router/src/dispatch/locality.rs
@@ -13,7 +13,7 @@
 use tables::Pool;
 
 use super::{Server, server_list::ServerList};
-use crate::directory::ListedVm;
+use directory::ListedVm;
 
 /// How often the choice between the own and other failure domains is looked at.
 const PERIOD: Duration = Duration::from_millis(200);
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -6,7 +6,7 @@
 use tables::Pool;
 
 use super::{Seen, Server};
-use crate::directory::{ListedVm, VmState};
+use directory::{ListedVm, VmState};
 
 /// The servers that were named at any time.
 #[derive(Debug, Default)]
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -13,6 +13,7 @@
 };
 
 use control_client::DomainMember;
+use directory::{ListedVm, VmState};
 use dissemination::{
     Demand, Load, MemberState, PoolHash, QuarantineRow, Sender, ServerLoad, ServerRow, ServerState,
     Sighting, Slots, Summary,
@@ -21,7 +22,6 @@
 use tables::{Discovery, Pool, Tables};
 
 use crate::{
-    directory::{ListedVm, VmState},
     dispatch::ServerClaim,
     load_reports::{Reading, Readings},
     services::Services,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod control;
 pub mod daemon;
 pub mod dialect;
-pub mod directory;
 mod directory_watch;
 pub mod dispatch;
 pub mod domain;
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -10,6 +10,7 @@
 };
 
 use clock::{Clock, SystemClock};
+use directory::VmList;
 use futures::{
     channel::mpsc,
     future::{FutureExt, LocalBoxFuture},
@@ -28,7 +29,6 @@
 use router::{
     backends::BackendSettings,
     daemon::{self, Bound, Interface, Parts, Stopped},
-    directory::VmList,
     identity::Workspaces,
     order_ledger::{
         BodyHash, ClaimId, ClaimResult, LedgerError, NoLedger, OrderEnd, OrderKey, OrderLedger,
--- a/crates/rpc/schema/control.capnp
+++ b/crates/rpc/schema/control.capnp
@@ -25,6 +25,9 @@
   fetchDocument @6 (held :UInt64, waitMs :UInt32) -> (update :DocumentUpdate);
   # Waits until a document of a version above `held` is in force here, or until the time is over.
   # With `held` zero it does not wait for a newer one, but for the leader's confirmation.
+
+  fetchServers @7 (held :UInt64, waitMs :UInt32) -> (list :ServerList);
+  # Waits until another list than the one stamped `held` was read here, or until the time is over.
 }
 
 struct DocumentUpdate {
@@ -89,3 +92,12 @@
   # The index up to which a member must have applied the log to know all that is committed.
   # Zero if the VM asked does not lead under a lease.
 }
+
+struct ServerList {
+  stamp @0 :UInt64;
+  # Another one for each list and for each life of the control VM; zero while none was read.
+  ageMs @1 :UInt32;
+  # How long ago the platform gave this list.
+  servers @2 :Data;
+  # Empty if the stamp is the one held.
+}
--- a/crates/rpc/src/calls.rs
+++ b/crates/rpc/src/calls.rs
@@ -3,16 +3,16 @@
 use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use crate::{
-    DocumentUpdate, FetchedDocument, RpcError, SubmitResult, TablesUpdate,
+    DocumentUpdate, FetchedDocument, RpcError, ServerList, SubmitResult, TablesUpdate,
     control_capnp::{control, document_update, peer, submit_result, tables_update},
 };
 
 /// How long a call that needs no waiting on the other side may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long the answer to a question for a document may take beyond the wait that was asked for.
+/// How long the answer to a question that waits for news may take beyond the wait that was asked for.
 /// A control VM that is silent for longer may be cut off while the others put changes in force.
-const DOCUMENT_SLACK: Duration = Duration::from_millis(700);
+const FEED_SLACK: Duration = Duration::from_millis(700);
 
 /// The calls that a control VM offers to routers and operators.
 #[derive(Clone)]
@@ -96,10 +96,26 @@
         let mut params = request.get();
         params.set_held(held);
         params.set_wait_ms(wait.as_millis() as u32);
-        let reply = self.wire.within(wait + DOCUMENT_SLACK, request.send().promise).await?;
+        let reply = self.wire.within(wait + FEED_SLACK, request.send().promise).await?;
         Ok(read_document(reply.get()?.get_update()?)?)
     }
 
+    /// Waits up to `wait` for another list of servers than the one stamped `held`.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks or stays silent beyond `wait`.
+    pub async fn fetch_servers(&self, held: u64, wait: Duration) -> Result<ServerList, RpcError> {
+        let mut request = self.inner.fetch_servers_request();
+        let mut params = request.get();
+        params.set_held(held);
+        params.set_wait_ms(wait.as_millis() as u32);
+        let reply = self.wire.within(wait + FEED_SLACK, request.send().promise).await?;
+        let list = reply.get()?.get_list()?;
+        let age = Duration::from_millis(list.get_age_ms().into());
+        Ok(ServerList { stamp: list.get_stamp(), age, servers: list.get_servers()?.to_vec() })
+    }
+
     /// Puts an encoded command into the replicated log.
     ///
     /// # Errors
--- a/crates/rpc/src/control_capnp.rs
+++ b/crates/rpc/src/control_capnp.rs
@@ -34,6 +34,10 @@
         ::capnp::capability::Params<crate::control_capnp::control::fetch_document_params::Owned>;
     pub type FetchDocumentResults =
         ::capnp::capability::Results<crate::control_capnp::control::fetch_document_results::Owned>;
+    pub type FetchServersParams =
+        ::capnp::capability::Params<crate::control_capnp::control::fetch_servers_params::Owned>;
+    pub type FetchServersResults =
+        ::capnp::capability::Results<crate::control_capnp::control::fetch_servers_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -165,6 +169,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn fetch_servers_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::control_capnp::control::fetch_servers_params::Owned,
+            crate::control_capnp::control::fetch_servers_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn ping(
@@ -230,6 +242,15 @@
                 "method control::Server::fetch_document not implemented".to_string(),
             )))
         }
+        fn fetch_servers(
+            self: ::capnp::capability::Rc<Self>,
+            _: FetchServersParams,
+            _: FetchServersResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method control::Server::fetch_servers not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -339,6 +360,14 @@
                     )),
                     false,
                 ),
+                7 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::fetch_servers(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -4474,491 +4503,677 @@
             pub(crate) const TYPE_ID: u64 = 0xead3_41f0_3b40_57c2;
         }
     }
-}
 
-pub mod document_update {
-    pub use self::Which::{Document, Unchanged};
-
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
-                generic: &_private::RAW_SCHEMA,
-                field_types: _private::get_field_types,
-                annotation_types: _private::get_annotation_types,
-                type_id: ::core::any::TypeId::of::<Owned>(),
-            })
-            .into()
+    pub mod fetch_servers_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
         }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::OwnedStruct for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Pipeline;
-    }
 
-    pub struct Reader<'a> {
-        reader: ::capnp::private::layout::StructReader<'a>,
-    }
-    impl ::core::marker::Copy for Reader<'_> {}
-    impl ::core::clone::Clone for Reader<'_> {
-        fn clone(&self) -> Self {
-            *self
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
-    }
 
-    impl ::capnp::traits::HasTypeId for Reader<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader }
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
         }
-    }
 
-    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-        fn from(reader: Reader<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(
-                reader.reader,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
-                    type_id: ::core::any::TypeId::of::<Owned>(),
-                }),
-            ))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
         }
-    }
 
-    impl ::core::fmt::Debug for Reader<'_> {
-        fn fmt(
-            &self,
-            f: &mut ::core::fmt::Formatter<'_>,
-        ) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(
-                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                f,
-            )
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
-    }
 
-    impl<'a> Reader<'a> {
-        pub fn reborrow(&self) -> Reader<'_> {
-            Self { ..*self }
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_held(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
         }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        #[inline]
-        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
-        #[inline]
-        pub fn has_controls(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        #[inline]
-        pub fn has_document(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 1 {
-                return false;
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
             }
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_has_leader(self) -> bool {
-            self.reader.get_bool_field(16)
         }
-        #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unchanged(())),
-                1 => ::core::result::Result::Ok(Document(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(1),
-                        ::core::option::Option::None,
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
                     ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+                ))
             }
         }
-    }
 
-    pub struct Builder<'a> {
-        builder: ::capnp::private::layout::StructBuilder<'a>,
-    }
-    impl ::capnp::traits::HasStructSize for Builder<'_> {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
-    }
-    impl ::capnp::traits::HasTypeId for Builder<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder }
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
         }
-    }
 
-    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-        fn from(builder: Builder<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(
-                builder.builder,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
-                    type_id: ::core::any::TypeId::of::<Owned>(),
-                }),
-            ))
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
-    }
 
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(
-                builder
-                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
-                    .into(),
-            )
-        }
-    }
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
 
-    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            value: Self,
-            canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_struct(&value.reader, canonicalize)
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_held(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_held(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
+            }
         }
-    }
 
-    impl<'a> Builder<'a> {
-        pub fn into_reader(self) -> Reader<'a> {
-            self.builder.into_reader().into()
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
         }
-        pub fn reborrow(&mut self) -> Builder<'_> {
-            Builder { builder: self.builder.reborrow() }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
         }
-        pub fn reborrow_as_reader(&self) -> Reader<'_> {
-            self.builder.as_reader().into()
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(211, 29, 88, 178, 100, 49, 169, 157),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 83, 101, 114, 118, 101),
+                ::capnp::word(114, 115, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0x9da9_3164_b258_1dd3;
         }
+    }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
+    pub mod fetch_servers_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
         }
-        #[inline]
-        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-        #[inline]
-        pub fn set_controls(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-        #[inline]
-        pub fn init_controls(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(0),
-                size,
-            )
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
         }
-        #[inline]
-        pub fn has_controls(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
         }
-        #[inline]
-        pub fn set_unchanged(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 0);
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
-        #[inline]
-        pub fn set_document(
-            &mut self,
-            value: crate::control_capnp::document::Reader<'_>,
-        ) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 1);
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_document(self) -> crate::control_capnp::document::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 1);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        #[inline]
-        pub fn has_document(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 1 {
-                return false;
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
             }
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_has_leader(self) -> bool {
-            self.builder.get_bool_field(16)
-        }
-        #[inline]
-        pub fn set_has_leader(&mut self, value: bool) {
-            self.builder.set_bool_field(16, value);
         }
-        #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unchanged(())),
-                1 => ::core::result::Result::Ok(Document(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(1),
-                        ::core::option::Option::None,
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
                     ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+                ))
             }
         }
-    }
 
-    pub struct Pipeline {
-        _typeless: ::capnp::any_pointer::Pipeline,
-    }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless }
-        }
-    }
-    impl Pipeline {}
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(68, 178, 122, 154, 31, 20, 169, 201),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
-            ::capnp::word(99, 117, 109, 101, 110, 116, 85, 112),
-            ::capnp::word(100, 97, 116, 101, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 76, 101, 97, 100, 101),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::control_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
-        pub(crate) fn get_annotation_types(
-            child_index: Option<u16>,
-            index: u32,
-        ) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-            ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME,
-            );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 3];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
-        pub(crate) const TYPE_ID: u64 = 0xc9a9_141f_9a7a_b244;
-    }
-    pub enum Which<A0> {
-        Unchanged(()),
-        Document(A0),
-    }
-    pub type WhichReader<'a> = Which<::capnp::Result<crate::control_capnp::document::Reader<'a>>>;
-    pub type WhichBuilder<'a> = Which<::capnp::Result<crate::control_capnp::document::Builder<'a>>>;
-}
 
-pub mod document {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
-                generic: &_private::RAW_SCHEMA,
-                field_types: _private::get_field_types,
-                annotation_types: _private::get_annotation_types,
-                type_id: ::core::any::TypeId::of::<Owned>(),
-            })
-            .into()
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::OwnedStruct for Owned {
-        type Reader<'a> = Reader<'a>;
-        type Builder<'a> = Builder<'a>;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Pipeline;
-    }
 
-    pub struct Reader<'a> {
-        reader: ::capnp::private::layout::StructReader<'a>,
-    }
-    impl ::core::marker::Copy for Reader<'_> {}
-    impl ::core::clone::Clone for Reader<'_> {
-        fn clone(&self) -> Self {
-            *self
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
-    }
 
-    impl ::capnp::traits::HasTypeId for Reader<'_> {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader }
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
-    }
 
-    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-        fn from(reader: Reader<'a>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(
-                reader.reader,
-                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
-                    generic: &_private::RAW_SCHEMA,
-                    field_types: _private::get_field_types,
-                    annotation_types: _private::get_annotation_types,
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::server_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_list(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::server_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_list(
+                &mut self,
+                value: crate::control_capnp::server_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_list(self) -> crate::control_capnp::server_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {
+            pub fn get_list(&self) -> crate::control_capnp::server_list::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(190, 232, 79, 88, 95, 71, 184, 207),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 67, 111),
+                ::capnp::word(110, 116, 114, 111, 108, 46, 102, 101),
+                ::capnp::word(116, 99, 104, 83, 101, 114, 118, 101),
+                ::capnp::word(114, 115, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(235, 209, 241, 193, 64, 50, 177, 145),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::control_capnp::server_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xcfb8_475f_584f_e8be;
+        }
+    }
+}
+
+pub mod document_update {
+    pub use self::Which::{Document, Unchanged};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
                     type_id: ::core::any::TypeId::of::<Owned>(),
                 }),
             ))
@@ -5007,23 +5222,39 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_text(&self) -> bool {
+        pub fn has_controls(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_confirmed(self) -> bool {
-            self.reader.get_bool_field(64)
+        pub fn has_document(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_has_leader(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Document(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(1),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -5032,7 +5263,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5104,39 +5335,82 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_controls(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_controls(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+        pub fn init_controls(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
+                size,
             )
         }
         #[inline]
-        pub fn set_text(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        pub fn has_controls(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn init_text(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(0).init_data(size)
+        pub fn set_unchanged(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 0);
         }
         #[inline]
-        pub fn has_text(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_document(
+            &mut self,
+            value: crate::control_capnp::document::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn get_confirmed(self) -> bool {
-            self.builder.get_bool_field(64)
+        pub fn init_document(self) -> crate::control_capnp::document::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn set_confirmed(&mut self, value: bool) {
-            self.builder.set_bool_field(64, value);
+        pub fn has_document(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_has_leader(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_has_leader(&mut self, value: bool) {
+            self.builder.set_bool_field(16, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Document(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(1),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -5150,63 +5424,86 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(68, 178, 122, 154, 31, 20, 169, 201),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
-            ::capnp::word(99, 117, 109, 101, 110, 116, 0, 0),
+            ::capnp::word(99, 117, 109, 101, 110, 116, 85, 112),
+            ::capnp::word(100, 97, 116, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+            ::capnp::word(117, 110, 99, 104, 97, 110, 103, 101),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 76, 101, 97, 100, 101),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5217,9 +5514,10 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::control_capnp::document::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5238,16 +5536,20 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xb92d_d7b0_e5d7_b6e9;
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc9a9_141f_9a7a_b244;
+    }
+    pub enum Which<A0> {
+        Unchanged(()),
+        Document(A0),
     }
+    pub type WhichReader<'a> = Which<::capnp::Result<crate::control_capnp::document::Reader<'a>>>;
+    pub type WhichBuilder<'a> = Which<::capnp::Result<crate::control_capnp::document::Builder<'a>>>;
 }
 
-pub mod tables_update {
-    pub use self::Which::{Delta, Snapshot, Unchanged};
-
+pub mod document {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -5348,37 +5650,23 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn has_delta(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 1 {
-                return false;
-            }
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_snapshot(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 2 {
-                return false;
-            }
+        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_text(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unchanged(())),
-                1 => ::core::result::Result::Ok(Delta(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                2 => ::core::result::Result::Ok(Snapshot(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn get_confirmed(self) -> bool {
+            self.reader.get_bool_field(64)
         }
     }
 
@@ -5387,7 +5675,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5459,68 +5747,39 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_unchanged(&mut self, _value: ()) {
-            self.builder.set_data_field::<u16>(0, 0);
+        pub fn get_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_delta(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.set_data_field::<u16>(0, 1);
-            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        pub fn set_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_delta(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 1);
-            self.builder.get_pointer_field(0).init_data(size)
+        pub fn get_text(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn has_delta(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 1 {
-                return false;
-            }
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_text(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn set_snapshot(
-            &mut self,
-            value: crate::control_capnp::tables_snapshot::Reader<'_>,
-        ) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 2);
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
+        pub fn init_text(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn init_snapshot(self) -> crate::control_capnp::tables_snapshot::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 2);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn has_text(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn has_snapshot(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 2 {
-                return false;
-            }
-            !self.builder.is_pointer_field_null(0)
+        pub fn get_confirmed(self) -> bool {
+            self.builder.get_bool_field(64)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Unchanged(())),
-                1 => ::core::result::Result::Ok(Delta(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                2 => ::core::result::Result::Ok(Snapshot(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn set_confirmed(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
         }
     }
 
@@ -5534,56 +5793,54 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(234, 120, 85, 231, 14, 208, 178, 197),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(233, 182, 215, 229, 176, 215, 45, 185),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 97),
-            ::capnp::word(98, 108, 101, 115, 85, 112, 100, 97),
-            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 68, 111),
+            ::capnp::word(99, 117, 109, 101, 110, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(117, 110, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 108, 116, 97, 0, 0, 0),
+            ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5591,21 +5848,21 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 110, 97, 112, 115, 104, 111, 116),
+            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(179, 82, 166, 72, 44, 200, 65, 188),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::control_capnp::tables_snapshot::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5624,27 +5881,16 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
-        pub(crate) const TYPE_ID: u64 = 0xc5b2_d00e_e755_78ea;
-    }
-    pub enum Which<A0, A1> {
-        Unchanged(()),
-        Delta(A0),
-        Snapshot(A1),
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xb92d_d7b0_e5d7_b6e9;
     }
-    pub type WhichReader<'a> = Which<
-        ::capnp::Result<::capnp::data::Reader<'a>>,
-        ::capnp::Result<crate::control_capnp::tables_snapshot::Reader<'a>>,
-    >;
-    pub type WhichBuilder<'a> = Which<
-        ::capnp::Result<::capnp::data::Builder<'a>>,
-        ::capnp::Result<crate::control_capnp::tables_snapshot::Builder<'a>>,
-    >;
 }
 
-pub mod tables_snapshot {
+pub mod tables_update {
+    pub use self::Which::{Delta, Snapshot, Unchanged};
+
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -5745,34 +5991,37 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_routes(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_routes(&self) -> bool {
+        pub fn has_delta(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_pools(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_pools(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn has_snapshot(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_confirmed(self) -> bool {
-            self.reader.get_bool_field(64)
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Delta(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                2 => ::core::result::Result::Ok(Snapshot(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -5781,7 +6030,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5853,74 +6102,68 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn set_unchanged(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 0);
         }
         #[inline]
-        pub fn set_revision(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_delta(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn get_routes(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
+        pub fn init_delta(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn set_routes(
+        pub fn has_delta(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_snapshot(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
+            value: crate::control_capnp::tables_snapshot::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 2);
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
-            .unwrap()
         }
         #[inline]
-        pub fn init_routes(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_snapshot(self) -> crate::control_capnp::tables_snapshot::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_routes(&self) -> bool {
+        pub fn has_snapshot(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 {
+                return false;
+            }
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_pools(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_pools(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_pools(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_pools(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_confirmed(self) -> bool {
-            self.builder.get_bool_field(64)
-        }
-        #[inline]
-        pub fn set_confirmed(&mut self, value: bool) {
-            self.builder.set_bool_field(64, value);
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Unchanged(())),
+                1 => ::core::result::Result::Ok(Delta(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                2 => ::core::result::Result::Ok(Snapshot(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -5934,94 +6177,78 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(179, 82, 166, 72, 44, 200, 65, 188),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(234, 120, 85, 231, 14, 208, 178, 197),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 84, 97),
-            ::capnp::word(98, 108, 101, 115, 83, 110, 97, 112),
-            ::capnp::word(115, 104, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(98, 108, 101, 115, 85, 112, 100, 97),
+            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(117, 110, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 117, 116, 101, 115, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 111, 108, 115, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 108, 116, 97, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 110, 97, 112, 115, 104, 111, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(179, 82, 166, 72, 44, 200, 65, 188),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::control_capnp::tables_snapshot::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6040,16 +6267,27 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 0, 1];
-        pub(crate) const TYPE_ID: u64 = 0xbc41_c82c_48a6_52b3;
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xc5b2_d00e_e755_78ea;
     }
+    pub enum Which<A0, A1> {
+        Unchanged(()),
+        Delta(A0),
+        Snapshot(A1),
+    }
+    pub type WhichReader<'a> = Which<
+        ::capnp::Result<::capnp::data::Reader<'a>>,
+        ::capnp::Result<crate::control_capnp::tables_snapshot::Reader<'a>>,
+    >;
+    pub type WhichBuilder<'a> = Which<
+        ::capnp::Result<::capnp::data::Builder<'a>>,
+        ::capnp::Result<crate::control_capnp::tables_snapshot::Builder<'a>>,
+    >;
 }
 
-pub mod submit_result {
-    pub use self::Which::{InDoubt, Refused, Response};
-
+pub mod tables_snapshot {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -6150,49 +6388,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn has_response(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 0 {
-                return false;
-            }
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_refused(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 1 {
-                return false;
-            }
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_routes(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn has_in_doubt(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 2 {
-                return false;
-            }
+        pub fn has_routes(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Response(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                1 => ::core::result::Result::Ok(Refused(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                2 => ::core::result::Result::Ok(InDoubt(
-                    ::capnp::traits::FromPointerReader::get_from_pointer(
-                        &self.reader.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn get_pools(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_pools(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_confirmed(self) -> bool {
+            self.reader.get_bool_field(64)
         }
     }
 
@@ -6201,7 +6424,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6273,28 +6496,25 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_response(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.set_data_field::<u16>(0, 0);
-            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn init_response(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 0);
-            self.builder.get_pointer_field(0).init_data(size)
+        pub fn set_revision(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn has_response(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 0 {
-                return false;
-            }
-            !self.builder.is_pointer_field_null(0)
+        pub fn get_routes(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_refused(
+        pub fn set_routes(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
-            self.builder.set_data_field::<u16>(0, 1);
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
@@ -6303,65 +6523,47 @@
             .unwrap()
         }
         #[inline]
-        pub fn init_refused(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 1);
+        pub fn init_routes(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_refused(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 1 {
-                return false;
-            }
+        pub fn has_routes(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_in_doubt(
+        pub fn get_pools(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_pools(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
         ) {
-            self.builder.set_data_field::<u16>(0, 2);
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
+                self.builder.reborrow().get_pointer_field(1),
                 value,
                 false,
             )
             .unwrap()
         }
         #[inline]
-        pub fn init_in_doubt(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 2);
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_pools(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_in_doubt(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 2 {
-                return false;
-            }
-            !self.builder.is_pointer_field_null(0)
+        pub fn has_pools(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => ::core::result::Result::Ok(Response(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                1 => ::core::result::Result::Ok(Refused(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                2 => ::core::result::Result::Ok(InDoubt(
-                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                        self.builder.get_pointer_field(0),
-                        ::core::option::Option::None,
-                    ),
-                )),
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
-            }
+        pub fn get_confirmed(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_confirmed(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
         }
     }
 
@@ -6375,56 +6577,63 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(196, 30, 192, 37, 140, 41, 52, 181),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(179, 82, 166, 72, 44, 200, 65, 188),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
-            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
-            ::capnp::word(98, 109, 105, 116, 82, 101, 115, 117),
-            ::capnp::word(108, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 84, 97),
+            ::capnp::word(98, 108, 101, 115, 83, 110, 97, 112),
+            ::capnp::word(115, 104, 111, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 115, 112, 111, 110, 115, 101),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 115, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6432,7 +6641,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 68, 111, 117, 98, 116, 0),
+            ::capnp::word(112, 111, 111, 108, 115, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6440,12 +6649,22 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6464,261 +6683,1005 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xb534_298c_25c0_1ec4;
-    }
-    pub enum Which<A0, A1, A2> {
-        Response(A0),
-        Refused(A1),
-        InDoubt(A2),
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xbc41_c82c_48a6_52b3;
     }
-    pub type WhichReader<'a> = Which<
-        ::capnp::Result<::capnp::data::Reader<'a>>,
-        ::capnp::Result<::capnp::text::Reader<'a>>,
-        ::capnp::Result<::capnp::text::Reader<'a>>,
-    >;
-    pub type WhichBuilder<'a> = Which<
-        ::capnp::Result<::capnp::data::Builder<'a>>,
-        ::capnp::Result<::capnp::text::Builder<'a>>,
-        ::capnp::Result<::capnp::text::Builder<'a>>,
-    >;
 }
 
-pub mod peer {
-    #![allow(unused_variables)]
-    pub type DeliverParams =
-        ::capnp::capability::Params<crate::control_capnp::peer::deliver_params::Owned>;
-    pub type DeliverResults =
-        ::capnp::capability::Results<crate::control_capnp::peer::deliver_results::Owned>;
-    pub type ForwardParams =
-        ::capnp::capability::Params<crate::control_capnp::peer::forward_params::Owned>;
-    pub type ForwardResults =
-        ::capnp::capability::Results<crate::control_capnp::peer::forward_results::Owned>;
-    pub type ReadIndexParams =
-        ::capnp::capability::Params<crate::control_capnp::peer::read_index_params::Owned>;
-    pub type ReadIndexResults =
-        ::capnp::capability::Results<crate::control_capnp::peer::read_index_results::Owned>;
+pub mod submit_result {
+    pub use self::Which::{InDoubt, Refused, Response};
 
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook) }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
         fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
     }
     impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
     }
     impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
+        type Pipeline = Pipeline;
     }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                reader.get_capability()?,
-            ))
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
     }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(
-            _builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _size: u32,
-        ) -> Self {
-            unimplemented!()
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                builder.get_capability()?,
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
             ))
         }
     }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
     }
-    impl ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
     }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone() }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
     }
-    impl Client {
-        pub fn deliver_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::control_capnp::peer::deliver_params::Owned,
-            crate::control_capnp::peer::deliver_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
-        pub fn forward_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::control_capnp::peer::forward_params::Owned,
-            crate::control_capnp::peer::forward_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
-        pub fn read_index_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::control_capnp::peer::read_index_params::Owned,
-            crate::control_capnp::peer::read_index_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-    }
-    pub trait Server: 'static {
-        fn deliver(
-            self: ::capnp::capability::Rc<Self>,
-            _: DeliverParams,
-            _: DeliverResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::deliver not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_response(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
         }
-        fn forward(
-            self: ::capnp::capability::Rc<Self>,
-            _: ForwardParams,
-            _: ForwardResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::forward not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
         }
-        fn read_index(
-            self: ::capnp::capability::Rc<Self>,
-            _: ReadIndexParams,
-            _: ReadIndexResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::read_index not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_in_doubt(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Response(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                1 => ::core::result::Result::Ok(Refused(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                2 => ::core::result::Result::Ok(InDoubt(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
     }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
     }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self { server: self.server.clone() }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
     }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
-            self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => {
-                    Self::dispatch_call_internal(self.server, method_id, params, results)
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn set_response(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(0, 0);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_response(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 0);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_response(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_refused(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            self.builder.set_data_field::<u16>(0, 1);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_refused(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_refused(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_in_doubt(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_in_doubt(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_in_doubt(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Response(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                1 => ::core::result::Result::Ok(Refused(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                2 => ::core::result::Result::Ok(InDoubt(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(196, 30, 192, 37, 140, 41, 52, 181),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
+            ::capnp::word(98, 109, 105, 116, 82, 101, 115, 117),
+            ::capnp::word(108, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 115, 112, 111, 110, 115, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 68, 111, 117, 98, 116, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xb534_298c_25c0_1ec4;
+    }
+    pub enum Which<A0, A1, A2> {
+        Response(A0),
+        Refused(A1),
+        InDoubt(A2),
+    }
+    pub type WhichReader<'a> = Which<
+        ::capnp::Result<::capnp::data::Reader<'a>>,
+        ::capnp::Result<::capnp::text::Reader<'a>>,
+        ::capnp::Result<::capnp::text::Reader<'a>>,
+    >;
+    pub type WhichBuilder<'a> = Which<
+        ::capnp::Result<::capnp::data::Builder<'a>>,
+        ::capnp::Result<::capnp::text::Builder<'a>>,
+        ::capnp::Result<::capnp::text::Builder<'a>>,
+    >;
+}
+
+pub mod peer {
+    #![allow(unused_variables)]
+    pub type DeliverParams =
+        ::capnp::capability::Params<crate::control_capnp::peer::deliver_params::Owned>;
+    pub type DeliverResults =
+        ::capnp::capability::Results<crate::control_capnp::peer::deliver_results::Owned>;
+    pub type ForwardParams =
+        ::capnp::capability::Params<crate::control_capnp::peer::forward_params::Owned>;
+    pub type ForwardResults =
+        ::capnp::capability::Results<crate::control_capnp::peer::forward_results::Owned>;
+    pub type ReadIndexParams =
+        ::capnp::capability::Params<crate::control_capnp::peer::read_index_params::Owned>;
+    pub type ReadIndexResults =
+        ::capnp::capability::Results<crate::control_capnp::peer::read_index_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook) }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Capability.into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Client;
+        type Builder<'a> = Client;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Client;
+    }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                reader.get_capability()?,
+            ))
+        }
+    }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
+        fn init_pointer(
+            _builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _size: u32,
+        ) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                builder.get_capability()?,
+            ))
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Client {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            from: Self,
+            _canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone() }
+        }
+    }
+    impl Client {
+        pub fn deliver_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::control_capnp::peer::deliver_params::Owned,
+            crate::control_capnp::peer::deliver_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn forward_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::control_capnp::peer::forward_params::Owned,
+            crate::control_capnp::peer::forward_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn read_index_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::control_capnp::peer::read_index_params::Owned,
+            crate::control_capnp::peer::read_index_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+    }
+    pub trait Server: 'static {
+        fn deliver(
+            self: ::capnp::capability::Rc<Self>,
+            _: DeliverParams,
+            _: DeliverResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::deliver not implemented".to_string(),
+            )))
+        }
+        fn forward(
+            self: ::capnp::capability::Rc<Self>,
+            _: ForwardParams,
+            _: ForwardResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::forward not implemented".to_string(),
+            )))
+        }
+        fn read_index(
+            self: ::capnp::capability::Rc<Self>,
+            _: ReadIndexParams,
+            _: ReadIndexResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::read_index not implemented".to_string(),
+            )))
+        }
+    }
+    pub struct ServerDispatch<_T> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
+        type Dispatch = ServerDispatch<_S>;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
+            ServerDispatch { server: s }
+        }
+    }
+    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T {
+            &self.server
+        }
+    }
+    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self {
+            Self { server: self.server.clone() }
+        }
+    }
+    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(
+            self,
+            interface_id: u64,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => {
+                    Self::dispatch_call_internal(self.server, method_id, params, results)
+                }
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+        fn as_ptr(&self) -> usize {
+            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+        }
+    }
+    impl<_T: Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(
+            this: ::capnp::capability::Rc<_T>,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::deliver(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                1 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::forward(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                2 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::read_index(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xd828_240b_c1af_ddb9;
+    }
+
+    pub mod deliver_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_from(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_from(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_from(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_message(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_message(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(49, 235, 229, 178, 55, 146, 196, 194),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
+                ::capnp::word(101, 114, 46, 100, 101, 108, 105, 118),
+                ::capnp::word(101, 114, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
             }
-        }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
-        }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::deliver(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::forward(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                2 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::read_index(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xc2c4_9237_b2e5_eb31;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xd828_240b_c1af_ddb9;
-    }
 
-    pub mod deliver_params {
+    pub mod deliver_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6814,7 +7777,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -6822,21 +7785,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_from(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_message(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -6844,7 +7792,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6920,33 +7868,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_from(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_from(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_message(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_message(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_message(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_message(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -6959,62 +7880,27 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(49, 235, 229, 178, 55, 146, 196, 194),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(63, 20, 46, 235, 52, 120, 215, 209),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
                 ::capnp::word(101, 114, 46, 100, 101, 108, 105, 118),
-                ::capnp::word(101, 114, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7031,14 +7917,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xc2c4_9237_b2e5_eb31;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xd1d7_7834_eb2e_143f;
         }
     }
 
-    pub mod deliver_results {
+    pub mod forward_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7134,7 +8020,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7142,6 +8028,17 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_command(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -7149,7 +8046,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
