@@ -7221,9 +8118,28 @@
             pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_command(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_command(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_command(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -7237,27 +8153,46 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(63, 20, 46, 235, 52, 120, 215, 209),
+                ::capnp::word(227, 4, 92, 210, 166, 224, 229, 163),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
-                ::capnp::word(101, 114, 46, 100, 101, 108, 105, 118),
-                ::capnp::word(101, 114, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 46, 102, 111, 114, 119, 97),
+                ::capnp::word(114, 100, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 109, 109, 97, 110, 100, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7274,14 +8209,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xd1d7_7834_eb2e_143f;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa3e5_e0a6_d25c_04e3;
         }
     }
 
-    pub mod forward_params {
+    pub mod forward_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7386,14 +8321,16 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_result(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::submit_result::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_command(&self) -> bool {
+            pub fn has_result(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7480,22 +8417,34 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_result(
+                self,
+            ) -> ::capnp::Result<crate::control_capnp::submit_result::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_command(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_result(
+                &mut self,
+                value: crate::control_capnp::submit_result::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_command(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn init_result(self) -> crate::control_capnp::submit_result::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
-            pub fn has_command(&self) -> bool {
+            pub fn has_result(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7508,16 +8457,20 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_result(&self) -> crate::control_capnp::submit_result::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(227, 4, 92, 210, 166, 224, 229, 163),
+                ::capnp::word(1, 138, 131, 115, 23, 51, 90, 161),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -7526,28 +8479,28 @@
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
                 ::capnp::word(101, 114, 46, 102, 111, 114, 119, 97),
-                ::capnp::word(114, 100, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 100, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 111, 109, 109, 97, 110, 100, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 115, 117, 108, 116, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(196, 30, 192, 37, 140, 41, 52, 181),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::control_capnp::submit_result::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7569,11 +8522,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa3e5_e0a6_d25c_04e3;
+            pub(crate) const TYPE_ID: u64 = 0xa15a_3317_7383_8a01;
         }
     }
 
-    pub mod forward_results {
+    pub mod read_index_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7669,7 +8622,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7677,19 +8630,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_result(
-                self,
-            ) -> ::capnp::Result<crate::control_capnp::submit_result::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_result(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -7697,7 +8637,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7773,37 +8713,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_result(
-                self,
-            ) -> ::capnp::Result<crate::control_capnp::submit_result::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_result(
-                &mut self,
-                value: crate::control_capnp::submit_result::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_result(self) -> crate::control_capnp::submit_result::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
-            }
-            #[inline]
-            pub fn has_result(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -7814,52 +8723,29 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {
-            pub fn get_result(&self) -> crate::control_capnp::submit_result::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(1, 138, 131, 115, 23, 51, 90, 161),
+                ::capnp::word(14, 83, 173, 186, 2, 66, 253, 224),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
-                ::capnp::word(101, 114, 46, 102, 111, 114, 119, 97),
-                ::capnp::word(114, 100, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 115, 117, 108, 116, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(196, 30, 192, 37, 140, 41, 52, 181),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 114, 46, 114, 101, 97, 100, 73),
+                ::capnp::word(110, 100, 101, 120, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::control_capnp::submit_result::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -7876,14 +8762,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa15a_3317_7383_8a01;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe0fd_4202_baad_530e;
         }
     }
 
-    pub mod read_index_params {
+    pub mod read_index_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7987,6 +8873,10 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_index(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> {
@@ -7994,7 +8884,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8070,6 +8960,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_index(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_index(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline {
@@ -8082,27 +8980,46 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(14, 83, 173, 186, 2, 66, 253, 224),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(58, 208, 221, 118, 144, 41, 171, 158),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
                 ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
                 ::capnp::word(101, 114, 46, 114, 101, 97, 100, 73),
-                ::capnp::word(110, 100, 101, 120, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 100, 101, 120, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -8119,284 +9036,349 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xe0fd_4202_baad_530e;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9eab_2990_76dd_d03a;
         }
     }
+}
 
-    pub mod read_index_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(
-                    ::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    },
-                )
-                .into()
-            }
+pub mod server_list {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
+    }
 
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
+    }
 
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
 
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_stamp(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_servers(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
+        #[inline]
+        pub fn has_servers(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
 
-        impl ::core::fmt::Debug for Reader<'_> {
-            fn fmt(
-                &self,
-                f: &mut ::core::fmt::Formatter<'_>,
-            ) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(
-                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
-                    f,
-                )
-            }
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
+    }
 
-        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
-            fn get_from_pointer(
-                reader: &::capnp::private::layout::PointerReader<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
+    }
 
-        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
+    }
 
-        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
         }
+    }
 
-        impl Reader<'_> {
-            pub fn reborrow(&self) -> Reader<'_> {
-                Self { ..*self }
-            }
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
 
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_index(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
         }
 
-        pub struct Builder<'a> {
-            builder: ::capnp::private::layout::StructBuilder<'a>,
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
-        impl ::capnp::traits::HasStructSize for Builder<'_> {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        #[inline]
+        pub fn get_stamp(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
-        impl ::capnp::traits::HasTypeId for Builder<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+        #[inline]
+        pub fn set_stamp(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder }
-            }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
-
-        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
-            fn from(builder: Builder<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(
-                    builder.builder,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
         }
-
-        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+        #[inline]
+        pub fn get_servers(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
-
-        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
-            fn init_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                _size: u32,
-            ) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(
-                builder: ::capnp::private::layout::PointerBuilder<'a>,
-                default: ::core::option::Option<&'a [::capnp::Word]>,
-            ) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(
-                    builder
-                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
-                        .into(),
-                )
-            }
+        #[inline]
+        pub fn set_servers(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
-
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
+        #[inline]
+        pub fn init_servers(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
-
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_index(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_index(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
+        #[inline]
+        pub fn has_servers(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
+    }
 
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
         }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(235, 209, 241, 193, 64, 50, 177, 145),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(96, 72, 233, 167, 210, 197, 241, 179),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 101),
+            ::capnp::word(114, 118, 101, 114, 76, 105, 115, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(58, 208, 221, 118, 144, 41, 171, 158),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
-                ::capnp::word(99, 97, 112, 110, 112, 58, 80, 101),
-                ::capnp::word(101, 114, 46, 114, 101, 97, 100, 73),
-                ::capnp::word(110, 100, 101, 120, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(
-                child_index: Option<u16>,
-                index: u32,
-            ) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
-                ::capnp::introspect::RawStructSchema::new(
-                    &ARENA,
-                    NONUNION_MEMBERS,
-                    MEMBERS_BY_DISCRIMINANT,
-                    MEMBERS_BY_NAME,
-                );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9eab_2990_76dd_d03a;
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0x91b1_3240_c1f1_d1eb;
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -14,7 +14,7 @@
 mod link;
 mod server;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 pub use calls::{ControlClient, PeerClient};
 pub use counted::ByteCounters;
@@ -65,6 +65,17 @@
     pub confirmed: bool,
 }
 
+/// The platform's list of servers as a control VM read it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServerList {
+    /// Another number for each list; zero while none was read.
+    pub stamp: u64,
+    /// How long ago the platform gave it.
+    pub age: Duration,
+    /// The encoded list; empty if it is the one that the asker holds.
+    pub servers: Vec<u8>,
+}
+
 /// What became of a command for the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SubmitResult {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -9,7 +9,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::{
-    ByteCounters, DocumentUpdate, SubmitResult, TablesUpdate,
+    ByteCounters, DocumentUpdate, ServerList, SubmitResult, TablesUpdate,
     control_capnp::{control, document_update, peer, submit_result, tables_update},
     counted::Counted,
 };
@@ -30,6 +30,9 @@
     /// Waits up to `wait` for a document newer than version `held`.
     fn fetch_document(&self, held: u64, wait: Duration) -> LocalBoxFuture<'static, DocumentUpdate>;
 
+    /// Waits up to `wait` for another list of servers than the one stamped `held`.
+    fn fetch_servers(&self, held: u64, wait: Duration) -> LocalBoxFuture<'static, ServerList>;
+
     /// Puts a command into the replicated log.
     fn submit(&self, token: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult>;
 
@@ -116,6 +119,21 @@
         Ok(())
     }
 
+    async fn fetch_servers(
+        self: Rc<Self>,
+        params: control::FetchServersParams,
+        mut results: control::FetchServersResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let wait = Duration::from_millis(params.get_wait_ms().into());
+        let list = self.handler.fetch_servers(params.get_held(), wait).await;
+        let mut builder = results.get().init_list();
+        builder.set_stamp(list.stamp);
+        builder.set_age_ms(list.age.as_millis().min(u32::MAX.into()) as u32);
+        builder.set_servers(&list.servers);
+        Ok(())
+    }
+
     async fn submit(
         self: Rc<Self>,
         params: control::SubmitParams,
--- a/crates/rpc/tests/silent_link.rs
+++ b/crates/rpc/tests/silent_link.rs
@@ -5,13 +5,17 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use rpc::{
-    ByteCounters, ControlHandler, DocumentUpdate, Link, LinkSettings, PeerHandler, SubmitResult,
-    TablesUpdate, serve,
+    ByteCounters, ControlHandler, DocumentUpdate, Link, LinkSettings, PeerHandler, ServerList,
+    SubmitResult, TablesUpdate, serve,
 };
 
 struct Fixed;
 
 impl ControlHandler for Fixed {
+    fn fetch_servers(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, ServerList> {
+        async { ServerList::default() }.boxed_local()
+    }
+
     fn fetch_document(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, DocumentUpdate> {
         async { DocumentUpdate { controls: Vec::new(), has_leader: true, document: None } }
             .boxed_local()
