Let a server come back that a list left out

Cause: a server that was missing from two whole lists counted as gone for its life, so a list that is older than the one before (another control VM's, or the router's own) could lose a sound server for good. Ruled out: more lists before it counts as gone, which only makes it rarer. Change: such a server has a higher incarnation when it is listed again, unless it was leaving. Conclusion: lists of different ages do no lasting harm.

--- /dev/null
+++ b/crates/directory/tests/read_pages.rs
@@ -0,0 +1,79 @@
+//! The list is read whole or not at all.
+
+use std::{cell::Cell, rc::Rc};
+
+use clock::SystemClock;
+use directory::{Absence, Directory, ListPage, ReadError, Reader, Unreadable, VmList};
+use futures::future::{FutureExt, LocalBoxFuture};
+use http::Uri;
+use httpio::{
+    StatusCode,
+    server::{self, Reply, Request, ServerSettings, StopSignals},
+};
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+const ENTRY: &str = r#"{"addr":"10.0.0.1:80","pool":"svc","incarnation":1,"state":"live"}"#;
+
+/// Pages of one entry, each of which names the next, up to a last one.
+struct Paged {
+    last: usize,
+}
+
+impl Directory for Paged {
+    fn page_uri(&self, token: Option<&str>) -> Uri {
+        format!("/{}", token.unwrap_or("1")).parse().expect("a plain path")
+    }
+
+    fn read_page(&self, body: &[u8]) -> Result<ListPage, Unreadable> {
+        let number: usize = std::str::from_utf8(body).expect("text").parse().expect("a number");
+        let one = VmList.read_page(format!("[{ENTRY}]").as_bytes())?;
+        let next = (number < self.last).then(|| (number + 1).to_string());
+        Ok(ListPage { next, ..one })
+    }
+
+    fn absence(&self) -> Absence {
+        Absence::MeansGone
+    }
+}
+
+fn read(last: usize, refused_from: usize) -> (Result<usize, ReadError>, usize) {
+    let mut runtime =
+        RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("a runtime");
+    runtime.block_on(async move {
+        let listener = server::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+        let addr = listener.local_addr().expect("a bound listener");
+        let pages = Rc::new(Cell::new(0));
+        let count = Rc::clone(&pages);
+        let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
+            count.set(count.get() + 1);
+            let status = match count.get() >= refused_from {
+                true => StatusCode::TOO_MANY_REQUESTS,
+                false => StatusCode::OK,
+            };
+            let body = req.uri.path().trim_start_matches('/').to_owned();
+            async move { Reply::typed(status, "text/plain", body.into()) }.boxed_local()
+        };
+        let (settings, stop) = (ServerSettings::default(), StopSignals::default());
+        monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
+        let reader = Reader::new(addr, Rc::new(Paged { last }), Rc::new(SystemClock));
+        (reader.read().await.map(|it| it.len()), pages.get())
+    })
+}
+
+#[test]
+fn all_pages() {
+    let (list, pages) = read(3, usize::MAX);
+    assert_eq!((list.expect("a whole list"), pages), (3, 3));
+}
+
+#[test]
+fn refused_page() {
+    let (list, _) = read(3, 2);
+    assert!(matches!(list, Err(ReadError::Refused { .. })), "half a list says nothing");
+}
+
+#[test]
+fn endless_pages() {
+    let (list, _) = read(usize::MAX, usize::MAX);
+    assert!(matches!(list, Err(ReadError::Endless)));
+}
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -12,6 +12,9 @@
 #[derive(Debug, Default)]
 pub(super) struct ServerList {
     known: BTreeMap<SocketAddr, Known>,
+    /// The next incarnation of servers that were missing from whole lists: a list that was older
+    /// than the one before may have left them out, so they may come back as they were.
+    returns: BTreeMap<String, u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -113,8 +116,10 @@
         for vm in vms {
             self.drop_renamed(scheduler, now, pool, vm);
             let name = name(vm);
+            let returned = self.returns.get(&name).copied().unwrap_or_default();
+            let incarnation = vm.incarnation.max(returned);
             let key =
-                sight(scheduler, pool, &name, vm.incarnation, |scheduler, seen| match vm.state {
+                sight(scheduler, pool, &name, incarnation, |scheduler, seen| match vm.state {
                     VmState::Live => scheduler.backend_seen(now, seen),
                     VmState::Leaving => scheduler.backend_leaving(now, seen),
                 });
@@ -124,15 +129,15 @@
             }
             let known = self.known.entry(vm.addr).or_insert(Known {
                 key,
-                incarnation: vm.incarnation,
+                incarnation,
                 listing: Listing::Platform,
                 label: vm.label.as_str().into(),
                 missed: 0,
             });
             known.missed = 0;
             // Old news of a server that has restarted since says nothing.
-            if vm.incarnation >= known.incarnation {
-                known.incarnation = vm.incarnation;
+            if incarnation >= known.incarnation {
+                known.incarnation = incarnation;
                 known.listing = match (vm.state, known.listing) {
                     (VmState::Leaving, _) => Listing::Leaving,
                     (VmState::Live, Listing::Table) => Listing::Table,
@@ -161,7 +166,11 @@
         }
         let gone = self.known.extract_if(.., |_, it| it.missed >= MISSED_MAX);
         for (addr, known) in gone {
-            leave(scheduler, now, pool, addr, &known);
+            let name = leave(scheduler, now, pool, addr, &known);
+            // One that was leaving has really left.
+            if known.listing != Listing::Leaving {
+                self.returns.insert(name, known.incarnation + 1);
+            }
         }
     }
 
@@ -212,7 +221,14 @@
     }
 }
 
-fn leave(scheduler: &mut Scheduler, now: Instant, pool: &str, addr: SocketAddr, known: &Known) {
+/// Tells the scheduler that a server has left; gives the name by which it knows the server.
+fn leave(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    pool: &str,
+    addr: SocketAddr,
+    known: &Known,
+) -> String {
     let name = match known.label.is_empty() {
         true => addr.to_string(),
         false => known.label.to_string(),
@@ -221,4 +237,5 @@
     sight(scheduler, pool, &name, known.incarnation, |scheduler, seen| {
         scheduler.backend_gone(now, seen)
     });
+    name
 }
