Leave a control VM that no leader confirms

Change: a control VM has a leader only if one has confirmed its state within a second; it asks every 0.3 s, and a waiting question looks again every 0.25 s. Conclusion: hearing a leader is not enough.

--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -24,6 +24,9 @@
 /// The longest time that a question may wait here, so that a client's limit is never reached.
 const FETCH_WAIT_MAX: Duration = Duration::from_secs(30);
 
+/// How often a waiting question looks whether there is still a leader.
+const LEADER_CHECK: Duration = Duration::from_millis(250);
+
 /// The tokens that callers show.
 #[derive(Debug, Clone)]
 pub struct Tokens {
@@ -76,10 +79,12 @@
             let confirmed = held == 0 && replica.confirm(wait).await;
             while held > 0 && replica.has_leader() && replica.document().version <= held {
                 let left = deadline.saturating_duration_since(clock.now());
-                let change = replica.applied().changed();
-                if left.is_zero() || monoio::time::timeout(left, change).await.is_err() {
+                if left.is_zero() {
                     break;
                 }
+                // In slices, for the loss of the leader wakes nobody.
+                let slice = left.min(LEADER_CHECK);
+                let _ = monoio::time::timeout(slice, replica.applied().changed()).await;
             }
             let document = replica.document();
             let fetched = || FetchedDocument {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -33,6 +33,12 @@
 /// How long a command may wait for its commit before it is in doubt.
 pub(crate) const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The pace at which a member asks the leader what is committed, how long one answer may take, and
+/// how long it counts. Together they stay below the time in which changes must be in force.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+const CONFIRMED_FRESH: Duration = Duration::from_millis(1_000);
+
 /// How often the leader moves the replicated time on, in seconds.
 const ADVANCE_EVERY_S: u32 = 10;
 
@@ -62,6 +68,8 @@
     clock: Rc<dyn Clock>,
     applied: Watch,
     voters_max: usize,
+    /// When the leader was last asked with success what is committed.
+    confirmed: Cell<Option<Instant>>,
     /// Since when this member has led without a break.
     leads_since: Cell<Option<Instant>>,
 }
@@ -107,12 +115,14 @@
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
+            confirmed: Cell::new(None),
             leads_since: Cell::new(None),
         });
         replica.update_feed();
         replica.pump();
         monoio::spawn(replica.clone().keep_time());
         monoio::spawn(replica.clone().keep_members());
+        monoio::spawn(replica.clone().keep_confirmed());
         Ok((replica, saved))
     }
 
@@ -221,10 +231,22 @@
         !self.status().lease_left.is_zero()
     }
 
-    /// Whether this member leads under a lease or follows a leader.
+    /// Whether a leader has confirmed the state here of late. A member that hears a leader and
+    /// cannot answer it, as behind a link that is cut one way, would lag without knowing.
     pub(crate) fn has_leader(&self) -> bool {
-        let status = self.status();
-        status.leader.is_some_and(|it| it != status.me || !status.lease_left.is_zero())
+        let since = |at| self.clock.now().saturating_duration_since(at);
+        self.confirmed.get().is_some_and(|at| since(at) < CONFIRMED_FRESH)
+    }
+
+    /// Asks the leader at a steady pace whether anything newer is committed.
+    async fn keep_confirmed(self: Rc<Self>) {
+        loop {
+            let asked = self.clock.now();
+            if self.confirm(CONFIRM_TIMEOUT).await {
+                self.confirmed.set(Some(asked));
+            }
+            monoio::time::sleep(CONFIRM_INTERVAL).await;
+        }
     }
 
     /// Starts to hand the leadership to the member with the newest log; nothing if there is none.
