Say once that a wait was in vain, for all three kinds of calls

Change: AttemptError from Silent, refusals::late and patience::while_wanted serve chat, lookups and relayed requests.

--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -1,7 +1,5 @@
 //! Serves chat completions: attempts, resumes and the relay of tokens.
 
-use std::time::Duration;
-
 use futures::{FutureExt, pin_mut, select_biased};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use httpio::{
@@ -10,15 +8,16 @@
     signal::Signal,
     sse,
 };
-use monoio::time;
 use policy::{Execution, Failure as Symptom};
 
 use crate::{
     backends::AttemptError,
-    call::Call,
+    call::{Call, worse},
     chat::{ChatRequest, WholeAnswer},
     engine_stream::EngineStream,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
+    patience::{Worked, while_wanted},
+    refusals,
     token_stream::Event,
 };
 
@@ -92,22 +91,12 @@
     ) -> Result<T, Failure> {
         let now = self.engine.call.services.clock.now();
         let left = self.engine.call.routed.deadline().saturating_duration_since(now);
-        let raised = gone.raised().fuse();
-        let finished = {
-            let worked = time::timeout(left, work(self)).fuse();
-            pin_mut!(raised, worked);
-            select_biased! {
-                worked = worked => worked.ok(),
-                () = raised => None,
+        match while_wanted(gone, left, work(self)).await {
+            Worked::Done(done) => Ok(done),
+            Worked::Late | Worked::CallerGone => {
+                Err(refusals::late(worse(self.engine.call.outcome, Outcome::MayHaveRun)))
             }
-        };
-        finished.ok_or_else(|| Failure {
-            status: StatusCode::GATEWAY_TIMEOUT,
-            code: Code::Deadline,
-            message: "no answer came before the deadline; come back later".to_owned(),
-            outcome: crate::call::worse(self.engine.call.outcome, Outcome::MayHaveRun),
-            retry_after: Some(Duration::from_secs(1)),
-        })
+        }
     }
 
     async fn gather_with_retries(&mut self) -> Result<WholeAnswer, Failure> {
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -4,7 +4,6 @@
 use http::{HeaderMap, HeaderValue, Method, Uri, header};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, Failure as Symptom};
 
 use crate::{
     backends::AttemptError,
@@ -164,7 +163,7 @@
     }
 
     async fn recover_from_silence(&mut self, silent: Silent) -> Result<(), AttemptError> {
-        let error = silence_error(silent);
+        let error = AttemptError::from(silent);
         match silent {
             Silent::Dead => Err(error),
             // The stream was resumed on new connections in vain, so the engine is slow.
@@ -226,12 +225,3 @@
         TokenStream::new(response, &self.call.id).ok()
     }
 }
-
-fn silence_error(silent: Silent) -> AttemptError {
-    let detail = match silent {
-        Silent::Dead => "the backend server fell silent and does not answer a probe",
-        Silent::Alive => "the connection fell silent though the backend server answers a probe",
-    };
-    let (failure, execution) = (Symptom::Silent, Execution::MayHaveRun);
-    AttemptError { failure, execution, detail: detail.to_owned() }
-}
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -1,5 +1,7 @@
 //! The scheduler's refusals as callers are told them.
 
+use std::time::Duration;
+
 use http::StatusCode;
 use policy::{GiveUp, Refusal, RefusalReason};
 
@@ -46,3 +48,23 @@
     let message = format!("{}; {remedy}", last.detail);
     Failure { status, code, message, outcome, retry_after: None }
 }
+
+/// When a request whose deadline came first may come back.
+const LATE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a caller is told when its deadline came first. What did not run is refused, which callers
+/// may rely on.
+#[must_use]
+pub(crate) fn late(outcome: Outcome) -> Failure {
+    let status = match outcome {
+        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::MayHaveRun | Outcome::Ran => StatusCode::GATEWAY_TIMEOUT,
+    };
+    Failure {
+        status,
+        code: Code::Deadline,
+        message: "no answer came before the deadline; come back later".to_owned(),
+        outcome,
+        retry_after: Some(LATE_RETRY_AFTER),
+    }
+}
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -13,14 +13,12 @@
 use policy::{Execution, Failure as Symptom};
 use tables::Exchange;
 
-use super::{
-    passage::{Passage, late},
-    whole::Answer,
-};
+use super::{passage::Passage, whole::Answer};
 use crate::{
     backends::AttemptError,
     outcome::Failure,
     patience::{Worked, while_wanted},
+    refusals,
     watch::watch,
 };
 
@@ -62,7 +60,7 @@
     let worked = while_wanted(&gone, passage.left(), open(&mut passage)).await;
     let opened = match worked {
         Worked::Done(opened) => opened,
-        Worked::Late | Worked::CallerGone => Err(late(passage.call.known_outcome())),
+        Worked::Late | Worked::CallerGone => Err(refusals::late(passage.call.known_outcome())),
     };
     match opened {
         Ok(Opened::Stream(stream)) => {
--- a/crates/router/src/relay/passage.rs
+++ b/crates/router/src/relay/passage.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderValue, StatusCode};
+use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
 use policy::{Execution, Failure as Symptom, LoadReport};
 use tables::Priority;
@@ -15,8 +15,9 @@
     call::{Call, Shape},
     class_limits::Permit,
     dialect::{Ask, AttemptNote, Dialect, NotStarted, ServerLoad},
-    outcome::{Code, Failure, Outcome, REQUEST_ID_HEADER},
+    outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     patience::{Worked, while_wanted},
+    refusals,
     routing::Routed,
     services::Services,
     watch::{Silent, watch},
@@ -25,9 +26,6 @@
 /// Answers to other requests that are passed over on one connection before it is given up.
 const CROSSED_ANSWERS_MAX: usize = 2;
 
-/// Retry-After of a request whose deadline came while it waited.
-const LATE_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 pub(super) struct Passage {
     pub(super) call: Call,
     pub(super) dialect: Rc<dyn Dialect>,
@@ -66,7 +64,7 @@
         let placed = Call::place(services, routed, permit, shape);
         let call = match while_wanted(&gone, left, placed).await {
             Worked::Done(call) => call?,
-            Worked::Late | Worked::CallerGone => return Err(late(Outcome::NotRun)),
+            Worked::Late | Worked::CallerGone => return Err(refusals::late(Outcome::NotRun)),
         };
         Ok(Passage { call, dialect, deadline, last_event: ask.last_event, events: 0, id })
     }
@@ -158,12 +156,7 @@
     /// What silence says; the idle connections may have been lost in the same way.
     pub(super) fn silence(&self, silent: Silent) -> AttemptError {
         self.call.services.backends.close_idle(self.call.lease.server().addr);
-        let detail = match silent {
-            Silent::Dead => "the backend server fell silent and does not answer a probe",
-            Silent::Alive => "the connection fell silent though the backend server answers a probe",
-        };
-        let (failure, execution) = (Symptom::Silent, Execution::MayHaveRun);
-        AttemptError { failure, execution, detail: detail.to_owned() }
+        silent.into()
     }
 }
 
@@ -193,21 +186,6 @@
     AttemptError { failure, execution, detail: detail.to_owned() }
 }
 
-/// What the caller is told when its deadline came first.
-pub(super) fn late(outcome: Outcome) -> Failure {
-    let status = match outcome {
-        Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::MayHaveRun | Outcome::Ran => StatusCode::GATEWAY_TIMEOUT,
-    };
-    Failure {
-        status,
-        code: Code::Deadline,
-        message: "no answer came before the deadline; come back later".to_owned(),
-        outcome,
-        retry_after: Some(LATE_RETRY_AFTER),
-    }
-}
-
 fn report(load: ServerLoad) -> LoadReport {
     LoadReport {
         incarnation: 0,
--- a/crates/router/src/relay/whole.rs
+++ b/crates/router/src/relay/whole.rs
@@ -4,11 +4,12 @@
 use httpio::{Bytes, client::Response, server::Reply};
 use policy::{Execution, Failure as Symptom};
 
-use super::passage::{Passage, late};
+use super::passage::Passage;
 use crate::{
     backends::AttemptError,
     outcome::Failure,
     patience::{Worked, while_wanted},
+    refusals,
 };
 
 /// A server's answer that has arrived whole.
@@ -28,7 +29,7 @@
     let ended = match worked {
         Worked::Done(Ok(answer)) => Ok(answer),
         Worked::Done(Err(failure)) => Err(failure),
-        Worked::Late | Worked::CallerGone => Err(late(passage.call.known_outcome())),
+        Worked::Late | Worked::CallerGone => Err(refusals::late(passage.call.known_outcome())),
     };
     match (ended, failed) {
         (Ok(answer), _) => {
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use futures::{FutureExt, pin_mut, select_biased};
 use http::{HeaderMap, StatusCode, header};
 use httpio::{Bytes, client::Response, server::Reply};
 use monoio::time;
@@ -16,7 +15,9 @@
     call::{Call, worse},
     order_ledger::StoredAnswer,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
-    watch::{Silent, watch},
+    patience::{Worked, while_wanted},
+    refusals,
+    watch::watch,
 };
 
 /// The header that names an order among its resends.
@@ -38,19 +39,11 @@
 pub(crate) async fn lookup(mut call: Call) -> Result<Reply, Failure> {
     let gone = call.routed.arrival.request.gone.clone();
     let left = time_left(&call);
-    let served = {
-        let raised = gone.raised().fuse();
-        let served = time::timeout(left, lookup_with_retries(&mut call)).fuse();
-        pin_mut!(raised, served);
-        select_biased! {
-            served = served => served.ok(),
-            () = raised => None,
-        }
-    };
-    let Some(answer) = served else {
+    let worked = while_wanted(&gone, left, lookup_with_retries(&mut call)).await;
+    let Worked::Done(answer) = worked else {
         let outcome = worse(call.outcome, Outcome::MayHaveRun);
         call.abandon();
-        return Err(late(outcome));
+        return Err(refusals::late(outcome));
     };
     let answer = answer?;
     call.finish(0);
@@ -95,7 +88,10 @@
         let error = match watch(exchange, silence, &call.lease).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(error)) => error,
-            Err(silent) => silence_error(call, silent),
+            Err(silent) => {
+                call.services.backends.close_idle(call.lease.server().addr);
+                silent.into()
+            }
         };
         call.next_place(error).await?;
     }
@@ -124,16 +120,6 @@
     Ok(Answer { status, headers, body })
 }
 
-fn silence_error(call: &Call, silent: Silent) -> AttemptError {
-    call.services.backends.close_idle(call.lease.server().addr);
-    let detail = match silent {
-        Silent::Dead => "the backend server fell silent and does not answer a probe",
-        Silent::Alive => "the connection fell silent though the backend server answers a probe",
-    };
-    let (failure, execution) = (Symptom::Silent, Execution::MayHaveRun);
-    AttemptError { failure, execution, detail: detail.to_owned() }
-}
-
 fn time_left(call: &Call) -> Duration {
     call.routed.deadline().saturating_duration_since(call.services.clock.now())
 }
@@ -144,16 +130,6 @@
         .retry_after(Duration::from_secs(1))
 }
 
-fn late(outcome: Outcome) -> Failure {
-    Failure {
-        status: StatusCode::GATEWAY_TIMEOUT,
-        code: Code::Deadline,
-        message: "no answer came before the deadline; come back later".to_owned(),
-        outcome,
-        retry_after: Some(Duration::from_secs(1)),
-    }
-}
-
 impl Answer {
     pub(crate) fn into_reply(self) -> Reply {
         let mut reply = Reply::whole(self.status, self.headers, self.body);
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -4,9 +4,9 @@
 
 use futures::{FutureExt, pin_mut, select_biased};
 use monoio::time;
-use policy::ProbeResult;
+use policy::{Execution, Failure, ProbeResult};
 
-use crate::dispatch::Lease;
+use crate::{backends::AttemptError, dispatch::Lease};
 
 /// Why a wait was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +17,17 @@
     Alive,
 }
 
+impl From<Silent> for AttemptError {
+    fn from(silent: Silent) -> Self {
+        let detail = match silent {
+            Silent::Dead => "the backend server fell silent and does not answer a probe",
+            Silent::Alive => "the connection fell silent though the backend server answers a probe",
+        };
+        let (failure, execution) = (Failure::Silent, Execution::MayHaveRun);
+        AttemptError { failure, execution, detail: detail.to_owned() }
+    }
+}
+
 /// Waits for `event`; each time that nothing has come for `silence`, probes the server.
 ///
 /// # Errors
