Tell the peers of a crash before its caller is answered

Ruled out: a shorter peer_period_ms, which only narrows the gap. Change: after a reset the router posts its report to the admin listeners of its peers and waits up to 0.2 s for them before it goes on; a report taken this way is imported like one that was read. Conclusion: mended for routers with peers; through the hub and on the platform it is open.

--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -198,6 +198,26 @@
         }
     }
 
+    /// Hands a small document over, such as a report of crashes.
+    ///
+    /// # Errors
+    /// A failed exchange, or a status other than success.
+    pub async fn hand_over(
+        &self,
+        addr: SocketAddr,
+        uri: Uri,
+        body: Bytes,
+    ) -> Result<(), AttemptError> {
+        let request = Request { method: Method::POST, uri, body, ..Request::default() };
+        let response = self.probes.send(addr, request).await?;
+        let status = response.head.status;
+        response.body.collect().await?;
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(AttemptError::in_doubt(format!("the document was answered {status}"))),
+        }
+    }
+
     /// Fetches a small document, such as a load report.
     ///
     /// # Errors
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -20,7 +20,7 @@
     dispatch::{Asked, Lease, Retried},
     metrics::{InFlight, Labels},
     outcome::{Code, Failure, Outcome},
-    refusals,
+    quarantine_exchange, refusals,
     routing::Routed,
     services::Services,
 };
@@ -213,7 +213,11 @@
         if error.execution != Execution::NotRun && self.cancels_at_engine() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
-        match self.lease.retry(error.failure, error.execution).await {
+        let retried = self.lease.retry(error.failure, error.execution).await;
+        if error.failure == policy::Failure::Reset {
+            quarantine_exchange::tell(&self.services).await;
+        }
+        match retried {
             Retried::Placed => Ok(()),
             Retried::GivenUp { reason, retry_after } => {
                 let failure = refusals::given_up(reason, &error, self.outcome);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -408,6 +408,7 @@
         metrics: Metrics::register(registry)?,
         reception: Reception::new(ChaCha8Rng::seed_from_u64(parts.seed)),
         waits: settings.waits,
+        peers: settings.peers.clone(),
     })
 }
 
--- a/crates/router/src/quarantine_exchange.rs
+++ b/crates/router/src/quarantine_exchange.rs
@@ -1,14 +1,18 @@
 //! Shares the fingerprints of crashing requests with the other routers of the failure domain.
 //!
-//! Each router shows its entries on its admin listener and reads those of its peers at a steady
-//! pace. An entry carries the time that it has left, so passing it on never prolongs it.
+//! Each router shows its entries on its admin listener, reads those of its peers at a steady pace
+//! and tells them of a crash before the caller is answered, since the caller may send the request
+//! again at once, to any of them. An entry carries the time that it has left, so passing it on never prolongs it.
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use daemon::Admin;
-use futures::{FutureExt, future::LocalBoxFuture};
+use futures::{
+    FutureExt,
+    future::{LocalBoxFuture, join_all},
+};
 use httpio::{
-    Method, StatusCode, Uri,
+    Bytes, Method, StatusCode, Uri,
     server::{Handler, Reply, Request},
 };
 use monoio::time;
@@ -18,6 +22,10 @@
 use crate::services::Services;
 
 const PATH: &str = "/quarantine";
+const TEXT: &str = "text/plain";
+
+/// How long the caller of a crashing request waits for the peers to be told.
+const TELL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The entries of each pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,12 +43,56 @@
 
 impl Handler for RouterAdmin {
     fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply> {
-        if request.method != Method::GET || request.uri.path() != PATH {
+        if request.uri.path() != PATH {
             return self.admin.call(request);
         }
-        let report = self.services.dispatcher.export_quarantine();
-        let body = serde_json::to_vec(&report).expect("a report is made of plain fields");
-        async { Reply::typed(StatusCode::OK, "application/json", body.into()) }.boxed_local()
+        let reply = match request.method {
+            Method::GET => {
+                let body = report_json(&self.services);
+                Reply::typed(StatusCode::OK, "application/json", body)
+            }
+            Method::POST => self.take(&request.body),
+            _ => Reply::typed(StatusCode::METHOD_NOT_ALLOWED, TEXT, "use GET or POST".into()),
+        };
+        async { reply }.boxed_local()
+    }
+}
+
+impl RouterAdmin {
+    fn take(&self, body: &[u8]) -> Reply {
+        match serde_json::from_slice(body) {
+            Ok(report) => {
+                self.services.dispatcher.import_quarantine(&report);
+                Reply::typed(StatusCode::OK, TEXT, "taken".into())
+            }
+            Err(error) => Reply::typed(StatusCode::BAD_REQUEST, TEXT, error.to_string().into()),
+        }
+    }
+}
+
+fn report_json(services: &Services) -> Bytes {
+    let report = services.dispatcher.export_quarantine();
+    serde_json::to_vec(&report).expect("a report is made of plain fields").into()
+}
+
+/// Tells the peers what this router knows now; a peer that is slow reads it later.
+pub(crate) async fn tell(services: &Services) {
+    if services.peers.is_empty() {
+        return;
+    }
+    let body = report_json(services);
+    let told = services
+        .peers
+        .iter()
+        .map(|peer| services.backends.hand_over(*peer, Uri::from_static(PATH), body.clone()));
+    match time::timeout(TELL_TIMEOUT, join_all(told)).await {
+        Ok(told) => {
+            let failed = told.iter().filter(|it| it.is_err()).count();
+            if failed > 0 {
+                tracing::info!(event = "crash_not_told", peers = failed);
+            }
+        }
+        Err(_) => tracing::info!(event = "crash_not_told_in_time", peers = services.peers.len()),
     }
 }
 
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -1,6 +1,6 @@
 //! What the stages share, and the settings of their waits.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::Clock;
 use http::HeaderValue;
@@ -74,6 +74,8 @@
     pub reception: Reception,
     /// Timeouts.
     pub waits: Waits,
+    /// The admin listeners of the other routers of the failure domain.
+    pub peers: Vec<SocketAddr>,
 }
 
 impl Services {
