Close a connection whose answer ends after the stop

Ruled out: a shorter grace for idle connections, which have the same start of their wait as the stop. Test late_answer_closes hangs without the change.

--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -72,6 +72,8 @@
                 Err(end) => Err(end),
             };
             match end {
+                // The caller was not asked to close, because the stop came after the head.
+                Ok(()) if self.stop.closing.is_raised() => return,
                 Ok(()) => {}
                 Err(End::Close) => return,
                 Err(End::Refuse(status, remedy)) => return self.refuse(status, remedy).await,
--- a/crates/httpio/tests/graceful_stop.rs
+++ b/crates/httpio/tests/graceful_stop.rs
@@ -11,7 +11,10 @@
     server::{self, Reply, Request, ServerSettings, StopSignals},
     signal,
 };
-use monoio::{io::AsyncReadRent, net::TcpStream};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::TcpStream,
+};
 
 const LIMITS: Limits = Limits {
     closing_grace_ms: 0,
@@ -74,6 +77,39 @@
     });
 }
 
+/// An answer whose head went out before the stop did not ask its caller to close. Its connection
+/// takes no further request, however long idle connections are waited for.
+#[test]
+fn late_answer_closes() {
+    support::run(async {
+        let (close, closing) = signal::signal();
+        let (release, released) = signal::signal();
+        let stop = StopSignals { closing, ..StopSignals::default() };
+        let limits = Limits { closing_grace_ms: 600_000, ..LIMITS };
+        let handler = move |_: Request| -> LocalBoxFuture<'static, Reply> {
+            let (mut sender, reply) = Reply::stream(StatusCode::OK, Default::default(), 1);
+            let released = released.clone();
+            monoio::spawn(async move {
+                sender.send("first".into()).await.expect("the caller reads");
+                released.raised().await;
+                sender.finish().await.expect("the caller reads");
+            });
+            async { reply }.boxed_local()
+        };
+        let (listener, addr) = support::listen();
+        let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
+        monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
+        let mut caller = TcpStream::connect_addr(addr).await.expect("a server");
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n".to_vec();
+        caller.write_all(request).await.0.expect("the request is taken");
+        assert!(caller.read(vec![0; 4096]).await.0.expect("a head") > 0);
+        close.raise();
+        release.raise();
+        // The rest of the answer, and then the end of the connection.
+        while caller.read(vec![0; 4096]).await.0.expect("an orderly end") > 0 {}
+    });
+}
+
 #[test]
 fn drains_keep_alive() {
     support::run(async {
