Drop a choice of connection that nobody made

Cause: the last reading of the change found ConnectionChoice, whose value New was never used: an idle connection is taken for every relayed request. Change: exchange takes no such argument; Caller is imported as elsewhere in the file. Conclusion: behaviour as before.

--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -121,15 +121,6 @@
     }
 }
 
-/// Which connection an exchange takes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectionChoice {
-    /// An idle one, or a new one where there is none.
-    Any,
-    /// A new one, since an idle one may have been lost without a sign.
-    New,
-}
-
 /// Sends requests to backend servers.
 #[derive(Clone)]
 pub struct Backends {
@@ -190,12 +181,8 @@
         &self,
         addr: SocketAddr,
         request: Request,
-        connection: ConnectionChoice,
     ) -> Result<Response, ClientError> {
-        match connection {
-            ConnectionChoice::Any => self.pool.send(addr, request).await,
-            ConnectionChoice::New => self.pool.send_fresh(addr, request).await,
-        }
+        self.pool.send(addr, request).await
     }
 
     /// Hands a small document over, such as a report of crashes.
--- a/crates/router/src/relay/passage.rs
+++ b/crates/router/src/relay/passage.rs
@@ -11,10 +11,11 @@
 use tables::Priority;
 
 use crate::{
-    backends::{AttemptError, ConnectionChoice},
+    backends::AttemptError,
     call::{Call, Shape},
     class_limits::Permit,
     dialect::{Ask, AttemptNote, Dialect, NotStarted, ServerLoad},
+    identity::Caller,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     patience::{Worked, while_wanted},
     refusals,
@@ -105,10 +106,9 @@
         };
         let backends = self.call.services.backends.clone();
         let addr = self.call.lease.server().addr;
-        let connection = ConnectionChoice::Any;
         let id = self.id.clone();
         let exchange = async move {
-            let response = backends.exchange(addr, outgoing, connection).await?;
+            let response = backends.exchange(addr, outgoing).await?;
             own_answer(response, &id).await
         };
         if !self.is_repeatable() {
@@ -123,8 +123,8 @@
 
     fn workspace(&self) -> Option<&str> {
         match &self.call.routed.caller {
-            crate::identity::Caller::Workspace(name) => Some(name),
-            crate::identity::Caller::Anonymous => None,
+            Caller::Workspace(name) => Some(name),
+            Caller::Anonymous => None,
         }
     }
 
