Take load reports that name no incarnation for the server at hand

Cause: a report that comes with an answer on the platform carried incarnation 0; a server that returns after a list left it out is known under a higher one, so its reports were dropped and it was judged by the router's own requests alone.

Ruled out: giving such reports the incarnation that the router knows; that would claim what the server did not say.

Change: the incarnation of a report is optional; a report without one counts for the server whose answer brought it.

Figures: server_membership report_without_incarnation failed before, passes after.

Conclusion: the fault is mended; no gain is claimed.

--- a/crates/policy-bench/src/server.rs
+++ b/crates/policy-bench/src/server.rs
@@ -49,7 +49,7 @@
     pub(crate) fn report(&self, age: Duration) -> LoadReport {
         let load = self.engine.load();
         LoadReport {
-            incarnation: self.incarnation,
+            incarnation: Some(self.incarnation),
             running: load.running,
             waiting: load.waiting,
             batch_max: load.batch_max,
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -43,8 +43,9 @@
 /// A lagging report from a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
-    /// The incarnation that reports.
-    pub incarnation: u64,
+    /// The incarnation that reports; nothing if the report came with an answer of the server at
+    /// hand and does not say.
+    pub incarnation: Option<u64>,
     /// Requests that it ran, from all routers.
     pub running: u32,
     /// Requests that waited inside it.
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -35,9 +35,11 @@
 
     /// Takes a lagging load report in; one of an older incarnation is dropped.
     pub fn load_report(&mut self, now: Instant, backend: BackendKey, report: &LoadReport) {
-        self.note_incarnation(now, backend, report.incarnation);
+        if let Some(incarnation) = report.incarnation {
+            self.note_incarnation(now, backend, incarnation);
+        }
         let Some(entry) = self.backends.get_mut(backend) else { return };
-        if report.incarnation == entry.incarnation {
+        if report.incarnation.is_none_or(|it| it == entry.incarnation) {
             entry.apply_report(now, report);
         }
     }
--- a/crates/policy/tests/server_membership.rs
+++ b/crates/policy/tests/server_membership.rs
@@ -3,7 +3,7 @@
 #[path = "support/world.rs"]
 mod world;
 
-use policy::{Health, ProbeResult};
+use policy::{Health, LoadReport, ProbeResult};
 use proptest::prelude::*;
 use world::{World, class, report};
 
@@ -87,6 +87,17 @@
     assert_eq!(world.scheduler.health(world.backends[0]), Some(Health::Up));
 }
 
+#[test]
+fn report_without_incarnation() {
+    let mut world = world();
+    tell(&mut world, News::Leaving(1));
+    tell(&mut world, News::Seen(2));
+    let full = LoadReport { incarnation: None, ..report(0, 4, 4) };
+    world.scheduler.load_report(world.now, world.backends[0], &full);
+    world.offer("chat");
+    assert_eq!(world.dispatched(), [], "the answers of the server that returned say it is full");
+}
+
 #[test]
 fn leaving_finishes_streams() {
     let mut world = world();
--- a/crates/policy/tests/support/world.rs
+++ b/crates/policy/tests/support/world.rs
@@ -133,7 +133,7 @@
 
 pub fn report(incarnation: u64, running: u32, batch_max: u32) -> LoadReport {
     LoadReport {
-        incarnation,
+        incarnation: Some(incarnation),
         running,
         waiting: 0,
         batch_max,
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -207,7 +207,9 @@
     }
 
     pub(super) fn load_report(self: &Rc<Self>, server: &Server, report: &LoadReport) {
-        self.state.borrow_mut().servers.note_incarnation(server.addr, report.incarnation);
+        if let Some(incarnation) = report.incarnation {
+            self.state.borrow_mut().servers.note_incarnation(server.addr, incarnation);
+        }
         self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
     }
 
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -206,7 +206,7 @@
 
 fn long(load: &Load, row: &ServerRow) -> LoadReport {
     LoadReport {
-        incarnation: row.incarnation,
+        incarnation: Some(row.incarnation),
         running: load.running.into(),
         waiting: load.waiting.into(),
         batch_max: row.slots.into(),
--- a/crates/router/src/load_reports.rs
+++ b/crates/router/src/load_reports.rs
@@ -26,8 +26,7 @@
     step_us: u32,
     #[serde(default)]
     age_ms: u64,
-    #[serde(default)]
-    incarnation: u64,
+    incarnation: Option<u64>,
 }
 
 /// A load report as it was read last.
--- a/crates/router/src/relay/passage.rs
+++ b/crates/router/src/relay/passage.rs
@@ -188,7 +188,7 @@
 
 fn report(load: ServerLoad) -> LoadReport {
     LoadReport {
-        incarnation: 0,
+        incarnation: None,
         running: load.running,
         waiting: load.waiting,
         batch_max: load.slots,
