Refuse nothing for a guessed answer length, and log what a refusal went by

Cause: a request was refused as 'would come after the deadline' with no request waiting and 560 free slots. Its answer was taken to have 256 tokens, because no answer of its class had ended since the start, and at 64 ms a token that is longer than the deadline.

Ruled out: queues (none waited) and the drain rate (9,000 tokens a second). The new line 'refused' with the inputs of the decision showed that.

Change: a length that is neither told nor measured reserves nothing, and an estimate leaves a third of the deadline for waiting at least, so that a free server takes what may be late. Each refusal has a line with its request, reason and inputs.

Figures: unknown_length_is_no_reason and free_server_takes_long_answer failed before, pass after.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,6 +56,6 @@
 pub use quarantine::{CrashSite, QuarantineEntry};
 pub use request::{Offer, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
-pub use scheduler::{Action, Figures, ProbeResult, Scheduler};
+pub use scheduler::{Action, Figures, Outlook, ProbeResult, Scheduler};
 pub use settings::{OtherLoad, Pacing, Settings};
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -31,7 +31,7 @@
 };
 
 pub use events::ProbeResult;
-pub use watch::Figures;
+pub use watch::{Figures, Outlook};
 
 /// What the router does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/policy/src/scheduler/offers.rs
+++ b/crates/policy/src/scheduler/offers.rs
@@ -19,6 +19,8 @@
 const TARGET_MARGIN: u32 = 2;
 /// The margin takes at most this part of the deadline.
 const MARGIN_DEADLINE_DIVISOR: u32 = 3;
+/// At least this part of the deadline is left for waiting.
+const WAIT_DEADLINE_DIVISOR: u32 = 3;
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The drain rate counts once requests have waited for this time; before, it shows the demand.
 const SATURATION: Duration = Duration::from_secs(3);
@@ -81,10 +83,20 @@
     }
 
     /// The time to reserve before the deadline, because an answer may be longer than its estimate.
+    ///
+    /// Nothing is reserved for an answer whose length is not known, and never so much that a
+    /// request could not wait at all: that it may be late is no reason while a server is free.
     fn service_with_margin(&self, offer: &Offer, cost: u32) -> Duration {
+        let measured = self.pools[offer.pool].lanes.get(offer.class);
+        let measured = measured.and_then(|it| it.answer_tokens.value());
+        if measured.is_none() && offer.max_tokens.is_none() {
+            return Duration::ZERO;
+        }
         let service = self.service_time(offer.pool, cost);
-        let most = self.classes[offer.class].spec.deadline() / MARGIN_DEADLINE_DIVISOR;
-        service.max(most.min(service * LENGTH_MARGIN))
+        let deadline = self.classes[offer.class].spec.deadline();
+        let most = deadline / MARGIN_DEADLINE_DIVISOR;
+        let reserved = service.max(most.min(service * LENGTH_MARGIN));
+        reserved.min(deadline - deadline / WAIT_DEADLINE_DIVISOR)
     }
 
     fn check_known(&self, offer: &Offer) -> Result<(), Refusal> {
@@ -149,7 +161,7 @@
     }
 
     /// Waiting and paused tokens of the class and of more urgent ones.
-    fn tokens_ahead(&self, class: ClassKey, pool: PoolKey) -> u64 {
+    pub(super) fn tokens_ahead(&self, class: ClassKey, pool: PoolKey) -> u64 {
         let priority = self.classes[class].spec.priority;
         let lanes = self.pools[pool].lanes.iter();
         let ahead = lanes.filter(|(key, _)| self.classes[*key].spec.priority >= priority);
@@ -161,7 +173,7 @@
     ///
     /// The class is served by its guaranteed share, or by what more urgent classes and the
     /// guaranteed shares of waiting lower ones leave, whichever is sooner.
-    fn drain_time(
+    pub(super) fn drain_time(
         &mut self,
         now: Instant,
         class: ClassKey,
@@ -188,7 +200,7 @@
     }
 
     /// The measured rate once requests have waited for a while, else what all slots would give.
-    fn tokens_per_second(&mut self, now: Instant, pool: PoolKey) -> Option<f64> {
+    pub(super) fn tokens_per_second(&mut self, now: Instant, pool: PoolKey) -> Option<f64> {
         let since = self.pools[pool].saturated_since;
         let is_saturated = since.is_some_and(|it| now >= it + SATURATION);
         let drained = self.pools[pool].drained.per_second(now);
--- a/crates/policy/src/scheduler/watch.rs
+++ b/crates/policy/src/scheduler/watch.rs
@@ -26,7 +26,42 @@
     pub paused: usize,
 }
 
+/// What a decision about a class in a pool goes by, for logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Outlook {
+    /// Requests of the class that wait.
+    pub waiting: usize,
+    /// Expected tokens of what waits in the class and in more urgent ones.
+    pub tokens_ahead: u64,
+    /// Servers that get work.
+    pub usable_servers: usize,
+    /// Slots that are free for this router.
+    pub free_slots: u32,
+    /// The rate at which the queue is taken to drain, once it is known.
+    pub tokens_per_second: Option<f64>,
+    /// The expected wait of a request without tokens, once it is known.
+    pub wait: Option<Duration>,
+}
+
 impl Scheduler {
+    /// What a decision about the class goes by now.
+    pub fn outlook(&mut self, now: Instant, class: ClassKey, pool: PoolKey) -> Outlook {
+        if self.pools.get(pool).is_none() || self.classes.get(class).is_none() {
+            return Outlook::default();
+        }
+        let members = self.pools[pool].members.iter().map(|it| &self.backends[*it]);
+        let usable_servers = members.clone().filter(|it| it.is_usable()).count();
+        let free_slots = members.map(|it| it.free(now, &self.settings)).sum();
+        Outlook {
+            waiting: self.figures(class, pool).waiting,
+            tokens_ahead: self.tokens_ahead(class, pool),
+            usable_servers,
+            free_slots,
+            tokens_per_second: self.tokens_per_second(now, pool),
+            wait: self.drain_time(now, class, pool, 0),
+        }
+    }
+
     /// When [`Self::poll`] has work even if no event comes.
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
         let timers = [&self.give_ups, &self.delayed, &self.hedges];
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/early_refusal.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use policy::{Action, Admission, ClassSpec, RefusalReason};
+use policy::{Action, Admission, ClassSpec, Offer, RefusalReason};
 use world::{World, class};
 
 /// A pool whose four slots stream at 40 ms a token, so a request of 100 tokens takes 4 s.
@@ -14,7 +14,19 @@
 }
 
 fn busy_with(draft: ClassSpec) -> World {
-    let mut world = World::new(vec![draft, class("chat", 5, 100)], 1, 4);
+    busy_among(vec![draft, class("chat", 5, 100)])
+}
+
+/// Such a pool with a server beside that is free, and chats whose deadline is near.
+fn busy_but_for_one() -> World {
+    let chat = ClassSpec { deadline_ms: 5_000, ..class("chat", 5, 100) };
+    let mut world = busy_among(vec![class("draft", 0, 50), chat]);
+    world.seen("s1", 1);
+    world
+}
+
+fn busy_among(classes: Vec<ClassSpec>) -> World {
+    let mut world = World::new(classes, 1, 4);
     let tickets = world.offer_many("draft", 4);
     world.poll();
     world.stream(&tickets, 40, 60);
@@ -55,6 +67,26 @@
     assert!(refused, "three seconds are left and the answer takes four");
 }
 
+/// The first requests after a start, while the streams of another class are slow.
+#[test]
+fn unknown_length_is_no_reason() {
+    let mut world = busy_but_for_one();
+    let offer = Offer { max_tokens: None, ..world.offer_for("chat", "a") };
+    let ticket = world.scheduler.offer(world.now, offer).expect("a server is free");
+    let placed: Vec<_> = world.dispatched().iter().map(|it| it.0).collect();
+    assert_eq!(placed, [ticket], "nothing is known of the answers of the class");
+}
+
+/// A long answer at a slow pool: it may miss its deadline, but nobody else wants the slot.
+#[test]
+fn free_server_takes_long_answer() {
+    let mut world = busy_but_for_one();
+    let offer = Offer { max_tokens: Some(5_000), ..world.offer_for("chat", "a") };
+    let ticket = world.scheduler.offer(world.now, offer).expect("a server is free");
+    let placed: Vec<_> = world.dispatched().iter().map(|it| it.0).collect();
+    assert_eq!(placed, [ticket], "five thousand tokens are the most, not the length");
+}
+
 #[test]
 fn no_server_refused() {
     let mut world = World::new(vec![class("chat", 5, 100)], 0, 4);
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, GiveUp, Prompt, Repeat};
+use policy::{Execution, GiveUp, Prompt, Refusal, Repeat};
 use tables::Exchange;
 use telemetry::TraceContext;
 use xxhash_rust::xxh3::xxh3_64;
@@ -83,7 +83,10 @@
             let gone = request.gone.raised().fuse();
             pin_mut!(placed, gone);
             select_biased! {
-                placed = placed => placed.map_err(|it| refusals::refused(it, Outcome::NotRun))?,
+                placed = placed => placed.map_err(|it| {
+                    log_refusal(&services, &routed, it);
+                    refusals::refused(it, Outcome::NotRun)
+                })?,
                 () = gone => return Err(caller_gone()),
             }
         };
@@ -226,7 +229,10 @@
                     _ => failure.retry_after(retry_after),
                 })
             }
-            Retried::Refused(refusal) => Err(refusals::refused(refusal, self.outcome)),
+            Retried::Refused(refusal) => {
+                log_refusal(&self.services, &self.routed, refusal);
+                Err(refusals::refused(refusal, self.outcome))
+            }
         }
     }
 
@@ -274,6 +280,26 @@
     }
 }
 
+/// Says what the refusal of a request went by.
+fn log_refusal(services: &Services, routed: &Routed, refusal: Refusal) {
+    let (pool, class) = (&routed.pool().name, &routed.route().class);
+    let outlook = services.dispatcher.outlook(pool, class);
+    tracing::info!(
+        event = "refused",
+        request_id = %routed.arrival.id,
+        class,
+        pool,
+        reason = ?refusal.reason,
+        retry_after_ms = millis(refusal.retry_after),
+        waiting = outlook.waiting,
+        tokens_ahead = outlook.tokens_ahead,
+        usable_servers = outlook.usable_servers,
+        free_slots = outlook.free_slots,
+        tokens_per_second = outlook.tokens_per_second,
+        wait_ms = outlook.wait.map(millis),
+    );
+}
+
 /// Nobody reads this reply, but the order ledger and the log go by it.
 fn caller_gone() -> Failure {
     let message = "the caller went away while the request waited";
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -14,8 +14,8 @@
 use directory::ListedVm;
 use futures::future::LocalBoxFuture;
 use policy::{
-    BackendKey, LoadReport, ProbeResult, Prompt, QuarantineEntry, Refusal, RefusalReason, Repeat,
-    Settings, leases::Claim,
+    BackendKey, LoadReport, Outlook, ProbeResult, Prompt, QuarantineEntry, Refusal, RefusalReason,
+    Repeat, Settings, leases::Claim,
 };
 use tables::{Revision, Tables};
 
@@ -112,6 +112,12 @@
         desk.dispatch(asked).await
     }
 
+    /// What a decision about the class goes by now, for logs.
+    #[must_use]
+    pub fn outlook(&self, pool: &str, class: &str) -> Outlook {
+        self.desk(pool).map(|it| it.outlook(class)).unwrap_or_default()
+    }
+
     /// The backend servers of a pool in the own failure domain that are not gone.
     #[must_use]
     pub fn near_servers(&self, pool: &str) -> Vec<Server> {
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -18,8 +18,8 @@
 };
 use monoio::time;
 use policy::{
-    Action, ClassSpec, LoadReport, Offer, Pausing, PoolSpec, ProbeResult, Refusal, Scheduler,
-    Settings, Spec, Ticket, WorkspaceSpec,
+    Action, ClassSpec, LoadReport, Offer, Outlook, Pausing, PoolSpec, ProbeResult, Refusal,
+    Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
@@ -126,6 +126,13 @@
         Ok(lease)
     }
 
+    pub(super) fn outlook(&self, class: &str) -> Outlook {
+        let now = self.clock.now();
+        let State { scheduler, pool, .. } = &mut *self.state.borrow_mut();
+        let (class, pool) = (scheduler.class(class), scheduler.pool(pool));
+        class.zip(pool).map(|(class, pool)| scheduler.outlook(now, class, pool)).unwrap_or_default()
+    }
+
     fn to_offer(&self, asked: &Asked<'_>) -> Result<Offer, Refusal> {
         let scheduler = &self.state.borrow().scheduler;
         Ok(Offer {
