--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -107,13 +107,13 @@
     }
 }
 
-/// The fake time from the kill of the leader to the lease of the next, for many seeds, sorted.
-fn times_to_new_leader() -> Vec<Duration> {
+/// The fake time from a fault to the lease of the next leader, for many seeds, sorted.
+fn times_to_new_leader(fault: impl Fn(&mut Cluster<Journal>)) -> Vec<Duration> {
     let time = |seed| {
         let mut cluster: Cluster<Journal> = Cluster::new(3, seed);
         cluster.settle();
         cluster.run(Duration::from_millis(seed * 7));
-        cluster.kill(1);
+        fault(&mut cluster);
         let killed_at = cluster.elapsed;
         while cluster.leader().is_none() {
             cluster.run(Duration::from_millis(5));
@@ -125,12 +125,28 @@
     times
 }
 
-#[test]
-fn new_leader_in_time() {
-    let times = times_to_new_leader();
+fn check_times(times: &[Duration]) {
     let timeout = cluster::settings().election_timeout;
     let median = times[times.len() / 2];
     let worst = times[times.len() - 1];
     assert!(median <= timeout * 2, "median {median:?}");
     assert!(worst <= timeout * 4, "worst {worst:?}");
 }
+
+#[test]
+fn new_leader_in_time() {
+    check_times(&times_to_new_leader(|cluster| cluster.kill(1)));
+}
+
+/// All lose power and come back together: the times of recovery that the election timeout sets.
+#[test]
+fn leader_after_power_loss() {
+    check_times(&times_to_new_leader(|cluster| {
+        for member in 1..=3 {
+            cluster.kill(member);
+        }
+        for member in 1..=3 {
+            cluster.start(member);
+        }
+    }));
+}
