Log the longest pause within each stream

Cause: whether a late stream was late by its first piece or by a pause within it could not be told from the log. Change: the line of an attempt has pause_ms, the longest time between two arrivals of tokens; one function notes first and further tokens for both interfaces.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -37,6 +37,9 @@
     attempts: u32,
     /// Time from arrival to the first token.
     first_token: Option<Duration>,
+    /// When the last tokens came, and the longest time between any two arrivals.
+    last_tokens: Option<Instant>,
+    longest_pause: Duration,
     is_under_way: bool,
     span: TraceContext,
     started: Instant,
@@ -101,6 +104,8 @@
             outcome,
             attempts: 0,
             first_token: None,
+            last_tokens: None,
+            longest_pause: Duration::ZERO,
             is_under_way: false,
             span,
             started,
@@ -135,9 +140,20 @@
     /// Notes the time to the first token.
     pub(crate) fn note_first_token(&mut self) {
         let arrived = self.routed.arrival.arrived;
-        let waited = self.services.clock.now().saturating_duration_since(arrived);
+        let now = self.services.clock.now();
+        let waited = now.saturating_duration_since(arrived);
         self.services.metrics.first_token(self.labels(), waited);
         self.first_token = Some(waited);
+        self.last_tokens = Some(now);
+        self.lease.first_token();
+    }
+
+    /// Notes that `count` further tokens came.
+    pub(crate) fn note_tokens(&mut self, count: u32) {
+        let now = self.services.clock.now();
+        let last = self.last_tokens.replace(now).unwrap_or(now);
+        self.longest_pause = self.longest_pause.max(now.saturating_duration_since(last));
+        self.lease.tokens(count);
     }
 
     /// Whether the engine has to be told that an answer is no longer wanted; elsewhere the end of
@@ -273,6 +289,7 @@
             number = self.attempts,
             queued_ms = millis(queued),
             first_ms = self.first_token.map(millis),
+            pause_ms = self.first_token.map(|_| millis(self.longest_pause)),
             took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
             result,
             detail,
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -186,9 +186,8 @@
         self.tokens += 1;
         self.resumes = 0;
         if self.tokens > 1 {
-            return self.call.lease.tokens(1);
+            return self.call.note_tokens(1);
         }
-        self.call.lease.first_token();
         self.call.note_first_token();
     }
 
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -99,7 +99,6 @@
     let mut source = EventSource::new(response);
     let first = passage.next_event(&mut source).await?;
     if first.is_some() {
-        passage.call.lease.first_token();
         passage.call.note_first_token();
     }
     Ok(Opened::Stream(Box::new(Stream { status, headers, first, source })))
@@ -162,7 +161,7 @@
         }
         next = passage.next_event(source).await;
         if matches!(next, Ok(Some(_))) {
-            passage.call.lease.tokens(passage.tokens_per_event());
+            passage.call.note_tokens(passage.tokens_per_event());
         }
     }
 }
