Let chats leave their own engines before these are full

Change: a running request costs 8 ms (0.1 ms a step over some eighty steps, for all streams there), the other side 80 ms.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -29,12 +29,12 @@
 const REREAD_WEIGHT: f64 = 5.0;
 /// Prompt tokens that another router's waiting request is taken to have unread.
 const OTHERS_PROMPT_TOKENS: f64 = 1_000.0;
-/// What one more running request costs the first token of a new one.
-const BATCH_MS: f64 = 1.0;
+/// What one more running request costs all streams of an engine together, at 0.1 ms a step.
+const BATCH_MS: f64 = 8.0;
 /// What one more request beyond the slots costs.
 const OVER_SLOTS_MS: f64 = 100.0;
 /// What a server of the other side costs.
-const OTHER_SIDE_MS: f64 = 200.0;
+const OTHER_SIDE_MS: f64 = 80.0;
 /// The gaps between tokens differ by what runs, so slowness counts to this factor only.
 const SLOWNESS_MAX: f64 = 1.5;
 
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -152,6 +152,23 @@
     assert!(!chats.is_empty() && drafts.len() > SERVERS / 2);
 }
 
+/// Many chats come at once: they leave the engines of their side well before these are full, since
+/// each further stream makes every step of an engine longer.
+#[test]
+fn chat_burst_spills() {
+    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
+    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
+    let mut world = world_of(1, vec![draft, chat]);
+    place(&mut world, "draft", prompt(1_000, LONG));
+    for subject in 1..=u64::from(2 * SLOTS) {
+        let (ticket, _) = place(&mut world, "chat", prompt(subject, SHORT));
+        world.scheduler.first_token(ticket, world.now);
+    }
+    let running = world.backends.iter().map(|it| world.scheduler.in_flight(*it));
+    let most = running.max().expect("the world has servers");
+    assert!(most < SLOTS / 2, "{most} streams run on one engine of {SERVERS}");
+}
+
 /// All engines that chat goes to are lost: it goes elsewhere at once.
 #[test]
 fn side_is_lost() {
