Wait for a slow server when nothing else is left to try

Ruled out: a longer silence for all; a lost connection would then cost the callers who can still be served elsewhere.

Change: a silent connection to a server that is alive ends an attempt only if another one may follow (a resume at the same engine for chats of our own interface); a stream that no server goes on with is waited for until its deadline. Both interfaces go by one function.

--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -9,7 +9,7 @@
     backend::Health,
     keys::{BackendKey, Ticket},
     quarantine::{CRASH_LIMIT, Crash, CrashSite, Level},
-    request::{Phase, Repeat, Request, Run},
+    request::{Offer, Phase, Repeat, Request, Run},
     retry::{Execution, Failure, GiveUp, Outcome, RetryDecision},
 };
 
@@ -70,6 +70,16 @@
         RetryDecision::GiveUp(GiveUp::TwinRuns)
     }
 
+    /// Whether a running attempt could be given up for another one, if its server can be reached
+    /// and nothing is known against it.
+    pub fn could_retry(&self, ticket: Ticket, now: Instant) -> bool {
+        let Some(request) = self.requests.get(ticket) else { return false };
+        let Offer { pool, class, .. } = request.offer;
+        let budget = self.pools[pool].lanes.get(class).map(|it| it.retries);
+        budget.is_some_and(|mut it| it.spend())
+            && self.check_retry(request, Execution::MayHaveRun, now).is_ok()
+    }
+
     fn may_retry(
         &mut self,
         ticket: Ticket,
@@ -78,6 +88,20 @@
         now: Instant,
     ) -> Result<(), GiveUp> {
         let request = &self.requests[ticket];
+        let Offer { pool, class, .. } = request.offer;
+        self.check_retry(request, execution, now)?;
+        if reached == Reached::Server && !self.pools[pool].lane(class).retries.spend() {
+            return Err(GiveUp::BudgetSpent);
+        }
+        Ok(())
+    }
+
+    fn check_retry(
+        &self,
+        request: &Request,
+        execution: Execution,
+        now: Instant,
+    ) -> Result<(), GiveUp> {
         let offer = request.offer;
         let class = &self.classes[offer.class].spec;
         if !outcome_allows(request, execution) {
@@ -95,9 +119,6 @@
         if !self.has_usable_backend(offer.pool) {
             return Err(GiveUp::NoBackend);
         }
-        if reached == Reached::Server && !self.pools[offer.pool].lane(offer.class).retries.spend() {
-            return Err(GiveUp::BudgetSpent);
-        }
         Ok(())
     }
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Whether the attempt under way could be given up for another one.
+    #[must_use]
+    pub fn could_retry(&self) -> bool {
+        self.desk.note(|scheduler, now| scheduler.could_retry(self.ticket, now))
+    }
+
     /// The connection fell silent; asks on a new one whether the server is alive.
     pub async fn probe(&self) -> ProbeResult {
         let server = self.server();
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -10,7 +10,7 @@
     call::Call,
     dispatch::Control,
     token_stream::{Event, Received, TokenStream},
-    watch::{Silent, watch},
+    watch::{Remedy, Silent, watch},
 };
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -72,7 +72,7 @@
         let attempt = self.call.attempt(Method::POST, uri, headers, self.body.clone());
         let silence = self.call.services.waits.first_silence();
         let sent = self.call.services.backends.send(attempt);
-        match watch(sent, silence, &self.call.lease).await {
+        match watch(sent, silence, &self.call.lease, Remedy::Resume).await {
             Ok(response) => self.stream = Some(TokenStream::new(response?, &self.call.id)?),
             Err(silent) => self.recover_from_silence(silent).await?,
         }
@@ -113,7 +113,7 @@
         let waits = self.call.services.waits;
         let silence = if self.tokens == 0 { waits.first_silence() } else { waits.silence() };
         let Some(stream) = &mut self.stream else { return Step::Received(Ok(None)) };
-        let received = watch(stream.next(), silence, &self.call.lease).fuse();
+        let received = watch(stream.next(), silence, &self.call.lease, Remedy::Resume).fuse();
         pin_mut!(received);
         select_biased! {
             received = received => Step::Received(received),
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -206,7 +206,7 @@
             };
             let next = source.next();
             let event = match self.is_repeatable() {
-                true => match watch(next, silence, &self.call.lease).await {
+                true => match watch(next, silence, &self.call.lease, self.remedy()).await {
                     Ok(event) => event?,
                     Err(silent) => return Err(self.silence(silent)),
                 },
--- a/crates/router/src/relay/passage.rs
+++ b/crates/router/src/relay/passage.rs
@@ -8,7 +8,7 @@
 use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
 use policy::{Execution, Failure as Symptom, LoadReport};
-use tables::Priority;
+use tables::{Exchange, Priority};
 
 use crate::{
     backends::AttemptError,
@@ -21,7 +21,7 @@
     refusals,
     routing::Routed,
     services::Services,
-    watch::{Silent, watch},
+    watch::{Remedy, Silent, watch},
 };
 
 /// Answers to other requests that are passed over on one connection before it is given up.
@@ -116,7 +116,7 @@
             return self.check(response);
         }
         let silence = self.call.services.waits.first_silence();
-        let answered = watch(exchange, silence, &self.call.lease).await;
+        let answered = watch(exchange, silence, &self.call.lease, self.remedy()).await;
         let response = answered.unwrap_or_else(|silent| Err(self.silence(silent)))?;
         self.check(response)
     }
@@ -153,6 +153,12 @@
         Ok(response)
     }
 
+    /// What could follow the silence of a server that is alive.
+    pub(super) fn remedy(&self) -> Remedy {
+        let can_resume = self.call.routed.route().exchange == Exchange::ResumableEvents;
+        if self.events == 0 || can_resume { Remedy::Retry } else { Remedy::Patience }
+    }
+
     /// What silence says; the idle connections may have been lost in the same way.
     pub(super) fn silence(&self, silent: Silent) -> AttemptError {
         self.call.services.backends.close_idle(self.call.lease.server().addr);
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -17,7 +17,7 @@
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
     patience::{Worked, while_wanted},
     refusals,
-    watch::watch,
+    watch::{Remedy, watch},
 };
 
 /// The header that names an order among its resends.
@@ -85,7 +85,7 @@
         let attempt = attempt(call);
         let exchange = collected(call.services.backends.send(attempt));
         let silence = call.services.waits.first_silence();
-        let error = match watch(exchange, silence, &call.lease).await {
+        let error = match watch(exchange, silence, &call.lease, Remedy::Retry).await {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(error)) => error,
             Err(silent) => {
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -28,29 +28,56 @@
     }
 }
 
+/// What could follow a connection that fell silent while its server is alive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Remedy {
+    /// The rest of the answer on a new connection to the same server.
+    Resume,
+    /// Another attempt, while attempts and budget are left.
+    Retry,
+    /// Nothing: part of the answer was delivered, and no server goes on with it.
+    Patience,
+}
+
 /// Waits for `event`; each time that nothing has come for `silence`, probes the server.
 ///
+/// A server that is alive may just be slow, so the wait goes on if there is no remedy.
+///
 /// # Errors
-/// [`Silent`] when the probe is over and still nothing has come.
+/// [`Silent`] when the probe is over, still nothing has come, and the server is dead or there is a
+/// remedy.
 pub(crate) async fn watch<T>(
     event: impl Future<Output = T>,
     silence: Duration,
     lease: &Lease,
+    remedy: Remedy,
 ) -> Result<T, Silent> {
     let event = event.fuse();
-    let quiet = time::sleep(silence).fuse();
-    pin_mut!(event, quiet);
-    select_biased! {
-        event = event => return Ok(event),
-        () = quiet => {}
-    }
-    let probe = lease.probe().fuse();
-    pin_mut!(probe);
-    select_biased! {
-        event = event => Ok(event),
-        probed = probe => Err(match probed {
-            ProbeResult::Alive | ProbeResult::AliveAs { .. } => Silent::Alive,
-            ProbeResult::Dead => Silent::Dead,
-        }),
+    pin_mut!(event);
+    loop {
+        let quiet = time::sleep(silence).fuse();
+        pin_mut!(quiet);
+        select_biased! {
+            event = event => return Ok(event),
+            () = quiet => {}
+        }
+        let probe = lease.probe().fuse();
+        pin_mut!(probe);
+        let probed = select_biased! {
+            event = event => return Ok(event),
+            probed = probe => probed,
+        };
+        let has_remedy = match remedy {
+            Remedy::Resume => true,
+            Remedy::Retry => lease.could_retry(),
+            Remedy::Patience => false,
+        };
+        match probed {
+            ProbeResult::Alive | ProbeResult::AliveAs { .. } if has_remedy => {
+                return Err(Silent::Alive);
+            }
+            ProbeResult::Dead => return Err(Silent::Dead),
+            ProbeResult::Alive | ProbeResult::AliveAs { .. } => {}
+        }
     }
 }
--- a/crates/router/tests/silent_servers.rs
+++ b/crates/router/tests/silent_servers.rs
@@ -139,6 +139,28 @@
     });
 }
 
+/// A server that is alive and slow: once no attempt is left, the last one is waited for.
+#[test]
+fn slow_service_waited_for() {
+    run(async {
+        let probes = Rc::new(RefCell::new(Rc::new(Cell::new(0))));
+        let probed = Rc::clone(&probes);
+        let service = Fake::start(async move |req| {
+            let probes = Rc::clone(&probed.borrow());
+            // Three attempts are probed once each, and the last one again and again.
+            while probes.get() < 6 {
+                monoio::time::sleep(Duration::ZERO).await;
+            }
+            Reply::typed(StatusCode::OK, "text/plain", req.uri.path().to_owned().into())
+        });
+        *probes.borrow_mut() = Rc::clone(&service.probes);
+        let services = vec![service.addr];
+        let router = Setup { services, waits: QUICK, ..Setup::default() }.start();
+        let answer = router.exchange(lookup()).await;
+        assert!(answer.ends_with("/lookup/clip-7"), "{answer}");
+    });
+}
+
 /// Goes on only after the router has probed more often than it resumes.
 fn rest_after(req: &Request, probes: Rc<Cell<usize>>) -> Reply {
     let id = id_of(req);
