Tell the routers what all others have at each server

Each of 85 routers has a request at a given engine every twenty seconds or so, so it knew neither a queue nor a free engine, and long prompts went to the chats' engines.

Change: a router tells its control VM what its requests take at each server (requests, prompt tokens not read), the control VMs tell one another their sums four times a second, and each router gets the sum of all others; it counts for 2 s. A token read anew weighs 5 in an idle pool and 80 in one with half of its slots in use. A long prompt pays 3 s for an engine of the chats, a chat still 80 ms for one of the others.

Tests: shared_work (sums of all others over two hubs, 200 cases; silence), queue_of_others, full_pool_reads_nothing_anew, drafts_stay_apart.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -33,6 +33,7 @@
     replica::{self, Replica},
     server_feed::ServerFeed,
     tables_feed::TablesFeed,
+    work_exchange,
 };
 
 /// How long a planned stop waits until another member leads.
@@ -154,6 +155,9 @@
 ) -> anyhow::Result<()> {
     let me = Peer { node: settings.node, disk: parts.storage.disk() };
     let feed = Rc::new(TablesFeed::default());
+    let epoch = parts.seed.max(1);
+    let hub = Hub::new(HubSettings { epoch, ..HubSettings::default() });
+    let hub = Rc::new(RefCell::new(hub));
     let (replica, saved) = Replica::start(replica::Parts {
         me,
         settings: consensus::Settings {
@@ -166,6 +170,7 @@
         machine: parts.machine,
         feed: feed.clone(),
         peers: peers(&settings, parts.tokens.as_ref()),
+        hub: hub.clone(),
         clock: parts.clock.clone(),
         voters_max: settings.voters_max,
         snapshot_every_entries: settings.snapshot_every_entries,
@@ -175,7 +180,6 @@
     let admin = Rc::new(Admin::new(registry, health));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(bound.admin, admin_settings, StopSignals::default(), admin));
-    let epoch = parts.seed.max(1);
     let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone()));
     if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
         let reader = Reader::new(addr, platform.directory.clone(), parts.clock.clone());
@@ -188,11 +192,13 @@
         let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
     }
+    let others = work_exchange::tell_others(replica.clone(), hub.clone(), parts.clock.clone());
+    monoio::spawn(others);
     let handler = Handler {
         replica: replica.clone(),
         feed: feed.clone(),
         servers,
-        hub: RefCell::new(Hub::new(HubSettings { epoch, ..HubSettings::default() })),
+        hub,
         check: parts.check,
         tokens: parts.tokens,
         clock: parts.clock,
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -1,6 +1,9 @@
 //! What control VMs hand to one another over `deliver`.
 
+use std::net::SocketAddr;
+
 use consensus::{Message, Peer};
+use policy::Work;
 use serde::{Deserialize, Serialize};
 
 /// One delivery.
@@ -11,6 +14,13 @@
     Hello(Peer),
     /// A message of the replicated log.
     Log(Message),
+    /// What the requests of a control VM's routers take at each server.
+    Work {
+        /// The control VM.
+        hub: u64,
+        /// The servers with work.
+        rows: Vec<(SocketAddr, Work)>,
+    },
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -41,7 +41,7 @@
     pub(crate) replica: Rc<Replica>,
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) servers: Rc<ServerFeed>,
-    pub(crate) hub: RefCell<Hub>,
+    pub(crate) hub: Rc<RefCell<Hub>>,
     pub(crate) check: Rc<dyn CommandCheck>,
     /// None on a network on which every process is trusted.
     pub(crate) tokens: Option<Tokens>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod status;
 mod tables_feed;
+mod work_exchange;
 
 pub use address_book::{AddressBook, node_named_after};
 pub use commands::CommandCheck;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -18,6 +18,7 @@
     Entry, Message, Node, NodeId, Payload, Peer, Ready, RoleChange, Status, Storage, StorageError,
 };
 use control_state::Document;
+use dissemination::Hub;
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::SubmitResult;
 
@@ -55,6 +56,7 @@
     pub(crate) machine: Rc<RefCell<dyn ControlMachine>>,
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) peers: Peers,
+    pub(crate) hub: Rc<RefCell<Hub>>,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) voters_max: usize,
     pub(crate) snapshot_every_entries: u64,
@@ -65,6 +67,7 @@
     core: RefCell<Core>,
     feed: Rc<TablesFeed>,
     peers: Peers,
+    hub: Rc<RefCell<Hub>>,
     clock: Rc<dyn Clock>,
     applied: Watch,
     voters_max: usize,
@@ -112,6 +115,7 @@
             core: RefCell::new(core),
             feed: parts.feed,
             peers: parts.peers,
+            hub: parts.hub,
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
@@ -149,12 +153,25 @@
         match Envelope::decode(bytes) {
             Some(Envelope::Log(message)) => self.step(message),
             Some(Envelope::Hello(peer)) => self.heard(peer, bytes),
+            Some(Envelope::Work { hub, rows }) => {
+                let now = self.clock.now();
+                self.hub.borrow_mut().take_hub_work(now, hub, rows);
+            }
             None => {
                 tracing::warn!(event = "delivery_refused", remedy = "run one version everywhere")
             }
         }
     }
 
+    /// Tells all other members something that needs no answer.
+    pub(crate) fn tell_members(&self, envelope: &Envelope) {
+        let status = self.status();
+        let Some(bytes) = envelope.encode() else { return };
+        for member in status.members.all().filter(|it| it.node != status.me.node) {
+            self.peers.send(member.node, bytes.clone());
+        }
+    }
+
     /// Notes that a node runs, and passes its word on to the leader: a node that knows only some
     /// seeds may not know who leads.
     fn heard(&self, peer: Peer, hello: &[u8]) {
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -6,12 +6,13 @@
     time::{Duration, Instant},
 };
 
-use policy::{CrashSite, QuarantineEntry};
+use policy::{CrashSite, QuarantineEntry, Work};
 
 use crate::{
     Digest, Load, PoolHash, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad, ServerRef,
-    ServerRow, ServerState, Sighting, Summary, Version,
+    ServerRow, ServerState, ServerWork, Sighting, Summary, Version,
     grants::{self, Account},
+    work::WorkBook,
 };
 
 /// How a hub keeps its entries.
@@ -42,6 +43,7 @@
     servers: Vec<Server>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
     quarantine: BTreeMap<(PoolHash, u64), Quarantined>,
+    work: WorkBook,
 }
 
 #[derive(Debug)]
@@ -78,6 +80,7 @@
             servers: Vec::new(),
             by_addr: BTreeMap::new(),
             quarantine: BTreeMap::new(),
+            work: WorkBook::default(),
         }
     }
 
@@ -102,9 +105,24 @@
             let held_slots = if is_current { summary.held_slots } else { Vec::new() };
             account.take(summary.demand, held_slots);
         }
+        let work = summary.work.into_iter();
+        let work = work.filter_map(|it| Some((self.known(it.server, is_current)?, it.work)));
+        let work = work.collect();
+        self.work.take(now, you, work);
         self.digest(now, you, held)
     }
 
+    /// What the requests of this hub's routers take, for the other hubs.
+    pub fn own_work(&mut self, now: Instant) -> Vec<(SocketAddr, Work)> {
+        let sums = self.work.of_routers(now, None).into_iter();
+        sums.map(|(idx, work)| (self.servers[idx.0 as usize].row.addr, work)).collect()
+    }
+
+    /// Takes in what another hub's routers take.
+    pub fn take_hub_work(&mut self, now: Instant, hub: u64, rows: Vec<(SocketAddr, Work)>) {
+        self.work.take_hub(now, hub, rows);
+    }
+
     /// The names of the live routers.
     pub fn routers(&self) -> impl Iterator<Item = &str> {
         self.routers.values().map(|it| it.name.as_str())
@@ -172,12 +190,30 @@
         }
     }
 
+    /// The index of a server that a router names; indexes of another life name other servers.
+    fn known(&mut self, server: ServerRef, is_current: bool) -> Option<ServerIdx> {
+        match server {
+            ServerRef::Addr(addr) => Some(self.server(addr)),
+            ServerRef::Idx(idx) if is_current && usize::from(idx.0) < self.servers.len() => {
+                Some(idx)
+            }
+            ServerRef::Idx(_) => None,
+        }
+    }
+
+    fn others_work(&mut self, now: Instant, you: RouterIdx) -> Vec<ServerWork> {
+        let mut all = self.work.of_routers(now, Some(you));
+        for (addr, work) in self.work.of_hubs(now) {
+            let idx = self.server(addr);
+            *all.entry(idx).or_default() += work;
+        }
+        all.into_iter()
+            .map(|(idx, work)| ServerWork { server: ServerRef::Idx(idx), work })
+            .collect()
+    }
+
     fn take_load(&mut self, row: ServerLoad, is_current: bool) {
-        let idx = match row.server {
-            ServerRef::Addr(addr) => self.server(addr),
-            ServerRef::Idx(idx) if is_current => idx,
-            ServerRef::Idx(_) => return,
-        };
+        let Some(idx) = self.known(row.server, is_current) else { return };
         let version = self.version;
         let Some(server) = self.servers.get_mut(idx.0 as usize) else { return };
         if server.load != row.load {
@@ -229,6 +265,7 @@
         let live = self.servers.iter().map(|it| it.row);
         let live: Vec<_> = live.filter(|it| it.state == ServerState::Live).collect();
         let grants = grants::grant(you, &mut self.accounts, &live);
+        let work = self.others_work(now, you);
         let loads = self.servers.iter().filter(|it| it.load_version > held);
         let rows = self.servers.iter().filter(|it| it.row_version > held);
         let quarantine = self.quarantine.iter().filter(|(_, it)| it.version > held);
@@ -243,6 +280,7 @@
                 .collect(),
             quarantine: quarantine.map(|(key, it)| it.row(now, *key)).collect(),
             grants,
+            work,
         }
     }
 
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod rows;
 mod wire;
+mod work;
 
 pub use hub::{Hub, HubSettings};
 pub use member::{MemberState, ServerEntry};
@@ -21,3 +22,4 @@
     ServerRef, ServerRow, ServerState, Sighting, Slots, Summary, Version,
 };
 pub use wire::{DecodeError, decode_digest, decode_summary, encode_digest, encode_summary};
+pub use work::ServerWork;
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use policy::Work;
+
 use crate::{
-    Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, Slots,
-    Summary, Version,
+    Digest, Load, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, ServerWork,
+    Slots, Summary, Version,
 };
 
 /// One backend server as the router knows it from the hub.
@@ -27,6 +29,7 @@
     servers: BTreeMap<ServerIdx, ServerEntry>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
     grants: Vec<Slots>,
+    others_work: Vec<ServerWork>,
 }
 
 impl MemberState {
@@ -41,6 +44,7 @@
             servers: BTreeMap::new(),
             by_addr: BTreeMap::new(),
             grants: Vec::new(),
+            others_work: Vec::new(),
         }
     }
 
@@ -61,6 +65,7 @@
             quarantine: Vec::new(),
             demand: Vec::new(),
             held_slots: Vec::new(),
+            work: Vec::new(),
         }
     }
 
@@ -89,6 +94,7 @@
             }
         }
         self.grants = digest.grants;
+        self.others_work = digest.work;
         digest.quarantine
     }
 
@@ -115,6 +121,17 @@
         })
     }
 
+    /// What the requests of the other routers take, with the servers' addresses.
+    pub fn others_work(&self) -> impl Iterator<Item = (SocketAddr, Work)> + '_ {
+        self.others_work.iter().filter_map(|it| {
+            let addr = match it.server {
+                ServerRef::Addr(addr) => addr,
+                ServerRef::Idx(idx) => self.servers.get(&idx)?.row.addr,
+            };
+            Some((addr, it.work))
+        })
+    }
+
     /// The hub's life that the entries belong to; 0 before the first digest.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::ServerWork;
+
 /// A router's place in the hub's list.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
@@ -79,6 +81,8 @@
     pub demand: Vec<Demand>,
     /// Slots that its requests hold now.
     pub held_slots: Vec<Slots>,
+    /// What its requests take at each server now.
+    pub work: Vec<ServerWork>,
 }
 
 /// What the hub answers: all that has changed since the version held.
@@ -101,6 +105,8 @@
     pub quarantine: Vec<QuarantineRow>,
     /// The slots that the receiver may hold until the next exchange.
     pub grants: Vec<Slots>,
+    /// What the requests of all others take at each server, as far as it is known.
+    pub work: Vec<ServerWork>,
 }
 
 /// A hash of a pool's name, short enough to be sent every second.
--- /dev/null
+++ b/crates/dissemination/tests/shared_work.rs
@@ -0,0 +1,121 @@
+//! Each router is told what the requests of all others take at each server, across hubs.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use dissemination::{
+    Hub, HubSettings, MemberState, ServerWork, Summary, decode_digest, decode_summary,
+    encode_digest, encode_summary,
+};
+use policy::Work;
+use proptest::prelude::*;
+
+const ROUTERS: usize = 4;
+const HUBS: usize = 2;
+
+fn addr(server: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 9000 + server))
+}
+
+fn work_of(requests: u32, unread_tokens: u64) -> Work {
+    Work { requests, unread_tokens }
+}
+
+/// Routers spread over hubs that tell one another their sums.
+struct World {
+    now: Instant,
+    hubs: Vec<Hub>,
+    routers: Vec<MemberState>,
+    told: Vec<BTreeMap<SocketAddr, Work>>,
+}
+
+impl World {
+    fn new() -> World {
+        let hub =
+            |idx: usize| Hub::new(HubSettings { epoch: idx as u64 + 1, ..HubSettings::default() });
+        World {
+            now: Instant::now(),
+            hubs: (0..HUBS).map(hub).collect(),
+            routers: (0..ROUTERS).map(|it| MemberState::new(&format!("r{it}"))).collect(),
+            told: vec![BTreeMap::new(); ROUTERS],
+        }
+    }
+
+    fn exchange(&mut self, router: usize, work: BTreeMap<SocketAddr, Work>) {
+        let state = &mut self.routers[router];
+        let rows = work
+            .iter()
+            .map(|(addr, work)| ServerWork { server: state.server_ref(*addr), work: *work });
+        let summary = Summary { work: rows.collect(), ..state.summary() };
+        let summary = decode_summary(&encode_summary(&summary)).expect("it was just written");
+        let digest = self.hubs[router % HUBS].exchange(self.now, summary);
+        state.take(decode_digest(&encode_digest(&digest)).expect("it was just written"));
+        self.told[router] = work;
+    }
+
+    fn tell_hubs(&mut self) {
+        let sums: Vec<_> = self.hubs.iter_mut().map(|it| it.own_work(self.now)).collect();
+        for (from, rows) in sums.into_iter().enumerate() {
+            for to in (0..HUBS).filter(|it| *it != from) {
+                self.hubs[to].take_hub_work(self.now, from as u64, rows.clone());
+            }
+        }
+    }
+
+    fn expected(&self, router: usize) -> BTreeMap<SocketAddr, Work> {
+        let mut all = BTreeMap::new();
+        let others = (0..ROUTERS).filter(|it| *it != router);
+        for (addr, work) in others.flat_map(|it| &self.told[it]) {
+            *all.entry(*addr).or_insert_with(Work::default) += *work;
+        }
+        all
+    }
+
+    fn heard(&self, router: usize) -> BTreeMap<SocketAddr, Work> {
+        self.routers[router].others_work().collect()
+    }
+}
+
+fn work() -> impl Strategy<Value = BTreeMap<SocketAddr, Work>> {
+    let row = (0..6_u16, 1..50_u32, 0..40_000_u64);
+    proptest::collection::btree_map(0..6_u16, row, 0..5).prop_map(|rows| {
+        let rows = rows.into_values();
+        rows.map(|(server, requests, tokens)| (addr(server), work_of(requests, tokens))).collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn sums_of_all_others(steps in proptest::collection::vec((0..ROUTERS, work()), 1..40)) {
+        let mut world = World::new();
+        for (router, work) in steps {
+            world.now += Duration::from_millis(10);
+            world.exchange(router, work);
+            world.tell_hubs();
+            // Asks again, so that what it hears is what all have told by now.
+            let own = world.told[router].clone();
+            world.exchange(router, own);
+            prop_assert_eq!(world.heard(router), world.expected(router));
+        }
+    }
+}
+
+/// A router and a hub that fall silent count for two seconds.
+#[test]
+fn silence_ends_work() {
+    let mut world = World::new();
+    let some = BTreeMap::from([(addr(1), work_of(3, 640))]);
+    world.exchange(1, some.clone());
+    world.exchange(2, some);
+    world.tell_hubs();
+    world.exchange(0, BTreeMap::new());
+    assert_eq!(world.heard(0), BTreeMap::from([(addr(1), work_of(6, 1_280))]));
+    world.now += Duration::from_millis(2_100);
+    world.exchange(0, BTreeMap::new());
+    assert_eq!(world.heard(0), BTreeMap::new());
+}
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -2,9 +2,12 @@
 
 use std::{
     collections::BTreeMap,
+    ops::AddAssign,
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     choice::mix,
     estimate::Ewma,
@@ -27,6 +30,10 @@
 const REFUSAL_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Requests last about this long, so a report says little about what runs later.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
+/// The other routers' word counts this long; they repeat it several times within.
+const WORK_LIFE: Duration = Duration::from_secs(2);
+/// Prompt tokens that another router's waiting request is taken to have unread.
+const OTHERS_PROMPT_TOKENS: f64 = 1_000.0;
 const REFUSAL_PAUSE_MAX: Duration = Duration::from_secs(5);
 
 /// A server as the platform's list shows it.
@@ -58,6 +65,23 @@
     pub age: Duration,
 }
 
+/// What requests still take at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Work {
+    /// Requests that run or wait there.
+    pub requests: u32,
+    /// Tokens of their prompts that are to be read yet.
+    pub unread_tokens: u64,
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Work) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+    }
+}
+
 /// Whether a server gets new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -112,6 +136,8 @@
     pub(crate) unread: Unread,
     /// When the last report came.
     reported: Option<Instant>,
+    /// What the other routers' requests take, and when they said so.
+    others_work: Option<(Work, Instant)>,
 }
 
 /// Prompts that a server still has to read, by the urgency of their requests.
@@ -138,6 +164,10 @@
         }
     }
 
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens.values().sum()
+    }
+
     /// The tokens that are read before a request of this urgency.
     pub(crate) fn ahead_of(&self, priority: u8) -> f64 {
         let weigh = |(other, tokens): (&u8, &u64)| match *other >= priority {
@@ -189,6 +219,7 @@
             others_waiting: 0,
             unread: Unread::default(),
             reported: None,
+            others_work: None,
         }
     }
 
@@ -326,11 +357,23 @@
         (f64::from(self.in_flight) + others) / f64::from(slots)
     }
 
-    /// Running and waiting requests of other routers, as far as reports still count.
+    /// Notes what the requests of all other routers take.
+    pub(crate) fn note_others_work(&mut self, now: Instant, work: Work) {
+        self.others_work = Some((work, now));
+    }
+
+    /// Requests of other routers and the tokens of their prompts that are to be read: by their
+    /// own word where it is new, else as far as reports still count.
     pub(crate) fn others_there(&self, now: Instant) -> (f64, f64) {
+        if let Some((work, at)) = self.others_work
+            && now < at + WORK_LIFE
+        {
+            return (f64::from(work.requests), work.unread_tokens as f64);
+        }
         let running = self.others.saturating_sub(self.others_waiting);
         let freshness = self.freshness(now);
-        (f64::from(running) * freshness, f64::from(self.others_waiting) * freshness)
+        let waiting = f64::from(self.others_waiting) * freshness;
+        (f64::from(running) * freshness, waiting * OTHERS_PROMPT_TOKENS)
     }
 
     /// The part of a report that still counts; half of it is lost every [`REPORT_HALF_LIFE`].
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -15,6 +15,7 @@
     backend::{Backend, Health},
     keys::BackendKey,
     pace::Ceiling,
+    partition::Side,
     prompt::{Prompt, SentParts},
     quarantine::Isolation,
     settings::Settings,
@@ -24,17 +25,19 @@
 /// How much of a shared prefix its first and second home are believed to keep; all routers send
 /// there.
 const HOME_BELIEFS: [f64; 2] = [1.0, 0.2];
-/// How much a token that has to be read weighs against one that waits to be read: it delays what
-/// runs and what comes after.
-const REREAD_WEIGHT: f64 = 5.0;
-/// Prompt tokens that another router's waiting request is taken to have unread.
-const OTHERS_PROMPT_TOKENS: f64 = 1_000.0;
+/// How much a token that has to be read weighs against one that waits to be read, in an idle pool
+/// and in a full one: it delays what runs and what comes after, and in a full pool all others.
+const REREAD_WEIGHTS: [f64; 2] = [5.0, 80.0];
 /// What one more running request costs all streams of an engine together, at 0.1 ms a step.
 const BATCH_MS: f64 = 8.0;
 /// What one more request beyond the slots costs.
 const OVER_SLOTS_MS: f64 = 100.0;
-/// What a server of the other side costs.
-const OTHER_SIDE_MS: f64 = 80.0;
+/// A pool with half of its slots in use is taken to be full: prompts wait by then.
+const FULL_PART: f64 = 0.5;
+/// What a server of the other side costs a strict stream, and what it costs the others: a long
+/// prompt among chats stops them all.
+const LENIENT_SIDE_MS: f64 = 80.0;
+const STRICT_SIDE_MS: f64 = 3_000.0;
 /// The gaps between tokens differ by what runs, so slowness counts to this factor only.
 const SLOWNESS_MAX: f64 = 1.5;
 
@@ -48,6 +51,8 @@
     pub(crate) priority: u8,
     /// The engines of the request's side; empty if the pool is not divided.
     pub(crate) own_side: &'a [BackendKey],
+    /// The request's side, if the pool is divided.
+    pub(crate) side: Option<Side>,
     /// The servers of earlier attempts, the last one at the end, avoided while there is another.
     pub(crate) tried: &'a [BackendKey],
     /// If set, only these servers may be taken.
@@ -137,28 +142,43 @@
     fn soonest(&self, candidates: &[BackendKey], wanted: &Wanted<'_>) -> Option<BackendKey> {
         let prompt = wanted.prompt?;
         let homes = self.homes(prompt, wanted.own_side);
-        let cost = |it: &BackendKey| (*it, self.cost_ms(*it, prompt, wanted, &homes));
+        let weight = self.reread_weight();
+        let cost = |it: &BackendKey| {
+            let unread = f64::from(self.unread_tokens(*it, prompt, &homes)) * weight;
+            (*it, self.cost_ms(*it, unread, wanted))
+        };
         let costs = candidates.iter().map(cost);
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
     }
 
-    fn cost_ms(
-        &self,
-        key: BackendKey,
-        prompt: &Prompt,
-        wanted: &Wanted<'_>,
-        homes: &[BackendKey],
-    ) -> f64 {
+    /// What a token to be read weighs, by the part of the pool's slots that is in use.
+    fn reread_weight(&self) -> f64 {
+        let usable = self.members.iter().map(|it| &self.backends[*it]).filter(|it| it.is_usable());
+        let (mut used, mut slots) = (0.0, 0.0);
+        for backend in usable {
+            used += f64::from(backend.in_flight) + backend.others_there(self.now).0;
+            slots += f64::from(backend.slots());
+        }
+        let part = (used / f64::max(slots * FULL_PART, 1.0)).min(1.0);
+        let [idle, full] = REREAD_WEIGHTS;
+        idle + (full - idle) * part * part
+    }
+
+    /// The cost of a prompt whose weighted tokens to be read are `unread`.
+    fn cost_ms(&self, key: BackendKey, unread: f64, wanted: &Wanted<'_>) -> f64 {
         let backend = &self.backends[key];
-        let (running, waiting) = backend.others_there(self.now);
-        let unread = f64::from(self.unread_tokens(key, prompt, homes));
-        let queued = backend.unread.ahead_of(wanted.priority) + waiting * OTHERS_PROMPT_TOKENS;
-        let reading_ms = (unread * REREAD_WEIGHT + queued) / self.settings.prefill_tokens_per_ms;
-        let batch = f64::from(backend.in_flight) + running;
+        let (others, others_unread) = backend.others_there(self.now);
+        let queued = backend.unread.ahead_of(wanted.priority) + others_unread;
+        let reading_ms = (unread + queued) / self.settings.prefill_tokens_per_ms;
+        let batch = f64::from(backend.in_flight) + others;
         let over = (batch - f64::from(backend.slots())).max(0.0);
         let slowness = backend.slowness.clamp(1.0, SLOWNESS_MAX);
-        let is_own = wanted.own_side.is_empty() || wanted.own_side.contains(&key);
-        let side_ms = if is_own { 0.0 } else { OTHER_SIDE_MS };
+        let is_own = wanted.own_side.contains(&key);
+        let side_ms = match wanted.side {
+            Some(Side::Strict) if !is_own => LENIENT_SIDE_MS,
+            Some(Side::Lenient) if !is_own => STRICT_SIDE_MS,
+            _ => 0.0,
+        };
         (reading_ms + batch * BATCH_MS + over * OVER_SLOTS_MS) * slowness + side_ms
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,7 +50,7 @@
 mod settings;
 mod spec;
 
-pub use backend::{Health, LoadReport, Sighting};
+pub use backend::{Health, LoadReport, Sighting, Work};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry};
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -9,7 +9,7 @@
 
 use super::Scheduler;
 use crate::{
-    backend::{Backend, Credits, Health, LoadReport, Sighting},
+    backend::{Backend, Credits, Health, LoadReport, Sighting, Work},
     keys::{BackendKey, PoolKey},
     lane::Lane,
     leases::Claim,
@@ -44,6 +44,26 @@
         }
     }
 
+    /// What this router's requests take at a server.
+    pub fn own_work(&self, backend: BackendKey) -> Work {
+        let Some(entry) = self.backends.get(backend) else { return Work::default() };
+        Work { requests: entry.in_flight, unread_tokens: entry.unread.tokens() }
+    }
+
+    /// Takes in what the requests of all other routers take at the servers of a pool; those not
+    /// named have none.
+    pub fn others_work(&mut self, now: Instant, pool: PoolKey, work: &[(BackendKey, Work)]) {
+        let Some(pool) = self.pools.get(pool) else { return };
+        for member in &pool.members {
+            self.backends[*member].note_others_work(now, Work::default());
+        }
+        for (key, it) in work {
+            if let Some(backend) = self.backends.get_mut(*key) {
+                backend.note_others_work(now, *it);
+            }
+        }
+    }
+
     /// Notes how many requests a server runs at once, as the platform's list names it.
     pub fn set_slots(&mut self, backend: BackendKey, slots: u32) {
         if let Some(entry) = self.backends.get_mut(backend) {
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -253,9 +253,11 @@
         let suspect_hosts = self.suspect_hosts(now, request);
         let wanted = self.wanted(now, request, only.as_deref(), &suspect_hosts);
         let wanted = Wanted { ceiling, ..wanted };
-        let own_side = self.own_side(request.offer.pool, request.offer.class);
+        let (pool, class) = (request.offer.pool, request.offer.class);
+        let own_side = self.own_side(pool, class);
+        let side = self.side(&self.pools[pool], class);
         let prompt = self.prompts.get(ticket);
-        let wanted = Wanted { prompt, own_side: &own_side, ..wanted };
+        let wanted = Wanted { prompt, own_side: &own_side, side, ..wanted };
         let (backends, settings, sent) = (&self.backends, &self.settings, &self.sent);
         let members = &self.pools[request.offer.pool].members;
         let choice = Choice { backends, members, settings, sent, now };
@@ -300,6 +302,7 @@
             prefix_hash: offer.prefix_hash,
             prompt: None,
             own_side: &[],
+            side: None,
             priority: self.classes[offer.class].spec.priority,
             tried: &request.tried,
             only,
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -7,6 +7,7 @@
 
 use policy::{
     BackendKey, ClassSpec, Health, Offer, OtherLoad, Pacing, Prompt, PromptPart, Settings, Ticket,
+    Work,
 };
 use world::{World, class, spec};
 
@@ -169,6 +170,75 @@
     assert!(most < SLOTS / 2, "{most} streams run on one engine of {SERVERS}");
 }
 
+fn divided() -> World {
+    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
+    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
+    let mut world = world_of(1, vec![draft, chat]);
+    // A pool is divided once both classes are known to it.
+    for name in ["draft", "chat"] {
+        let (ticket, _) = place(&mut world, name, prompt(1_000, LONG));
+        world.finish(ticket);
+    }
+    world
+}
+
+fn tell_others(world: &mut World, work: &[(BackendKey, Work)]) {
+    world.scheduler.others_work(world.now, world.pool, work);
+}
+
+/// Many routers, each with few requests at any one engine: what the others have there counts.
+#[test]
+fn queue_of_others() {
+    let mut world = divided();
+    let (ticket, home) = place(&mut world, "chat", prompt(1, SHORT));
+    world.finish(ticket);
+    let queue = Work { requests: 30, unread_tokens: 60_000 };
+    tell_others(&mut world, &[(home, queue)]);
+    world.pass(2_500);
+    let (ticket, later) = place(&mut world, "chat", prompt(1, SHORT));
+    assert_eq!(later, home, "the others were silent for too long");
+    world.finish(ticket);
+    tell_others(&mut world, &[(home, queue)]);
+    let (_, next) = place(&mut world, "chat", prompt(1, SHORT));
+    assert_ne!(next, home, "the others' prompts are read first there");
+}
+
+/// The whole pool is busy: reading a shared part anew would take from everyone, so a long queue at
+/// its home is no reason to.
+#[test]
+fn full_pool_reads_nothing_anew() {
+    let mut world = divided();
+    let (ticket, home) = place(&mut world, "draft", prompt(7, LONG));
+    world.finish(ticket);
+    let busy = Work { requests: SLOTS, unread_tokens: 20_000 };
+    let busier = Work { requests: SLOTS + 40, unread_tokens: 60_000 };
+    let all = world.backends.clone().into_iter();
+    let all: Vec<_> = all.map(|it| (it, if it == home { busier } else { busy })).collect();
+    tell_others(&mut world, &all);
+    assert_eq!(place(&mut world, "draft", prompt(7, LONG)).1, home);
+}
+
+/// A burst of long prompts: they queue up at their own engines and leave those of the chats alone.
+#[test]
+fn drafts_stay_apart() {
+    let mut world = divided();
+    let chats: BTreeSet<_> = (1..=60)
+        .map(|subject| {
+            let (ticket, at) = place(&mut world, "chat", prompt(subject, SHORT));
+            world.finish(ticket);
+            at
+        })
+        .collect();
+    let busy = Work { requests: SLOTS, unread_tokens: 40_000 };
+    let lenient = world.backends.clone().into_iter().filter(|it| !chats.contains(it));
+    let all: Vec<_> = lenient.map(|it| (it, busy)).collect();
+    tell_others(&mut world, &all);
+    for subject in 1..=40 {
+        let (_, at) = place(&mut world, "draft", prompt(2_000 + subject, LONG));
+        assert!(!chats.contains(&at), "a long prompt stops all chats of an engine");
+    }
+}
+
 /// All engines that chat goes to are lost: it goes elsewhere at once.
 #[test]
 fn side_is_lost() {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use control_client::{DocumentWatch, Domain, TablesWatch, WatchSettings};
+use control_client::{DocumentWatch, Domain, DomainMember, TablesWatch, WatchSettings};
 use control_state::RouterId;
 use daemon::Admin;
 use directory::{Directory, Reader, VmList};
@@ -50,6 +50,7 @@
     relay::Relay,
     services::Services,
     settings::RouterSettings,
+    shared_work::WorkMember,
     table_source::{FixedTables, TableSource},
 };
 
@@ -340,20 +341,23 @@
 ///
 /// Relayed answers bring their servers' loads along, so nobody reads reports there.
 fn share_with_domain(settings: &RouterSettings, parts: &Parts, services: &Rc<Services>) {
-    if matches!(parts.interface, Interface::Relayed(_)) {
-        return;
-    }
     let (services, tables) = (Rc::clone(services), Rc::clone(&parts.tables));
+    let start = |member: Rc<dyn DomainMember>, link: &Link| {
+        let interval = Duration::from_millis(settings.exchange_period_ms);
+        Domain::start(&settings.vm, link.clone(), Rc::clone(&parts.clock), interval, member)
+    };
     let readings = Readings::default();
-    let owns: Owns = match &parts.link {
-        None => Rc::new(|_| true),
-        Some(link) => {
-            let member =
-                RouterMember::new(Rc::clone(&services), Rc::clone(&tables), readings.clone());
-            let interval = Duration::from_millis(settings.exchange_period_ms);
-            let clock = Rc::clone(&parts.clock);
-            let domain =
-                Domain::start(&settings.vm, link.clone(), clock, interval, Rc::new(member));
+    let owns: Owns = match (&parts.interface, &parts.link) {
+        (Interface::Relayed(_), None) => return,
+        (Interface::Relayed(_), Some(link)) => {
+            start(Rc::new(WorkMember { services, tables }), link);
+            return;
+        }
+        (Interface::Native, None) => Rc::new(|_| true),
+        (Interface::Native, Some(link)) => {
+            let (services, tables) = (Rc::clone(&services), Rc::clone(&tables));
+            let member = RouterMember::new(services, tables, readings.clone());
+            let domain = start(Rc::new(member), link);
             Rc::new(move |addr| domain.owns(addr))
         }
     };
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -15,7 +15,7 @@
 use futures::future::LocalBoxFuture;
 use policy::{
     BackendKey, LoadReport, Outlook, ProbeResult, Prompt, QuarantineEntry, Refusal, RefusalReason,
-    Repeat, Settings, leases::Claim,
+    Repeat, Settings, Work, leases::Claim,
 };
 use tables::{Revision, Tables};
 
@@ -183,13 +183,27 @@
         self.desk(pool).map(|it| it.claims()).unwrap_or_default()
     }
 
-    /// Takes in the load report of a server that another router reads.
+    /// Takes in the load report of a server that another router reads; [`Dispatcher::pump`] is to
+    /// follow.
     pub fn load_at(&self, pool: &str, addr: SocketAddr, report: &LoadReport) {
         if let Some(desk) = self.desk(pool) {
             desk.load_at(addr, report);
         }
     }
 
+    /// What this router's requests take at each server of a pool.
+    #[must_use]
+    pub fn own_work(&self, pool: &str) -> Vec<(SocketAddr, Work)> {
+        self.desk(pool).map(|it| it.own_work()).unwrap_or_default()
+    }
+
+    /// Takes in what the requests of all other routers take, in place of what was told before.
+    pub fn others_work(&self, pool: &str, work: impl Iterator<Item = (SocketAddr, Work)>) {
+        if let Some(desk) = self.desk(pool) {
+            desk.others_work(work);
+        }
+    }
+
     /// Takes in the slots of a server that this router may hold until `expires`.
     pub fn grant(&self, pool: &str, addr: SocketAddr, slots: u32, expires: Instant) {
         if let Some(desk) = self.desk(pool) {
--- a/crates/router/src/dispatch/desk.rs
+++ b/crates/router/src/dispatch/desk.rs
@@ -19,7 +19,7 @@
 use monoio::time;
 use policy::{
     Action, ClassSpec, LoadReport, Offer, Outlook, Pausing, PoolSpec, ProbeResult, Refusal,
-    Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
+    Scheduler, Settings, Spec, Ticket, Work, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
@@ -214,10 +214,15 @@
     }
 
     pub(super) fn load_report(self: &Rc<Self>, server: &Server, report: &LoadReport) {
+        self.note_report(server, report);
+        self.pump();
+    }
+
+    fn note_report(&self, server: &Server, report: &LoadReport) {
         if let Some(incarnation) = report.incarnation {
             self.state.borrow_mut().servers.note_incarnation(server.addr, incarnation);
         }
-        self.tell(|scheduler, now| scheduler.load_report(now, server.key, report));
+        self.note(|scheduler, now| scheduler.load_report(now, server.key, report));
     }
 
     /// What this desk knows of the servers in its failure domain, whose hub divides them.
@@ -236,14 +241,31 @@
         near.into_iter().map(claim).collect()
     }
 
-    /// Takes in the load report of a server that another router reads.
+    /// Takes in the load report of a server that another router reads; [`Desk::pump`] is to follow.
     pub(super) fn load_at(self: &Rc<Self>, addr: SocketAddr, report: &LoadReport) {
         let server = self.state.borrow().servers.at(addr);
         if let Some(server) = server {
-            self.load_report(&server, report);
+            self.note_report(&server, report);
         }
     }
 
+    pub(super) fn own_work(&self) -> Vec<(SocketAddr, Work)> {
+        let state = self.state.borrow();
+        let servers = state.servers.listed().into_iter();
+        let work = servers.map(|it| (it.addr, state.scheduler.own_work(it.key)));
+        work.filter(|it| it.1 != Work::default()).collect()
+    }
+
+    /// Takes in what the requests of all other routers take, in place of what was told before.
+    pub(super) fn others_work(&self, work: impl Iterator<Item = (SocketAddr, Work)>) {
+        let now = self.clock.now();
+        let State { scheduler, servers, pool, .. } = &mut *self.state.borrow_mut();
+        let Some(pool) = scheduler.pool(pool) else { return };
+        let known = work.filter_map(|(addr, it)| Some((servers.at(addr)?.key, it)));
+        let known: Vec<_> = known.collect();
+        scheduler.others_work(now, pool, &known);
+    }
+
     /// Takes in the slots that this router may hold of a server.
     pub(super) fn grant(self: &Rc<Self>, addr: SocketAddr, slots: u32, expires: Instant) {
         let state = self.state.borrow();
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -27,6 +27,13 @@
     missed: u32,
 }
 
+impl Known {
+    /// Whether the server gets new work.
+    fn is_listed(&self) -> bool {
+        matches!(self.listing, Listing::Table | Listing::Platform)
+    }
+}
+
 /// Who names a server now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Listing {
@@ -43,8 +50,7 @@
 
 impl ServerList {
     pub(super) fn listed(&self) -> Vec<Server> {
-        let named = |it: &Known| matches!(it.listing, Listing::Table | Listing::Platform);
-        let listed = self.known.iter().filter(|(_, it)| named(it));
+        let listed = self.known.iter().filter(|(_, it)| it.is_listed());
         listed.map(|(addr, it)| Server { addr: *addr, key: it.key }).collect()
     }
 
@@ -80,7 +86,8 @@
 
     /// The server at an address, if it gets new work.
     pub(super) fn at(&self, addr: SocketAddr) -> Option<Server> {
-        self.listed().into_iter().find(|it| it.addr == addr)
+        let known = self.known.get(&addr).filter(|it| it.is_listed())?;
+        Some(Server { addr, key: known.key })
     }
 
     /// Takes in the servers of the table.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,7 @@
 mod service_call;
 pub mod services;
 pub mod settings;
+mod shared_work;
 pub mod table_source;
 mod token_stream;
 mod watch;
--- /dev/null
+++ b/crates/router/src/shared_work.rs
@@ -0,0 +1,34 @@
+//! What the routers of a platform tell one another of their work, through the control VMs.
+//!
+//! Among many routers each has little at any one server, so it tells what its requests take there,
+//! and is told what those of all others take.
+
+use std::{rc::Rc, time::Instant};
+
+use control_client::DomainMember;
+use dissemination::{MemberState, QuarantineRow, ServerWork, Summary};
+
+use crate::{services::Services, table_source::TableSource};
+
+/// This router's side of the exchange.
+pub(crate) struct WorkMember {
+    pub(crate) services: Rc<Services>,
+    pub(crate) tables: Rc<dyn TableSource>,
+}
+
+impl DomainMember for WorkMember {
+    fn report(&self, held: &MemberState, empty: Summary) -> Summary {
+        let tables = self.tables.current();
+        let pools = tables.pools.iter();
+        let work = pools.flat_map(|it| self.services.dispatcher.own_work(&it.name));
+        let work =
+            work.map(|(addr, work)| ServerWork { server: held.server_ref(addr), work }).collect();
+        Summary { work, ..empty }
+    }
+
+    fn take(&self, held: &MemberState, _sent: Instant, _quarantine: &[QuarantineRow]) {
+        for pool in &self.tables.current().pools {
+            self.services.dispatcher.others_work(&pool.name, held.others_work());
+        }
+    }
+}
