Keep the hub out of the replicated log's member

Cause, found on rereading: the member of the log held the hub of the routers only to hand one kind of delivery on, though the handler of peers' calls stands beside both; and the life of shared work was written twice, once for each side.

Change: the handler decodes a delivery and gives log messages and greetings to the member, sums of work to the hub; Work::LIFE is the one constant. The two bounds of the pause after a refusal stand together again.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -170,7 +170,6 @@
         machine: parts.machine,
         feed: feed.clone(),
         peers: peers(&settings, parts.tokens.as_ref()),
-        hub: hub.clone(),
         clock: parts.clock.clone(),
         voters_max: settings.voters_max,
         snapshot_every_entries: settings.snapshot_every_entries,
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -17,8 +17,8 @@
 use telemetry::Secret;
 
 use crate::{
-    commands::CommandCheck, replica::Replica, server_feed::ServerFeed, status::StatusReport,
-    tables_feed::TablesFeed,
+    commands::CommandCheck, envelope::Envelope, replica::Replica, server_feed::ServerFeed,
+    status::StatusReport, tables_feed::TablesFeed,
 };
 
 /// The longest time that a question may wait here, so that a client's limit is never reached.
@@ -144,7 +144,10 @@
 
     fn peer(&self, token: &str) -> Option<Rc<dyn PeerHandler>> {
         let is_known = self.tokens.as_ref().is_none_or(|it| token == it.peer.expose());
-        is_known.then(|| Rc::new(FromPeer { replica: self.replica.clone() }) as Rc<dyn PeerHandler>)
+        is_known.then(|| {
+            let (replica, hub) = (self.replica.clone(), self.hub.clone());
+            Rc::new(FromPeer { replica, hub, clock: self.clock.clone() }) as Rc<dyn PeerHandler>
+        })
     }
 }
 
@@ -167,11 +170,22 @@
 /// Answers other control VMs.
 struct FromPeer {
     replica: Rc<Replica>,
+    hub: Rc<RefCell<Hub>>,
+    clock: Rc<dyn Clock>,
 }
 
 impl PeerHandler for FromPeer {
     fn deliver(&self, _from: u64, message: Vec<u8>) {
-        self.replica.deliver(&message);
+        match Envelope::decode(&message) {
+            Some(Envelope::Log(message)) => self.replica.step(message),
+            Some(Envelope::Hello(peer)) => self.replica.heard(peer, &message),
+            Some(Envelope::Work { hub, rows }) => {
+                self.hub.borrow_mut().take_hub_work(self.clock.now(), hub, rows);
+            }
+            None => {
+                tracing::warn!(event = "delivery_refused", remedy = "run one version everywhere");
+            }
+        }
     }
 
     fn forward(&self, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -18,7 +18,6 @@
     Entry, Message, Node, NodeId, Payload, Peer, Ready, RoleChange, Status, Storage, StorageError,
 };
 use control_state::Document;
-use dissemination::Hub;
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::SubmitResult;
 
@@ -56,7 +55,6 @@
     pub(crate) machine: Rc<RefCell<dyn ControlMachine>>,
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) peers: Peers,
-    pub(crate) hub: Rc<RefCell<Hub>>,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) voters_max: usize,
     pub(crate) snapshot_every_entries: u64,
@@ -67,7 +65,6 @@
     core: RefCell<Core>,
     feed: Rc<TablesFeed>,
     peers: Peers,
-    hub: Rc<RefCell<Hub>>,
     clock: Rc<dyn Clock>,
     applied: Watch,
     voters_max: usize,
@@ -115,7 +112,6 @@
             core: RefCell::new(core),
             feed: parts.feed,
             peers: parts.peers,
-            hub: parts.hub,
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
@@ -148,21 +144,6 @@
         None
     }
 
-    /// Takes one delivery of a peer.
-    pub(crate) fn deliver(&self, bytes: &[u8]) {
-        match Envelope::decode(bytes) {
-            Some(Envelope::Log(message)) => self.step(message),
-            Some(Envelope::Hello(peer)) => self.heard(peer, bytes),
-            Some(Envelope::Work { hub, rows }) => {
-                let now = self.clock.now();
-                self.hub.borrow_mut().take_hub_work(now, hub, rows);
-            }
-            None => {
-                tracing::warn!(event = "delivery_refused", remedy = "run one version everywhere")
-            }
-        }
-    }
-
     /// Tells all other members something that needs no answer.
     pub(crate) fn tell_members(&self, envelope: &Envelope) {
         let status = self.status();
@@ -174,7 +155,7 @@
 
     /// Notes that a node runs, and passes its word on to the leader: a node that knows only some
     /// seeds may not know who leads.
-    fn heard(&self, peer: Peer, hello: &[u8]) {
+    pub(crate) fn heard(&self, peer: Peer, hello: &[u8]) {
         let now = self.clock.now();
         self.core.borrow_mut().running.insert(peer.node, (peer, now));
         let status = self.status();
@@ -318,7 +299,8 @@
         client.read_index(COMMIT_TIMEOUT).await.ok()?
     }
 
-    fn step(&self, message: Message) {
+    /// Takes a message of the replicated log.
+    pub(crate) fn step(&self, message: Message) {
         let now = self.clock.now();
         self.core.borrow_mut().node.step(now, message);
         self.pump();
--- a/crates/dissemination/src/work.rs
+++ b/crates/dissemination/src/work.rs
@@ -4,21 +4,13 @@
 //! report with an answer now and then. So each tells the hub what it has there, the hubs tell one
 //! another their sums, and a router gets the sum of all but itself.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use policy::Work;
 use serde::{Deserialize, Serialize};
 
 use crate::{RouterIdx, ServerIdx, ServerRef};
 
-/// Work that was not told again for this long has ended, or its router has: requests last about
-/// as long.
-const WORK_LIFE: Duration = Duration::from_secs(2);
-
 /// The work at one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -59,14 +51,14 @@
         now: Instant,
         beside: Option<RouterIdx>,
     ) -> BTreeMap<ServerIdx, Work> {
-        self.routers.retain(|_, it| now < it.at + WORK_LIFE);
+        self.routers.retain(|_, it| now < it.at + Work::LIFE);
         let told = self.routers.iter().filter(|(idx, _)| Some(**idx) != beside);
         sum(told.flat_map(|(_, it)| &it.rows))
     }
 
     /// The sums of all other hubs.
     pub(crate) fn of_hubs(&mut self, now: Instant) -> BTreeMap<SocketAddr, Work> {
-        self.hubs.retain(|_, it| now < it.at + WORK_LIFE);
+        self.hubs.retain(|_, it| now < it.at + Work::LIFE);
         sum(self.hubs.values().flat_map(|it| &it.rows))
     }
 }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -25,15 +25,13 @@
 /// A straggler keeps this many slots, so that its recovery is seen.
 const STRAGGLER_SLOTS: u32 = 1;
 
-/// How long a server that refused a request before its start gets no work; it doubles while the
-/// server goes on refusing.
-const REFUSAL_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Requests last about this long, so a report says little about what runs later.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
-/// The other routers' word counts this long; they repeat it several times within.
-const WORK_LIFE: Duration = Duration::from_secs(2);
 /// Prompt tokens that another router's waiting request is taken to have unread.
 const OTHERS_PROMPT_TOKENS: f64 = 1_000.0;
+/// How long a server that refused a request before its start gets no work; it doubles while the
+/// server goes on refusing.
+const REFUSAL_PAUSE_MIN: Duration = Duration::from_millis(100);
 const REFUSAL_PAUSE_MAX: Duration = Duration::from_secs(5);
 
 /// A server as the platform's list shows it.
@@ -75,6 +73,12 @@
     pub unread_tokens: u64,
 }
 
+impl Work {
+    /// Without being told again, work counts this long: requests last about as long, and their
+    /// routers repeat their word several times within.
+    pub const LIFE: Duration = Duration::from_secs(2);
+}
+
 impl AddAssign for Work {
     fn add_assign(&mut self, other: Work) {
         self.requests = self.requests.saturating_add(other.requests);
@@ -366,7 +370,7 @@
     /// own word where it is new, else as far as reports still count.
     pub(crate) fn others_there(&self, now: Instant) -> (f64, f64) {
         if let Some((work, at)) = self.others_work
-            && now < at + WORK_LIFE
+            && now < at + Work::LIFE
         {
             return (f64::from(work.requests), work.unread_tokens as f64);
         }
