Have one type for what processes trust

Cause, found on rereading: routers and control VMs each had an enum Trust with the same values. Change: rpc::Trust, which both settings read. Nothing else moves.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,8 +9,8 @@
 
 use anyhow::Context;
 use consensus::NodeId;
-use derive_more::FromStr;
 use ini_settings::{Document, Faults, SectionReader};
+use rpc::Trust;
 
 use crate::{Founding, address_book::node_named_after};
 
@@ -20,15 +20,6 @@
 const HEARTBEATS_PER_TIMEOUT: u64 = 3;
 const ADDRESS: &str = "ADDRESS:PORT, such as 10.0.0.1:7100";
 
-/// What proves that a caller belongs to the system.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
-enum Trust {
-    /// The tokens of the settings.
-    Tokens,
-    /// The network, which only processes of the system can reach.
-    Network,
-}
-
 /// What a control VM is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,13 +2,13 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use derive_more::FromStr;
 use httpio::{
     Limits,
     client::PoolSettings,
     server::{ConnectionBound, ServerSettings},
 };
 use ini_settings::{Document, Faults, SectionReader};
+use rpc::Trust;
 
 use crate::{backends::BackendSettings, services::Waits};
 
@@ -60,15 +60,6 @@
     pub waits: Waits,
 }
 
-/// What proves that a process belongs to the system.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
-pub enum Trust {
-    /// The tokens of the settings.
-    Tokens,
-    /// The network, which only processes of the system can reach.
-    Network,
-}
-
 /// Files that the settings name.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Files {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod link;
 mod server;
+mod trust;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -22,6 +23,7 @@
 pub use error::RpcError;
 pub use link::{Link, LinkSettings};
 pub use server::{ControlHandler, PeerHandler, serve};
+pub use trust::Trust;
 
 /// The answer to a question for tables newer than the ones held.
 #[derive(Debug, Clone, PartialEq, Eq)]
