Write the two classes of the placement tests once

Cause, found on rereading: three tests built the same pair of classes, and a part of one was said to be in thousandths. All assertions are as they were.

--- a/crates/policy/src/partition.rs
+++ b/crates/policy/src/partition.rs
@@ -29,7 +29,7 @@
 /// Strict streams get this much of their part: a batch of many short ones costs less for each.
 const ROOM_FACTOR: f64 = 0.4;
 
-/// The part of the work that is taken to be strict before any is seen, in thousandths.
+/// The part of the work that is taken to be strict before any is seen.
 const STRICT_PART_PRIOR: f64 = 0.4;
 /// What the prior counts for, in milliseconds of engine time.
 const PRIOR_WORK_MS: f64 = 2_000.0;
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -29,6 +29,13 @@
     World::with(settings, spec(classes, SLOTS), SERVERS)
 }
 
+/// Drafts and chats, whose target between tokens is the stricter one.
+fn two_targets() -> Vec<ClassSpec> {
+    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
+    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
+    vec![draft, chat]
+}
+
 fn prompt(subject: u64, shared: u32) -> Prompt {
     let part = |id, tokens| PromptPart { id, tokens };
     Prompt { parts: vec![part(subject, shared), part(subject ^ 0xffff_0000, OWN)] }
@@ -132,12 +139,7 @@
 /// while neither side is full, whichever router sends them.
 #[test]
 fn strict_engines_apart() {
-    let classes = || {
-        let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
-        let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
-        vec![draft, chat]
-    };
-    let (mut one, mut other) = (world_of(1, classes()), world_of(2, classes()));
+    let (mut one, mut other) = (world_of(1, two_targets()), world_of(2, two_targets()));
     let (mut chats, mut drafts) = (BTreeSet::new(), BTreeSet::new());
     for subject in 1..=60 {
         for world in [&mut one, &mut other] {
@@ -157,9 +159,7 @@
 /// each further stream makes every step of an engine longer.
 #[test]
 fn chat_burst_spills() {
-    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
-    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
-    let mut world = world_of(1, vec![draft, chat]);
+    let mut world = world_of(1, two_targets());
     place(&mut world, "draft", prompt(1_000, LONG));
     for subject in 1..=u64::from(2 * SLOTS) {
         let (ticket, _) = place(&mut world, "chat", prompt(subject, SHORT));
@@ -171,9 +171,7 @@
 }
 
 fn divided() -> World {
-    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
-    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
-    let mut world = world_of(1, vec![draft, chat]);
+    let mut world = world_of(1, two_targets());
     // A pool is divided once both classes are known to it.
     for name in ["draft", "chat"] {
         let (ticket, _) = place(&mut world, name, prompt(1_000, LONG));
@@ -242,9 +240,7 @@
 /// All engines that chat goes to are lost: it goes elsewhere at once.
 #[test]
 fn side_is_lost() {
-    let draft = ClassSpec { between_token_target_ms: 1_200, ..class("draft", 1, 0) };
-    let chat = ClassSpec { between_token_target_ms: 300, ..class("chat", 9, 0) };
-    let mut world = world_of(1, vec![draft, chat]);
+    let mut world = world_of(1, two_targets());
     place(&mut world, "draft", prompt(1_000, LONG));
     let mut lost = BTreeSet::new();
     for subject in 1..=60 {
