Log what the choice of a server for a prompt went by

The attempt line had where a request was sent and how long it took, but not the router's view of that server, so a choice of a busy server (the view was right) could not be told from a choice by a wrong view. It now has the server's rank among the prompt's homes, the tokens that it was expected to read, and the queue of all routers that was known there.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -57,7 +57,7 @@
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry};
-pub use request::{Offer, Refusal, RefusalReason, Repeat};
+pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
 pub use settings::{OtherLoad, Pacing, Settings};
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -128,6 +128,22 @@
     pub(crate) last_token_at: Instant,
     /// Prompt tokens that the server is expected to prefill before the first token.
     pub(crate) prefill_tokens: u32,
+    /// `None` if the prompt is unknown.
+    pub(crate) estimate: Option<PlacementEstimate>,
+}
+
+/// What the scheduler knew about a server when it assigned a request with a prompt to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementEstimate {
+    /// The server's rank among the home servers of the shared prefix, from 1; `None` if it is not
+    /// one of them.
+    pub home_rank: Option<usize>,
+    /// Tokens of the prompt that the server is expected to prefill.
+    pub prefill_tokens: u32,
+    /// Tokens of earlier prompts from all routers that the server has not prefilled.
+    pub queued_tokens: u64,
+    /// Earlier requests of all routers at the server.
+    pub server_requests: u32,
 }
 
 impl Request {
--- a/crates/policy/src/scheduler/checks.rs
+++ b/crates/policy/src/scheduler/checks.rs
@@ -4,8 +4,8 @@
 
 use super::{Action, Scheduler};
 use crate::{
-    keys::{BackendKey, ClassKey, PoolKey},
-    request::Preemption,
+    keys::{BackendKey, ClassKey, PoolKey, Ticket},
+    request::{PlacementEstimate, Preemption},
 };
 
 const COMPARISON_INTERVAL: Duration = Duration::from_millis(100);
@@ -92,6 +92,12 @@
         }
     }
 
+    /// What was known about the server of the current attempt when it was selected; `None` if the
+    /// request has no attempt or its prompt is unknown.
+    pub fn placement_estimate(&self, ticket: Ticket) -> Option<PlacementEstimate> {
+        self.requests.get(ticket)?.attempt()?.estimate
+    }
+
     /// The number of requests that this router has in flight at a server.
     pub fn in_flight(&self, backend: BackendKey) -> u32 {
         self.backends.get(backend).map_or(0, |it| it.in_flight)
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -6,7 +6,7 @@
 use crate::{
     class_queue::QueuedRequest,
     keys::{BackendKey, Ticket},
-    request::{Attempt, Phase, Preemption, Refusal, RefusalReason, Reservation},
+    request::{Attempt, Phase, PlacementEstimate, Preemption, Refusal, RefusalReason, Reservation},
 };
 
 /// Engine time of one decoded token in a batch of typical size.
@@ -67,7 +67,7 @@
         preemption: Preemption,
     ) {
         let incarnation = self.backends[backend].incarnation;
-        let prefill_tokens = self.record_prefill(now, ticket, backend);
+        let estimate = self.record_prefill(now, ticket, backend);
         let request = &mut self.requests[ticket];
         let attempt = Attempt {
             backend,
@@ -75,7 +75,8 @@
             sent_at: now,
             tokens: 0,
             last_token_at: now,
-            prefill_tokens,
+            prefill_tokens: estimate.map_or(0, |it| it.prefill_tokens),
+            estimate,
         };
         request.phase = Phase::Running(attempt);
         request.preemption = preemption;
@@ -90,15 +91,29 @@
         queue.dispatch_rate.add(now, u64::from(cost));
     }
 
-    /// Records the prefill that the request causes at the server, and returns its expected tokens.
-    fn record_prefill(&mut self, now: Instant, ticket: Ticket, backend: BackendKey) -> u32 {
-        let Some(prompt) = self.prompts.get(ticket) else { return 0 };
+    /// Records the prefill that the request causes at the server, and returns what was known before;
+    /// `None` if the prompt is unknown.
+    fn record_prefill(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        backend: BackendKey,
+    ) -> Option<PlacementEstimate> {
+        let prompt = self.prompts.get(ticket)?;
         let request = &self.requests[ticket];
         let (offer, cost) = (request.offer, request.cost);
         let own_side = self.own_side(offer.pool, offer.class);
         let selector = self.selector(now, offer.pool);
         let homes = selector.homes(prompt, &own_side);
         let uncached = selector.uncached_tokens(backend, prompt, &homes).max(1);
+        let server = &self.backends[backend];
+        let (other_requests, other_tokens) = server.other_routers_load(now);
+        let estimate = PlacementEstimate {
+            home_rank: homes.iter().position(|it| *it == backend).map(|it| it + 1),
+            prefill_tokens: uncached,
+            queued_tokens: server.prefill_queue.tokens() + other_tokens as u64,
+            server_requests: server.in_flight + other_requests as u32,
+        };
         self.recent_prefixes.record(now, prompt, backend);
         if let Some(side) = self.side(&self.pools[offer.pool], offer.class) {
             let prefill_ms = f64::from(uncached) / self.settings.prefill_tokens_per_ms;
@@ -107,7 +122,7 @@
         }
         let priority = self.classes[offer.class].spec.priority;
         self.backends[backend].prefill_queue.add(priority, uncached);
-        uncached
+        Some(estimate)
     }
 
     /// Removes the request's prefill from the server's queue, after it finished or the attempt
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -206,6 +206,22 @@
     assert_ne!(next, home, "the prompts of the other routers are prefilled first");
 }
 
+/// Guards against a log in which a wrong choice cannot be told from a wrong belief: the estimate has
+/// the queue as it was known before the request was added to it.
+#[test]
+fn placement_estimate() {
+    let mut fixture = partitioned();
+    let (first, home) = place(&mut fixture, "draft", prompt(7, LONG_PREFIX_TOKENS));
+    set_others_work(&mut fixture, &[(home, PendingWork { requests: 3, unread_tokens: 5_000 })]);
+    let (second, server) = place(&mut fixture, "draft", prompt(7, LONG_PREFIX_TOKENS));
+    assert_eq!(server, home);
+    let estimate = |it| fixture.scheduler.placement_estimate(it).expect("the prompt is known");
+    assert_eq!(estimate(first).home_rank, Some(1));
+    assert_eq!((estimate(first).queued_tokens, estimate(first).server_requests), (0, 0));
+    let queued = 5_000 + u64::from(estimate(first).prefill_tokens);
+    assert_eq!((estimate(second).queued_tokens, estimate(second).server_requests), (queued, 4));
+}
+
 /// Guards against another prefill of a prefix in a busy pool, which would delay all requests,
 /// because of a long queue at its home server.
 #[test]
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -281,6 +281,7 @@
     fn log_attempt(&self, result: &str, detail: &str) {
         self.services.metrics.record_attempt(self.labels(), result);
         let queued = self.started.saturating_duration_since(self.routed.arrival.arrived);
+        let estimate = self.lease.placement_estimate();
         tracing::info!(
             event = "attempt",
             trace_id = %self.span.trace_id,
@@ -291,6 +292,10 @@
             server = %self.lease.server().addr,
             number = self.attempts,
             queued_ms = millis(queued),
+            home_rank = estimate.and_then(|it| it.home_rank),
+            prefill_tokens = estimate.map(|it| it.prefill_tokens),
+            queued_tokens = estimate.map(|it| it.queued_tokens),
+            server_requests = estimate.map(|it| it.server_requests),
             first_ms = self.first_token.map(millis),
             pause_ms = self.first_token.map(|_| millis(self.longest_gap)),
             took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -4,8 +4,8 @@
 
 use futures::channel::{mpsc, oneshot};
 use policy::{
-    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, ProbeResult, Refusal, RetryDecision,
-    Ticket,
+    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, PlacementEstimate, ProbeResult,
+    Refusal, RetryDecision, Ticket,
 };
 
 use super::{
@@ -89,6 +89,13 @@
         self.dispatcher.label(self.server())
     }
 
+    /// What the scheduler knew about the server when it selected it; `None` if the prompt is
+    /// unknown.
+    #[must_use]
+    pub fn placement_estimate(&self) -> Option<PlacementEstimate> {
+        self.dispatcher.apply(|scheduler, _| scheduler.placement_estimate(self.ticket))
+    }
+
     /// Applies a load report that came with one of the server's answers.
     pub fn report_load(&self, report: &LoadReport) {
         self.dispatcher.report_load(&self.server(), report);
