Rank requests at engines by the workspace's priority and then the route's

Cause: the urgency sent to an engine was the workspace's priority if it has one, else the route's. On the users' sites every workspace has one, so chats, highlights and digests of a workspace were all equally urgent, and a digest of a workspace with priority 0 went before the chats of one with 1. The engines then served them in the order of arrival, and preempted the newest, whatever its class.

Change: the workspace's priority still goes first, and the route's orders the requests within it. The pairs in use are ranked, as engines take only ten levels. This works because engines admit, prefill and preempt by urgency once they can tell requests apart.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 mod selection;
 mod settings;
 mod spec;
+mod urgency;
 
 pub use backend::{BackendEntry, Health, LoadReport, PendingWork};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
@@ -62,3 +63,4 @@
 pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
 pub use settings::{OtherLoad, Pacing, Settings};
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
+pub use urgency::{RequestPriority, UrgencyScale};
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -11,7 +11,6 @@
     server::{Reply, Request},
 };
 use policy::Prompt;
-use tables::Priority;
 
 use crate::outcome::Failure;
 
@@ -39,8 +38,9 @@
     pub time_left: Duration,
     /// The workspace of the caller, if it has one.
     pub workspace: Option<&'a str>,
-    /// The priority among the requests at a model engine; `None` for other services.
-    pub urgency: Option<Priority>,
+    /// The rank among the requests at a model engine, where 0 is the most urgent; `None` for other
+    /// services.
+    pub urgency: Option<usize>,
     /// The ID of the last relayed event, if this attempt continues the answer of an earlier one.
     pub last_event: Option<u64>,
 }
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -7,8 +7,8 @@
 
 use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
-use policy::{Execution, Failure as FailureKind, LoadReport};
-use tables::{Exchange, Priority};
+use policy::{Execution, Failure as FailureKind, LoadReport, RequestPriority, UrgencyScale};
+use tables::{Exchange, PoolKind, Priority};
 
 use crate::{
     backends::AttemptError,
@@ -131,15 +131,22 @@
         }
     }
 
-    /// The urgency for a model engine; the workspace's priority overrides the route's.
-    fn urgency(&self) -> Option<Priority> {
-        let routed = &self.call.routed;
-        if !routed.is_for_engine() {
+    /// The urgency for a model engine.
+    fn urgency(&self) -> Option<usize> {
+        let Routed { tables, caller, .. } = &self.call.routed;
+        if !self.call.routed.is_for_engine() {
             return None;
         }
-        let name = routed.caller.name();
-        let workspace = routed.tables.workspaces.iter().find(|it| it.name == name);
-        Some(workspace.and_then(|it| it.priority).unwrap_or(routed.route().priority))
+        let workspace = tables.workspaces.iter().find(|it| it.name == caller.name());
+        let priority = |it: Priority| it.0;
+        let request = RequestPriority {
+            workspace: workspace.and_then(|it| it.priority).map(priority),
+            route: self.call.routed.route().priority.0,
+        };
+        let workspaces = tables.workspaces.iter().map(|it| it.priority.map(priority));
+        let is_engine = |it| tables.pool(it).kind == PoolKind::Engine;
+        let routes = tables.routes.iter().filter(|it| it.pools().any(is_engine));
+        Some(UrgencyScale::new(workspaces, routes.map(|it| it.priority.0)).urgency(request))
     }
 
     fn check_response(&self, response: Response) -> Result<Response, AttemptError> {
--- a/crates/tables/src/workspace.rs
+++ b/crates/tables/src/workspace.rs
@@ -14,7 +14,7 @@
     pub name: String,
     /// The API keys, each of which identifies the workspace.
     pub keys: Vec<String>,
-    /// The priority of its requests, which overrides that of the route.
+    /// The priority of its requests, which goes before that of the route.
     pub priority: Option<Priority>,
 }
 
