--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -34,6 +34,8 @@
     pub(crate) id: HeaderValue,
     /// What is known about the execution of the finished attempts: the worst of their outcomes.
     pub(crate) outcome: Outcome,
+    /// The urgency of the current attempt, if its server is an engine that is told one.
+    pub(crate) urgency: Option<usize>,
     attempts: u32,
     /// The time from arrival to the first token.
     first_token: Option<Duration>,
@@ -103,6 +105,7 @@
             lease,
             id,
             outcome,
+            urgency: None,
             attempts: 0,
             first_token: None,
             last_tokens: None,
@@ -292,6 +295,7 @@
             server = %self.lease.server().addr,
             number = self.attempts,
             queued_ms = millis(queued),
+            urgency = self.urgency,
             home_rank = estimate.and_then(|it| it.home_rank),
             prefill_tokens = estimate.map(|it| it.prefill_tokens),
             queued_tokens = estimate.map(|it| it.queued_tokens),
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -92,13 +92,14 @@
             return Err(not_sent("the deadline came before the request was sent"));
         }
         self.call.begin_attempt();
+        self.call.urgency = self.urgency();
         let request = Rc::clone(&self.call.routed.arrival.request);
         let label = self.call.lease.server_label();
         let attempt = AttemptMetadata {
             server: &label,
             time_left,
             workspace: self.workspace(),
-            urgency: self.urgency(),
+            urgency: self.call.urgency,
             last_event: self.last_event,
         };
         let outgoing = ClientRequest {
