--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -94,7 +94,7 @@
     let (_, home) = place(&mut fixture, "chat", prompt(1, SHORT_PREFIX_TOKENS));
     // Drafts with the same home server fill its prefill queue.
     let prefixes: Vec<_> =
-        (100..2_000).filter(|it| home_of(*it) == home_index(&fixture, home)).collect();
+        (100..2_000).filter(|it| home_of(*it) == fixture.server_index(home)).collect();
     for prefix in prefixes.iter().take(12) {
         place(&mut fixture, "draft", prompt(*prefix, LONG_PREFIX_TOKENS));
     }
@@ -132,11 +132,7 @@
 fn home_of(prefix: u64) -> usize {
     let mut idle = fixture(1);
     let (_, home) = place(&mut idle, "draft", prompt(prefix, LONG_PREFIX_TOKENS));
-    home_index(&idle, home)
-}
-
-fn home_index(fixture: &Fixture, key: BackendKey) -> usize {
-    fixture.backends.iter().position(|it| *it == key).expect("the fixture has the server")
+    idle.server_index(home)
 }
 
 /// Guards against mixing chats with a strict target between tokens and drafts with long prompts on
@@ -271,7 +267,7 @@
         lost.insert(server);
     }
     for key in &lost {
-        let name = format!("s{}", home_index(&fixture, *key));
+        let name = format!("s{}", fixture.server_index(*key));
         let entry = fixture.entry(&name, 1);
         fixture.scheduler.backend_gone(fixture.now, &entry);
     }
--- a/crates/policy/tests/support/fixture.rs
+++ b/crates/policy/tests/support/fixture.rs
@@ -73,6 +73,11 @@
         self.scheduler.backend_live(self.now, &entry)
     }
 
+    /// The place of a server in `backends`.
+    pub fn server_index(&self, key: BackendKey) -> usize {
+        self.backends.iter().position(|it| *it == key).expect("the fixture has the server")
+    }
+
     pub fn new_offer(&mut self, class: &str, workspace: &str) -> Offer {
         self.next_hash += 1;
         Offer {
--- a/crates/policy/tests/urgent_prompts.rs
+++ b/crates/policy/tests/urgent_prompts.rs
@@ -10,8 +10,8 @@
 
 use fixture::{Fixture, spec};
 use policy::{
-    BackendKey, ClassSpec, OtherLoad, Pacing, PendingWork, Prompt, PromptPart, RequestPriority,
-    Settings, Ticket, UrgencyScale,
+    ClassSpec, OtherLoad, Pacing, PendingWork, Prompt, PromptPart, RequestPriority, Settings,
+    Ticket, UrgencyScale,
 };
 use prompt_engines::{Job, PREFILL_TOKENS_PER_MS, Progress, PromptEngine, STEP_MS};
 use rand::{RngExt, SeedableRng};
@@ -158,9 +158,10 @@
         let ticket = offered.expect("the queue has room");
         let placed = fixture.poll_dispatches();
         let (_, backend) = placed.iter().find(|it| it.0 == ticket).expect("a slot is free");
-        let server = server_index(fixture, *backend);
+        let server = fixture.server_index(*backend);
         fixture.scheduler.dispatched(ticket, fixture.now);
-        let urgency = urgency(traffic, WORKSPACE_PRIORITIES[self.sent.len() % 4]);
+        let workspace = self.rng.random_range(0..WORKSPACE_PRIORITIES.len());
+        let urgency = urgency(traffic, WORKSPACE_PRIORITIES[workspace]);
         let id = self.sent.len();
         let job = Job { id, urgency, prompt, answer_tokens: traffic.answer_tokens };
         self.engines[server].submit(job);
@@ -269,10 +270,6 @@
     fixture.backends.iter().map(|it| fixture.scheduler.own_work(*it)).collect()
 }
 
-fn server_index(fixture: &Fixture, key: BackendKey) -> usize {
-    fixture.backends.iter().position(|it| *it == key).expect("the fixture has the server")
-}
-
 /// The classes of which a twelfth or more of the requests got no answer, by seed.
 fn unserved_classes(classes: &[&str]) -> Vec<String> {
     let mut unserved = Vec::new();
