Tell a package that does not build from an entry without a test

Cause: if listing the tests of a package of KNOWN-RED.txt fails, the message said that the test is missing. Change: the errors of cargo are shown. Tried by hand with an entry for a part of a test's name (refused as no test) and one for an unknown package (cargo's error is shown).

--- a/xtask/src/tests.rs
+++ b/xtask/src/tests.rs
@@ -31,6 +31,8 @@
         .args(["--quiet", "--package", package, "--", "--list", "--exact", test])
         .output()
         .context("cannot run cargo")?;
+    let errors = String::from_utf8_lossy(&output.stderr);
+    ensure!(output.status.success(), "cannot list the tests of `{package}`: {errors}");
     let listed = String::from_utf8_lossy(&output.stdout);
     let is_listed = listed.lines().any(|it| it.strip_suffix(": test") == Some(test));
     ensure!(
