Log crashes, suspects and quarantined requests with their fingerprint

Nothing was logged when a request became a suspect, was quarantined or was cleared, and an attempt did not say what its failure was taken for. Change: the attempt and refusal lines have the fingerprint, the attempt line the kind of failure; new events server_crashed, request_quarantined and suspect_cleared. Decisions are the same.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,8 @@
 //! 7. [`Scheduler::connection_timed_out`] when an open connection receives nothing within its
 //!    timeout. Each [`Action::Probe`] is answered by [`Scheduler::probe_result`] from a new
 //!    connection.
-//! 8. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other routers
+//! 8. [`Scheduler::take_quarantine_events`] after a poll, for the logs; the events are kept until
+//!    then. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other routers
 //!    of the failure domain. For the leases, each router sends [`Scheduler::claim`] for each server
 //!    to the server's [`leases::owner`], which replies with that router's part of
 //!    [`leases::grant`] for [`Scheduler::set_lease`].
@@ -57,7 +58,7 @@
 pub use backend::{BackendEntry, Health, LoadReport, PendingWork};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use prompt::{Prompt, PromptPart};
-pub use quarantine::{CrashSite, QuarantineEntry};
+pub use quarantine::{CrashSite, QuarantineEntry, QuarantineEvent};
 pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -12,6 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::keys::BackendKey;
+
 /// Number of crashes after which a request is refused.
 pub(crate) const CRASH_LIMIT: usize = 2;
 /// Number of cleared fingerprints that are kept.
@@ -41,6 +43,30 @@
     pub ttl_ms: u64,
 }
 
+/// A change of the quarantine, for logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum QuarantineEvent {
+    /// A server crashed, and the requests that ran on it became suspects.
+    Crashed {
+        /// The server.
+        backend: BackendKey,
+        /// The fingerprints of the requests.
+        suspects: Vec<u64>,
+    },
+    /// A request crashed so many servers that it is refused.
+    Quarantined {
+        /// Its fingerprint.
+        request_hash: u64,
+        /// The crashes that are known.
+        crashes: usize,
+    },
+    /// A suspect completed.
+    Cleared {
+        /// Its fingerprint.
+        request_hash: u64,
+    },
+}
+
 /// A crash to record for one fingerprint.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Crash {
@@ -54,6 +80,8 @@
 pub(crate) struct Quarantine {
     records: BTreeMap<u64, CrashRecord>,
     cleared: BTreeMap<u64, Instant>,
+    /// The changes since they were last taken.
+    events: Vec<QuarantineEvent>,
 }
 
 #[derive(Debug)]
@@ -106,8 +134,10 @@
     }
 
     pub(crate) fn record_completion(&mut self, now: Instant, request_hash: u64, ttl: Duration) {
-        if self.crashes(now, request_hash) < CRASH_LIMIT {
-            self.records.remove(&request_hash);
+        if self.crashes(now, request_hash) < CRASH_LIMIT
+            && self.records.remove(&request_hash).is_some()
+        {
+            self.events.push(QuarantineEvent::Cleared { request_hash });
         }
         if self.cleared.len() >= CLEARED_MAX {
             self.cleared.retain(|_, until| *until > now);
@@ -117,6 +147,15 @@
         }
     }
 
+    /// Adds a change that the scheduler found.
+    pub(crate) fn record_event(&mut self, event: QuarantineEvent) {
+        self.events.push(event);
+    }
+
+    pub(crate) fn take_events(&mut self) -> Vec<QuarantineEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     pub(crate) fn isolation(&self, now: Instant, request_hash: u64) -> Isolation {
         match self.live_record(now, request_hash).map(|it| it.suspicion) {
             None => Isolation::None,
@@ -158,9 +197,14 @@
         if record.expires <= now {
             record.crashes.clear();
         }
+        let known = record.crashes.len();
         record.crashes.extend(sites);
         record.crashes.sort();
         record.crashes.dedup();
+        let crashes = record.crashes.len();
+        if known < CRASH_LIMIT && crashes >= CRASH_LIMIT {
+            self.events.push(QuarantineEvent::Quarantined { request_hash, crashes });
+        }
         record.expires = record.expires.max(expires);
         record.suspicion = record.suspicion.max(suspicion);
     }
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -6,7 +6,7 @@
 use crate::{
     backend::Health,
     keys::{BackendKey, Ticket},
-    quarantine::QuarantineEntry,
+    quarantine::{QuarantineEntry, QuarantineEvent},
     request::Phase,
 };
 
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The changes of the quarantine since the last call, for logs.
+    pub fn take_quarantine_events(&mut self) -> Vec<QuarantineEvent> {
+        self.quarantine.take_events()
+    }
+
     fn cancel_other_attempt(&mut self, other_attempt: Ticket) {
         let Some(attempt) = self.end_attempt(other_attempt) else {
             self.remove_from_queue(other_attempt);
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -8,7 +8,7 @@
 use crate::{
     backend::Health,
     keys::{BackendKey, Ticket},
-    quarantine::{CRASH_LIMIT, Crash, CrashSite, Suspicion},
+    quarantine::{CRASH_LIMIT, Crash, CrashSite, QuarantineEvent, Suspicion},
     request::{Attempt, Offer, Phase, Repeat, Request},
     retry::{Execution, Failure, GiveUp, Outcome, RetryDecision},
 };
@@ -180,7 +180,12 @@
         if backend.incarnation == attempt.incarnation {
             self.mark_down(attempt.backend, now);
         }
-        for (hash, suspicion) in self.suspects_on(attempt) {
+        let suspects = self.suspects_on(attempt);
+        self.quarantine.record_event(QuarantineEvent::Crashed {
+            backend: attempt.backend,
+            suspects: suspects.iter().map(|it| it.0).collect(),
+        });
+        for (hash, suspicion) in suspects {
             let crash = Crash { site, suspicion, ttl: self.settings.quarantine_ttl };
             self.quarantine.record_crash(now, hash, crash);
         }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -90,7 +90,7 @@
             pin_mut!(lease, disconnected);
             select_biased! {
                 lease = lease => lease.map_err(|it| {
-                    log_refusal(&services, &routed, it);
+                    log_refusal(&services, &routed, dispatch_request.request_hash, it);
                     refusals::from_refusal(it, Outcome::NotRun)
                 })?,
                 () = disconnected => return Err(caller_disconnected()),
@@ -232,7 +232,7 @@
     /// # Errors
     /// If the request is not retried; the error is the answer to the caller.
     pub(crate) async fn retry(&mut self, error: AttemptError) -> Result<(), Failure> {
-        self.log_attempt("failed", &error.detail);
+        self.log_attempt("failed", Some(&error));
         self.outcome = worse(self.outcome, error.outcome());
         self.is_attempt_in_flight = false;
         if error.execution != Execution::NotRun && self.needs_engine_cancel() {
@@ -252,7 +252,7 @@
                 })
             }
             RetryResult::Refused(refusal) => {
-                log_refusal(&self.services, &self.routed, refusal);
+                log_refusal(&self.services, &self.routed, self.lease.request_hash(), refusal);
                 Err(refusals::from_refusal(refusal, self.outcome))
             }
         }
@@ -260,28 +260,28 @@
 
     /// Ends the call after the complete answer arrived.
     pub(crate) fn finish(self, tokens: u32) {
-        self.log_attempt("whole", "");
+        self.log_attempt("whole", None);
         self.services.metrics.add_tokens(self.labels(), tokens);
         self.lease.finished(tokens);
     }
 
     /// Ends the call after a failed attempt that cannot be retried.
     pub(crate) fn give_up(self, error: &AttemptError) {
-        self.log_attempt("failed", &error.detail);
+        self.log_attempt("failed", Some(error));
         self.lease.failed(error.failure, error.execution);
     }
 
     /// Ends the call because the caller no longer waits for the answer.
     pub(crate) fn abandon(self) {
         if self.is_attempt_in_flight {
-            self.log_attempt("abandoned", "");
+            self.log_attempt("abandoned", None);
         }
         if self.attempts > 0 && self.needs_engine_cancel() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
     }
 
-    fn log_attempt(&self, result: &str, detail: &str) {
+    fn log_attempt(&self, result: &str, error: Option<&AttemptError>) {
         self.services.metrics.record_attempt(self.labels(), result);
         let queued = self.started.saturating_duration_since(self.routed.arrival.arrived);
         let estimate = self.lease.placement_estimate();
@@ -293,6 +293,7 @@
             request_id = %self.routed.arrival.id,
             class = %self.routed.route().class,
             server = %self.lease.server().addr,
+            fingerprint = %fingerprint(self.lease.request_hash()),
             number = self.attempts,
             queued_ms = millis(queued),
             urgency = self.urgency,
@@ -304,13 +305,14 @@
             pause_ms = self.first_token.map(|_| millis(self.longest_gap)),
             took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
             result,
-            detail,
+            failure = error.map(|it| tracing::field::debug(it.failure)),
+            detail = error.map_or("", |it| &it.detail),
         );
     }
 }
 
 /// Logs a refusal with the inputs of the decision.
-fn log_refusal(services: &Services, routed: &Routed, refusal: Refusal) {
+fn log_refusal(services: &Services, routed: &Routed, request_hash: u64, refusal: Refusal) {
     let (pool, class) = (&routed.pool().name, &routed.route().class);
     let queue = services.dispatcher.queue_snapshot(pool, class);
     tracing::info!(
@@ -319,6 +321,7 @@
         class,
         pool,
         reason = ?refusal.reason,
+        fingerprint = %fingerprint(request_hash),
         retry_after_ms = millis(refusal.retry_after),
         waiting = queue.waiting,
         tokens_ahead = queue.tokens_ahead,
@@ -344,6 +347,11 @@
     }
 }
 
+/// A fingerprint as logs show it.
+pub(crate) fn fingerprint(request_hash: u64) -> String {
+    format!("{request_hash:016x}")
+}
+
 /// The hash of the path and body of a request; a resend has the same.
 pub(crate) fn request_hash(path: &str, body: &[u8]) -> u64 {
     xxh3_64(body) ^ xxh3_64(path.as_bytes()).rotate_left(1)
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -83,6 +83,12 @@
         self.server.expect("a lease is returned only after a server was assigned")
     }
 
+    /// The fingerprint of the request, by which a request that crashes servers is recognized.
+    #[must_use]
+    pub fn request_hash(&self) -> u64 {
+        self.offer.request_hash
+    }
+
     /// The name that the backend server reports of itself; empty if it has none.
     #[must_use]
     pub fn server_label(&self) -> Rc<str> {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -19,7 +19,7 @@
 use monoio::time;
 use policy::{
     Action, ClassSpec, LoadReport, Offer, Pausing, PendingWork, PoolSpec, ProbeResult,
-    QueueSnapshot, Refusal, Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
+    QuarantineEvent, QueueSnapshot, Refusal, Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
@@ -27,11 +27,17 @@
     Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, ServerClaim, ServerStatus,
     UNKNOWN_REFUSAL, locality::Locality, revision_number, server_list::ServerList,
 };
-use crate::identity::{ANONYMOUS, Workspaces};
+use crate::{
+    call::fingerprint,
+    identity::{ANONYMOUS, Workspaces},
+};
 
 /// The scheduler counts priorities upwards, while in the tables 0 is the most urgent.
 const SCHEDULER_PRIORITY_MAX: u8 = u8::MAX;
 
+/// The number of suspects of a crash that the log names.
+const LOGGED_SUSPECTS_MAX: usize = 16;
+
 /// The result that a queued request receives.
 pub(super) type Placement = Result<Server, Refusal>;
 
@@ -313,6 +319,7 @@
             (None, _) => false,
         };
         let probes = std::mem::take(&mut state.probes);
+        state.log_quarantine();
         drop(state);
         for server in probes {
             self.start_probe(server);
@@ -371,6 +378,37 @@
 }
 
 impl State {
+    fn log_quarantine(&mut self) {
+        for event in self.scheduler.take_quarantine_events() {
+            let pool = &self.pool;
+            match event {
+                QuarantineEvent::Crashed { backend, suspects } => {
+                    let server = self.servers.find_by_key(backend).map(|it| it.addr.to_string());
+                    let named = suspects.iter().take(LOGGED_SUSPECTS_MAX);
+                    let fingerprints: Vec<_> = named.map(|it| fingerprint(*it)).collect();
+                    tracing::info!(
+                        event = "server_crashed",
+                        pool,
+                        server,
+                        suspects = suspects.len(),
+                        fingerprints = fingerprints.join(","),
+                    );
+                }
+                QuarantineEvent::Quarantined { request_hash, crashes } => tracing::warn!(
+                    event = "request_quarantined",
+                    pool,
+                    fingerprint = %fingerprint(request_hash),
+                    crashes,
+                ),
+                QuarantineEvent::Cleared { request_hash } => tracing::info!(
+                    event = "suspect_cleared",
+                    pool,
+                    fingerprint = %fingerprint(request_hash),
+                ),
+            }
+        }
+    }
+
     fn send_control(&self, ticket: Ticket, control: Control) {
         if let Some(relay) = self.controls.get(&ticket) {
             // Sending fails if the relay has ended; then no control is needed.
