--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -18,6 +18,7 @@
     ChangeId, Command as LogCommand, Document, DocumentAnswer, ProposeTables, Response,
     TablesAnswer,
 };
+use dissemination::{Digest, Summary, decode_digest, encode_summary};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, Connection, FetchedDocument, TablesUpdate, dial};
 use rustix::process::{Pid, Signal, kill_process};
@@ -253,6 +254,15 @@
         });
     }
 
+    /// Sends a router's summary to a node once and returns the digest.
+    pub(crate) fn exchange(&self, node: usize, summary: &Summary) -> Option<Digest> {
+        run(async {
+            let connection = self.connect(node).await?;
+            let digest = connection.client.exchange(&encode_summary(summary)).await.ok()?;
+            decode_digest(&digest).ok()
+        })
+    }
+
     async fn connect(&self, node: usize) -> Option<Connection> {
         let counters = ByteCounters::default();
         dial(self.addr(node), Duration::from_millis(500), &counters).await.ok()
