Count a crash over a kept connection as one

Cause: a cut after the request was sent on a reused connection was taken for a server that closed an idle connection, which indicates nothing about the server. Neither the probe nor the quarantine heard of it, and nearly all requests go over kept connections. Fix: only a cut before any byte was sent is taken for an idle close. Any other cut is a reset, which counts as a crash if a probe on a new connection finds the server dead; the server that only closed its idle connection answers the probe, so the request is tried again as before. Evidence: kept_connections, kept_connections_of_orders and kept_connections_of_streams (platform, crashing_requests) failed before with 8, 9 and 9 servers, bound 3, and pass. closed_connections holds what the fix must not do.

--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -112,10 +112,8 @@
         (_, FailureKind::HeadTimeout | FailureKind::IdleTimeout | FailureKind::WriteTimeout) => {
             Failure::Timeout
         }
-        // A server may close an idle connection at any time, which does not indicate a crash.
-        (Stage::NothingSent | Stage::Sent, FailureKind::Io(_) | FailureKind::CutShort)
-            if error.reused =>
-        {
+        // The server closed an idle connection before anything reached it.
+        (Stage::NothingSent, FailureKind::Io(_) | FailureKind::CutShort) if error.reused => {
             Failure::Other
         }
         (_, FailureKind::Io(_) | FailureKind::CutShort) => Failure::Reset,
