Share one probe of a server among the requests that wait for it

Cause: each request that a server cut off probed the server on a connection of its own, and so did the scheduler; a server that crashes with 64 requests was probed as often. Change: a probe of a server that is under way is awaited rather than repeated, and ends even if no request waits for it any more. The log line of a probe is an event like the others (`event=probed`), as OPERATIONS.md had it.

--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -179,9 +179,7 @@
     pub async fn probe(&self) -> ProbeResult {
         let server = self.server();
         self.dispatcher.apply(|scheduler, now| scheduler.connection_timed_out(server.key, now));
-        let result = self.dispatcher.probe(server).await;
-        self.dispatcher.report_probe_result(server, result);
-        result
+        self.dispatcher.probe(server).await
     }
 
     /// Downgrades a connection reset to another failure if the server still answers a probe.
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -13,12 +13,12 @@
 use futures::{
     FutureExt, StreamExt,
     channel::{mpsc, oneshot},
-    future::LocalBoxFuture,
+    future::{LocalBoxFuture, Shared},
     pin_mut, select_biased,
 };
 use monoio::time;
 use policy::{
-    Action, ClassSpec, LoadReport, Offer, Pausing, PendingWork, PoolSpec, ProbeResult,
+    Action, BackendKey, ClassSpec, LoadReport, Offer, Pausing, PendingWork, PoolSpec, ProbeResult,
     QuarantineEvent, QueueSnapshot, Refusal, Scheduler, Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
@@ -63,8 +63,13 @@
     health_path: String,
     /// Servers that are to be probed.
     probes: Vec<Server>,
+    /// The probes under way, which all requests that wait for the result share.
+    probing: BTreeMap<BackendKey, SharedProbe>,
 }
 
+/// A probe whose result several requests wait for.
+type SharedProbe = Shared<LocalBoxFuture<'static, ProbeResult>>;
+
 impl PoolDispatcher {
     /// Creates a dispatcher whose timers run until it is dropped.
     pub(super) fn start(
@@ -85,6 +90,7 @@
             armed: None,
             health_path: String::new(),
             probes: Vec::new(),
+            probing: BTreeMap::new(),
         };
         let dispatcher =
             Rc::new(PoolDispatcher { state: RefCell::new(state), clock, prober, rearm });
@@ -322,7 +328,7 @@
         state.log_quarantine();
         drop(state);
         for server in probes {
-            self.start_probe(server);
+            drop(self.probe(server));
         }
         if is_sooner {
             // If the channel is full, the timer task is about to rearm anyway.
@@ -356,25 +362,33 @@
         }
     }
 
-    fn start_probe(self: &Rc<Self>, server: Server) {
-        let (dispatcher, probe) = (Rc::downgrade(self), self.probe(server));
-        monoio::spawn(async move {
+    /// Probes the health of a server on a new connection and reports the result to the scheduler.
+    /// While a probe of the server is under way, its result is awaited instead.
+    pub(super) fn probe(self: &Rc<Self>, server: Server) -> SharedProbe {
+        if let Some(probe) = self.state.borrow().probing.get(&server.key) {
+            return probe.clone();
+        }
+        let probe = self.prober.probe(&self.probe_target(server));
+        let dispatcher = Rc::downgrade(self);
+        let probe = async move {
             let result = probe.await;
             if let Some(dispatcher) = dispatcher.upgrade() {
+                dispatcher.state.borrow_mut().probing.remove(&server.key);
                 dispatcher.report_probe_result(server, result);
             }
-        });
+            result
+        };
+        let probe = probe.boxed_local().shared();
+        self.state.borrow_mut().probing.insert(server.key, probe.clone());
+        // The probe ends even if no request waits for it any more.
+        monoio::spawn(probe.clone());
+        probe
     }
 
-    pub(super) fn report_probe_result(self: &Rc<Self>, server: Server, result: ProbeResult) {
-        tracing::info!(server = %server.addr, ?result, "probed");
+    fn report_probe_result(self: &Rc<Self>, server: Server, result: ProbeResult) {
+        tracing::info!(event = "probed", server = %server.addr, ?result);
         self.apply_and_run(|scheduler, now| scheduler.probe_result(server.key, now, result));
     }
-
-    /// Probes the health of a server on a new connection.
-    pub(super) fn probe(&self, server: Server) -> LocalBoxFuture<'static, ProbeResult> {
-        self.prober.probe(&self.probe_target(server))
-    }
 }
 
 impl State {
