Count the crash of a server within a stream that can't be resumed

Callers saw: a stream that crashes its engine after some events crashed another one with each resend. Cause: such a stream is given up with a fresh error that indicates nothing about the server; the failure that ended it was dropped. A stream that ended for good was also recorded as a crash without a probe. Fix: the error that broke the stream is kept to its end, and an attempt that is given up is verified by a probe like one that is tried again.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -266,9 +266,9 @@
     }
 
     /// Ends the call after a failed attempt that cannot be retried.
-    pub(crate) fn give_up(self, error: &AttemptError) {
+    pub(crate) async fn give_up(self, error: &AttemptError) {
         self.log_attempt("failed", Some(error));
-        self.lease.failed(error.failure, error.execution);
+        self.lease.failed(error.failure, error.execution).await;
     }
 
     /// Ends the call because the caller no longer waits for the answer.
--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -159,7 +159,10 @@
                     .services
                     .backends
                     .cancel(self.engine.call.lease.server().addr, &self.engine.call.id);
-                self.engine.call.give_up(&AttemptError { execution: Execution::Ran, ..error });
+                self.engine
+                    .call
+                    .give_up(&AttemptError { execution: Execution::Ran, ..error })
+                    .await;
             }
         }
     }
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -136,8 +136,10 @@
         self.end(Outcome::Complete { tokens });
     }
 
-    /// Ends the lease after a failed attempt that is not retried.
-    pub fn failed(self, failure: Failure, execution: Execution) {
+    /// Ends the lease after a failed attempt that is not retried. As for [`Lease::retry`], a probe
+    /// decides whether a reset connection counts as a crash.
+    pub async fn failed(self, failure: Failure, execution: Execution) {
+        let failure = self.verify_failure(failure).await;
         self.end(Outcome::Failed(failure, execution));
     }
 
@@ -184,10 +186,11 @@
 
     /// Downgrades a connection reset to another failure if the server still answers a probe.
     async fn verify_failure(&self, failure: Failure) -> Failure {
-        match failure {
-            Failure::Reset if self.probe().await != ProbeResult::Dead => Failure::Other,
-            _ => failure,
+        if failure != Failure::Reset {
+            return failure;
         }
+        let result = self.probe().await;
+        reset_failure(result)
     }
 
     fn end(mut self, outcome: Outcome) {
@@ -206,3 +209,11 @@
         }
     }
 }
+
+/// What a reset connection indicates, given the result of the probe after it.
+fn reset_failure(result: ProbeResult) -> Failure {
+    match result {
+        ProbeResult::Dead => Failure::Reset,
+        ProbeResult::Alive | ProbeResult::AliveAs { .. } => Failure::Other,
+    }
+}
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -51,7 +51,7 @@
 enum RelayEnd {
     Complete,
     /// It broke and no server can resume it.
-    Broken(String),
+    Broken(AttemptError),
     CallerDisconnected,
 }
 
@@ -130,13 +130,10 @@
             // Sending the end fails only if the caller has just disconnected.
             let _ = sender.finish().await;
         }
-        Completion::Done(RelayEnd::Broken(detail)) => {
-            let error = AttemptError::in_doubt(detail);
-            relayed.call.give_up(&error);
-        }
+        Completion::Done(RelayEnd::Broken(error)) => relayed.call.give_up(&error).await,
         Completion::DeadlinePassed => {
             let error = AttemptError::in_doubt("the deadline came within the stream");
-            relayed.call.give_up(&error);
+            relayed.call.give_up(&error).await;
         }
         Completion::Done(RelayEnd::CallerDisconnected) | Completion::CallerDisconnected => {
             relayed.call.abandon()
@@ -161,7 +158,7 @@
             Ok(None) => return RelayEnd::Complete,
             Err(error) => match resume(relayed, error).await {
                 Ok(resumed) => *source = resumed,
-                Err(detail) => return RelayEnd::Broken(detail),
+                Err(error) => return RelayEnd::Broken(error),
             },
         }
         next = relayed.next_event(source).await;
@@ -173,13 +170,18 @@
 
 /// Resumes the stream after the last relayed event at another server, retrying while the
 /// scheduler allows it.
-async fn resume(relayed: &mut RelayedCall, error: AttemptError) -> Result<EventSource, String> {
+async fn resume(
+    relayed: &mut RelayedCall,
+    error: AttemptError,
+) -> Result<EventSource, AttemptError> {
     if relayed.call.routed.route().exchange != Exchange::ResumableEvents {
-        return Err(error.detail);
+        return Err(error);
     }
     let mut error = error;
     loop {
-        relayed.call.retry(error).await.map_err(|it| it.to_string())?;
+        // The scheduler already knows the failure of an attempt that it does not retry.
+        let retried = relayed.call.retry(error).await;
+        retried.map_err(|it| AttemptError::in_doubt(it.to_string()))?;
         match relayed.send().await {
             Ok(response) if is_stream(&response) => {
                 tracing::info!(
