Count a crash whose caller has given up before it is verified

Callers saw: a request with a short deadline, or one whose caller hangs up, crashed another server with each resend. Cause: a reset counts as a crash once a probe confirms it. If the caller's deadline passed meanwhile, the request was cancelled at the scheduler, so that it was no suspect when the probe ended. Fix: a request that is dropped while its failure is verified ends when the probe has ended. Evidence: impatient_caller (platform, crashing_requests) failed before with 8 crashed servers, bound 3, and passes. The caller is answered at once, as before.

--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -21,6 +21,8 @@
     offer: Offer,
     server: Option<Server>,
     controls: Option<mpsc::UnboundedReceiver<Control>>,
+    /// What the failed attempt proves about the execution, while a probe verifies its failure.
+    verifying: Option<Execution>,
     is_open: bool,
 }
 
@@ -52,7 +54,7 @@
 impl Lease {
     pub(super) fn new(dispatcher: Rc<PoolDispatcher>, ticket: Ticket, offer: Offer) -> Lease {
         let controls = Some(dispatcher.register_controls(ticket));
-        Lease { dispatcher, ticket, offer, server: None, controls, is_open: true }
+        Lease { dispatcher, ticket, offer, server: None, controls, verifying: None, is_open: true }
     }
 
     pub(super) async fn wait_for_server(
@@ -138,8 +140,8 @@
 
     /// Ends the lease after a failed attempt that is not retried. As for [`Lease::retry`], a probe
     /// decides whether a reset connection counts as a crash.
-    pub async fn failed(self, failure: Failure, execution: Execution) {
-        let failure = self.verify_failure(failure).await;
+    pub async fn failed(mut self, failure: Failure, execution: Execution) {
+        let failure = self.verify_failure(failure, execution).await;
         self.end(Outcome::Failed(failure, execution));
     }
 
@@ -148,7 +150,7 @@
     ///
     /// A connection that was reset counts as a crash only if the server does not answer a probe.
     pub async fn retry(&mut self, failure: Failure, execution: Execution) -> RetryResult {
-        let failure = self.verify_failure(failure).await;
+        let failure = self.verify_failure(failure, execution).await;
         let outcome = Outcome::Failed(failure, execution);
         // Register first, because the scheduler may dispatch the request within the call below.
         let placed = self.dispatcher.register_waiter(self.ticket);
@@ -185,11 +187,13 @@
     }
 
     /// Downgrades a connection reset to another failure if the server still answers a probe.
-    async fn verify_failure(&self, failure: Failure) -> Failure {
+    async fn verify_failure(&mut self, failure: Failure, execution: Execution) -> Failure {
         if failure != Failure::Reset {
             return failure;
         }
+        self.verifying = Some(execution);
         let result = self.probe().await;
+        self.verifying = None;
         reset_failure(result)
     }
 
@@ -203,13 +207,39 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if self.is_open {
-            self.dispatcher.unregister(self.ticket);
-            self.dispatcher.apply_and_run(|scheduler, _| scheduler.cancelled(self.ticket));
+        if !self.is_open {
+            return;
+        }
+        self.dispatcher.unregister(self.ticket);
+        match self.verifying.zip(self.server) {
+            Some((execution, server)) => {
+                monoio::spawn(end_verified(
+                    Rc::clone(&self.dispatcher),
+                    self.ticket,
+                    server,
+                    execution,
+                ));
+            }
+            None => {
+                self.dispatcher.apply_and_run(|scheduler, _| scheduler.cancelled(self.ticket));
+            }
         }
     }
 }
 
+/// Ends a request whose caller does not wait for the probe that verifies its failure, so that its
+/// crash of the server still counts.
+async fn end_verified(
+    dispatcher: Rc<PoolDispatcher>,
+    ticket: Ticket,
+    server: Server,
+    execution: Execution,
+) {
+    let failure = reset_failure(dispatcher.probe(server).await);
+    let outcome = Outcome::Failed(failure, execution);
+    dispatcher.apply_and_run(|scheduler, now| scheduler.finished(ticket, now, outcome));
+}
+
 /// What a reset connection indicates, given the result of the probe after it.
 fn reset_failure(result: ProbeResult) -> Failure {
     match result {
