Recognize a request that crashes servers by its caller and query too

Cause: the fingerprint was the path and the body. Another caller's completion cleared the suspect, and the quarantine held for all callers; a GET without a body is enough. Requests that differ in their query alone were one request in the same way. Fix: the fingerprint covers the caller, the target with its query and the body, each with its length. What the log of orders keeps is hashed as before.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -12,12 +12,12 @@
 use policy::{Execution, GiveUp, Prompt, Refusal, Repeat};
 use tables::Exchange;
 use telemetry::TraceContext;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     backends::{Attempt, AttemptError, millis},
     class_limits::Permit,
     dispatch::{DispatchRequest, Lease, RetryResult},
+    fingerprint::Fingerprint,
     metrics::{InFlightGuard, Labels},
     outcome::{Code, Failure, Outcome},
     quarantine_exchange, refusals,
@@ -71,12 +71,14 @@
     ) -> Result<Call, Failure> {
         let in_flight = services.metrics.track_in_flight();
         let request = &routed.arrival.request;
+        let target = request.uri.path_and_query().map_or("", |it| it.as_str());
+        let fingerprint = Fingerprint::new(&routed.caller, target, &request.body);
         let dispatch_request = DispatchRequest {
             pool: &routed.pool().name,
             class: &routed.route().class,
             workspace: routed.caller.name(),
             prefix_hash: hints.prefix_hash,
-            request_hash: request_hash(request.uri.path(), &request.body),
+            request_hash: fingerprint.0,
             max_tokens: hints.max_tokens,
             prompt: &hints.prompt,
             repeat: match routed.is_order() {
@@ -90,7 +92,7 @@
             pin_mut!(lease, disconnected);
             select_biased! {
                 lease = lease => lease.map_err(|it| {
-                    log_refusal(&services, &routed, dispatch_request.request_hash, it);
+                    log_refusal(&services, &routed, fingerprint, it);
                     refusals::from_refusal(it, Outcome::NotRun)
                 })?,
                 () = disconnected => return Err(caller_disconnected()),
@@ -252,7 +254,7 @@
                 })
             }
             RetryResult::Refused(refusal) => {
-                log_refusal(&self.services, &self.routed, self.lease.request_hash(), refusal);
+                log_refusal(&self.services, &self.routed, self.lease.fingerprint(), refusal);
                 Err(refusals::from_refusal(refusal, self.outcome))
             }
         }
@@ -293,7 +295,7 @@
             request_id = %self.routed.arrival.id,
             class = %self.routed.route().class,
             server = %self.lease.server().addr,
-            fingerprint = %fingerprint(self.lease.request_hash()),
+            fingerprint = %self.lease.fingerprint(),
             number = self.attempts,
             queued_ms = millis(queued),
             urgency = self.urgency,
@@ -312,7 +314,7 @@
 }
 
 /// Logs a refusal with the inputs of the decision.
-fn log_refusal(services: &Services, routed: &Routed, request_hash: u64, refusal: Refusal) {
+fn log_refusal(services: &Services, routed: &Routed, fingerprint: Fingerprint, refusal: Refusal) {
     let (pool, class) = (&routed.pool().name, &routed.route().class);
     let queue = services.dispatcher.queue_snapshot(pool, class);
     tracing::info!(
@@ -321,7 +323,7 @@
         class,
         pool,
         reason = ?refusal.reason,
-        fingerprint = %fingerprint(request_hash),
+        %fingerprint,
         retry_after_ms = millis(refusal.retry_after),
         waiting = queue.waiting,
         tokens_ahead = queue.tokens_ahead,
@@ -346,13 +348,3 @@
         (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
     }
 }
-
-/// A fingerprint as logs show it.
-pub(crate) fn fingerprint(request_hash: u64) -> String {
-    format!("{request_hash:016x}")
-}
-
-/// The hash of the path and body of a request; a resend has the same.
-pub(crate) fn request_hash(path: &str, body: &[u8]) -> u64 {
-    xxh3_64(body) ^ xxh3_64(path.as_bytes()).rotate_left(1)
-}
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -51,7 +51,7 @@
     pub workspace: &'a str,
     /// Hash of the prompt's prefix; zero for none.
     pub prefix_hash: u64,
-    /// Hash of the path and body of the request; a resend has the same.
+    /// The fingerprint of the request; a resend has the same.
     pub request_hash: u64,
     /// The maximum number of tokens of the answer, if the caller limits them.
     pub max_tokens: Option<u32>,
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -8,6 +8,8 @@
     Refusal, RetryDecision, Ticket,
 };
 
+use crate::fingerprint::Fingerprint;
+
 use super::{
     Server, UNKNOWN_REFUSAL,
     pool_dispatcher::{Placement, PoolDispatcher},
@@ -85,10 +87,9 @@
         self.server.expect("a lease is returned only after a server was assigned")
     }
 
-    /// The fingerprint of the request, by which a request that crashes servers is recognized.
-    #[must_use]
-    pub fn request_hash(&self) -> u64 {
-        self.offer.request_hash
+    /// The fingerprint of the request.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint(self.offer.request_hash)
     }
 
     /// The name that the backend server reports of itself; empty if it has none.
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -28,7 +28,7 @@
     UNKNOWN_REFUSAL, locality::Locality, revision_number, server_list::ServerList,
 };
 use crate::{
-    call::fingerprint,
+    fingerprint::Fingerprint,
     identity::{ANONYMOUS, Workspaces},
 };
 
@@ -399,7 +399,8 @@
                 QuarantineEvent::Crashed { backend, suspects } => {
                     let server = self.servers.find_by_key(backend).map(|it| it.addr.to_string());
                     let named = suspects.iter().take(LOGGED_SUSPECTS_MAX);
-                    let fingerprints: Vec<_> = named.map(|it| fingerprint(*it)).collect();
+                    let fingerprints: Vec<_> =
+                        named.map(|it| Fingerprint(*it).to_string()).collect();
                     tracing::info!(
                         event = "server_crashed",
                         pool,
@@ -411,13 +412,13 @@
                 QuarantineEvent::Quarantined { request_hash, crashes } => tracing::warn!(
                     event = "request_quarantined",
                     pool,
-                    fingerprint = %fingerprint(request_hash),
+                    fingerprint = %Fingerprint(request_hash),
                     crashes,
                 ),
                 QuarantineEvent::Cleared { request_hash } => tracing::info!(
                     event = "suspect_cleared",
                     pool,
-                    fingerprint = %fingerprint(request_hash),
+                    fingerprint = %Fingerprint(request_hash),
                 ),
             }
         }
--- a/crates/router/src/order_call.rs
+++ b/crates/router/src/order_call.rs
@@ -6,9 +6,10 @@
 use http::StatusCode;
 use httpio::server::Reply;
 use monoio::time;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    call::{Call, SchedulingHints, request_hash},
+    call::{Call, SchedulingHints},
     class_limits::Permit,
     order_ledger::{BodyHash, ClaimId, ClaimResult, LedgerError, OrderEnd, OrderKey},
     outcome::{Code, Failure, Outcome},
@@ -148,7 +149,8 @@
 fn body_hash(routed: &Routed) -> BodyHash {
     let request = &routed.arrival.request;
     let target = format!("{} {}", request.method, request.uri);
-    BodyHash(request_hash(&target, &request.body))
+    // The log keeps this hash, so it must stay the same across versions.
+    BodyHash(xxh3_64(&request.body) ^ xxh3_64(target.as_bytes()).rotate_left(1))
 }
 
 fn claim_failure(result: ClaimResult) -> Failure {
