Count the crashes of a request over all routers and control VMs

Callers saw: a request that crashes its servers ended two of them for each router that it came through, 34 through nine routers. Cause: the routers of a platform reported their work at servers only, and dropped the quarantined requests of a digest. A control VM passed work on to the others, but no quarantine. Fix: routers report the requests that ran on servers that crashed, as the routers of other deployments did (one SentToHub serves both). So that no request is refused for another's crash: a suspect that completes is reported as cleared, crashes before the latest known completion do not count at a hub, and a request that has completed before is refused after three crashes, not two.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -28,12 +28,12 @@
     commands::CommandCheck,
     handler::{Handler, Tokens},
     health::ControlHealth,
+    hub_broadcast::HubBroadcast,
     peers::Peers,
     replica::{self, Replica},
     server_feed::ServerFeed,
     state_machine::StateMachine,
     tables_feed::TablesFeed,
-    work_broadcast,
 };
 
 /// How long a graceful stop waits until another member leads.
@@ -191,8 +191,10 @@
         let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
     }
-    let broadcast = work_broadcast::run(replica.clone(), hub.clone(), parts.clock.clone());
-    monoio::spawn(broadcast);
+    let broadcast =
+        HubBroadcast { replica: replica.clone(), hub: hub.clone(), clock: parts.clock.clone() };
+    monoio::spawn(broadcast.clone().send_work());
+    monoio::spawn(broadcast.repeat_quarantine());
     let handler = Handler {
         replica: replica.clone(),
         feed: feed.clone(),
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use consensus::{Message, Peer};
+use dissemination::QuarantineRow;
 use policy::PendingWork;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,8 @@
         /// The servers with pending work.
         rows: Vec<(SocketAddr, PendingWork)>,
     },
+    /// Requests that ran on servers that crashed.
+    Suspects(Vec<QuarantineRow>),
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -17,8 +17,8 @@
 use telemetry::Secret;
 
 use crate::{
-    commands::CommandCheck, envelope::Envelope, replica::Replica, server_feed::ServerFeed,
-    status::StatusReport, tables_feed::TablesFeed,
+    commands::CommandCheck, envelope::Envelope, hub_broadcast, replica::Replica,
+    server_feed::ServerFeed, status::StatusReport, tables_feed::TablesFeed,
 };
 
 /// The longest wait of a long poll, below the timeout of the clients.
@@ -133,7 +133,11 @@
     fn exchange(&self, summary: Vec<u8>) -> Vec<u8> {
         match decode_summary(&summary) {
             Ok(summary) => {
-                encode_digest(&self.hub.borrow_mut().exchange(self.clock.now(), summary))
+                let now = self.clock.now();
+                let digest = self.hub.borrow_mut().exchange(now, summary);
+                let suspects = self.hub.borrow_mut().take_new_suspects(now);
+                hub_broadcast::send_suspects(&self.replica, suspects);
+                encode_digest(&digest)
             }
             Err(err) => {
                 tracing::warn!(event = "summary_refused", %err);
@@ -182,6 +186,9 @@
             Some(Envelope::Work { hub, rows }) => {
                 self.hub.borrow_mut().update_hub_work(self.clock.now(), hub, rows);
             }
+            Some(Envelope::Suspects(rows)) => {
+                self.hub.borrow_mut().merge_hub_suspects(self.clock.now(), rows);
+            }
             None => {
                 tracing::warn!(
                     event = "delivery_refused",
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod envelope;
 mod handler;
 mod health;
+mod hub_broadcast;
 mod log_state;
 mod peers;
 mod replica;
@@ -20,7 +21,6 @@
 mod state_machine;
 mod status;
 mod tables_feed;
-mod work_broadcast;
 
 pub use address_book::{AddressBook, node_id_of};
 pub use bootstrap::{FormatMode, format, format_if_empty};
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -6,12 +6,13 @@
     time::{Duration, Instant},
 };
 
-use policy::{CrashSite, PendingWork, QuarantineEntry};
+use policy::PendingWork;
 
 use crate::{
     Digest, Load, PoolHash, QuarantineRow, RouterIdx, Sender, ServerIdx, ServerLoad,
     ServerObservation, ServerRef, ServerRow, ServerState, ServerWork, Summary, Version,
     grants::{self, Allocation},
+    suspects::Suspects,
     work::WorkReports,
 };
 
@@ -44,7 +45,7 @@
     next_router: u16,
     servers: Vec<Server>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
-    quarantine: BTreeMap<(PoolHash, u64), QuarantineState>,
+    suspects: Suspects,
     work: WorkReports,
 }
 
@@ -62,13 +63,6 @@
     load_version: Version,
 }
 
-#[derive(Debug)]
-struct QuarantineState {
-    crashes: Vec<CrashSite>,
-    expires_at: Instant,
-    version: Version,
-}
-
 impl Hub {
     /// Creates a hub without routers and servers.
     pub fn new(settings: HubSettings) -> Hub {
@@ -81,7 +75,7 @@
             next_router: 0,
             servers: Vec::new(),
             by_addr: BTreeMap::new(),
-            quarantine: BTreeMap::new(),
+            suspects: Suspects::default(),
             work: WorkReports::default(),
         }
     }
@@ -100,7 +94,7 @@
             self.merge_load(load, is_current);
         }
         for row in summary.quarantine {
-            self.merge_quarantine(now, row);
+            self.suspects.merge_from_router(now, self.version, row);
         }
         if let Some(allocation) = self.allocations.get_mut(&router) {
             // Indexes from another epoch refer to other servers.
@@ -131,6 +125,25 @@
         self.work.update_hub(now, hub, rows);
     }
 
+    /// The suspects whose entry has changed through this hub's routers since the last call, for the
+    /// other hubs.
+    pub fn take_new_suspects(&mut self, now: Instant) -> Vec<QuarantineRow> {
+        self.suspects.take_new(now)
+    }
+
+    /// The latest quarantined requests, for other hubs that have missed a change.
+    pub fn quarantined(&self, now: Instant) -> Vec<QuarantineRow> {
+        self.suspects.quarantined(now)
+    }
+
+    /// Merges the suspects reported by another hub.
+    pub fn merge_hub_suspects(&mut self, now: Instant, rows: Vec<QuarantineRow>) {
+        self.version = Version(self.version.0 + 1);
+        for row in rows {
+            self.suspects.merge(now, self.version, row);
+        }
+    }
+
     /// The names of the live routers.
     pub fn routers(&self) -> impl Iterator<Item = &str> {
         self.routers.values().map(|it| it.name.as_str())
@@ -151,7 +164,7 @@
             self.allocations.retain(|idx, _| routers.contains_key(idx));
             self.routers_version = self.version;
         }
-        self.quarantine.retain(|_, it| it.expires_at > now);
+        self.suspects.expire(now);
     }
 
     /// The index of the sender of a summary; a router with a new name is added.
@@ -238,21 +251,6 @@
         }
     }
 
-    /// Merges an entry by the union of the crash sites, as the routers do.
-    fn merge_quarantine(&mut self, now: Instant, row: QuarantineRow) {
-        let expires_at = now + Duration::from_millis(row.entry.ttl_ms);
-        let version = self.version;
-        let entry = self.quarantine.entry((row.pool, row.entry.request_hash));
-        let entry = entry.or_insert(QuarantineState { crashes: Vec::new(), expires_at, version });
-        for site in row.entry.crashes {
-            if !entry.crashes.contains(&site) {
-                entry.crashes.push(site);
-                entry.version = version;
-            }
-        }
-        entry.expires_at = entry.expires_at.max(expires_at);
-    }
-
     /// The index of the server at `addr`; an unknown server is added as live, without slots.
     fn find_or_add_server(&mut self, addr: SocketAddr) -> ServerIdx {
         if let Some(idx) = self.by_addr.get(&addr) {
@@ -286,7 +284,6 @@
         let work = self.others_work(now, router);
         let loads = self.servers.iter().filter(|it| it.load_version > held);
         let rows = self.servers.iter().filter(|it| it.row_version > held);
-        let quarantine = self.quarantine.iter().filter(|(_, it)| it.version > held);
         Digest {
             epoch: self.settings.epoch,
             version: self.version,
@@ -296,7 +293,7 @@
             loads: loads
                 .map(|it| ServerLoad { server: ServerRef::Idx(it.row.idx), load: it.load })
                 .collect(),
-            quarantine: quarantine.map(|(key, it)| it.row(now, *key)).collect(),
+            quarantine: self.suspects.quarantined_since(now, held),
             grants,
             work,
         }
@@ -306,11 +303,3 @@
         self.routers.iter().map(|(idx, it)| (idx.0, it.name.clone())).collect()
     }
 }
-
-impl QuarantineState {
-    fn row(&self, now: Instant, (pool, request_hash): (PoolHash, u64)) -> QuarantineRow {
-        let ttl_ms = self.expires_at.saturating_duration_since(now).as_millis() as u64;
-        let entry = QuarantineEntry { request_hash, crashes: self.crashes.clone(), ttl_ms };
-        QuarantineRow { pool, entry }
-    }
-}
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -11,6 +11,7 @@
 mod member;
 mod owner;
 mod rows;
+mod suspects;
 mod wire;
 mod work;
 
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -76,7 +76,7 @@
     /// Servers of the tables and of the platform's list that are new or have changed.
     #[serde(rename = "sightings")]
     pub observations: Vec<ServerObservation>,
-    /// Quarantined request fingerprints that are new or extended at this router.
+    /// Suspects of crashes that are new, have new crash sites or have been cleared at this router.
     pub quarantine: Vec<QuarantineRow>,
     /// The current demand by pool.
     pub demand: Vec<Demand>,
@@ -103,7 +103,7 @@
     pub servers: Vec<ServerRow>,
     /// Loads that have changed.
     pub loads: Vec<ServerLoad>,
-    /// Quarantine entries that are new or have new crash sites.
+    /// Requests that are to be refused and are new or have new crash sites.
     pub quarantine: Vec<QuarantineRow>,
     /// The slots that the recipient may hold until the next exchange.
     pub grants: Vec<Slots>,
@@ -191,7 +191,7 @@
     pub step_100us: u16,
 }
 
-/// A quarantined request, which crashed backend servers of a pool.
+/// A request that ran on servers of a pool that crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct QuarantineRow {
--- /dev/null
+++ b/crates/dissemination/tests/crash_suspects.rs
@@ -0,0 +1,117 @@
+//! Checks which requests the hubs pass on to routers as quarantined: those that crashed servers
+//! under several routers, and none that ran on a crashed server by chance.
+
+use std::time::{Duration, Instant};
+
+use dissemination::{Hub, HubSettings, MemberState, PoolHash, QuarantineRow, Summary};
+use policy::{CrashSite, QuarantineEntry};
+
+const REQUEST_HASH: u64 = 7;
+
+/// Two hubs with a router each. The hubs pass new suspects on at once.
+struct World {
+    now: Instant,
+    hubs: [Hub; 2],
+    routers: [MemberState; 2],
+}
+
+impl World {
+    fn new() -> World {
+        let hub = |epoch| Hub::new(HubSettings { epoch, ..HubSettings::default() });
+        let routers = ["router-1", "router-2"].map(MemberState::new);
+        World { now: Instant::now(), hubs: [hub(1), hub(2)], routers }
+    }
+
+    /// Exchanges with the router's own hub; returns what it sends as quarantined.
+    fn exchange(&mut self, router: usize, rows: Vec<QuarantineRow>) -> Vec<QuarantineRow> {
+        let summary = Summary { quarantine: rows, ..self.routers[router].empty_summary() };
+        let digest = self.hubs[router].exchange(self.now, summary);
+        let new = self.hubs[router].take_new_suspects(self.now);
+        self.hubs[1 - router].merge_hub_suspects(self.now, new);
+        self.routers[router].apply_digest(digest)
+    }
+
+    /// Reports a suspect and returns whether either hub sends it as quarantined afterwards.
+    fn report(&mut self, router: usize, row: QuarantineRow) -> bool {
+        self.exchange(router, vec![row]);
+        let quarantined = self.hubs.iter().map(|it| it.quarantined(self.now).len());
+        let [first, second] = quarantined.collect::<Vec<_>>()[..] else { unreachable!() };
+        assert_eq!(first, second, "both hubs know the same");
+        first > 0
+    }
+}
+
+fn crash(server_hash: u64) -> QuarantineRow {
+    let crashes = vec![CrashSite { server_hash, incarnation: 1, returns: 0 }];
+    row(crashes, None)
+}
+
+fn row(crashes: Vec<CrashSite>, completed_ms_ago: Option<u64>) -> QuarantineRow {
+    let entry =
+        QuarantineEntry { request_hash: REQUEST_HASH, crashes, completed_ms_ago, ttl_ms: 600_000 };
+    QuarantineRow { pool: PoolHash(1), entry }
+}
+
+/// Guards against routers that count only their own crashes of a request.
+#[test]
+fn one_crash_a_router() {
+    let mut world = World::new();
+    assert!(!world.report(0, crash(1)));
+    // The router that reports the second crash is told in the same exchange.
+    for (router, rows) in [(1, vec![crash(2)]), (0, Vec::new())] {
+        let received = world.exchange(router, rows);
+        assert_eq!(received.len(), 1, "router {router} is told");
+        assert_eq!(received[0].entry.crashes.len(), 2);
+        assert_eq!(world.exchange(router, Vec::new()), [], "once");
+    }
+}
+
+/// Guards against messages to all routers about each request that ran on a crashed server.
+#[test]
+fn single_crashes_stay() {
+    let mut world = World::new();
+    world.report(0, crash(1));
+    for router in 0..2 {
+        assert_eq!(world.exchange(router, Vec::new()), []);
+    }
+}
+
+/// Guards against the quarantine of a request that two routers saw on the same crashed server.
+#[test]
+fn same_crash_twice() {
+    let mut world = World::new();
+    assert!(!world.report(0, crash(1)));
+    assert!(!world.report(1, crash(1)));
+}
+
+/// Guards against the quarantine of a request that completed between two crashes that it did not
+/// cause, whichever router it completed at.
+#[test]
+fn completed_between() {
+    let mut world = World::new();
+    world.report(0, crash(1));
+    world.now += Duration::from_secs(5);
+    // The suspect completes at the router that reported it.
+    world.report(0, row(Vec::new(), Some(0)));
+    world.now += Duration::from_secs(5);
+    assert!(!world.report(1, crash(2)));
+    world.now += Duration::from_secs(5);
+    // A request of this fingerprint completed at the other router after the second crash.
+    let CrashSite { incarnation, returns, .. } = crash(3).entry.crashes[0];
+    let site = CrashSite { server_hash: 3, incarnation, returns };
+    assert!(!world.report(1, row(vec![site], Some(2_000))));
+    assert!(!world.report(0, crash(4)), "a request that has completed needs three crashes");
+    assert!(world.report(0, crash(5)));
+}
+
+/// Guards against a quarantine that a late report of a completion lifts.
+#[test]
+fn quarantine_stays() {
+    let mut world = World::new();
+    world.report(0, crash(1));
+    assert!(world.report(1, crash(2)));
+    assert!(world.report(0, row(Vec::new(), Some(0))));
+    world.now += Duration::from_secs(601);
+    world.exchange(0, Vec::new());
+    assert!(world.hubs[0].quarantined(world.now).is_empty(), "until it expires");
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -2,8 +2,9 @@
 //!
 //! A crash makes all requests that ran on the server suspects. A suspect runs on one server at a
 //! time, apart from other suspects as [`Isolation`] requires, so a second crash identifies the
-//! cause. A request that completes is cleared. Entries are exchanged among the routers of a failure
-//! domain and merged by the set of crash sites, so the order of messages does not matter.
+//! cause. A request that completes is cleared, and one that had completed before needs one crash
+//! more. Entries are exchanged among the routers and merged by the set of crash sites, so the order
+//! of messages does not matter.
 
 use std::{
     collections::BTreeMap,
@@ -16,6 +17,10 @@
 
 /// Number of crashes after which a request is refused.
 pub(crate) const CRASH_LIMIT: usize = 2;
+/// Number of crashes after which a request that has completed before is refused.
+const COMPLETED_CRASH_LIMIT: usize = 3;
+/// Time for which the record of a cleared suspect is kept, so that the other routers learn of it.
+const CLEARED_RECORD_TTL: Duration = Duration::from_secs(30);
 /// Number of cleared fingerprints that are kept.
 const CLEARED_MAX: usize = 8_192;
 
@@ -37,12 +42,27 @@
 pub struct QuarantineEntry {
     /// The fingerprint of the request.
     pub request_hash: u64,
-    /// The crashes that happened while it ran.
+    /// The crashes that happened while it ran, none if it has been cleared.
     pub crashes: Vec<CrashSite>,
+    /// Time since it last completed, if it has.
+    pub completed_ms_ago: Option<u64>,
     /// Time until the entry expires.
     pub ttl_ms: u64,
 }
 
+impl QuarantineEntry {
+    /// Whether the request has crashed so many servers that it is refused.
+    #[must_use]
+    pub fn is_quarantined(&self) -> bool {
+        self.crashes.len() >= crash_limit(self.completed_ms_ago.is_some())
+    }
+}
+
+/// The number of crashes after which a request is refused.
+fn crash_limit(has_completed: bool) -> usize {
+    if has_completed { COMPLETED_CRASH_LIMIT } else { CRASH_LIMIT }
+}
+
 /// A change of the quarantine, for logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineEvent {
@@ -86,7 +106,10 @@
 
 #[derive(Debug)]
 struct CrashRecord {
+    /// None if the request was cleared.
     crashes: Vec<CrashSite>,
+    /// When the request last completed, as far as known.
+    completed_at: Option<Instant>,
     expires: Instant,
     suspicion: Suspicion,
 }
@@ -112,15 +135,15 @@
 }
 
 impl Quarantine {
-    /// The number of recorded crashes of the request whose entry has not expired.
-    pub(crate) fn crashes(&self, now: Instant, request_hash: u64) -> usize {
-        self.live_record(now, request_hash).map_or(0, |it| it.crashes.len())
+    /// The number of further crashes after which the request is refused.
+    pub(crate) fn crashes_left(&self, now: Instant, request_hash: u64) -> usize {
+        self.live_record(now, request_hash).map_or(CRASH_LIMIT, CrashRecord::crashes_left)
     }
 
     /// Time until a quarantined request may be offered again, or `None` if it is not quarantined.
     pub(crate) fn remaining(&self, now: Instant, request_hash: u64) -> Option<Duration> {
         let record = self.live_record(now, request_hash)?;
-        (record.crashes.len() >= CRASH_LIMIT).then(|| record.expires - now)
+        record.is_quarantined().then(|| record.expires - now)
     }
 
     /// Whether the request completed recently, so that it may run on any number of servers.
@@ -129,14 +152,24 @@
     }
 
     pub(crate) fn record_crash(&mut self, now: Instant, request_hash: u64, crash: Crash) {
-        self.cleared.remove(&request_hash);
-        self.merge(now, request_hash, &[crash.site], now + crash.ttl, crash.suspicion);
+        let cleared_until = self.cleared.remove(&request_hash);
+        let evidence = Evidence {
+            crashes: &[crash.site],
+            completed_at: cleared_until.and_then(|it| it.checked_sub(crash.ttl)),
+            expires: now + crash.ttl,
+            suspicion: crash.suspicion,
+        };
+        self.merge(now, request_hash, evidence);
     }
 
     pub(crate) fn record_completion(&mut self, now: Instant, request_hash: u64, ttl: Duration) {
-        if self.crashes(now, request_hash) < CRASH_LIMIT
-            && self.records.remove(&request_hash).is_some()
+        if let Some(record) = self.records.get_mut(&request_hash)
+            && record.is_suspect(now)
+            && !record.is_quarantined()
         {
+            record.crashes.clear();
+            record.completed_at = Some(now);
+            record.expires = now + CLEARED_RECORD_TTL;
             self.events.push(QuarantineEvent::Cleared { request_hash });
         }
         if self.cleared.len() >= CLEARED_MAX {
@@ -166,7 +199,7 @@
 
     /// The fingerprints that are currently suspects.
     pub(crate) fn suspects(&self, now: Instant) -> impl Iterator<Item = u64> {
-        self.records.iter().filter(move |it| it.1.expires > now).map(|it| *it.0)
+        self.records.iter().filter(move |it| it.1.is_suspect(now)).map(|it| *it.0)
     }
 
     pub(crate) fn export(&mut self, now: Instant) -> Vec<QuarantineEntry> {
@@ -175,44 +208,82 @@
     }
 
     pub(crate) fn import(&mut self, now: Instant, entry: &QuarantineEntry) {
-        let expires = now + Duration::from_millis(entry.ttl_ms);
+        if entry.crashes.is_empty() {
+            // A suspect that was cleared elsewhere may have crashed a server here since then.
+            return;
+        }
+        let age = entry.completed_ms_ago.map(Duration::from_millis);
+        let evidence = Evidence {
+            crashes: &entry.crashes,
+            completed_at: age.and_then(|it| now.checked_sub(it)),
+            expires: now + Duration::from_millis(entry.ttl_ms),
+            suspicion: Suspicion::Strong,
+        };
         self.cleared.remove(&entry.request_hash);
-        self.merge(now, entry.request_hash, &entry.crashes, expires, Suspicion::Strong);
+        self.merge(now, entry.request_hash, evidence);
     }
 
     fn live_record(&self, now: Instant, request_hash: u64) -> Option<&CrashRecord> {
-        self.records.get(&request_hash).filter(|it| it.expires > now)
+        self.records.get(&request_hash).filter(|it| it.is_suspect(now))
     }
 
-    fn merge(
-        &mut self,
-        now: Instant,
-        request_hash: u64,
-        sites: &[CrashSite],
-        expires: Instant,
-        suspicion: Suspicion,
-    ) {
-        let empty = CrashRecord { crashes: Vec::new(), expires, suspicion };
-        let record = self.records.entry(request_hash).or_insert(empty);
+    fn merge(&mut self, now: Instant, request_hash: u64, evidence: Evidence<'_>) {
+        let Evidence { crashes, completed_at, expires, suspicion } = evidence;
+        let record = self.records.entry(request_hash).or_insert(CrashRecord {
+            crashes: Vec::new(),
+            completed_at: None,
+            expires,
+            suspicion,
+        });
         if record.expires <= now {
             record.crashes.clear();
+            record.completed_at = None;
+        }
+        let was_quarantined = record.is_quarantined();
+        if !was_quarantined {
+            record.completed_at = record.completed_at.max(completed_at);
         }
-        let known = record.crashes.len();
-        record.crashes.extend(sites);
+        record.crashes.extend(crashes);
         record.crashes.sort();
         record.crashes.dedup();
-        let crashes = record.crashes.len();
-        if known < CRASH_LIMIT && crashes >= CRASH_LIMIT {
-            self.events.push(QuarantineEvent::Quarantined { request_hash, crashes });
-        }
         record.expires = record.expires.max(expires);
         record.suspicion = record.suspicion.max(suspicion);
+        if !was_quarantined && record.is_quarantined() {
+            let crashes = record.crashes.len();
+            self.events.push(QuarantineEvent::Quarantined { request_hash, crashes });
+        }
     }
 }
 
+/// What is reported about a request.
+#[derive(Debug, Clone, Copy)]
+struct Evidence<'a> {
+    crashes: &'a [CrashSite],
+    completed_at: Option<Instant>,
+    expires: Instant,
+    suspicion: Suspicion,
+}
+
 impl CrashRecord {
+    fn is_suspect(&self, now: Instant) -> bool {
+        self.expires > now && !self.crashes.is_empty()
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.crashes_left() == 0
+    }
+
+    fn crashes_left(&self) -> usize {
+        crash_limit(self.completed_at.is_some()).saturating_sub(self.crashes.len())
+    }
+
     fn to_entry(&self, now: Instant, request_hash: u64) -> QuarantineEntry {
-        let ttl_ms = (self.expires - now).as_millis() as u64;
-        QuarantineEntry { request_hash, crashes: self.crashes.clone(), ttl_ms }
+        let since = |it: Instant| now.saturating_duration_since(it).as_millis() as u64;
+        QuarantineEntry {
+            request_hash,
+            crashes: self.crashes.clone(),
+            completed_ms_ago: self.completed_at.map(since),
+            ttl_ms: (self.expires - now).as_millis() as u64,
+        }
     }
 }
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -8,7 +8,7 @@
 use crate::{
     backend::Health,
     keys::{BackendKey, Ticket},
-    quarantine::{CRASH_LIMIT, Crash, CrashSite, QuarantineEvent, Suspicion},
+    quarantine::{Crash, CrashSite, QuarantineEvent, Suspicion},
     request::{Attempt, Offer, Phase, Repeat, Request},
     retry::{Execution, Failure, GiveUp, Outcome, RetryDecision},
 };
@@ -107,7 +107,7 @@
         if !is_retryable(request, execution) {
             return Err(GiveUp::NotRetryable);
         }
-        if self.quarantine.crashes(now, offer.request_hash) >= CRASH_LIMIT {
+        if self.quarantine.crashes_left(now, offer.request_hash) == 0 {
             return Err(GiveUp::Quarantined);
         }
         if request.attempts >= class.max_attempts {
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -8,7 +8,7 @@
     pace::Ceiling,
     partition::Side,
     pool::{Contender, Pool, Turn, Urgency},
-    quarantine::{CRASH_LIMIT, Isolation},
+    quarantine::Isolation,
     request::{Phase, Preemption, RefusalReason, Request},
     selection::{Criteria, Selector},
 };
@@ -344,7 +344,7 @@
         if self.quarantine.is_cleared(now, hash) {
             return None;
         }
-        let crashes_left = CRASH_LIMIT.saturating_sub(self.quarantine.crashes(now, hash));
+        let crashes_left = self.quarantine.crashes_left(now, hash);
         let hosts = self.fingerprint_hosts.get(&hash).map_or(&[][..], Vec::as_slice);
         (hosts.len() >= crashes_left).then(|| hosts.iter().map(|it| it.0).collect())
     }
--- a/crates/policy/tests/crashing_request.rs
+++ b/crates/policy/tests/crashing_request.rs
@@ -127,3 +127,45 @@
     fixture.now += refusal.retry_after;
     assert!(offer(&mut fixture, CRASHING_HASH).is_some());
 }
+
+/// Guards against the refusal of a request that is asked for often and was on two crashed servers by
+/// chance: one that has completed before is refused after a third crash only.
+#[test]
+fn completed_before() {
+    let mut fixture = fixture(11);
+    let mut refused_after = 0;
+    for round in 0..4 {
+        let Some(ticket) = offer(&mut fixture, CRASHING_HASH) else { break };
+        let mut running = fixture.poll_dispatches();
+        if round == 0 {
+            fixture.finish(ticket);
+            continue;
+        }
+        let server = running[0].1;
+        crash(&mut fixture, server, &mut running);
+        fixture.scheduler.cancelled(ticket);
+        refused_after = round;
+    }
+    assert_eq!(refused_after, 3);
+    assert!(offer(&mut fixture, CRASHING_HASH).is_none());
+}
+
+/// Guards against other routers that keep a suspect whose request has completed here.
+#[test]
+fn cleared_suspect_exported() {
+    let mut fixture = fixture(5);
+    let ticket = offer(&mut fixture, CRASHING_HASH).expect("no crash is recorded yet");
+    let mut running = fixture.poll_dispatches();
+    let server = running[0].1;
+    crash(&mut fixture, server, &mut running);
+    let crashes = |fixture: &mut Fixture| {
+        let entries = fixture.scheduler.export_quarantine(fixture.now);
+        entries.iter().map(|it| (it.crashes.len(), it.completed_ms_ago)).collect::<Vec<_>>()
+    };
+    assert_eq!(crashes(&mut fixture), [(1, None)]);
+    fixture.advance(60);
+    fixture.poll_dispatches();
+    fixture.finish(ticket);
+    fixture.advance(10);
+    assert_eq!(crashes(&mut fixture), [(0, Some(10))]);
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -358,7 +358,7 @@
     let is_owned: ServerFilter = match (&components.interface, &components.link) {
         (Interface::Relayed(_), None) => return,
         (Interface::Relayed(_), Some(link)) => {
-            start_domain(Rc::new(WorkMember { services, tables }), link);
+            start_domain(Rc::new(WorkMember::new(services, tables)), link);
             return;
         }
         (Interface::Native, None) => Rc::new(|_| true),
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -5,8 +5,7 @@
 //! from the other routers, and the slots that are granted to it.
 
 use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -15,8 +14,8 @@
 use control_client::DomainMember;
 use directory::{ListedVm, VmState};
 use dissemination::{
-    Demand, Load, MemberState, PoolHash, QuarantineRow, Sender, ServerLoad, ServerObservation,
-    ServerRow, ServerState, Slots, Summary,
+    Demand, Load, MemberState, PoolHash, QuarantineRow, ServerLoad, ServerObservation, ServerRow,
+    ServerState, Slots, Summary,
 };
 use policy::LoadReport;
 use tables::{Discovery, Pool, Tables};
@@ -24,6 +23,7 @@
 use crate::{
     dispatch::ServerClaim,
     load_reports::{LoadReading, LoadReadings},
+    sent_state::SentToHub,
     services::Services,
     table_source::TableSource,
 };
@@ -43,19 +43,7 @@
     services: Rc<Services>,
     tables: Rc<dyn TableSource>,
     readings: LoadReadings,
-    /// The state as of the last summary that the hub has answered.
-    acknowledged: RefCell<SentState>,
-    /// The state as of the last summary, which the hub has not answered yet. Without an answer it
-    /// is sent again.
-    pending: RefCell<SentState>,
-}
-
-/// The state that was sent to the hub since it started.
-#[derive(Debug, Clone, Default)]
-struct SentState {
-    epoch: u64,
-    observations: BTreeMap<SocketAddr, ServerObservation>,
-    quarantine: BTreeSet<(PoolHash, u64, usize)>,
+    sent: SentToHub,
 }
 
 impl RouterMember {
@@ -65,17 +53,10 @@
         tables: Rc<dyn TableSource>,
         readings: LoadReadings,
     ) -> RouterMember {
-        RouterMember {
-            services,
-            tables,
-            readings,
-            acknowledged: RefCell::default(),
-            pending: RefCell::default(),
-        }
+        RouterMember { services, tables, readings, sent: SentToHub::default() }
     }
 
     fn new_observations(&self, tables: &Tables) -> Vec<ServerObservation> {
-        let mut pending = self.pending.borrow_mut();
         let mut updates = Vec::new();
         for pool in &tables.pools {
             for status in self.services.dispatcher.server_statuses(&pool.name) {
@@ -88,7 +69,7 @@
                     pool: PoolHash::of(&pool.name),
                     slots: status.slots.min(u16::MAX.into()) as u16,
                 };
-                if pending.observations.insert(status.addr, observation) != Some(observation) {
+                if self.sent.add_observation(observation) {
                     updates.push(observation);
                 }
             }
@@ -96,20 +77,6 @@
         updates
     }
 
-    fn new_quarantine(&self) -> Vec<QuarantineRow> {
-        let mut pending = self.pending.borrow_mut();
-        let exported = self.services.dispatcher.export_quarantine();
-        let rows = exported.pools.into_iter().flat_map(|(pool, entries)| {
-            let pool = PoolHash::of(&pool);
-            entries.into_iter().map(move |entry| QuarantineRow { pool, entry })
-        });
-        rows.filter(|it| {
-            let crashes = it.entry.crashes.len();
-            pending.quarantine.insert((it.pool, it.entry.request_hash, crashes))
-        })
-        .collect()
-    }
-
     fn loads(&self, state: &MemberState) -> Vec<ServerLoad> {
         let readings = self.readings.take_all();
         let load = |(addr, it): (SocketAddr, LoadReading)| ServerLoad {
@@ -122,18 +89,13 @@
 
 impl DomainMember for RouterMember {
     fn report(&self, state: &MemberState, empty: Summary) -> Summary {
-        // A hub that has restarted or no longer knows this router needs the complete state.
-        let is_known = matches!(empty.from, Sender::Idx(_));
-        if !is_known || self.acknowledged.borrow().epoch != state.epoch() {
-            self.acknowledged.replace(SentState { epoch: state.epoch(), ..SentState::default() });
-        }
-        self.pending.replace(self.acknowledged.borrow().clone());
+        self.sent.begin(state, &empty);
         let tables = self.tables.current();
         let claims = || tables.pools.iter().map(|it| self.services.dispatcher.claims(&it.name));
         Summary {
             loads: self.loads(state),
             observations: self.new_observations(&tables),
-            quarantine: self.new_quarantine(),
+            quarantine: self.sent.new_suspects(&self.services.dispatcher),
             demand: tables.pools.iter().zip(claims()).filter_map(demand).collect(),
             held_slots: claims().flatten().filter_map(|it| held_slots(state, &it)).collect(),
             ..empty
@@ -141,10 +103,11 @@
     }
 
     fn apply_digest(&self, state: &MemberState, sent: Instant, quarantine: &[QuarantineRow]) {
-        self.acknowledged.replace(self.pending.borrow().clone());
+        self.sent.acknowledge();
         let tables = self.tables.current();
         let dispatcher = &self.services.dispatcher;
         let grants: BTreeMap<_, _> = state.grants().collect();
+        self.sent.import(dispatcher, &tables, quarantine);
         for pool in &tables.pools {
             let hash = PoolHash::of(&pool.name);
             let entries: Vec<_> = state.servers().filter(|it| it.row.pool == hash).collect();
@@ -158,9 +121,6 @@
                     dispatcher.grant_slots(&pool.name, addr, (*slots).into(), sent + GRANT_TTL);
                 }
             }
-            let rows = quarantine.iter().filter(|it| it.pool == hash);
-            let entries: Vec<_> = rows.map(|it| it.entry.clone()).collect();
-            dispatcher.import_entries(&pool.name, &entries);
             dispatcher.run_actions(&pool.name);
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -36,6 +36,7 @@
 mod refusals;
 pub mod relay;
 pub mod routing;
+mod sent_state;
 mod service_call;
 pub mod services;
 pub mod settings;
--- /dev/null
+++ b/crates/router/src/sent_state.rs
@@ -0,0 +1,92 @@
+//! What a router has sent to the hub, so that each summary has only what has changed.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, btree_map::Entry},
+    net::SocketAddr,
+};
+
+use dissemination::{MemberState, PoolHash, QuarantineRow, Sender, ServerObservation, Summary};
+use policy::{CrashSite, QuarantineEntry};
+use tables::Tables;
+
+use crate::dispatch::Dispatcher;
+
+/// The state that was sent to the hub since it started.
+#[derive(Debug, Clone, Default)]
+struct SentState {
+    epoch: u64,
+    observations: BTreeMap<SocketAddr, ServerObservation>,
+    /// The crash sites of each suspect.
+    suspects: BTreeMap<(PoolHash, u64), Vec<CrashSite>>,
+}
+
+/// The state that the hub has acknowledged by its answers.
+#[derive(Debug, Default)]
+pub(crate) struct SentToHub {
+    /// The state as of the last summary that the hub has answered.
+    acknowledged: RefCell<SentState>,
+    /// The state as of the last summary, which the hub has not answered yet. Without an answer it
+    /// is sent again.
+    pending: RefCell<SentState>,
+}
+
+impl SentToHub {
+    /// Begins a summary. A hub that has restarted or no longer knows this router needs the complete
+    /// state.
+    pub(crate) fn begin(&self, state: &MemberState, empty: &Summary) {
+        let is_known = matches!(empty.from, Sender::Idx(_));
+        if !is_known || self.acknowledged.borrow().epoch != state.epoch() {
+            self.acknowledged.replace(SentState { epoch: state.epoch(), ..SentState::default() });
+        }
+        self.pending.replace(self.acknowledged.borrow().clone());
+    }
+
+    /// Records that the hub has answered the summary.
+    pub(crate) fn acknowledge(&self) {
+        self.acknowledged.replace(self.pending.borrow().clone());
+    }
+
+    /// Records an observation in the summary; returns whether it is new to the hub.
+    pub(crate) fn add_observation(&self, observation: ServerObservation) -> bool {
+        let mut pending = self.pending.borrow_mut();
+        pending.observations.insert(observation.addr, observation) != Some(observation)
+    }
+
+    /// The suspects that are new to the hub, have new crashes or were cleared.
+    pub(crate) fn new_suspects(&self, dispatcher: &Dispatcher) -> Vec<QuarantineRow> {
+        let exported = dispatcher.export_quarantine();
+        let rows = exported.pools.into_iter().flat_map(|(pool, entries)| {
+            let pool = PoolHash::of(&pool);
+            entries.into_iter().map(move |entry| QuarantineRow { pool, entry })
+        });
+        let known = &mut self.pending.borrow_mut().suspects;
+        rows.filter(|it| is_new(known, it)).collect()
+    }
+
+    /// Quarantines the requests that the hub has sent.
+    pub(crate) fn import(&self, dispatcher: &Dispatcher, tables: &Tables, rows: &[QuarantineRow]) {
+        for pool in &tables.pools {
+            let hash = PoolHash::of(&pool.name);
+            let rows = rows.iter().filter(|it| it.pool == hash);
+            let entries: Vec<QuarantineEntry> = rows.map(|it| it.entry.clone()).collect();
+            dispatcher.import_entries(&pool.name, &entries);
+        }
+    }
+}
+
+fn is_new(known: &mut BTreeMap<(PoolHash, u64), Vec<CrashSite>>, row: &QuarantineRow) -> bool {
+    match known.entry((row.pool, row.entry.request_hash)) {
+        // The hub does not know a suspect that was cleared before it was sent.
+        Entry::Vacant(_) if row.entry.crashes.is_empty() => false,
+        Entry::Vacant(entry) => {
+            entry.insert(row.entry.crashes.clone());
+            true
+        }
+        Entry::Occupied(entry) if *entry.get() == row.entry.crashes => false,
+        Entry::Occupied(mut entry) => {
+            entry.insert(row.entry.crashes.clone());
+            true
+        }
+    }
+}
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -1,35 +1,51 @@
-//! Exchanges the load of backend servers between the routers of a platform, through the control
-//! VMs.
+//! Exchanges state with the other routers of a platform, through the control VMs: the load of
+//! backend servers, and the requests that crash them.
 //!
-//! With many routers, each one causes only a small part of a server's load. So each router reports
-//! the work of its own requests at each server and receives that of all other routers.
+//! With many routers, each one causes only a small part of a server's load, and sees only a few of
+//! the crashes of a request that comes again at any router. So each router reports the work of its
+//! own requests at each server and the requests that ran on servers that crashed. It receives the
+//! work of all other routers and the requests to refuse.
 
 use std::{rc::Rc, time::Instant};
 
 use control_client::DomainMember;
 use dissemination::{MemberState, QuarantineRow, ServerWork, Summary};
 
-use crate::{services::Services, table_source::TableSource};
+use crate::{sent_state::SentToHub, services::Services, table_source::TableSource};
 
-/// This router's side of the exchange of work.
+/// This router's side of the exchange.
 pub(crate) struct WorkMember {
-    pub(crate) services: Rc<Services>,
-    pub(crate) tables: Rc<dyn TableSource>,
+    services: Rc<Services>,
+    tables: Rc<dyn TableSource>,
+    sent: SentToHub,
+}
+
+impl WorkMember {
+    /// Shares the state of `services`.
+    pub(crate) fn new(services: Rc<Services>, tables: Rc<dyn TableSource>) -> WorkMember {
+        WorkMember { services, tables, sent: SentToHub::default() }
+    }
 }
 
 impl DomainMember for WorkMember {
     fn report(&self, state: &MemberState, empty: Summary) -> Summary {
+        self.sent.begin(state, &empty);
         let tables = self.tables.current();
         let pools = tables.pools.iter();
         let work = pools.flat_map(|it| self.services.dispatcher.own_work(&it.name));
         let work =
             work.map(|(addr, work)| ServerWork { server: state.server_ref(addr), work }).collect();
-        Summary { work, ..empty }
+        let quarantine = self.sent.new_suspects(&self.services.dispatcher);
+        Summary { work, quarantine, ..empty }
     }
 
-    fn apply_digest(&self, state: &MemberState, _sent: Instant, _quarantine: &[QuarantineRow]) {
-        for pool in &self.tables.current().pools {
-            self.services.dispatcher.set_others_work(&pool.name, state.others_work());
+    fn apply_digest(&self, state: &MemberState, _sent: Instant, quarantine: &[QuarantineRow]) {
+        self.sent.acknowledge();
+        let tables = self.tables.current();
+        let dispatcher = &self.services.dispatcher;
+        self.sent.import(dispatcher, &tables, quarantine);
+        for pool in &tables.pools {
+            dispatcher.set_others_work(&pool.name, state.others_work());
         }
     }
 }
