Tell the hub of a crash before the caller is answered

Callers saw: a request sent again at once, through another router, met routers that did not know of the crash yet. Fix: a confirmed crash wakes the exchange. An answer that gives the request up waits for it, 200 ms at most; a retry does not. Calls that come together share one exchange. A reset that a probe finds harmless is no longer announced.

--- a/crates/control-client/src/domain.rs
+++ b/crates/control-client/src/domain.rs
@@ -8,6 +8,11 @@
 
 use clock::Clock;
 use dissemination::{MemberState, QuarantineRow, Summary, decode_digest, encode_summary};
+use futures::{
+    FutureExt, StreamExt,
+    channel::{mpsc, oneshot},
+    pin_mut, select_biased,
+};
 use rpc::Link;
 
 /// The data that a router exchanges with the hub.
@@ -26,6 +31,10 @@
     exchanged_at: RefCell<Option<Instant>>,
     link: Link,
     clock: Rc<dyn Clock>,
+    /// Those that wait for the end of the next exchange.
+    waiters: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Ends the pause before the next exchange.
+    wake: RefCell<mpsc::Sender<()>>,
 }
 
 /// Without an exchange for this long, the hub's data on the other routers are no longer used.
@@ -43,16 +52,30 @@
         interval: Duration,
         member: Rc<dyn DomainMember>,
     ) -> Rc<Domain> {
+        let (wake, woken) = mpsc::channel(0);
         let domain = Rc::new(Domain {
             held: RefCell::new(MemberState::new(name)),
             exchanged_at: RefCell::default(),
             link,
             clock,
+            waiters: RefCell::default(),
+            wake: RefCell::new(wake),
         });
-        monoio::spawn(domain.clone().run(interval, member));
+        monoio::spawn(domain.clone().run(interval, member, woken));
         domain
     }
 
+    /// Exchanges with the hub at once and waits until that has ended, whether or not the hub
+    /// answered. Several calls share an exchange that has not begun yet.
+    pub async fn exchange_now(&self) {
+        let (sender, ended) = oneshot::channel();
+        self.waiters.borrow_mut().push(sender);
+        // If the channel is full, the pause is about to end anyway.
+        let _ = self.wake.borrow_mut().try_send(());
+        // The sender is dropped only with the domain.
+        let _ = ended.await;
+    }
+
     /// Whether this router reads the load reports of the server at `addr`.
     ///
     /// While the hub cannot be reached, each router reads the load reports of all servers.
@@ -70,11 +93,28 @@
         exchanged_at.is_some_and(|at| self.clock.now().saturating_duration_since(at) < STALE_AFTER)
     }
 
-    async fn run(self: Rc<Self>, interval: Duration, member: Rc<dyn DomainMember>) {
+    async fn run(
+        self: Rc<Self>,
+        interval: Duration,
+        member: Rc<dyn DomainMember>,
+        mut woken: mpsc::Receiver<()>,
+    ) {
         loop {
+            let waiters = self.waiters.take();
+            // This exchange serves the waiters that asked for one until now.
+            let _ = woken.next().now_or_never();
             self.exchange(&*member).await;
+            for waiter in waiters {
+                // The waiter may have given up.
+                let _ = waiter.send(());
+            }
             let is_small = self.held.borrow().routers().count() <= SMALL_DOMAIN_ROUTERS_MAX;
-            monoio::time::sleep(if is_small { interval } else { 2 * interval }).await;
+            let pause = monoio::time::sleep(if is_small { interval } else { 2 * interval }).fuse();
+            pin_mut!(pause);
+            select_biased! {
+                _ = woken.next() => {}
+                () = pause => {}
+            }
         }
     }
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -240,11 +240,15 @@
         if error.execution != Execution::NotRun && self.needs_engine_cancel() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
-        let retried = self.lease.retry(error.failure, error.execution).await;
-        if error.failure == policy::Failure::Reset {
-            quarantine_exchange::notify_peers(&self.services).await;
+        let report = self.lease.report_failure(error.failure, error.execution).await;
+        if report.has_crashed {
+            let announced = quarantine_exchange::announce_crash(Rc::clone(&self.services));
+            match report.is_retried() {
+                true => drop(monoio::spawn(announced)),
+                false => announced.await,
+            }
         }
-        match retried {
+        match self.lease.wait_for_retry(report).await {
             RetryResult::Placed => Ok(()),
             RetryResult::GivenUp { reason, retry_after } => {
                 let failure = refusals::from_give_up(reason, &error, self.outcome);
@@ -270,7 +274,9 @@
     /// Ends the call after a failed attempt that cannot be retried.
     pub(crate) async fn give_up(self, error: &AttemptError) {
         self.log_attempt("failed", Some(error));
-        self.lease.failed(error.failure, error.execution).await;
+        if self.lease.failed(error.failure, error.execution).await {
+            quarantine_exchange::announce_crash(self.services).await;
+        }
     }
 
     /// Ends the call because the caller no longer waits for the answer.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Runs a router: its listeners, its background tasks and the graceful stop.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, OnceCell},
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -350,9 +350,12 @@
 /// Relayed answers contain the load of their servers, so a relay polls no reports.
 fn join_domain(settings: &RouterSettings, components: &Components, services: &Rc<Services>) {
     let (services, tables) = (Rc::clone(services), Rc::clone(&components.tables));
+    let of_domain = Rc::clone(&services);
     let start_domain = |member: Rc<dyn DomainMember>, link: &Link| {
         let interval = Duration::from_millis(settings.exchange_period_ms);
-        Domain::start(&settings.vm, link.clone(), Rc::clone(&components.clock), interval, member)
+        let clock = Rc::clone(&components.clock);
+        let domain = Domain::start(&settings.vm, link.clone(), clock, interval, member);
+        Rc::clone(of_domain.domain.get_or_init(|| domain))
     };
     let readings = LoadReadings::default();
     let is_owned: ServerFilter = match (&components.interface, &components.link) {
@@ -421,6 +424,7 @@
         ids: IdGenerator::new(ChaCha8Rng::seed_from_u64(components.seed)),
         timeouts: settings.timeouts,
         peers: settings.peers.clone(),
+        domain: OnceCell::new(),
     })
 }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -19,7 +19,7 @@
 };
 use tables::{Revision, Tables};
 
-pub use self::lease::{Control, Lease, RetryResult};
+pub use self::lease::{Control, FailureReport, Lease, RetryResult};
 use self::pool_dispatcher::PoolDispatcher;
 use crate::{identity::Workspaces, quarantine_exchange::QuarantineReport};
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -37,6 +37,23 @@
     Resume,
 }
 
+/// What the scheduler decided about a failed attempt.
+#[derive(Debug)]
+pub struct FailureReport {
+    /// Whether a probe confirmed that the server crashed.
+    pub has_crashed: bool,
+    decision: RetryDecision,
+    placed: oneshot::Receiver<Placement>,
+}
+
+impl FailureReport {
+    /// Whether the request is queued for another attempt.
+    #[must_use]
+    pub fn is_retried(&self) -> bool {
+        matches!(self.decision, RetryDecision::Retry { .. })
+    }
+}
+
 /// What follows a failed attempt.
 #[derive(Debug)]
 pub enum RetryResult {
@@ -139,33 +156,44 @@
         self.end(Outcome::Complete { tokens });
     }
 
-    /// Ends the lease after a failed attempt that is not retried. As for [`Lease::retry`], a probe
-    /// decides whether a reset connection counts as a crash.
-    pub async fn failed(mut self, failure: Failure, execution: Execution) {
+    /// Ends the lease after a failed attempt that is not retried; returns whether the server
+    /// crashed. As for [`Lease::report_failure`], a probe decides that.
+    pub async fn failed(mut self, failure: Failure, execution: Execution) -> bool {
         let failure = self.verify_failure(failure, execution).await;
         self.end(Outcome::Failed(failure, execution));
+        failure == Failure::Reset
     }
 
-    /// Reports a failed attempt and waits for another server if the outcome and the retry budget
-    /// allow a retry.
+    /// Reports a failed attempt, which is retried if the outcome and the retry budget allow it.
     ///
     /// A connection that was reset counts as a crash only if the server does not answer a probe.
-    pub async fn retry(&mut self, failure: Failure, execution: Execution) -> RetryResult {
+    pub async fn report_failure(
+        &mut self,
+        failure: Failure,
+        execution: Execution,
+    ) -> FailureReport {
         let failure = self.verify_failure(failure, execution).await;
         let outcome = Outcome::Failed(failure, execution);
         // Register first, because the scheduler may dispatch the request within the call below.
         let placed = self.dispatcher.register_waiter(self.ticket);
-        match self
+        let decision = self
             .dispatcher
-            .apply_and_run(|scheduler, now| scheduler.retry(self.ticket, outcome, now))
-        {
-            RetryDecision::Retry { .. } => match self.wait_for_server(placed).await {
+            .apply_and_run(|scheduler, now| scheduler.retry(self.ticket, outcome, now));
+        if let RetryDecision::GiveUp(_) = decision {
+            self.is_open = false;
+            self.dispatcher.unregister(self.ticket);
+        }
+        FailureReport { has_crashed: failure == Failure::Reset, decision, placed }
+    }
+
+    /// Waits for another server if the reported attempt is retried.
+    pub async fn wait_for_retry(&mut self, report: FailureReport) -> RetryResult {
+        match report.decision {
+            RetryDecision::Retry { .. } => match self.wait_for_server(report.placed).await {
                 Ok(()) => RetryResult::Placed,
                 Err(refusal) => RetryResult::Refused(refusal),
             },
             RetryDecision::GiveUp(reason) => {
-                self.is_open = false;
-                self.dispatcher.unregister(self.ticket);
                 let Offer { class, pool, .. } = self.offer;
                 let retry_after =
                     self.dispatcher.apply(|scheduler, now| scheduler.retry_after(now, class, pool));
--- a/crates/router/src/quarantine_exchange.rs
+++ b/crates/router/src/quarantine_exchange.rs
@@ -1,8 +1,8 @@
 //! Shares the fingerprints of crashing requests with the other routers of the failure domain.
 //!
-//! Each router serves its entries on its admin listener and polls those of its peers. It also
-//! notifies the peers of a crash before it answers the caller, since the caller may resend the
-//! request to any of them at once. An entry carries its remaining time to live, so forwarding it
+//! Each router serves its entries on its admin listener and polls those of its peers. It also tells
+//! the hub and the peers of a crash before it answers the caller, since the caller may resend the
+//! request to any router at once. An entry carries its remaining time to live, so forwarding it
 //! never extends it.
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -10,7 +10,7 @@
 use daemon::Admin;
 use futures::{
     FutureExt,
-    future::{LocalBoxFuture, join_all},
+    future::{LocalBoxFuture, join, join_all},
 };
 use httpio::{
     Bytes, Method, StatusCode, Uri,
@@ -25,8 +25,8 @@
 const QUARANTINE_PATH: &str = "/quarantine";
 const TEXT_PLAIN: &str = "text/plain";
 
-/// How long the caller of a crashing request waits while the peers are notified.
-const NOTIFY_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long the caller of a crashing request waits while the hub and the peers are told.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The entries of each pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,8 +78,21 @@
     serde_json::to_vec(&report).expect("a report can be encoded as JSON").into()
 }
 
-/// Sends the current entries to all peers; a peer that is too slow receives them by its next poll.
-pub(crate) async fn notify_peers(services: &Services) {
+/// Tells the hub and all peers of a crash. The hub passes it on by the next exchange of each router;
+/// a peer that is too slow receives it by its next poll.
+pub(crate) async fn announce_crash(services: Rc<Services>) {
+    let hub = async {
+        if let Some(domain) = services.domain.get() {
+            domain.exchange_now().await;
+        }
+    };
+    let announced = join(hub, notify_peers(&services));
+    if time::timeout(ANNOUNCE_TIMEOUT, announced).await.is_err() {
+        tracing::info!(event = "crash_not_told_in_time", peers = services.peers.len());
+    }
+}
+
+async fn notify_peers(services: &Services) {
     if services.peers.is_empty() {
         return;
     }
@@ -88,14 +101,9 @@
         .peers
         .iter()
         .map(|peer| services.backends.post(*peer, Uri::from_static(QUARANTINE_PATH), body.clone()));
-    match time::timeout(NOTIFY_TIMEOUT, join_all(posts)).await {
-        Ok(results) => {
-            let failed = results.iter().filter(|it| it.is_err()).count();
-            if failed > 0 {
-                tracing::info!(event = "crash_not_told", peers = failed);
-            }
-        }
-        Err(_) => tracing::info!(event = "crash_not_told_in_time", peers = services.peers.len()),
+    let failed = join_all(posts).await.iter().filter(|it| it.is_err()).count();
+    if failed > 0 {
+        tracing::info!(event = "crash_not_told", peers = failed);
     }
 }
 
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -1,8 +1,9 @@
 //! The services that the stages of a request share, and their timeouts.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::OnceCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::Clock;
+use control_client::Domain;
 use http::HeaderValue;
 
 use crate::{
@@ -76,6 +77,8 @@
     pub timeouts: Timeouts,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
+    /// The exchange with the hub, once it has started.
+    pub domain: OnceCell<Rc<Domain>>,
 }
 
 impl Services {
--- a/crates/router/tests/shared_probes.rs
+++ b/crates/router/tests/shared_probes.rs
@@ -68,7 +68,8 @@
         dispatcher.configure(&tables, &Workspaces::default());
         let leases = join_all((0..REQUESTS as u64).map(|it| lease(&dispatcher, it + 1))).await;
         let retry = async |mut lease: Lease| {
-            let result = lease.retry(Failure::Reset, Execution::MayHaveRun).await;
+            let report = lease.report_failure(Failure::Reset, Execution::MayHaveRun).await;
+            let result = lease.wait_for_retry(report).await;
             (lease, result)
         };
         let retries = join_all(leases.into_iter().map(retry));
