Build the urgency scale once for each version of the tables

Change: EngineUrgency keeps the scale and the workspaces' priorities with the tables that they are of.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -40,6 +40,7 @@
     directory_watch::{CachedList, DirectorySource, DirectoryWatch},
     dispatch::Dispatcher,
     domain::RouterMember,
+    engine_urgency::EngineUrgency,
     identity::{Authenticator, Workspaces},
     load_reports::{self, LoadReadings, ServerFilter},
     metrics::Metrics,
@@ -423,6 +424,7 @@
         metrics: Metrics::register(registry)?,
         ids: IdGenerator::new(ChaCha8Rng::seed_from_u64(components.seed)),
         timeouts: settings.timeouts,
+        urgency: EngineUrgency::default(),
         peers: settings.peers.clone(),
         domain: OnceCell::new(),
     })
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod dispatch;
 pub mod domain;
 mod engine_stream;
+pub mod engine_urgency;
 mod fingerprint;
 pub mod identity;
 pub mod load_reports;
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -7,8 +7,8 @@
 
 use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
-use policy::{Execution, Failure as FailureKind, LoadReport, RequestPriority, UrgencyScale};
-use tables::{Exchange, PoolKind, Priority};
+use policy::{Execution, Failure as FailureKind, LoadReport};
+use tables::Exchange;
 
 use crate::{
     backends::AttemptError,
@@ -92,7 +92,7 @@
             return Err(not_sent("the deadline came before the request was sent"));
         }
         self.call.begin_attempt();
-        self.call.urgency = self.urgency();
+        self.call.urgency = self.call.services.urgency.rank(&self.call.routed);
         let request = Rc::clone(&self.call.routed.arrival.request);
         let label = self.call.lease.server_label();
         let attempt = AttemptMetadata {
@@ -132,24 +132,6 @@
         }
     }
 
-    /// The urgency for a model engine.
-    fn urgency(&self) -> Option<usize> {
-        let Routed { tables, caller, .. } = &self.call.routed;
-        if !self.call.routed.is_for_engine() {
-            return None;
-        }
-        let workspace = tables.workspaces.iter().find(|it| it.name == caller.name());
-        let priority = |it: Priority| it.0;
-        let request = RequestPriority {
-            workspace: workspace.and_then(|it| it.priority).map(priority),
-            route: self.call.routed.route().priority.0,
-        };
-        let workspaces = tables.workspaces.iter().map(|it| it.priority.map(priority));
-        let is_engine = |it| tables.pool(it).kind == PoolKind::Engine;
-        let routes = tables.routes.iter().filter(|it| it.pools().any(is_engine));
-        Some(UrgencyScale::new(workspaces, routes.map(|it| it.priority.0)).urgency(request))
-    }
-
     fn check_response(&self, response: Response) -> Result<Response, AttemptError> {
         let answer = self.dialect.read_answer(&response.head);
         if let Some(load) = answer.load {
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -10,6 +10,7 @@
     arrival::{IdGenerator, RequestId},
     backends::Backends,
     dispatch::Dispatcher,
+    engine_urgency::EngineUrgency,
     metrics::Metrics,
     order_ledger::OrderLedger,
 };
@@ -75,6 +76,8 @@
     pub ids: IdGenerator,
     /// The timeouts.
     pub timeouts: Timeouts,
+    /// The urgency of requests at model engines.
+    pub urgency: EngineUrgency,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
     /// The exchange with the hub, once it has started.
