Refuse queued copies of a request once it is quarantined

Callers saw: a copy of a crashing request that waited for a retry when another router found the cause got no answer until its deadline. Cause: a quarantined request may run on no server, but only new requests were checked for that; one that was queued already stayed there. Fix: the requests quarantined since the last poll are looked for in the queues and refused with the time until the quarantine ends. Evidence: queued_copy_refused (policy, crashing_request) failed before and passes.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! of messages does not matter.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -102,6 +102,8 @@
     cleared: BTreeMap<u64, Instant>,
     /// The changes since they were last taken.
     events: Vec<QuarantineEvent>,
+    /// The requests quarantined since they were last taken.
+    newly_quarantined: BTreeSet<u64>,
 }
 
 #[derive(Debug)]
@@ -189,6 +191,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// The requests that were quarantined since the last call.
+    pub(crate) fn take_newly_quarantined(&mut self) -> BTreeSet<u64> {
+        std::mem::take(&mut self.newly_quarantined)
+    }
+
     pub(crate) fn isolation(&self, now: Instant, request_hash: u64) -> Isolation {
         match self.live_record(now, request_hash).map(|it| it.suspicion) {
             None => Isolation::None,
@@ -250,6 +257,7 @@
         record.suspicion = record.suspicion.max(suspicion);
         if !was_quarantined && record.is_quarantined() {
             let crashes = record.crashes.len();
+            self.newly_quarantined.insert(request_hash);
             self.events.push(QuarantineEvent::Quarantined { request_hash, crashes });
         }
     }
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -9,7 +9,7 @@
     partition::Side,
     pool::{Contender, Pool, Turn, Urgency},
     quarantine::Isolation,
-    request::{Phase, Preemption, RefusalReason, Request},
+    request::{Phase, Preemption, Refusal, RefusalReason, Request},
     selection::{Criteria, Selector},
 };
 
@@ -27,6 +27,7 @@
 impl Scheduler {
     /// Returns the actions to carry out now. The crate's documentation says when to call it.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
+        self.refuse_quarantined(now);
         self.requeue_delayed(now);
         self.refuse_expired(now);
         self.run_checks(now);
@@ -51,6 +52,27 @@
         }
     }
 
+    /// Refuses the queued copies of requests that have just been quarantined: no server may run
+    /// them, so they would wait until their deadline.
+    fn refuse_quarantined(&mut self, now: Instant) {
+        let quarantined = self.quarantine.take_newly_quarantined();
+        if quarantined.is_empty() {
+            return;
+        }
+        let queued = self.requests.iter().filter(|(_, it)| {
+            it.attempt().is_none() && quarantined.contains(&it.offer.request_hash)
+        });
+        let tickets: Vec<_> = queued.map(|(ticket, _)| ticket).collect();
+        for ticket in tickets {
+            let request_hash = self.requests[ticket].offer.request_hash;
+            if let Some(retry_after) = self.quarantine.remaining(now, request_hash) {
+                self.remove_from_queue(ticket);
+                let refusal = Refusal { reason: RefusalReason::Quarantined, retry_after };
+                self.close_refused(ticket, refusal);
+            }
+        }
+    }
+
     fn refuse_expired(&mut self, now: Instant) {
         while let Some((at, ticket)) = self.dispatch_deadlines.first().copied()
             && at <= now
--- a/crates/policy/tests/crashing_request.rs
+++ b/crates/policy/tests/crashing_request.rs
@@ -3,11 +3,12 @@
 #[path = "support/fixture.rs"]
 mod fixture;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use fixture::{Fixture, class, spec};
 use policy::{
-    BackendKey, Execution, Failure, Offer, Outcome, RefusalReason, Repeat, Settings, Ticket,
+    Action, BackendKey, CrashSite, Execution, Failure, Offer, Outcome, QuarantineEntry,
+    RefusalReason, Repeat, Settings, Ticket,
 };
 use proptest::prelude::*;
 
@@ -169,3 +170,32 @@
     fixture.advance(10);
     assert_eq!(crashes(&mut fixture), [(0, Some(10))]);
 }
+
+/// Guards against a copy of the request that waits in the queue until its deadline, as no server may
+/// run it, when another router finds out that it crashes servers.
+#[test]
+fn queued_copy_refused() {
+    let mut fixture = fixture(9);
+    let running = offer(&mut fixture, CRASHING_HASH).expect("no crash is recorded yet");
+    let started = fixture.poll_dispatches();
+    // One attempt failed and waits for its retry.
+    let outcome = Outcome::Failed(Failure::Reset, Execution::MayHaveRun);
+    fixture.scheduler.retry(running, outcome, fixture.now);
+    let site = |server_hash| CrashSite { server_hash, incarnation: 1, returns: 0 };
+    let crashes = vec![site(1), site(2)];
+    let entry = QuarantineEntry {
+        request_hash: CRASHING_HASH,
+        crashes,
+        completed_ms_ago: None,
+        ttl_ms: 60_000,
+    };
+    fixture.scheduler.import_quarantine(fixture.now, &[entry]);
+    let refused = fixture.poll().into_iter().find_map(|it| match it {
+        Action::Refuse { ticket, refusal } if ticket == running => Some(refusal),
+        _ => None,
+    });
+    let refusal = refused.expect("it is refused at once");
+    assert_eq!(refusal.reason, RefusalReason::Quarantined);
+    assert!(refusal.retry_after >= Duration::from_secs(60));
+    assert_eq!(started.len(), 1, "it ran once");
+}
