Do not refuse requests that were on crashed servers by chance

Cause: two crashes were enough. When 12 and then 15 of 60 engines crash at once, requests that go on elsewhere are on two of them; and when a request does crash two servers, others were on both as well. Fix: servers that fail together have a common cause, so crashes that become known within 0.5 s of one another count against a request only if it was on most of these servers (CrashLog, used by routers and hubs). At a hub, of requests that were on the same crashed servers none is refused until one of them is on a third, and the verdict waits 100 ms for all routers' reports if there are such others. The third crash always tells, since two crashing requests hide one another. What a hub has found is confirmed at the routers whatever they know themselves. New besides: crash_among_others, two_at_once (policy), servers_crash_together, bystanders_of_crashes (dissemination).

--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -40,7 +40,7 @@
     pub(crate) async fn repeat_quarantine(self) {
         loop {
             monoio::time::sleep(QUARANTINE_PERIOD).await;
-            let rows = self.hub.borrow().quarantined(self.clock.now());
+            let rows = self.hub.borrow_mut().quarantined(self.clock.now());
             send_suspects(&self.replica, rows);
         }
     }
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -96,6 +96,7 @@
         for row in summary.quarantine {
             self.suspects.merge_from_router(now, self.version, row);
         }
+        self.suspects.decide(now, self.version);
         if let Some(allocation) = self.allocations.get_mut(&router) {
             // Indexes from another epoch refer to other servers.
             let held_slots = if is_current { summary.held_slots } else { Vec::new() };
@@ -132,7 +133,9 @@
     }
 
     /// The latest quarantined requests, for other hubs that have missed a change.
-    pub fn quarantined(&self, now: Instant) -> Vec<QuarantineRow> {
+    pub fn quarantined(&mut self, now: Instant) -> Vec<QuarantineRow> {
+        self.version = Version(self.version.0 + 1);
+        self.suspects.decide(now, self.version);
         self.suspects.quarantined(now)
     }
 
@@ -142,6 +145,7 @@
         for row in rows {
             self.suspects.merge(now, self.version, row);
         }
+        self.suspects.decide(now, self.version);
     }
 
     /// The names of the live routers.
--- a/crates/dissemination/src/suspects.rs
+++ b/crates/dissemination/src/suspects.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use policy::{CrashSite, QuarantineEntry};
+use policy::{CrashLog, CrashSite, Proof, QuarantineEntry};
 
 use crate::{PoolHash, QuarantineRow, Version};
 
@@ -19,6 +19,9 @@
 const SUSPECTS_MAX: usize = 8_192;
 /// The largest number of quarantined requests that a hub repeats to the other hubs.
 const REPEATED_MAX: usize = 64;
+/// Time in which all routers report a crash. Until then it is not known which other requests were on
+/// the server.
+const REPORT_TIME: Duration = Duration::from_millis(100);
 
 type Key = (PoolHash, u64);
 
@@ -26,8 +29,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     entries: BTreeMap<Key, Suspect>,
+    crashes: BTreeMap<PoolHash, CrashLog>,
     /// The entries that this hub's routers have changed since they were last taken.
     new: BTreeSet<Key>,
+    /// The entries that have changed and may have to be quarantined.
+    undecided: BTreeSet<Key>,
+}
+
+/// What is decided about a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Quarantined,
+    /// Not until it crashes another server.
+    Suspect,
+    /// Not until all routers have reported the last crash.
+    Undecided,
 }
 
 #[derive(Debug)]
@@ -64,6 +80,8 @@
         if self.entries.len() >= SUSPECTS_MAX && !self.entries.contains_key(&key) {
             self.drop_first_to_expire();
         }
+        let log = self.crashes.entry(row.pool).or_default();
+        row.entry.crashes.iter().for_each(|it| log.record(now, *it));
         let entry = self.entries.entry(key).or_insert_with(|| Suspect {
             crashes: Vec::new(),
             completed_at: None,
@@ -74,10 +92,53 @@
         let has_changed = entry.merge(now, &row.entry);
         if has_changed {
             entry.version = version;
+            self.undecided.insert(key);
         }
         has_changed
     }
 
+    /// Quarantines the suspects that are found to crash servers; `version` is the hub's.
+    pub(crate) fn decide(&mut self, now: Instant, version: Version) {
+        for key in std::mem::take(&mut self.undecided) {
+            match self.verdict(now, key) {
+                Verdict::Quarantined => {
+                    if let Some(entry) = self.entries.get_mut(&key) {
+                        entry.is_quarantined = true;
+                        entry.version = version;
+                    }
+                }
+                Verdict::Suspect => {}
+                Verdict::Undecided => {
+                    self.undecided.insert(key);
+                }
+            }
+        }
+    }
+
+    /// Of several requests that were on the same crashed servers, only one need have caused the
+    /// crashes, so these need another crash each.
+    fn verdict(&self, now: Instant, key: Key) -> Verdict {
+        let (Some(entry), Some(log)) = (self.entries.get(&key), self.crashes.get(&key.0)) else {
+            return Verdict::Suspect;
+        };
+        let (sites, proof) = (entry.sites(), Proof::of(entry.completed_at));
+        if log.crashes_left(&sites, proof) > 0 || entry.is_quarantined {
+            return Verdict::Suspect;
+        }
+        let others = self.entries.iter().filter(|(other, _)| other.0 == key.0 && **other != key);
+        let shared = others.map(|it| it.1.crashes.iter().filter(|it| sites.contains(&it.site)));
+        let shared_max = shared.map(Iterator::count).max().unwrap_or(0);
+        if log.is_certain(&sites, proof) || shared_max == 0 {
+            return Verdict::Quarantined;
+        }
+        let last_report = entry.crashes.iter().map(|it| it.reported_at).max();
+        match last_report.is_some_and(|it| now < it + REPORT_TIME) {
+            true => Verdict::Undecided,
+            false if shared_max >= sites.len() => Verdict::Suspect,
+            false => Verdict::Quarantined,
+        }
+    }
+
     pub(crate) fn expire(&mut self, now: Instant) {
         self.entries.retain(|_, it| it.expires_at > now);
     }
@@ -131,15 +192,18 @@
         if let Some(completed_at) = self.completed_at {
             self.crashes.retain(|it| it.reported_at >= completed_at);
         }
-        self.is_quarantined = self.entry(now, reported.request_hash).is_quarantined();
         self.crashes.len() != crashes || self.completed_at != completed_at
     }
 
+    fn sites(&self) -> Vec<CrashSite> {
+        self.crashes.iter().map(|it| it.site).collect()
+    }
+
     fn entry(&self, now: Instant, request_hash: u64) -> QuarantineEntry {
         let since = |it: Instant| now.saturating_duration_since(it).as_millis() as u64;
         QuarantineEntry {
             request_hash,
-            crashes: self.crashes.iter().map(|it| it.site).collect(),
+            crashes: self.sites(),
             completed_ms_ago: self.completed_at.map(since),
             ttl_ms: self.expires_at.saturating_duration_since(now).as_millis() as u64,
         }
--- a/crates/dissemination/tests/crash_suspects.rs
+++ b/crates/dissemination/tests/crash_suspects.rs
@@ -34,16 +34,31 @@
     /// Reports a suspect and returns whether either hub sends it as quarantined afterwards.
     fn report(&mut self, router: usize, row: QuarantineRow) -> bool {
         self.exchange(router, vec![row]);
-        let quarantined = self.hubs.iter().map(|it| it.quarantined(self.now).len());
-        let [first, second] = quarantined.collect::<Vec<_>>()[..] else { unreachable!() };
+        let [first, second] = self.quarantined();
         assert_eq!(first, second, "both hubs know the same");
         first > 0
     }
 }
 
+impl World {
+    /// The number of quarantined requests at each hub.
+    fn quarantined(&mut self) -> [usize; 2] {
+        let now = self.now;
+        self.hubs.each_mut().map(|it| it.quarantined(now).len())
+    }
+}
+
+fn site(server_hash: u64) -> CrashSite {
+    CrashSite { server_hash, incarnation: 1, returns: 0 }
+}
+
 fn crash(server_hash: u64) -> QuarantineRow {
-    let crashes = vec![CrashSite { server_hash, incarnation: 1, returns: 0 }];
-    row(crashes, None)
+    row(vec![site(server_hash)], None)
+}
+
+fn crash_of(request_hash: u64, server_hash: u64) -> QuarantineRow {
+    let QuarantineRow { pool, entry } = crash(server_hash);
+    QuarantineRow { pool, entry: QuarantineEntry { request_hash, ..entry } }
 }
 
 fn row(crashes: Vec<CrashSite>, completed_ms_ago: Option<u64>) -> QuarantineRow {
@@ -97,9 +112,7 @@
     assert!(!world.report(1, crash(2)));
     world.now += Duration::from_secs(5);
     // A request of this fingerprint completed at the other router after the second crash.
-    let CrashSite { incarnation, returns, .. } = crash(3).entry.crashes[0];
-    let site = CrashSite { server_hash: 3, incarnation, returns };
-    assert!(!world.report(1, row(vec![site], Some(2_000))));
+    assert!(!world.report(1, row(vec![site(3)], Some(2_000))));
     assert!(!world.report(0, crash(4)), "a request that has completed needs three crashes");
     assert!(world.report(0, crash(5)));
 }
@@ -115,3 +128,35 @@
     world.exchange(0, Vec::new());
     assert!(world.hubs[0].quarantined(world.now).is_empty(), "until it expires");
 }
+
+/// Guards against the refusal of requests that were on two servers which crashed with many others.
+#[test]
+fn servers_crash_together() {
+    let mut world = World::new();
+    for servers in [1..=4, 5..=8] {
+        // Request N was on server N and goes on at server N + 4.
+        let reports = servers.map(|server| crash_of((server - 1) % 4, server)).collect();
+        world.exchange(0, reports);
+        world.now += Duration::from_secs(3);
+    }
+    assert_eq!(world.quarantined(), [0, 0]);
+}
+
+/// Guards against the refusal of requests that were on two of the servers that another one crashed.
+#[test]
+fn bystanders_of_crashes() {
+    let (bystanders, cause) = (10..16, 7);
+    let mut world = World::new();
+    for (server, router) in [(1, 0), (2, 1)] {
+        // The bystanders' reports come first, through the other router.
+        let reports = bystanders.clone().map(|it| crash_of(it, server)).collect();
+        world.exchange(1 - router, reports);
+        world.exchange(router, vec![crash_of(cause, server)]);
+        world.now += Duration::from_secs(1);
+        assert_eq!(world.quarantined(), [0, 0]);
+    }
+    world.exchange(0, vec![crash_of(cause, 3)]);
+    assert_eq!(world.quarantined(), [1, 1]);
+    let received = world.exchange(1, Vec::new());
+    assert_eq!(received[0].entry.request_hash, cause);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 
 mod backend;
 mod class_queue;
+mod crash_log;
 mod estimate;
 mod keys;
 pub mod leases;
@@ -56,6 +57,7 @@
 mod urgency;
 
 pub use backend::{BackendEntry, Health, LoadReport, PendingWork};
+pub use crash_log::{CrashLog, Proof};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry, QuarantineEvent};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -13,12 +13,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::keys::BackendKey;
+use crate::{
+    crash_log::{CrashLog, Proof},
+    keys::BackendKey,
+};
 
-/// Number of crashes after which a request is refused.
-pub(crate) const CRASH_LIMIT: usize = 2;
-/// Number of crashes after which a request that has completed before is refused.
-const COMPLETED_CRASH_LIMIT: usize = 3;
 /// Time for which the record of a cleared suspect is kept, so that the other routers learn of it.
 const CLEARED_RECORD_TTL: Duration = Duration::from_secs(30);
 /// Number of cleared fingerprints that are kept.
@@ -50,19 +49,6 @@
     pub ttl_ms: u64,
 }
 
-impl QuarantineEntry {
-    /// Whether the request has crashed so many servers that it is refused.
-    #[must_use]
-    pub fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= crash_limit(self.completed_ms_ago.is_some())
-    }
-}
-
-/// The number of crashes after which a request is refused.
-fn crash_limit(has_completed: bool) -> usize {
-    if has_completed { COMPLETED_CRASH_LIMIT } else { CRASH_LIMIT }
-}
-
 /// A change of the quarantine, for logs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineEvent {
@@ -99,6 +85,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     records: BTreeMap<u64, CrashRecord>,
+    log: CrashLog,
     cleared: BTreeMap<u64, Instant>,
     /// The changes since they were last taken.
     events: Vec<QuarantineEvent>,
@@ -114,6 +101,8 @@
     completed_at: Option<Instant>,
     expires: Instant,
     suspicion: Suspicion,
+    /// The routers together have found that the request crashes servers.
+    is_confirmed: bool,
 }
 
 /// How likely a request that ran on a crashed server caused the crash.
@@ -139,13 +128,16 @@
 impl Quarantine {
     /// The number of further crashes after which the request is refused.
     pub(crate) fn crashes_left(&self, now: Instant, request_hash: u64) -> usize {
-        self.live_record(now, request_hash).map_or(CRASH_LIMIT, CrashRecord::crashes_left)
+        match self.live_record(now, request_hash) {
+            Some(record) => record.crashes_left(&self.log),
+            None => self.log.crashes_left(&[], Proof::None),
+        }
     }
 
     /// Time until a quarantined request may be offered again, or `None` if it is not quarantined.
     pub(crate) fn remaining(&self, now: Instant, request_hash: u64) -> Option<Duration> {
         let record = self.live_record(now, request_hash)?;
-        record.is_quarantined().then(|| record.expires - now)
+        record.is_quarantined(&self.log).then(|| record.expires - now)
     }
 
     /// Whether the request completed recently, so that it may run on any number of servers.
@@ -160,6 +152,7 @@
             completed_at: cleared_until.and_then(|it| it.checked_sub(crash.ttl)),
             expires: now + crash.ttl,
             suspicion: crash.suspicion,
+            is_confirmed: false,
         };
         self.merge(now, request_hash, evidence);
     }
@@ -167,7 +160,7 @@
     pub(crate) fn record_completion(&mut self, now: Instant, request_hash: u64, ttl: Duration) {
         if let Some(record) = self.records.get_mut(&request_hash)
             && record.is_suspect(now)
-            && !record.is_quarantined()
+            && !record.is_quarantined(&self.log)
         {
             record.crashes.clear();
             record.completed_at = Some(now);
@@ -214,17 +207,28 @@
         self.records.iter().map(|(request_hash, it)| it.to_entry(now, *request_hash)).collect()
     }
 
+    /// Merges an entry of another router.
     pub(crate) fn import(&mut self, now: Instant, entry: &QuarantineEntry) {
         if entry.crashes.is_empty() {
             // A suspect that was cleared elsewhere may have crashed a server here since then.
             return;
         }
+        self.merge_entry(now, entry, false);
+    }
+
+    /// Quarantines a request that the routers together have found to crash servers.
+    pub(crate) fn confirm(&mut self, now: Instant, entry: &QuarantineEntry) {
+        self.merge_entry(now, entry, true);
+    }
+
+    fn merge_entry(&mut self, now: Instant, entry: &QuarantineEntry, is_confirmed: bool) {
         let age = entry.completed_ms_ago.map(Duration::from_millis);
         let evidence = Evidence {
             crashes: &entry.crashes,
             completed_at: age.and_then(|it| now.checked_sub(it)),
             expires: now + Duration::from_millis(entry.ttl_ms),
             suspicion: Suspicion::Strong,
+            is_confirmed,
         };
         self.cleared.remove(&entry.request_hash);
         self.merge(now, entry.request_hash, evidence);
@@ -235,18 +239,21 @@
     }
 
     fn merge(&mut self, now: Instant, request_hash: u64, evidence: Evidence<'_>) {
-        let Evidence { crashes, completed_at, expires, suspicion } = evidence;
+        let Evidence { crashes, completed_at, expires, suspicion, is_confirmed } = evidence;
+        crashes.iter().for_each(|it| self.log.record(now, *it));
         let record = self.records.entry(request_hash).or_insert(CrashRecord {
             crashes: Vec::new(),
             completed_at: None,
             expires,
             suspicion,
+            is_confirmed: false,
         });
         if record.expires <= now {
             record.crashes.clear();
             record.completed_at = None;
+            record.is_confirmed = false;
         }
-        let was_quarantined = record.is_quarantined();
+        let was_quarantined = record.is_quarantined(&self.log);
         if !was_quarantined {
             record.completed_at = record.completed_at.max(completed_at);
         }
@@ -255,7 +262,8 @@
         record.crashes.dedup();
         record.expires = record.expires.max(expires);
         record.suspicion = record.suspicion.max(suspicion);
-        if !was_quarantined && record.is_quarantined() {
+        record.is_confirmed |= is_confirmed;
+        if !was_quarantined && record.is_quarantined(&self.log) {
             let crashes = record.crashes.len();
             self.newly_quarantined.insert(request_hash);
             self.events.push(QuarantineEvent::Quarantined { request_hash, crashes });
@@ -270,6 +278,7 @@
     completed_at: Option<Instant>,
     expires: Instant,
     suspicion: Suspicion,
+    is_confirmed: bool,
 }
 
 impl CrashRecord {
@@ -277,12 +286,15 @@
         self.expires > now && !self.crashes.is_empty()
     }
 
-    fn is_quarantined(&self) -> bool {
-        self.crashes_left() == 0
+    fn is_quarantined(&self, log: &CrashLog) -> bool {
+        self.crashes_left(log) == 0
     }
 
-    fn crashes_left(&self) -> usize {
-        crash_limit(self.completed_at.is_some()).saturating_sub(self.crashes.len())
+    fn crashes_left(&self, log: &CrashLog) -> usize {
+        match self.is_confirmed {
+            true => 0,
+            false => log.crashes_left(&self.crashes, Proof::of(self.completed_at)),
+        }
     }
 
     fn to_entry(&self, now: Instant, request_hash: u64) -> QuarantineEntry {
--- a/crates/policy/tests/crashing_request.rs
+++ b/crates/policy/tests/crashing_request.rs
@@ -7,8 +7,8 @@
 
 use fixture::{Fixture, class, spec};
 use policy::{
-    Action, BackendKey, CrashSite, Execution, Failure, Offer, Outcome, QuarantineEntry,
-    RefusalReason, Repeat, Settings, Ticket,
+    Action, BackendKey, CrashSite, Execution, Failure, Offer, Outcome, ProbeResult,
+    QuarantineEntry, RefusalReason, Repeat, Settings, Ticket,
 };
 use proptest::prelude::*;
 
@@ -199,3 +199,61 @@
     assert!(refusal.retry_after >= Duration::from_secs(60));
     assert_eq!(started.len(), 1, "it ran once");
 }
+
+/// Guards against the refusal of requests that were on two servers which crashed with many others:
+/// servers that fail together have a common cause, which is no request.
+#[test]
+fn servers_crash_together() {
+    let mut fixture = fixture(13);
+    offer_harmless(&mut fixture, 1, 24);
+    let mut running = fixture.poll_dispatches();
+    for servers in [0..4, 4..8] {
+        let servers: Vec<_> = servers.map(|it| fixture.backends[it]).collect();
+        servers.iter().for_each(|it| crash(&mut fixture, *it, &mut running));
+        fixture.advance(60);
+        running.extend(fixture.poll_dispatches());
+        fixture.advance(2_000);
+        // The servers that crashed first are back when the others crash.
+        for server in servers {
+            fixture.scheduler.probe_result(server, fixture.now, ProbeResult::Alive);
+        }
+    }
+    let refused = (1..=24).filter(|it| offer(&mut fixture, *it).is_none()).count();
+    assert_eq!(refused, 0);
+}
+
+/// Guards against a request that goes on crashing servers because others crash at the same time.
+#[test]
+fn crash_among_others() {
+    let mut fixture = fixture(17);
+    offer_harmless(&mut fixture, 1, 8);
+    let mut running = fixture.poll_dispatches();
+    let others: Vec<_> = (0..2).map(|it| fixture.backends[it]).collect();
+    others.iter().for_each(|it| crash(&mut fixture, *it, &mut running));
+    let crashed = resend(&mut fixture, 1, 6);
+    assert!(crashed.len() <= 3, "{crashed:?}");
+    assert!(offer(&mut fixture, CRASHING_HASH).is_none());
+}
+
+/// Guards against two requests that crash servers by turns, each of which hides the other's crashes.
+#[test]
+fn two_at_once() {
+    let mut fixture = fixture(19);
+    let mut crashes = 0;
+    for _ in 0..6 {
+        for hash in [CRASHING_HASH, CRASHING_HASH + 1] {
+            let Some(ticket) = offer(&mut fixture, hash) else { continue };
+            let mut running = fixture.poll_dispatches();
+            if let Some((_, server)) = running.first().copied() {
+                crash(&mut fixture, server, &mut running);
+                crashes += 1;
+                fixture.advance(100);
+                fixture.scheduler.probe_result(server, fixture.now, ProbeResult::Alive);
+            }
+            fixture.scheduler.cancelled(ticket);
+        }
+    }
+    assert!(crashes <= 6, "{crashes} crashes, three for each request");
+    assert!(offer(&mut fixture, CRASHING_HASH).is_none());
+    assert!(offer(&mut fixture, CRASHING_HASH + 1).is_none());
+}
--- a/crates/router/src/sent_state.rs
+++ b/crates/router/src/sent_state.rs
@@ -70,7 +70,10 @@
             let hash = PoolHash::of(&pool.name);
             let rows = rows.iter().filter(|it| it.pool == hash);
             let entries: Vec<QuarantineEntry> = rows.map(|it| it.entry.clone()).collect();
-            dispatcher.import_entries(&pool.name, &entries);
+            if entries.is_empty() {
+                continue;
+            }
+            dispatcher.confirm_quarantine(&pool.name, &entries);
         }
     }
 }
