Keep a verdict when a control VM restarts

Fix: an entry says whether the routers together have found the request to crash servers; hubs and routers take that over. One way of importing serves both again. What a router has sent is forgotten with the entry.

--- a/crates/control/tests/shared_quarantine.rs
+++ b/crates/control/tests/shared_quarantine.rs
@@ -13,8 +13,13 @@
 /// The summary of a router that saw the request crash the server.
 fn summary(router: &str, server_hash: u64) -> Summary {
     let crashes = vec![CrashSite { server_hash, incarnation: 1, returns: 0 }];
-    let (completed_ms_ago, ttl_ms) = (None, 600_000);
-    let entry = QuarantineEntry { request_hash: REQUEST_HASH, crashes, completed_ms_ago, ttl_ms };
+    let entry = QuarantineEntry {
+        request_hash: REQUEST_HASH,
+        crashes,
+        completed_ms_ago: None,
+        is_confirmed: false,
+        ttl_ms: 600_000,
+    };
     let quarantine = vec![QuarantineRow { pool: POOL, entry }];
     Summary { quarantine, ..MemberState::new(router).empty_summary() }
 }
--- a/crates/dissemination/src/suspects.rs
+++ b/crates/dissemination/src/suspects.rs
@@ -187,6 +187,10 @@
         if self.is_quarantined {
             return self.crashes.len() != crashes;
         }
+        if reported.is_confirmed {
+            self.is_quarantined = true;
+            return true;
+        }
         let age = reported.completed_ms_ago.map(Duration::from_millis);
         self.completed_at = self.completed_at.max(age.and_then(|it| now.checked_sub(it)));
         if let Some(completed_at) = self.completed_at {
@@ -205,6 +209,7 @@
             request_hash,
             crashes: self.sites(),
             completed_ms_ago: self.completed_at.map(since),
+            is_confirmed: self.is_quarantined,
             ttl_ms: self.expires_at.saturating_duration_since(now).as_millis() as u64,
         }
     }
--- a/crates/dissemination/tests/crash_suspects.rs
+++ b/crates/dissemination/tests/crash_suspects.rs
@@ -64,8 +64,13 @@
 }
 
 fn row(crashes: Vec<CrashSite>, completed_ms_ago: Option<u64>) -> QuarantineRow {
-    let entry =
-        QuarantineEntry { request_hash: REQUEST_HASH, crashes, completed_ms_ago, ttl_ms: 600_000 };
+    let entry = QuarantineEntry {
+        request_hash: REQUEST_HASH,
+        crashes,
+        completed_ms_ago,
+        is_confirmed: false,
+        ttl_ms: 600_000,
+    };
     QuarantineRow { pool: PoolHash(1), entry }
 }
 
@@ -184,3 +189,23 @@
         assert_eq!(received, [], "routers are sent quarantined requests only");
     }
 }
+
+/// Guards against a hub that has restarted and, hearing of all recent crashes at once, takes them for
+/// simultaneous: what the hubs have found stays.
+#[test]
+fn restarted_hub() {
+    let mut world = World::new();
+    for server in 1..=6 {
+        // Each server crashes with another request; the last two with the same one.
+        let request_hash = if server < 5 { 100 + server } else { REQUEST_HASH };
+        world.exchange(0, vec![crash_of(request_hash, server)]);
+        world.now += Duration::from_secs(2);
+    }
+    assert_eq!(world.quarantined(), [1, 1]);
+    let repeated = world.hubs[0].quarantined(world.now);
+    world.hubs[1] = Hub::new(HubSettings { epoch: 3, ..HubSettings::default() });
+    // The other suspects come first, from a router.
+    world.hubs[1].merge_hub_suspects(world.now, (1..5).map(|it| crash_of(100 + it, it)).collect());
+    world.hubs[1].merge_hub_suspects(world.now, repeated);
+    assert_eq!(world.quarantined(), [1, 1]);
+}
--- a/crates/dissemination/tests/lost_digests.rs
+++ b/crates/dissemination/tests/lost_digests.rs
@@ -157,12 +157,20 @@
     let mut world = World::new();
     let site = |server_hash| CrashSite { server_hash, incarnation: 1, returns: 0 };
     let crashes = vec![site(3), site(4)];
-    let entry =
-        QuarantineEntry { request_hash: 7, crashes, completed_ms_ago: None, ttl_ms: 60_000 };
+    let entry = QuarantineEntry {
+        request_hash: 7,
+        crashes,
+        completed_ms_ago: None,
+        is_confirmed: false,
+        ttl_ms: 60_000,
+    };
     let row = QuarantineRow { pool: PoolHash(1), entry };
     let summary = world.members[0].empty_summary();
     world.hub.exchange(world.now, Summary { quarantine: vec![row.clone()], ..summary });
 
+    // The hub's verdict goes with the entry.
+    let entry = QuarantineEntry { is_confirmed: true, ..row.entry.clone() };
+    let row = QuarantineRow { entry, ..row };
     let digest = world.hub.exchange(world.now, world.members[2].empty_summary());
     assert_eq!(world.members[2].apply_digest(digest), [row]);
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -45,6 +45,8 @@
     pub crashes: Vec<CrashSite>,
     /// Time since it last completed, if it has.
     pub completed_ms_ago: Option<u64>,
+    /// Whether the routers together have found that it crashes servers.
+    pub is_confirmed: bool,
     /// Time until the entry expires.
     pub ttl_ms: u64,
 }
@@ -101,7 +103,6 @@
     completed_at: Option<Instant>,
     expires: Instant,
     suspicion: Suspicion,
-    /// The routers together have found that the request crashes servers.
     is_confirmed: bool,
 }
 
@@ -207,28 +208,19 @@
         self.records.iter().map(|(request_hash, it)| it.to_entry(now, *request_hash)).collect()
     }
 
-    /// Merges an entry of another router.
+    /// Merges an entry of another router or of all routers together.
     pub(crate) fn import(&mut self, now: Instant, entry: &QuarantineEntry) {
         if entry.crashes.is_empty() {
             // A suspect that was cleared elsewhere may have crashed a server here since then.
             return;
         }
-        self.merge_entry(now, entry, false);
-    }
-
-    /// Quarantines a request that the routers together have found to crash servers.
-    pub(crate) fn confirm(&mut self, now: Instant, entry: &QuarantineEntry) {
-        self.merge_entry(now, entry, true);
-    }
-
-    fn merge_entry(&mut self, now: Instant, entry: &QuarantineEntry, is_confirmed: bool) {
         let age = entry.completed_ms_ago.map(Duration::from_millis);
         let evidence = Evidence {
             crashes: &entry.crashes,
             completed_at: age.and_then(|it| now.checked_sub(it)),
             expires: now + Duration::from_millis(entry.ttl_ms),
             suspicion: Suspicion::Strong,
-            is_confirmed,
+            is_confirmed: entry.is_confirmed,
         };
         self.cleared.remove(&entry.request_hash);
         self.merge(now, entry.request_hash, evidence);
@@ -303,6 +295,7 @@
             request_hash,
             crashes: self.crashes.clone(),
             completed_ms_ago: self.completed_at.map(since),
+            is_confirmed: self.is_confirmed,
             ttl_ms: (self.expires - now).as_millis() as u64,
         }
     }
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -128,20 +128,13 @@
         self.quarantine.export(now)
     }
 
-    /// Merges the quarantine entries of another router.
+    /// Merges the quarantine entries of another router, or of all routers together.
     pub fn import_quarantine(&mut self, now: Instant, entries: &[QuarantineEntry]) {
         for entry in entries {
             self.quarantine.import(now, entry);
         }
     }
 
-    /// Quarantines requests that the routers together have found to crash servers.
-    pub fn confirm_quarantine(&mut self, now: Instant, entries: &[QuarantineEntry]) {
-        for entry in entries {
-            self.quarantine.confirm(now, entry);
-        }
-    }
-
     /// The changes of the quarantine since the last call, for logs.
     pub fn take_quarantine_events(&mut self) -> Vec<QuarantineEvent> {
         self.quarantine.take_events()
--- a/crates/policy/tests/crashing_request.rs
+++ b/crates/policy/tests/crashing_request.rs
@@ -187,6 +187,7 @@
         request_hash: CRASHING_HASH,
         crashes,
         completed_ms_ago: None,
+        is_confirmed: false,
         ttl_ms: 60_000,
     };
     fixture.scheduler.import_quarantine(fixture.now, &[entry]);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -171,13 +171,6 @@
         }
     }
 
-    /// Quarantines requests of one pool that the routers together have found to crash servers.
-    pub fn confirm_quarantine(&self, pool: &str, entries: &[QuarantineEntry]) {
-        if let Some(dispatcher) = self.pool_dispatcher(pool) {
-            dispatcher.apply_and_run(|scheduler, now| scheduler.confirm_quarantine(now, entries));
-        }
-    }
-
     /// The status of each of a pool's servers, for the other routers of the failure domain.
     #[must_use]
     pub fn server_statuses(&self, pool: &str) -> Vec<ServerStatus> {
--- a/crates/router/src/sent_state.rs
+++ b/crates/router/src/sent_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, btree_map::Entry},
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     net::SocketAddr,
 };
 
@@ -60,8 +60,11 @@
             let pool = PoolHash::of(&pool);
             entries.into_iter().map(move |entry| QuarantineRow { pool, entry })
         });
+        let rows: Vec<_> = rows.collect();
         let known = &mut self.pending.borrow_mut().suspects;
-        rows.filter(|it| is_new(known, it)).collect()
+        let exported: BTreeSet<_> = rows.iter().map(suspect_key).collect();
+        known.retain(|it, _| exported.contains(it));
+        rows.into_iter().filter(|it| is_new(known, it)).collect()
     }
 
     /// Quarantines the requests that the hub has sent.
@@ -73,13 +76,17 @@
             if entries.is_empty() {
                 continue;
             }
-            dispatcher.confirm_quarantine(&pool.name, &entries);
+            dispatcher.import_entries(&pool.name, &entries);
         }
     }
 }
 
+fn suspect_key(row: &QuarantineRow) -> (PoolHash, u64) {
+    (row.pool, row.entry.request_hash)
+}
+
 fn is_new(known: &mut BTreeMap<(PoolHash, u64), Vec<CrashSite>>, row: &QuarantineRow) -> bool {
-    match known.entry((row.pool, row.entry.request_hash)) {
+    match known.entry(suspect_key(row)) {
         // The hub does not know a suspect that was cleared before it was sent.
         Entry::Vacant(_) if row.entry.crashes.is_empty() => false,
         Entry::Vacant(entry) => {
