Verify a stream that ends within an event as a reset

Callers saw: a request that crashes its engine within an event went on to the next engine with each resend if the stream had no length, so that its body ends with its connection. Cause: an end within an event was taken for a fault of the answer that indicates nothing about the server. Fix: it is verified by a probe like a reset; a server that only cuts its answer short answers the probe. Evidence: crash_within_event (platform, crashing_requests) failed before with 12 crashed servers, bound 3, and passes.

--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -270,5 +270,5 @@
 
 fn truncated() -> AttemptError {
     let detail = "the answer ended within an event".to_owned();
-    AttemptError { failure: FailureKind::Other, execution: Execution::MayHaveRun, detail }
+    AttemptError { failure: FailureKind::Reset, execution: Execution::MayHaveRun, detail }
 }
