--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,10 +29,10 @@
 //!    timeout. Each [`Action::Probe`] is answered by [`Scheduler::probe_result`] from a new
 //!    connection.
 //! 8. [`Scheduler::take_quarantine_events`] after a poll, for the logs; the events are kept until
-//!    then. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other routers
-//!    of the failure domain. For the leases, each router sends [`Scheduler::claim`] for each server
-//!    to the server's [`leases::owner`], which replies with that router's part of
-//!    [`leases::grant`] for [`Scheduler::set_lease`].
+//!    then. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other
+//!    routers. For the leases, each router sends [`Scheduler::claim`] for each server to the
+//!    server's [`leases::owner`], which replies with that router's part of [`leases::grant`] for
+//!    [`Scheduler::set_lease`].
 //!
 //! The router itself ends a running request at its deadline and calls [`Scheduler::cancelled`].
 //! Calls with a closed ticket have no effect, so late events are harmless.
