Wait for all reports of a mass failure before a verdict

Cause: the verdict fell on the first reports. A request that was sent to two servers of the other side within milliseconds was on most of the servers known so far. Fix: where other servers crashed at the same time, the verdict waits 100 ms for the reports, as it did where other requests were on the same servers. A request alone is still found at once. Evidence: cut_off_together (dissemination) failed before (quarantined at both hubs) and passes.

--- a/crates/dissemination/src/suspects.rs
+++ b/crates/dissemination/src/suspects.rs
@@ -20,7 +20,7 @@
 /// The largest number of quarantined requests that a hub repeats to the other hubs.
 const REPEATED_MAX: usize = 64;
 /// Time in which all routers report a crash. Until then it is not known which other requests were on
-/// the server.
+/// the server, and which other servers crashed with it.
 const REPORT_TIME: Duration = Duration::from_millis(100);
 
 type Key = (PoolHash, u64);
@@ -128,7 +128,8 @@
         let others = self.entries.iter().filter(|(other, _)| other.0 == key.0 && **other != key);
         let shared = others.map(|it| it.1.crashes.iter().filter(|it| sites.contains(&it.site)));
         let shared_max = shared.map(Iterator::count).max().unwrap_or(0);
-        if log.is_certain(&sites, proof) || shared_max == 0 {
+        let is_alone = shared_max == 0 && !log.has_others_near(&sites);
+        if log.is_certain(&sites, proof) || is_alone {
             return Verdict::Quarantined;
         }
         let last_report = entry.crashes.iter().map(|it| it.reported_at).max();
--- a/crates/dissemination/tests/crash_suspects.rs
+++ b/crates/dissemination/tests/crash_suspects.rs
@@ -209,3 +209,21 @@
     world.hubs[1].merge_hub_suspects(world.now, repeated);
     assert_eq!(world.quarantined(), [1, 1]);
 }
+
+/// Guards against a verdict on the first reports of servers that are cut off together: a request that
+/// was sent to two of them within milliseconds is on most of those known so far.
+#[test]
+fn cut_off_together() {
+    let mut world = World::new();
+    world.exchange(1, vec![crash_of(100, 1)]);
+    for server in 2..=3 {
+        world.now += Duration::from_millis(10);
+        world.exchange(0, vec![crash(server)]);
+    }
+    for server in 4..=9 {
+        world.now += Duration::from_millis(10);
+        world.exchange(1, vec![crash_of(100 + server, server)]);
+    }
+    world.now += Duration::from_secs(1);
+    assert_eq!(world.quarantined(), [0, 0]);
+}
--- a/crates/policy/src/crash_log.rs
+++ b/crates/policy/src/crash_log.rs
@@ -79,6 +79,14 @@
         sites.len() >= CrashLimits::of(proof).total
     }
 
+    /// Whether other servers crashed at the time of a crash in `sites`.
+    #[must_use]
+    pub fn has_others_near(&self, sites: &[CrashSite]) -> bool {
+        let own = sites.iter().filter_map(|it| self.crashes.get(it));
+        let others = || self.crashes.iter().filter(|it| !sites.contains(it.0)).map(|it| *it.1);
+        own.into_iter().any(|at| others().any(|other| is_simultaneous(*at, other)))
+    }
+
     /// The number of crashes that count against a request that ran on all the servers of `sites`.
     ///
     /// Servers that fail together have a common cause. So of simultaneous crashes, those on which
@@ -90,12 +98,12 @@
 
     fn is_attributable(&self, site: CrashSite, sites: &[CrashSite]) -> bool {
         let Some(at) = self.crashes.get(&site) else { return true };
-        let is_simultaneous = |other: &&Instant| {
-            let apart = at.max(*other).saturating_duration_since(*at.min(*other));
-            apart <= SIMULTANEOUS
-        };
-        let simultaneous = self.crashes.values().filter(is_simultaneous).count();
-        let own = sites.iter().filter_map(|it| self.crashes.get(it)).filter(is_simultaneous);
-        2 * own.count() > simultaneous
+        let simultaneous = self.crashes.values().filter(|it| is_simultaneous(*at, **it)).count();
+        let own = sites.iter().filter_map(|it| self.crashes.get(it));
+        2 * own.filter(|it| is_simultaneous(*at, **it)).count() > simultaneous
     }
 }
+
+fn is_simultaneous(one: Instant, other: Instant) -> bool {
+    one.max(other).saturating_duration_since(one.min(other)) <= SIMULTANEOUS
+}
