Log the parts of the prompt with each attempt

Change: attempt lines carry the parts that other requests may share; with the failure and the time of the first token, they show which parts all ended servers have in common.

--- a/crates/policy/src/prompt.rs
+++ b/crates/policy/src/prompt.rs
@@ -50,7 +50,9 @@
         self.shared().iter().fold(0, |hash: u64, it| mix(hash.rotate_left(1) ^ it.id).max(1))
     }
 
-    fn shared(&self) -> &[PromptPart] {
+    /// The parts that other requests may share: all but the last one.
+    #[must_use]
+    pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[][..], |(_, shared)| shared)
     }
 }
--- a/crates/policy/src/scheduler/checks.rs
+++ b/crates/policy/src/scheduler/checks.rs
@@ -5,6 +5,7 @@
 use super::{Action, Scheduler};
 use crate::{
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
+    prompt::Prompt,
     request::{PlacementEstimate, Preemption},
 };
 
@@ -98,6 +99,12 @@
         self.requests.get(ticket)?.attempt()?.estimate
     }
 
+    /// The structure of the request's prompt, if it is known.
+    pub fn prompt(&self, ticket: Ticket) -> Option<&Prompt> {
+        self.requests.get(ticket)?;
+        self.prompts.get(ticket)
+    }
+
     /// The number of requests that this router has in flight at a server.
     pub fn in_flight(&self, backend: BackendKey) -> u32 {
         self.backends.get(backend).map_or(0, |it| it.in_flight)
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -25,6 +25,9 @@
     services::Services,
 };
 
+/// The number of a prompt's parts that the log names.
+const LOGGED_PARTS_MAX: usize = 8;
+
 /// A request that holds a lease of a backend server.
 pub(crate) struct Call {
     pub(crate) services: Rc<Services>,
@@ -302,6 +305,7 @@
             class = %self.routed.route().class,
             server = %self.lease.server().addr,
             fingerprint = %self.lease.fingerprint(),
+            shared_parts = logged_parts(&self.lease.shared_parts()),
             number = self.attempts,
             queued_ms = millis(queued),
             urgency = self.urgency,
@@ -319,6 +323,12 @@
     }
 }
 
+/// The ids of the parts of a prompt as text, separated by commas; `None` if there are none.
+fn logged_parts(parts: &[u64]) -> Option<String> {
+    let named = parts.iter().take(LOGGED_PARTS_MAX).map(|it| format!("{it:x}"));
+    (!parts.is_empty()).then(|| named.collect::<Vec<_>>().join(","))
+}
+
 /// Logs a refusal with the inputs of the decision.
 fn log_refusal(services: &Services, routed: &Routed, fingerprint: Fingerprint, refusal: Refusal) {
     let (pool, class) = (&routed.pool().name, &routed.route().class);
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -4,7 +4,7 @@
 
 use futures::channel::{mpsc, oneshot};
 use policy::{
-    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, PlacementEstimate, ProbeResult,
+    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, PlacementEstimate, ProbeResult, Prompt,
     Refusal, RetryDecision, Ticket,
 };
 
@@ -122,6 +122,14 @@
         self.dispatcher.apply(|scheduler, _| scheduler.placement_estimate(self.ticket))
     }
 
+    /// The ids of the parts of the prompt that other requests may share, for logs.
+    pub(crate) fn shared_parts(&self) -> Vec<u64> {
+        self.dispatcher.apply(|scheduler, _| {
+            let shared = scheduler.prompt(self.ticket).map_or(&[][..], Prompt::shared);
+            shared.iter().map(|it| it.id).collect()
+        })
+    }
+
     /// Applies a load report that came with one of the server's answers.
     pub fn report_load(&self, report: &LoadReport) {
         self.dispatcher.report_load(&self.server(), report);
