Count requests that a replaced server turns away as repeats

Cause: a request that reaches a server which has taken over the address of another one is turned away by it (421). The attempt was taken for a refused connection, of which each request has three that neither use the retry budget nor count as attempts. But it did reach a server, and when many servers are replaced, every router sends several requests to each of them. Change: such an attempt has a failure of its own. The server still is out at once, but the next attempt uses the budget like any other.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -21,6 +21,8 @@
 pub enum Failure {
     /// The connection was refused: the server is down.
     ConnectRefused,
+    /// The server turned the request away because another one had its address: it is gone.
+    Replaced,
     /// The connection was reset or closed while the request ran: the server may have crashed.
     Reset,
     /// The server refused the request before running it, because it is full.
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -160,7 +160,9 @@
         let Some(attempt) = self.requests.get(ticket).and_then(Request::attempt) else { return };
         let is_current = self.backends[attempt.backend].incarnation == attempt.incarnation;
         match failure {
-            Failure::ConnectRefused if is_current => self.mark_down(attempt.backend, now),
+            Failure::ConnectRefused | Failure::Replaced if is_current => {
+                self.mark_down(attempt.backend, now)
+            }
             Failure::Reset => self.record_crash(attempt, now),
             Failure::Overloaded if is_current => {
                 self.backends[attempt.backend].start_overload_backoff(now)
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -178,9 +178,7 @@
 fn not_started(refusal: NotStarted) -> AttemptError {
     let (failure, detail) = match refusal {
         NotStarted::Full => (FailureKind::Overloaded, "the backend server has no room"),
-        NotStarted::OtherServer => {
-            (FailureKind::ConnectRefused, "another server has the address now")
-        }
+        NotStarted::OtherServer => (FailureKind::Replaced, "another server has the address now"),
         NotStarted::Refused => (FailureKind::Other, "the backend server refused the request"),
     };
     AttemptError { failure, execution: Execution::NotRun, detail: detail.to_owned() }
