Bound the interim heads before an answer

What callers see: a server that sends heads of interim responses (1xx) without end keeps a request until its deadline, and an order or a buffered reader reads at full speed meanwhile. Cause: each head is bounded, but their number was not. Found by reading, for the users' new rule on bytes that are no answer and come without end. Change: the interim heads before an answer are together bounded like one head. Result: endless_interim_heads (httpio, malformed_responses) read 250 KB of them and accepted the answer before; it passes.

--- a/crates/httpio/src/client/connection.rs
+++ b/crates/httpio/src/client/connection.rs
@@ -99,15 +99,23 @@
         Ok(head)
     }
 
-    /// Reads heads until one does not belong to an interim (1xx) response.
+    /// Reads heads until one does not belong to an interim (1xx) response. Those of interim responses
+    /// together are bounded like one head.
     async fn read_final_head(&mut self) -> Result<ResponseHead, FailureKind> {
+        let mut interim_bytes = 0;
         loop {
+            let buffered = self.inbound.buffer.len();
             match self.inbound.take_head(ResponseHeadDecoder, &self.limits)? {
                 Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
                     let reason = "it switches to a protocol that was not asked for";
                     return Err(FailureKind::Malformed(reason.to_owned()));
                 }
-                Some(head) if head.status.is_informational() => {}
+                Some(head) if head.status.is_informational() => {
+                    interim_bytes += buffered - self.inbound.buffer.len();
+                    if interim_bytes > self.limits.head_bytes {
+                        return Err(FailureKind::HeadTooBig);
+                    }
+                }
                 Some(head) => return Ok(head),
                 None => match self.inbound.fill().await.map_err(FailureKind::Io)? {
                     Received::Data => {}
--- a/crates/httpio/tests/malformed_responses.rs
+++ b/crates/httpio/tests/malformed_responses.rs
@@ -209,3 +209,13 @@
         expect!["200 OK, then the body of the answer is larger than allowed (head received)"],
     );
 }
+
+/// Guards against a server that sends heads of interim responses without end, each of which is small.
+#[test]
+fn endless_interim_heads() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(10_000);
+    check(
+        &format!("{interim}HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"),
+        expect!["the head of the answer is larger than allowed (request sent)"],
+    );
+}
