Bound empty lines in place of a head

What callers see: a server that sends empty lines without end stalls its router. The memory grows without bound, and since bytes are always there, the router answers nobody, not even at the deadline. A caller can do the same. Cause: the codec skips empty lines before a head, so they never are more than an incomplete head, and the limit was checked only where no empty line was in the first 16 KB. Change: an incomplete head is bounded whatever it holds.

--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -91,6 +91,8 @@
             Decoded::Some(head) => Ok(Some(head)),
             // The codec would wait forever for the end of such a head.
             _ if has_bare_line_feed(&self.buffer) => Err(HeadFault::BareLineFeed),
+            // The codec skips empty lines before a head, so these need a bound as well.
+            _ if self.buffer.len() >= limits.head_bytes => Err(HeadFault::TooBig),
             Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => Ok(None),
         }
     }
--- a/crates/httpio/tests/malformed_responses.rs
+++ b/crates/httpio/tests/malformed_responses.rs
@@ -219,3 +219,12 @@
         expect!["the head of the answer is larger than allowed (request sent)"],
     );
 }
+
+/// Guards against empty lines without end in place of a head, which the codec skips.
+#[test]
+fn endless_empty_lines() {
+    check(
+        &"\r\n".repeat(10_000),
+        expect!["the head of the answer is larger than allowed (request sent)"],
+    );
+}
--- a/crates/httpio/tests/rejected_requests.rs
+++ b/crates/httpio/tests/rejected_requests.rs
@@ -104,6 +104,21 @@
     );
 }
 
+/// Guards against a caller that sends empty lines without end in place of a head.
+#[test]
+fn endless_empty_lines() {
+    check(
+        &"\r\n".repeat(10_000),
+        expect![[r#"
+        HTTP/1.1 431 Request Header Fields Too Large
+        content-length: 31
+        content-type: text/plain
+        connection: close
+
+        the head is larger than allowed"#]],
+    );
+}
+
 #[test]
 fn invalid_host() {
     check(
