Give up a server that repeats events without end

What callers see: a stream breaks at its deadline although another server could have resumed it. Cause: events that the caller has already are skipped without a limit, and each is new data, so the stream does not count as silent. Change: beyond 256 KB of repeated events in a row the attempt fails, and the stream is resumed elsewhere. Result: endless_repeats (platform, relayed_streams) got a broken stream before; it passes.

--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -25,6 +25,8 @@
 /// The number of events buffered for a slow caller.
 const BUFFERED_EVENTS_MAX: usize = 8;
 const EVENT_BYTES_MAX: usize = 256 << 10;
+/// The events that a server may repeat at once, for example because it starts the stream anew.
+const REPEATED_BYTES_MAX: usize = 256 << 10;
 
 /// The start of an answer.
 enum Opened {
@@ -207,6 +209,7 @@
         &mut self,
         source: &mut EventSource,
     ) -> Result<Option<Bytes>, AttemptError> {
+        let mut repeated_bytes = 0;
         loop {
             let silence = match self.events {
                 0 => self.call.services.timeouts.first_silence(),
@@ -227,6 +230,10 @@
                 self.events += 1;
                 return Ok(Some(event));
             }
+            repeated_bytes += event.len();
+            if repeated_bytes > REPEATED_BYTES_MAX {
+                return Err(AttemptError::in_doubt("the server repeats events without end"));
+            }
         }
     }
 
