Do not take servers for stragglers by gaps of microseconds

Cause: the straggler rule compares times as a ratio, and on a fast network the gaps between tokens are microseconds that differ by the delays of the router's own VM; one gap was enough. Change: for this rule times below 5 ms count as 5 ms, and a server needs four measured gaps. The slowness that the choice of a server uses is as before. The two tests of truncated_answers send 120 requests in place of 30, as three of 30 are by chance with one server in three (3 in 1,000); the bound stays one in ten.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -22,6 +22,11 @@
 const GAP_SAMPLE_MAX_FACTOR: f64 = 8.0;
 const FIRST_TOKEN_EWMA_WEIGHT: f64 = 0.2;
 const SLOW_START_MIN_FRACTION: f64 = 0.1;
+/// Shorter times count as this when a straggler is looked for: they differ by the delays of the router's
+/// own VM, and are equally good to callers.
+const COMPARED_TIME_MIN_MS: f64 = 5.0;
+/// The number of gaps after which a server can be a straggler.
+const COMPARED_GAPS_MIN: u32 = 4;
 /// A straggler keeps this many slots, so that its recovery can be measured.
 const STRAGGLER_SLOTS: u32 = 1;
 
@@ -126,6 +131,10 @@
     /// The gap or current stall as a multiple of the median of the pool's servers; before any gap
     /// is measured, the time to the first token as a multiple of its median.
     pub(crate) slowness: f64,
+    /// The same with times of at least [`COMPARED_TIME_MIN_MS`].
+    compared_slowness: f64,
+    /// The number of gaps in `gap_ms`.
+    gap_count: u32,
     /// The latest incarnation whose crash was recorded.
     pub(crate) crashed_incarnation: Option<u64>,
     /// The backoff after the last overload refusal, until the server starts to answer a request.
@@ -220,6 +229,8 @@
             stall_ms: None,
             pace: Pace::default(),
             slowness: 1.0,
+            compared_slowness: 1.0,
+            gap_count: 0,
             crashed_incarnation: None,
             overload_backoff: None,
             recoveries: 0,
@@ -248,6 +259,8 @@
         self.gap_ms = Ewma::new(GAP_EWMA_WEIGHT);
         self.first_token_ms = Ewma::new(FIRST_TOKEN_EWMA_WEIGHT);
         self.slowness = 1.0;
+        self.compared_slowness = 1.0;
+        self.gap_count = 0;
         self.pace = Pace::default();
     }
 
@@ -255,10 +268,18 @@
         let gap_ms = gap.as_secs_f64() * 1e3;
         let bound_ms = self.gap_ms.value().map_or(gap_ms, |it| it * GAP_SAMPLE_MAX_FACTOR);
         self.gap_ms.add(gap_ms.min(bound_ms));
+        self.gap_count = self.gap_count.saturating_add(1);
         self.pace.observe(gap_ms.min(bound_ms));
         self.last_gap = Some(now);
     }
 
+    /// Compares a time of the server with the median of its pool.
+    pub(crate) fn compare(&mut self, own_ms: f64, median_ms: f64) {
+        self.slowness = own_ms / median_ms.max(0.001);
+        self.compared_slowness =
+            own_ms.max(COMPARED_TIME_MIN_MS) / median_ms.max(COMPARED_TIME_MIN_MS);
+    }
+
     /// The measured gap, or the current stall if that is longer.
     pub(crate) fn gap_with_stall_ms(&self) -> Option<f64> {
         let gap_ms = self.gap_ms.value()?;
@@ -362,7 +383,12 @@
     }
 
     pub(crate) fn is_straggler(&self, settings: &Settings) -> bool {
-        self.slowness >= settings.straggler_ratio
+        self.is_compared() && self.compared_slowness >= settings.straggler_ratio
+    }
+
+    /// Whether enough gaps were measured to compare the server with others.
+    fn is_compared(&self) -> bool {
+        self.gap_ms.value().is_none() || self.gap_count >= COMPARED_GAPS_MIN
     }
 
     /// The known requests on the server as a fraction of its slots.
--- a/crates/policy/src/scheduler/checks.rs
+++ b/crates/policy/src/scheduler/checks.rs
@@ -182,12 +182,10 @@
     ) {
         let settings = &self.settings;
         let backend = &mut self.backends[key];
-        let by_gap = ratio(backend.gap_with_stall_ms(), median_gap_ms);
-        let by_first_token = ratio(backend.first_token_ms.value(), median_first_token_ms);
-        backend.slowness = match by_gap {
-            Some(it) => it,
-            None => by_first_token.unwrap_or(1.0),
-        };
+        let gaps = backend.gap_with_stall_ms().zip(median_gap_ms);
+        let first_tokens = backend.first_token_ms.value().zip(median_first_token_ms);
+        let (own_ms, median_ms) = gaps.or(first_tokens).unwrap_or((1.0, 1.0));
+        backend.compare(own_ms, median_ms);
         let idle_since = backend.last_gap.unwrap_or(now);
         let is_idle = backend.in_flight == 0 && now >= idle_since + STRAGGLER_RETRY_AFTER;
         if backend.is_straggler(settings) && is_idle {
@@ -197,10 +195,6 @@
     }
 }
 
-fn ratio(own: Option<f64>, median: Option<f64>) -> Option<f64> {
-    Some(own? / median?.max(0.001))
-}
-
 /// The lower median, so that of two servers the faster one is the reference.
 fn median(mut values: Vec<f64>) -> Option<f64> {
     if values.is_empty() {
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -3,6 +3,8 @@
 #[path = "support/fixture.rs"]
 mod fixture;
 
+use std::time::Duration;
+
 use fixture::{Fixture, class};
 use policy::{Action, Execution, Failure, Health, Outcome, ProbeResult, RetryDecision};
 
@@ -148,3 +150,24 @@
     fixture.poll();
     assert_eq!(fixture.scheduler.next_wakeup(fixture.now), None);
 }
+
+/// Guards against a server that is taken for a straggler because its gaps of microseconds are a multiple
+/// of the others' gaps of microseconds.
+#[test]
+fn microseconds_apart() {
+    const GAPS_US: [u64; 3] = [10, 10, 400];
+    let mut fixture = Fixture::new(vec![class("chat", 1, 100)], GAPS_US.len(), 4);
+    fixture.offer_many("chat", 6);
+    let started = fixture.poll_dispatches();
+    started.iter().for_each(|it| fixture.scheduler.first_token(it.0, fixture.now));
+    for (ticket, server) in &started {
+        let gap = Duration::from_micros(GAPS_US[fixture.server_index(*server)]);
+        for count in 1..20 {
+            fixture.scheduler.tokens(*ticket, fixture.now + gap * count, 1);
+        }
+    }
+    fixture.advance(200);
+    started.iter().for_each(|it| fixture.finish(it.0));
+    fixture.poll();
+    assert!(fixture.backends.iter().all(|it| !fixture.scheduler.is_straggler(*it)));
+}
--- a/crates/router/tests/truncated_answers.rs
+++ b/crates/router/tests/truncated_answers.rs
@@ -14,6 +14,7 @@
     Ending, FakeServer, GrantingLedger, Setup, order, run, stream, streamed_chat, unstreamed_chat,
 };
 
+const REQUESTS: usize = 120;
 const TOKENS: &[&str] = &[" one", " two", " three"];
 
 /// An engine that disconnects after two tokens of each answer and cannot resume streams.
@@ -38,7 +39,7 @@
         let chat = "retry_budget_permille = 1000";
         let router = Setup { engines, chat, ..Setup::default() }.start();
         let mut truncated = Vec::new();
-        for number in 0..30 {
+        for number in 0..REQUESTS {
             let answer = router.exchange(numbered(request(), number)).await;
             let is_complete = answer.matches(" one").count() == 1 && answer.contains(" three");
             truncated.extend((!is_complete).then_some(answer));
@@ -46,11 +47,14 @@
         let hits = bad.request_lines().iter().filter(|it| it.ends_with("/completions")).count();
         assert!(
             truncated.is_empty(),
-            "{} of 30 answers truncated, {hits} requests sent to the truncating engine: {}",
+            "{} of {REQUESTS} answers truncated, {hits} requests sent to the truncating engine: {}",
             truncated.len(),
             truncated[0]
         );
-        assert!(hits > 3, "the truncating engine stays in use, but received only {hits} requests");
+        assert!(
+            10 * hits > REQUESTS,
+            "the truncating engine stays in use, but received only {hits} requests"
+        );
     });
 }
 
