Heed a server that says in its answers that it is leaving

Cause: a router learned from the platform's list alone that a server leaves, and the list lags. Probes and the stand-in engine do not use it yet.

--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -11,8 +11,9 @@
 use crate::{
     backend::{Backend, BackendEntry, Health, LoadReport, PendingWork, SlotLease},
     class_queue::ClassQueue,
-    keys::{BackendKey, PoolKey},
+    keys::{BackendKey, PoolKey, Ticket},
     leases::Claim,
+    request::Request,
 };
 
 impl Scheduler {
@@ -32,6 +33,19 @@
         self.apply_entry(now, entry, Health::Leaving)
     }
 
+    /// Stops new requests to the server of a request's attempt, because it says in its answer that it
+    /// is leaving; returns whether that is new. A list that lags behind does not revoke it.
+    pub fn announced_leaving(&mut self, ticket: Ticket, backend: BackendKey) -> bool {
+        let attempt = self.requests.get(ticket).and_then(Request::attempt);
+        let Some(attempt) = attempt.filter(|it| it.backend == backend) else { return false };
+        let server = &mut self.backends[backend];
+        if server.incarnation != attempt.incarnation || !server.is_usable() {
+            return false;
+        }
+        server.health = Health::Leaving;
+        true
+    }
+
     /// Stops new requests to a server that has left.
     pub fn backend_gone(&mut self, now: Instant, entry: &BackendEntry<'_>) -> Option<BackendKey> {
         self.apply_entry(now, entry, Health::Gone)
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -54,6 +54,8 @@
     pub is_signed: bool,
     /// The server's load, if the head reports it.
     pub load: Option<ServerLoad>,
+    /// Whether the server says that it is leaving and wants no further request.
+    pub is_leaving: bool,
 }
 
 /// Why a server did not start a request.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -134,6 +134,17 @@
         self.dispatcher.report_load(&self.server(), report);
     }
 
+    /// Records that the server says of itself that it is leaving: it gets no further request.
+    pub fn report_leaving(&self) {
+        let server = self.server();
+        let was_live = self
+            .dispatcher
+            .apply_and_run(|scheduler, _| scheduler.announced_leaving(self.ticket, server.key));
+        if was_live {
+            tracing::info!(event = "server_leaving", server = %server.addr, source = "answer");
+        }
+    }
+
     /// The scheduler's commands for the stream, to be read by its relay.
     ///
     /// # Panics
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -134,6 +134,9 @@
 
     fn check_response(&self, response: Response) -> Result<Response, AttemptError> {
         let answer = self.dialect.read_answer(&response.head);
+        if answer.is_leaving {
+            self.call.lease.report_leaving();
+        }
         if let Some(load) = answer.load {
             self.call.lease.report_load(&load_report(load));
         }
