Grant servers the pause that they ask for

Cause: nothing read the field; the backoff after a refusal has its own length, from 0.1 s on. The scheduler sends this server neither requests nor probes until the pause has ended, 60 s at most. When all usable servers of a pool have asked for a pause, new and queued requests are refused at once, with a Retry-After from the earliest end, spread over a quarter.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -139,6 +139,8 @@
     pub(crate) crashed_incarnation: Option<u64>,
     /// The backoff after the last overload refusal, until the server starts to answer a request.
     overload_backoff: Option<OverloadBackoff>,
+    /// Until when the server has asked for no request.
+    pause_until: Option<Instant>,
     /// Recoveries after a crash without a newer incarnation being reported.
     pub(crate) recoveries: u64,
     configured_slots: u32,
@@ -233,6 +235,7 @@
             gap_count: 0,
             crashed_incarnation: None,
             overload_backoff: None,
+            pause_until: None,
             recoveries: 0,
             configured_slots,
             reported_slots: None,
@@ -250,6 +253,7 @@
         self.incarnation = incarnation;
         self.recoveries = 0;
         self.overload_backoff = None;
+        self.pause_until = None;
         self.reset_speed();
         self.other_requests = 0;
     }
@@ -318,6 +322,16 @@
         self.overload_backoff = None;
     }
 
+    /// Sends nothing until `until`, because the server has asked for a pause.
+    pub(crate) fn pause(&mut self, until: Instant) {
+        self.pause_until = self.pause_until.max(Some(until));
+    }
+
+    /// When the pause that the server has asked for ends, if it is not over.
+    pub(crate) fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.pause_until.filter(|it| *it > now)
+    }
+
     fn is_backing_off(&self, now: Instant) -> bool {
         self.overload_backoff.is_some_and(|it| it.until > now)
     }
@@ -325,7 +339,8 @@
     /// When the next probe is due, if the server is suspect or down.
     pub(crate) fn probe_due(&self) -> Option<Instant> {
         let needs_probe = matches!(self.health, Health::Suspect | Health::Down);
-        self.next_probe.filter(|_| needs_probe)
+        // A probe is a request too.
+        self.next_probe.filter(|_| needs_probe).and_then(|it| Some(it).max(self.pause_until))
     }
 
     pub(crate) fn is_usable(&self) -> bool {
@@ -343,7 +358,7 @@
 
     /// Requests that this router may have in flight on the server.
     pub(crate) fn slot_limit(&self, now: Instant, settings: &Settings) -> u32 {
-        if !self.is_usable() || self.is_backing_off(now) {
+        if !self.is_usable() || self.is_backing_off(now) || self.pause_end(now).is_some() {
             return 0;
         }
         let share = self.slot_share(now, settings);
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
+
 use super::Scheduler;
 use crate::{
-    backend::Health,
     class_queue::QueuedRequest,
     keys::{ClassKey, PoolKey, Ticket},
     prompt::Prompt,
@@ -28,6 +29,8 @@
 const SATURATION_TIME: Duration = Duration::from_secs(3);
 /// Lower bound of a rate, which avoids division by zero.
 const MIN_TOKENS_PER_SECOND: f64 = 0.1;
+/// Callers come back after up to this multiple of the pause that servers have asked for.
+const PAUSE_SPREAD_MAX: f64 = 1.25;
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(120);
 
 impl Scheduler {
@@ -38,7 +41,7 @@
     pub fn offer(&mut self, now: Instant, offer: Offer) -> Result<Ticket, Refusal> {
         self.check_configured(&offer)?;
         self.check_quarantine(now, &offer)?;
-        self.check_backends(&offer)?;
+        self.check_backends(now, &offer)?;
         let cost = self.expected_tokens(&offer);
         let service = self.service_with_margin(&offer, cost);
         self.check_deadline(now, &offer, cost, service)?;
@@ -76,7 +79,11 @@
         offer: &Offer,
         reason: RefusalReason,
     ) -> Refusal {
-        Refusal { reason, retry_after: self.retry_after(now, offer.class, offer.pool) }
+        let retry_after = match reason {
+            RefusalReason::NoBackend => self.retry_after_no_backend(now, offer.pool),
+            _ => self.retry_after(now, offer.class, offer.pool),
+        };
+        Refusal { reason, retry_after }
     }
 
     /// The expected time from dispatch to the last token at the pool's current speed.
@@ -121,16 +128,33 @@
         }
     }
 
-    fn check_backends(&self, offer: &Offer) -> Result<(), Refusal> {
-        if self.has_usable_backend(offer.pool) {
+    fn check_backends(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
+        if self.has_usable_backend(now, offer.pool) {
             return Ok(());
         }
-        Err(Refusal { reason: RefusalReason::NoBackend, retry_after: MIN_RETRY_AFTER })
+        Err(self.refusal(now, offer, RefusalReason::NoBackend))
+    }
+
+    pub(super) fn has_usable_backend(&self, now: Instant, pool: PoolKey) -> bool {
+        let mut members = self.pools[pool].members.iter().map(|it| &self.backends[*it]);
+        members.any(|it| it.is_usable() && it.pause_end(now).is_none())
+    }
+
+    /// When the first server is usable again if all usable servers have asked for a pause.
+    pub(super) fn end_of_pauses(&self, now: Instant, pool: PoolKey) -> Option<Instant> {
+        let members = self.pools[pool].members.iter().map(|it| &self.backends[*it]);
+        let pauses: Vec<_> =
+            members.filter(|it| it.is_usable()).map(|it| it.pause_end(now)).collect();
+        let is_paused = !pauses.is_empty() && pauses.iter().all(Option::is_some);
+        pauses.into_iter().flatten().min().filter(|_| is_paused)
     }
 
-    pub(super) fn has_usable_backend(&self, pool: PoolKey) -> bool {
-        let mut members = self.pools[pool].members.iter();
-        members.any(|it| matches!(self.backends[*it].health, Health::Up | Health::Suspect))
+    /// When to come back if no server is usable. After a pause the callers come back over some time,
+    /// so that they do not all meet the server at once.
+    fn retry_after_no_backend(&mut self, now: Instant, pool: PoolKey) -> Duration {
+        let Some(end) = self.end_of_pauses(now, pool) else { return MIN_RETRY_AFTER };
+        let spread = self.rng.random_range(1.0..PAUSE_SPREAD_MAX);
+        end.saturating_duration_since(now).mul_f64(spread)
     }
 
     fn expected_tokens(&mut self, offer: &Offer) -> u32 {
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -3,7 +3,7 @@
 //! Updates of an older incarnation than the known one are ignored. Within one incarnation a server
 //! only changes from live to leaving to gone; a newer incarnation starts as live again.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,6 +16,9 @@
     request::Request,
 };
 
+/// The longest pause that a server is granted; after it, the server may ask again.
+const PAUSE_MAX: Duration = Duration::from_secs(60);
+
 impl Scheduler {
     /// Adds or updates a server that the platform lists as live.
     ///
@@ -46,6 +49,21 @@
         true
     }
 
+    /// Sends nothing to a server for some time, because it has asked for that when it refused a request;
+    /// returns the time that is granted.
+    pub fn pause_requested(
+        &mut self,
+        now: Instant,
+        backend: BackendKey,
+        pause: Duration,
+    ) -> Duration {
+        let pause = pause.min(PAUSE_MAX);
+        if let Some(server) = self.backends.get_mut(backend) {
+            server.pause(now + pause);
+        }
+        pause
+    }
+
     /// Stops new requests to a server that has left.
     pub fn backend_gone(&mut self, now: Instant, entry: &BackendEntry<'_>) -> Option<BackendKey> {
         self.apply_entry(now, entry, Health::Gone)
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -85,7 +85,8 @@
     /// Refuses requests whose class or pool is no longer in the tables, and those of a pool that
     /// had no usable server for longer than the grace period.
     fn refuse_unserved(&mut self, now: Instant, key: PoolKey) {
-        let usable = self.has_usable_backend(key);
+        let usable = self.has_usable_backend(now, key);
+        let is_paused = self.end_of_pauses(now, key).is_some();
         let grace = self.settings.no_backend_grace;
         let pool = &mut self.pools[key];
         let since = pool.without_backend_since.get_or_insert(now);
@@ -101,7 +102,7 @@
         for class in classes {
             if is_pool_retired || self.classes[class].retired {
                 self.refuse_queue(now, key, class, RefusalReason::Unknown);
-            } else if !usable && is_past_grace {
+            } else if is_paused || !usable && is_past_grace {
                 self.refuse_queue(now, key, class, RefusalReason::NoBackend);
             }
         }
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -171,3 +171,26 @@
     fixture.poll();
     assert!(fixture.backends.iter().all(|it| !fixture.scheduler.is_straggler(*it)));
 }
+
+/// Guards against a request or a probe to a server within the pause that it has asked for.
+#[test]
+fn pause_requested() {
+    let mut fixture = fixture(2);
+    let ticket = fixture.offer("chat");
+    let paused = fixture.poll_dispatches()[0].1;
+    let pause = Duration::from_secs(4);
+    fixture.scheduler.pause_requested(fixture.now, paused, pause);
+    fail(&mut fixture, ticket, Failure::Overloaded);
+    fixture.scheduler.connection_timed_out(paused, fixture.now);
+    for _ in 0..39 {
+        fixture.advance(100);
+        fixture.offer("chat");
+        let actions = fixture.poll();
+        let started: Vec<_> = actions.iter().filter_map(fixture::as_dispatch).collect();
+        assert!(started.iter().all(|it| it.1 != paused), "{actions:?}");
+        assert!(!actions.contains(&Action::Probe { backend: paused }), "{actions:?}");
+        started.iter().for_each(|it| fixture.finish(it.0));
+    }
+    fixture.advance(200);
+    assert!(fixture.poll().contains(&Action::Probe { backend: paused }));
+}
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -56,6 +56,8 @@
     pub load: Option<ServerLoad>,
     /// Whether the server says that it is leaving and wants no further request.
     pub is_leaving: bool,
+    /// The time for which the server wants no request, if it refused this one and asks for that.
+    pub pause: Option<Duration>,
 }
 
 /// Why a server did not start a request.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -145,6 +145,19 @@
         }
     }
 
+    /// Records that the server has refused the request and wants no other for some time.
+    pub fn report_pause(&self, pause: std::time::Duration) {
+        let server = self.server();
+        let pause = self
+            .dispatcher
+            .apply(|scheduler, now| scheduler.pause_requested(now, server.key, pause));
+        tracing::info!(
+            event = "server_paused",
+            server = %server.addr,
+            pause_ms = pause.as_millis() as u64,
+        );
+    }
+
     /// The scheduler's commands for the stream, to be read by its relay.
     ///
     /// # Panics
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -137,6 +137,9 @@
         if answer.is_leaving {
             self.call.lease.report_leaving();
         }
+        if let Some(pause) = answer.pause {
+            self.call.lease.report_pause(pause);
+        }
         if let Some(load) = answer.load {
             self.call.lease.report_load(&load_report(load));
         }
