Split the judgement of prompt parts from their records

Cause: part_suspects.rs held the records, their merging and the judgement in one file, and merge in one function. Change: the judgement is a module of its own; the merge of answers and refusals are functions. Nothing else changes.

--- a/crates/policy/src/part_suspects.rs
+++ b/crates/policy/src/part_suspects.rs
@@ -9,6 +9,8 @@
 //! Routers and hubs use the same type. They exchange [`PartEntry`]s, which are merged by the set of
 //! crashes and the latest times, so the order of messages does not matter.
 
+mod cause;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -17,27 +19,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    crash_log::{CrashLog, count_moments},
-    quarantine::CrashSite,
-};
+use crate::{crash_log::CrashLog, quarantine::CrashSite};
 
 /// Time for which a part is refused after its last crash or the last refused request.
 const REFUSAL_TTL: Duration = Duration::from_secs(600);
 /// Time in which all routers report a crash, and answers on the parts that were on the server.
 const REPORT_TIME: Duration = Duration::from_millis(500);
-/// The number of moments with crashes after which a part is refused. Sound parts are on crashed
-/// servers by chance more often than single requests, as many requests share them.
-const MOMENTS_MIN: usize = 4;
-/// The same for a part that was answered before.
-const MOMENTS_MIN_IF_ANSWERED: usize = 6;
-/// The same for a part that was never answered, whatever else crashed meanwhile.
-const MOMENTS_CERTAIN: usize = 8;
-/// The number of crashes of a part that was never answered for which half of the moments are enough: if
-/// requests with it come often, it ends all servers at almost the same time.
-const CRASHES_CERTAIN: usize = 8;
-/// Crashes of one server may be its own fault, so this many servers must have crashed.
-const SERVERS_MIN: usize = 3;
 /// Crashes from which on the routers are asked for answers on a part.
 const WATCHED_CRASHES_MIN: usize = 2;
 /// Time for which a router reports the answers on a part after it was last asked.
@@ -157,9 +144,11 @@
             let was_refused = record.is_refused(now);
             record.set_answered(now);
             let is_watched = record.watched_until.is_some_and(|it| it > now);
-            if is_cleared || is_watched && record.is_answer_report_due(now) {
+            if is_cleared {
                 record.reported_answer_at = Some(now);
                 record.stamp = stamp;
+            } else if is_watched && record.takes_answer_report(now) {
+                record.stamp = stamp;
             }
             if was_refused {
                 self.changes.push(PartChange::Cleared { part: *part });
@@ -189,46 +178,28 @@
 
     /// Merges what a router or hub reports; returns whether it is new.
     pub fn merge(&mut self, now: Instant, entry: &PartEntry) -> bool {
-        let at = |ms_ago: Option<u32>| {
-            ms_ago.and_then(|it| now.checked_sub(Duration::from_millis(it.into())))
-        };
-        let (answered_at, refused_at) = (at(entry.answered_ms_ago), at(entry.refused_ms_ago));
         let stamp = self.stamp;
         let record = self.record_mut(now, entry.part, entry.depth.into());
         record.watched_until = Some(now + WATCH_TTL);
         let was_refused = record.is_refused(now);
-        let mut is_new = false;
-        let is_known_later = record.answered_at.is_some_and(|it| is_later(it, answered_at));
-        if is_known_later && record.is_answer_report_due(now) {
-            record.reported_answer_at = Some(now);
-            record.stamp = stamp;
-        }
-        if let Some(it) = answered_at.filter(|it| is_later(*it, record.answered_at)) {
-            record.answered_at = Some(it);
-            if !record.crashes.is_empty() || record.is_answer_report_due(now) {
-                record.reported_answer_at = Some(now);
-                is_new = true;
-            }
-        }
-        if let Some(it) = refused_at.filter(|it| is_later(*it, record.refused_at)) {
-            record.refused_at = Some(it);
-            is_new = true;
-        }
-        if is_new {
+        let answered_at = time_of(now, entry.answered_ms_ago);
+        let is_own_later = record.answered_at.is_some_and(|it| is_later(it, answered_at));
+        let has_own_answer = is_own_later && record.takes_answer_report(now);
+        let is_answer_new = record.merge_answer(now, answered_at);
+        let is_refusal_new = record.merge_refusal(time_of(now, entry.refused_ms_ago));
+        let is_new = is_answer_new || is_refusal_new;
+        if is_new || has_own_answer {
             record.stamp = stamp;
         }
-        let is_refused = record.is_refused(now);
-        let crashes = record.crashes.len();
-        match (was_refused, is_refused) {
-            (false, true) => {
-                self.changes.push(PartChange::Refused { part: entry.part, crashes });
-            }
-            (true, false) => self.changes.push(PartChange::Cleared { part: entry.part }),
+        let (part, crashes) = (entry.part, record.crashes.len());
+        match (was_refused, record.is_refused(now)) {
+            (false, true) => self.changes.push(PartChange::Refused { part, crashes }),
+            (true, false) => self.changes.push(PartChange::Cleared { part }),
             _ => {}
         }
         entry.crashes.iter().for_each(|it| self.log.record(now, *it));
-        self.drop_answered_crashes(entry.part);
-        self.add_crashes(now, entry.part, &entry.crashes) || is_new
+        self.drop_answered_crashes(part);
+        self.add_crashes(now, part, &entry.crashes) || is_new
     }
 
     /// Refuses the parts that are found to crash servers.
@@ -296,97 +267,6 @@
         self.records.get(&part).map(|it| it.entry(now, part))
     }
 
-    /// The part that explains most crashes, if they are enough to refuse it.
-    ///
-    /// A part that is known to have been answered comes last. Of parts that explain the same, the
-    /// one that comes later in the prompts is in fewer of them.
-    fn likeliest_cause(
-        &self,
-        now: Instant,
-        explained: &BTreeSet<CrashSite>,
-    ) -> Option<(u64, usize)> {
-        let suspects = self.records.iter().filter(|it| !it.1.crashes.is_empty());
-        let suspects = suspects.filter(|it| !it.1.is_refused(now));
-        let likely = suspects.filter_map(|(part, record)| {
-            let crashes = self.settled_crashes(now, record, explained);
-            let is_unproven = record.answered_at.is_none();
-            let rank = (is_unproven, crashes.len(), record.depth, *part);
-            self.is_cause(*part, record, &crashes, explained).then_some(rank)
-        });
-        likely.max().map(|(_, crashes, _, part)| (part, crashes))
-    }
-
-    /// The unexplained crashes of a part that all routers have reported, with the time of each.
-    fn settled_crashes(
-        &self,
-        now: Instant,
-        record: &Record,
-        explained: &BTreeSet<CrashSite>,
-    ) -> Vec<(CrashSite, Instant)> {
-        let crashes = record.crashes.iter().filter(|it| !explained.contains(it));
-        let crashes = crashes.filter_map(|it| Some((*it, self.log.recorded_at(*it)?)));
-        crashes.filter(|it| it.1 + REPORT_TIME <= now).collect()
-    }
-
-    /// Whether the crashes show that the part causes them.
-    fn is_cause(
-        &self,
-        part: u64,
-        record: &Record,
-        crashes: &[(CrashSite, Instant)],
-        explained: &BTreeSet<CrashSite>,
-    ) -> bool {
-        let servers: BTreeSet<_> = crashes.iter().map(|it| it.0.server_hash).collect();
-        if crashes.len() < MOMENTS_MIN || servers.len() < SERVERS_MIN {
-            return false;
-        }
-        let is_unproven = record.answered_at.is_none();
-        let is_certain = is_unproven && moments(crashes) >= MOMENTS_CERTAIN;
-        (is_certain || self.is_on_most(record, crashes, explained))
-            && self.others_are_answered(part, record, crashes)
-    }
-
-    /// Whether the part was on most of the servers that crashed from the first to the last of
-    /// `crashes`, and on enough of them.
-    ///
-    /// Servers that fail together have a common cause, so of simultaneous crashes those with the part
-    /// count only if they are the majority.
-    fn is_on_most(
-        &self,
-        record: &Record,
-        crashes: &[(CrashSite, Instant)],
-        explained: &BTreeSet<CrashSite>,
-    ) -> bool {
-        let is_on_most_near =
-            |it: &&(CrashSite, Instant)| self.log.is_on_most_near(it.0, &record.crashes, explained);
-        let counted: Vec<_> = crashes.iter().filter(is_on_most_near).copied().collect();
-        let times = || counted.iter().map(|it| it.1);
-        let (Some(first), Some(last)) = (times().min(), times().max()) else { return false };
-        let all = self.log.between(first, last).filter(|it| !explained.contains(&it.0));
-        let all: Vec<_> = all.collect();
-        let counted_moments = moments(&counted);
-        let is_enough = match record.answered_at {
-            None if counted.len() >= CRASHES_CERTAIN => counted_moments >= MOMENTS_MIN / 2,
-            None => counted_moments >= MOMENTS_MIN,
-            Some(_) => counted_moments >= MOMENTS_MIN_IF_ANSWERED,
-        };
-        is_enough && 2 * counted_moments >= moments(&all)
-    }
-
-    /// Whether requests without the part are answered. If all fail that was answered before, the
-    /// servers are to blame.
-    fn others_are_answered(
-        &self,
-        part: u64,
-        record: &Record,
-        crashes: &[(CrashSite, Instant)],
-    ) -> bool {
-        let first_crash = crashes.iter().map(|it| it.1).min();
-        let since = record.answered_at.and(first_crash);
-        let mut others = self.records.iter().filter(|it| *it.0 != part);
-        others.any(|it| it.1.answered_at > since)
-    }
-
     fn record_mut(&mut self, now: Instant, part: u64, depth: usize) -> &mut Record {
         if self.records.len() >= PARTS_MAX && !self.records.contains_key(&part) {
             self.drop_least_used(now);
@@ -456,8 +336,34 @@
         self.crashes.clear();
     }
 
-    fn is_answer_report_due(&self, now: Instant) -> bool {
-        self.reported_answer_at.is_none_or(|it| now >= it + ANSWER_REPORT_INTERVAL)
+    /// Whether an answer may be reported now; if so, the next one is due later.
+    fn takes_answer_report(&mut self, now: Instant) -> bool {
+        let last = self.reported_answer_at;
+        let is_due = last.is_none_or(|it| now >= it + ANSWER_REPORT_INTERVAL);
+        if is_due {
+            self.reported_answer_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Merges the time of an answer; returns whether it is to be passed on.
+    fn merge_answer(&mut self, now: Instant, answered_at: Option<Instant>) -> bool {
+        let Some(at) = answered_at.filter(|it| is_later(*it, self.answered_at)) else {
+            return false;
+        };
+        self.answered_at = Some(at);
+        if self.crashes.is_empty() {
+            return self.takes_answer_report(now);
+        }
+        self.reported_answer_at = Some(now);
+        true
+    }
+
+    /// Merges the time of a refusal; returns whether it is new.
+    fn merge_refusal(&mut self, refused_at: Option<Instant>) -> bool {
+        let later = refused_at.filter(|it| is_later(*it, self.refused_at));
+        self.refused_at = later.or(self.refused_at);
+        later.is_some()
     }
 
     fn is_refused(&self, now: Instant) -> bool {
@@ -485,10 +391,10 @@
     }
 }
 
-fn is_later(new: Instant, known: Option<Instant>) -> bool {
-    known.is_none_or(|it| new > it + TIME_TOLERANCE)
+fn time_of(now: Instant, ms_ago: Option<u32>) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(ms_ago?.into()))
 }
 
-fn moments(crashes: &[(CrashSite, Instant)]) -> usize {
-    count_moments(crashes.iter().map(|it| it.1).collect())
+fn is_later(new: Instant, known: Option<Instant>) -> bool {
+    known.is_none_or(|it| new > it + TIME_TOLERANCE)
 }
