--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, GiveUp, Prompt, Refusal, Repeat};
+use policy::{Execution, GiveUp, Prompt, Refusal, Repeat, RequestRate};
 use tables::Exchange;
 use telemetry::TraceContext;
 
@@ -39,6 +39,8 @@
     pub(crate) outcome: Outcome,
     /// The urgency of the current attempt, if its server is an engine that is told one.
     pub(crate) urgency: Option<usize>,
+    /// The rate limit that the server of the current attempt has named in its answer.
+    pub(crate) named_limit: Option<RequestRate>,
     attempts: u32,
     /// The time from arrival to the first token.
     first_token: Option<Duration>,
@@ -111,6 +113,7 @@
             id,
             outcome,
             urgency: None,
+            named_limit: None,
             attempts: 0,
             first_token: None,
             last_tokens: None,
@@ -310,6 +313,7 @@
             number = self.attempts,
             queued_ms = millis(queued),
             urgency = self.urgency,
+            named_limit_per_s = self.named_limit.map(RequestRate::per_second),
             home_rank = estimate.and_then(|it| it.home_rank),
             prefill_tokens = estimate.map(|it| it.prefill_tokens),
             queued_tokens = estimate.map(|it| it.queued_tokens),
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -10,7 +10,7 @@
     client::ResponseHead,
     server::{Reply, Request},
 };
-use policy::Prompt;
+use policy::{Prompt, RequestRate};
 
 use crate::outcome::Failure;
 
@@ -58,6 +58,21 @@
     pub is_leaving: bool,
     /// The time for which the server wants no request, if it refused this one and asks for that.
     pub pause: Option<Duration>,
+    /// What the server says about the rate of requests that it takes.
+    pub rate_limit: RateLimitNotice,
+}
+
+/// What the head of an answer says about the rate of requests that its server takes from all routers
+/// together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RateLimitNotice {
+    /// It has no limit.
+    #[default]
+    Unlimited,
+    /// It has a limit.
+    Limited(RequestRate),
+    /// It names a limit that cannot be read.
+    Unreadable,
 }
 
 /// Why a server did not start a request.
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -15,7 +15,7 @@
     call::{Call, SchedulingHints},
     class_limits::Permit,
     deadline::{Completion, run_until_deadline},
-    dialect::{AttemptMetadata, Dialect, NotStarted, RequestMetadata, ServerLoad},
+    dialect::{AttemptMetadata, Dialect, NotStarted, RateLimitNotice, RequestMetadata, ServerLoad},
     identity::Caller,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     refusals,
@@ -93,6 +93,7 @@
         }
         self.call.begin_attempt();
         self.call.urgency = self.call.services.urgency.rank(&self.call.routed);
+        self.call.named_limit = None;
         let request = Rc::clone(&self.call.routed.arrival.request);
         let label = self.call.lease.server_label();
         let attempt = AttemptMetadata {
@@ -132,8 +133,11 @@
         }
     }
 
-    fn check_response(&self, response: Response) -> Result<Response, AttemptError> {
+    fn check_response(&mut self, response: Response) -> Result<Response, AttemptError> {
         let answer = self.dialect.read_answer(&response.head);
+        if let RateLimitNotice::Limited(rate) = answer.rate_limit {
+            self.call.named_limit = Some(rate);
+        }
         if answer.is_leaving {
             self.call.lease.report_leaving();
         }
