Keep to the rate that a server says it takes from all routers

Cause: nothing read the field. The class: a limit on the sum over all routers that no router can keep alone. A rate that each divides by a number of routers it believes breaks when that number is wrong, and 85 routers cannot each have a part of 1.4 requests a second. Change: the right to send a request to such a server is a permit. The control VM that leads issues them at the rate named, the hubs ask it on behalf of their routers and hand them out by turns, and they expire. All that the scheduler sends uses one: first attempts, repeats, resumed streams, orders, probes. A statement on a limit is a fact with a time; all routers and hubs merge it in the same way, and an end holds only if the request was sent after the limit was known. A holder that gets no answer goes on with its last share. A pool whose servers all have limits refuses what would wait for a permit longer than a third of the deadline, urgent classes last, with a Retry-After from the router's share. Why it works: in any 4 s at most the permits issued in that time and those still valid arrive, 5.7 times the rate and 3; the users allow 6 times the rate and 5. Nothing depends on the number of routers or hubs.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -191,15 +191,21 @@
         let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
     }
-    let broadcast =
-        HubBroadcast { replica: replica.clone(), hub: hub.clone(), clock: parts.clock.clone() };
+    let broadcast = HubBroadcast {
+        replica: replica.clone(),
+        hub: hub.clone(),
+        desk: Rc::default(),
+        clock: parts.clock.clone(),
+    };
     monoio::spawn(broadcast.clone().send_work());
-    monoio::spawn(broadcast.repeat_quarantine());
+    monoio::spawn(broadcast.clone().repeat_news());
+    monoio::spawn(broadcast.clone().share_permits());
     let handler = Handler {
         replica: replica.clone(),
         feed: feed.clone(),
         servers,
         hub,
+        broadcast,
         check: parts.check,
         tokens: parts.tokens,
         clock: parts.clock,
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use consensus::{Message, Peer};
-use dissemination::CrashRows;
-use policy::PendingWork;
+use dissemination::{HubNews, HubPermitRequest};
+use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
 
 /// One message.
@@ -22,8 +22,17 @@
         /// The servers with pending work.
         rows: Vec<(SocketAddr, PendingWork)>,
     },
-    /// Requests that ran on servers that crashed, and parts of their prompts.
-    Suspects(CrashRows),
+    /// Causes of crashes and rate limits of servers.
+    News(HubNews),
+    /// The permits that a control VM asks the leader for.
+    PermitRequests {
+        /// The control VM.
+        hub: u64,
+        /// The servers.
+        rows: Vec<HubPermitRequest>,
+    },
+    /// The permits that the leader grants.
+    Permits(Vec<PermitGrant>),
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -17,8 +17,13 @@
 use telemetry::Secret;
 
 use crate::{
-    commands::CommandCheck, envelope::Envelope, hub_broadcast, replica::Replica,
-    server_feed::ServerFeed, status::StatusReport, tables_feed::TablesFeed,
+    commands::CommandCheck,
+    envelope::Envelope,
+    hub_broadcast::{self, HubBroadcast},
+    replica::Replica,
+    server_feed::ServerFeed,
+    status::StatusReport,
+    tables_feed::TablesFeed,
 };
 
 /// The longest wait of a long poll, below the timeout of the clients.
@@ -42,6 +47,7 @@
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) servers: Rc<ServerFeed>,
     pub(crate) hub: Rc<RefCell<Hub>>,
+    pub(crate) broadcast: HubBroadcast,
     pub(crate) check: Rc<dyn CommandCheck>,
     /// `None` on a network on which every process is trusted.
     pub(crate) tokens: Option<Tokens>,
@@ -135,8 +141,8 @@
             Ok(summary) => {
                 let now = self.clock.now();
                 let digest = self.hub.borrow_mut().exchange(now, summary);
-                let suspects = self.hub.borrow_mut().take_new_suspects(now);
-                hub_broadcast::send_suspects(&self.replica, suspects);
+                let news = self.hub.borrow_mut().take_news(now);
+                hub_broadcast::send_news(&self.replica, news);
                 encode_digest(&digest)
             }
             Err(err) => {
@@ -150,7 +156,8 @@
         let is_known = self.tokens.as_ref().is_none_or(|it| token == it.peer.expose());
         is_known.then(|| {
             let (replica, hub) = (self.replica.clone(), self.hub.clone());
-            Rc::new(PeerCalls { replica, hub, clock: self.clock.clone() }) as Rc<dyn PeerHandler>
+            let (broadcast, clock) = (self.broadcast.clone(), self.clock.clone());
+            Rc::new(PeerCalls { replica, hub, broadcast, clock }) as Rc<dyn PeerHandler>
         })
     }
 }
@@ -175,6 +182,7 @@
 struct PeerCalls {
     replica: Rc<Replica>,
     hub: Rc<RefCell<Hub>>,
+    broadcast: HubBroadcast,
     clock: Rc<dyn Clock>,
 }
 
@@ -186,8 +194,14 @@
             Some(Envelope::Work { hub, rows }) => {
                 self.hub.borrow_mut().update_hub_work(self.clock.now(), hub, rows);
             }
-            Some(Envelope::Suspects(rows)) => {
-                self.hub.borrow_mut().merge_hub_suspects(self.clock.now(), rows);
+            Some(Envelope::News(news)) => {
+                self.hub.borrow_mut().merge_news(self.clock.now(), news);
+            }
+            Some(Envelope::PermitRequests { hub, rows }) => {
+                self.broadcast.record_requests(hub, &rows);
+            }
+            Some(Envelope::Permits(grants)) => {
+                self.hub.borrow_mut().permits_granted(self.clock.now(), &grants);
             }
             None => {
                 tracing::warn!(
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Sends an envelope that needs no answer to one member.
+    pub(crate) fn send(&self, to: NodeId, envelope: &Envelope) {
+        if let Some(bytes) = envelope.encode() {
+            self.peers.send(to, bytes);
+        }
+    }
+
     /// Records that a node runs and forwards its hello to the leader, since a node that knows only
     /// some of the seeds may not know which member leads.
     pub(crate) fn record_hello(&self, peer: Peer, hello: &[u8]) {
@@ -339,7 +346,7 @@
             if ready.is_empty() {
                 break;
             }
-            self.send(&ready);
+            self.send_messages(&ready);
             has_applied |= self.core.borrow_mut().apply_ready(ready);
         }
         if has_applied {
@@ -357,12 +364,9 @@
         }
     }
 
-    fn send(&self, ready: &Ready) {
+    fn send_messages(&self, ready: &Ready) {
         for message in &ready.messages {
-            let envelope = Envelope::Log(message.clone());
-            if let Some(bytes) = envelope.encode() {
-                self.peers.send(message.to.node, bytes);
-            }
+            self.send(message.to.node, &Envelope::Log(message.clone()));
         }
     }
 }
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -6,13 +6,15 @@
     time::{Duration, Instant},
 };
 
-use policy::PendingWork;
+use policy::{PendingWork, PermitGrant};
 
 use crate::{
-    CrashRows, Digest, Load, PoolHash, RouterIdx, Sender, ServerIdx, ServerLoad, ServerObservation,
-    ServerRef, ServerRow, ServerState, ServerWork, Summary, Version,
+    CrashRows, Digest, HubNews, Load, PoolHash, RouterIdx, Sender, ServerIdx, ServerLoad,
+    ServerObservation, ServerRef, ServerRow, ServerState, ServerWork, Summary, Version,
     grants::{self, Allocation},
+    limits::Limits,
     parts::Parts,
+    permits::{HubPermitRequest, HubPermits},
     suspects::Suspects,
     work::WorkReports,
 };
@@ -49,6 +51,8 @@
     suspects: Suspects,
     parts: Parts,
     work: WorkReports,
+    limits: Limits,
+    permits: HubPermits,
 }
 
 #[derive(Debug)]
@@ -80,6 +84,8 @@
             suspects: Suspects::default(),
             parts: Parts::default(),
             work: WorkReports::default(),
+            limits: Limits::default(),
+            permits: HubPermits::default(),
         }
     }
 
@@ -102,6 +108,12 @@
         for row in &summary.parts {
             self.parts.merge_from_router(now, self.version, row);
         }
+        for entry in &summary.limits {
+            self.limits.merge_from_router(now, self.version, entry);
+        }
+        let limits = &self.limits;
+        let rate = |server| limits.rate(server);
+        self.permits.update(now, router, &summary.permit_requests, rate);
         self.decide(now);
         if let Some(allocation) = self.allocations.get_mut(&router) {
             // Indexes from another epoch refer to other servers.
@@ -132,31 +144,48 @@
         self.work.update_hub(now, hub, rows);
     }
 
-    /// The suspects whose entry has changed through this hub's routers since the last call, for the
-    /// other hubs.
-    pub fn take_new_suspects(&mut self, now: Instant) -> CrashRows {
-        CrashRows { requests: self.suspects.take_new(now), parts: self.parts.take_new(now) }
+    /// The suspects and rate limits that have changed through this hub's routers since the last call,
+    /// for the other hubs.
+    pub fn take_news(&mut self, now: Instant) -> HubNews {
+        let (requests, parts) = (self.suspects.take_new(now), self.parts.take_new(now));
+        HubNews { crashes: CrashRows { requests, parts }, limits: self.limits.take_new(now) }
     }
 
-    /// The latest quarantined requests and refused parts, for other hubs that have missed a change.
-    pub fn quarantined(&mut self, now: Instant) -> CrashRows {
+    /// The latest quarantined requests, refused parts and rate limits, for other hubs that have missed
+    /// a change.
+    pub fn repeated_news(&mut self, now: Instant) -> HubNews {
         self.version = Version(self.version.0 + 1);
         self.decide(now);
-        CrashRows { requests: self.suspects.quarantined(now), parts: self.parts.refused(now) }
+        let (requests, parts) = (self.suspects.quarantined(now), self.parts.refused(now));
+        HubNews { crashes: CrashRows { requests, parts }, limits: self.limits.latest(now) }
     }
 
-    /// Merges the suspects reported by another hub.
-    pub fn merge_hub_suspects(&mut self, now: Instant, rows: CrashRows) {
+    /// Merges the news of another hub.
+    pub fn merge_news(&mut self, now: Instant, news: HubNews) {
         self.version = Version(self.version.0 + 1);
-        for row in rows.requests {
+        for row in news.crashes.requests {
             self.suspects.merge(now, self.version, row);
         }
-        for row in &rows.parts {
+        for row in &news.crashes.parts {
             self.parts.merge(now, self.version, row);
         }
+        for entry in &news.limits {
+            self.limits.merge_from_hub(now, self.version, entry);
+        }
         self.decide(now);
     }
 
+    /// The permits to ask the leader for, on behalf of this hub's routers.
+    pub fn permit_requests(&mut self, now: Instant) -> Vec<HubPermitRequest> {
+        let limits = &self.limits;
+        self.permits.requests(now, |server| limits.rate(server))
+    }
+
+    /// Applies the leader's answer to the requests for permits.
+    pub fn permits_granted(&mut self, now: Instant, grants: &[PermitGrant]) {
+        self.permits.granted(now, grants);
+    }
+
     fn decide(&mut self, now: Instant) {
         self.suspects.decide(now, self.version);
         self.parts.decide(now, self.version);
@@ -315,6 +344,8 @@
             parts: self.parts.notices_since(now, held),
             grants,
             work,
+            limits: self.limits.since(now, held),
+            permits: self.permits.take(now, router),
         }
     }
 
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod grants;
 mod hub;
+mod limits;
 mod member;
 mod owner;
 mod parts;
+mod permits;
 mod rows;
 mod suspects;
 mod wire;
@@ -19,8 +21,9 @@
 pub use hub::{Hub, HubSettings};
 pub use member::{MemberState, ServerEntry};
 pub use owner::owner;
+pub use permits::{HubPermitRequest, PermitDesk};
 pub use rows::{
-    CrashRows, Demand, Digest, Load, PartRow, PoolHash, QuarantineRow, RouterIdx, Sender,
+    CrashRows, Demand, Digest, HubNews, Load, PartRow, PoolHash, QuarantineRow, RouterIdx, Sender,
     ServerIdx, ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, Slots, Summary,
     Version,
 };
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use policy::PendingWork;
+use policy::{LimitEntry, PendingWork, PermitGrant};
 
 use crate::{
     CrashRows, Digest, Load, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, ServerWork, Slots,
@@ -30,6 +30,8 @@
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
     grants: Vec<Slots>,
     others_work: Vec<ServerWork>,
+    new_limits: Vec<LimitEntry>,
+    permits: Vec<PermitGrant>,
 }
 
 impl MemberState {
@@ -45,6 +47,8 @@
             by_addr: BTreeMap::new(),
             grants: Vec::new(),
             others_work: Vec::new(),
+            new_limits: Vec::new(),
+            permits: Vec::new(),
         }
     }
 
@@ -67,6 +71,8 @@
             demand: Vec::new(),
             held_slots: Vec::new(),
             work: Vec::new(),
+            limits: Vec::new(),
+            permit_requests: Vec::new(),
         }
     }
 
@@ -97,6 +103,8 @@
         }
         self.grants = digest.grants;
         self.others_work = digest.work;
+        self.new_limits = digest.limits;
+        self.permits = digest.permits;
         CrashRows { requests: digest.quarantine, parts: digest.parts }
     }
 
@@ -134,6 +142,16 @@
         })
     }
 
+    /// The rate limits of servers that the last digest has told.
+    pub fn new_limits(&self) -> &[LimitEntry] {
+        &self.new_limits
+    }
+
+    /// The permits that the last digest has granted.
+    pub fn permits(&self) -> &[PermitGrant] {
+        &self.permits
+    }
+
     /// The epoch of the hub that the state belongs to; 0 before the first digest.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use policy::{PartEntry, QuarantineEntry};
+use policy::{LimitEntry, PartEntry, PermitGrant, PermitRequest, QuarantineEntry};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -86,6 +86,10 @@
     pub held_slots: Vec<Slots>,
     /// The pending work of the router's requests at each server.
     pub work: Vec<ServerWork>,
+    /// Rate limits of servers that are new or have changed at this router.
+    pub limits: Vec<LimitEntry>,
+    /// The permits that the router asks for, for requests to servers with rate limits.
+    pub permit_requests: Vec<PermitRequest>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
@@ -114,6 +118,10 @@
     pub grants: Vec<Slots>,
     /// The pending work of all other routers at each server, as far as the hub knows it.
     pub work: Vec<ServerWork>,
+    /// Rate limits of servers that have changed.
+    pub limits: Vec<LimitEntry>,
+    /// The permits for requests to servers with rate limits.
+    pub permits: Vec<PermitGrant>,
 }
 
 /// A hash of a pool's name, sent in place of the name because rows are sent every second.
@@ -234,6 +242,24 @@
     }
 }
 
+/// What a hub tells the other hubs as soon as it learns it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct HubNews {
+    /// Causes of crashes.
+    pub crashes: CrashRows,
+    /// Rate limits of servers.
+    pub limits: Vec<LimitEntry>,
+}
+
+impl HubNews {
+    /// Whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.limits.is_empty()
+    }
+}
+
 /// A router's demand for a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/dissemination/tests/crash_suspects.rs
+++ b/crates/dissemination/tests/crash_suspects.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use dissemination::{
-    CrashRows, Hub, HubSettings, MemberState, PoolHash, QuarantineRow, Summary, encode_summary,
+    CrashRows, Hub, HubNews, HubSettings, MemberState, PoolHash, QuarantineRow, Summary,
+    encode_summary,
 };
 use policy::{CrashSite, QuarantineEntry};
 
@@ -28,8 +29,8 @@
     fn exchange(&mut self, router: usize, rows: Vec<QuarantineRow>) -> Vec<QuarantineRow> {
         let summary = Summary { quarantine: rows, ..self.routers[router].empty_summary() };
         let digest = self.hubs[router].exchange(self.now, summary);
-        let new = self.hubs[router].take_new_suspects(self.now);
-        self.hubs[1 - router].merge_hub_suspects(self.now, new);
+        let new = self.hubs[router].take_news(self.now);
+        self.hubs[1 - router].merge_news(self.now, new);
         self.routers[router].apply_digest(digest).requests
     }
 
@@ -46,7 +47,7 @@
     /// The number of quarantined requests at each hub.
     fn quarantined(&mut self) -> [usize; 2] {
         let now = self.now;
-        self.hubs.each_mut().map(|it| it.quarantined(now).requests.len())
+        self.hubs.each_mut().map(|it| it.repeated_news(now).crashes.requests.len())
     }
 }
 
@@ -133,7 +134,7 @@
     assert!(world.report(0, row(Vec::new(), Some(0))));
     world.now += Duration::from_secs(601);
     world.exchange(0, Vec::new());
-    assert!(world.hubs[0].quarantined(world.now).is_empty(), "until it expires");
+    assert!(world.hubs[0].repeated_news(world.now).is_empty(), "until it expires");
 }
 
 /// Guards against the refusal of requests that were on two servers which crashed with many others.
@@ -202,12 +203,13 @@
         world.now += Duration::from_secs(2);
     }
     assert_eq!(world.quarantined(), [1, 1]);
-    let repeated = world.hubs[0].quarantined(world.now);
+    let repeated = world.hubs[0].repeated_news(world.now);
     world.hubs[1] = Hub::new(HubSettings { epoch: 3, ..HubSettings::default() });
     // The other suspects come first, from a router.
     let requests = (1..5).map(|it| crash_of(100 + it, it)).collect();
-    world.hubs[1].merge_hub_suspects(world.now, CrashRows { requests, ..CrashRows::default() });
-    world.hubs[1].merge_hub_suspects(world.now, repeated);
+    let crashes = CrashRows { requests, ..CrashRows::default() };
+    world.hubs[1].merge_news(world.now, HubNews { crashes, ..HubNews::default() });
+    world.hubs[1].merge_news(world.now, repeated);
     assert_eq!(world.quarantined(), [1, 1]);
 }
 
--- a/crates/dissemination/tests/support/site.rs
+++ b/crates/dissemination/tests/support/site.rs
@@ -433,12 +433,12 @@
         if router_idx == 0 {
             self.router_bytes.push((self.now_ms, bytes));
         }
-        let new = self.hubs[hub_idx].take_new_suspects(now);
+        let new = self.hubs[hub_idx].take_news(now);
         if hub_idx == 0 {
-            self.hub_bytes.push((self.now_ms, part_bytes(&new.parts)));
+            self.hub_bytes.push((self.now_ms, part_bytes(&new.crashes.parts)));
         }
         for other in (0..self.hubs.len()).filter(|it| *it != hub_idx) {
-            self.hubs[other].merge_hub_suspects(now, new.clone());
+            self.hubs[other].merge_news(now, new.clone());
         }
         self.routers[router_idx].apply(now, digest);
     }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -12,6 +12,7 @@
     estimate::Ewma,
     keys::PoolKey,
     pace::{Ceiling, Pace},
+    rate_limit::ServerLimit,
     selection::mix,
     settings::{OtherLoad, Settings},
 };
@@ -141,6 +142,8 @@
     overload_backoff: Option<OverloadBackoff>,
     /// Until when the server has asked for no request.
     pause_until: Option<Instant>,
+    /// What is known of its limit on the rate of requests, if it ever named one.
+    pub(crate) limit: Option<ServerLimit>,
     /// Recoveries after a crash without a newer incarnation being reported.
     pub(crate) recoveries: u64,
     configured_slots: u32,
@@ -236,6 +239,7 @@
             crashed_incarnation: None,
             overload_backoff: None,
             pause_until: None,
+            limit: None,
             recoveries: 0,
             configured_slots,
             reported_slots: None,
@@ -254,6 +258,7 @@
         self.recoveries = 0;
         self.overload_backoff = None;
         self.pause_until = None;
+        self.limit = None;
         self.reset_speed();
         self.other_requests = 0;
     }
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// A rate in tokens per second, averaged over windows and smoothed.
+/// A rate of tokens or requests per second, averaged over windows and smoothed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Rate {
     window_start: Option<Instant>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,7 +30,9 @@
 //!    connection.
 //! 8. [`Scheduler::take_quarantine_events`] after a poll, for the logs; the events are kept until
 //!    then. [`Scheduler::export_quarantine`] and [`Scheduler::import_quarantine`] with the other
-//!    routers, and [`Scheduler::part_reports`] and [`Scheduler::import_parts`] with the hub. For the leases, each router sends [`Scheduler::claim`] for each server to the
+//!    routers, and [`Scheduler::part_reports`] and [`Scheduler::import_parts`] with the hub, as are
+//!    [`Scheduler::limit_entries`], [`Scheduler::import_limits`], [`Scheduler::permit_requests`] and
+//!    [`Scheduler::grant_permits`]. For the leases, each router sends [`Scheduler::claim`] for each server to the
 //!    server's [`leases::owner`], which replies with that router's part of [`leases::grant`] for
 //!    [`Scheduler::set_lease`].
 //!
@@ -64,10 +66,13 @@
 pub use part_suspects::{PartChange, PartEntry, PartReport, PartSuspects};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry, QuarantineEvent};
-pub use rate_limit::RequestRate;
+pub use rate_limit::{
+    Allowance, LimitChange, LimitEntry, LimitStatement, PermitDemand, PermitGrant, PermitIssuer,
+    PermitRequest, RequestRate, ServerHash,
+};
 pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
-pub use settings::{OtherLoad, Pacing, Settings};
+pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
 pub use urgency::{RequestPriority, UrgencyScale};
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -33,6 +33,8 @@
     /// Queued requests of all classes.
     pub(crate) waiting: usize,
     pub(crate) throughput: Rate,
+    /// The rate of requests offered.
+    pub(crate) arrivals: Rate,
     pub(crate) median_gap_ms: Option<f64>,
     pub(crate) median_first_token_ms: Option<f64>,
     /// The target for which classes of lower priority are paced.
@@ -82,6 +84,7 @@
             queues: SecondaryMap::new(),
             waiting: 0,
             throughput: Rate::default(),
+            arrivals: Rate::default(),
             median_gap_ms: None,
             median_first_token_ms: None,
             pace_target: None,
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -62,6 +62,9 @@
     /// No server of the pool is usable.
     #[display("no backend server of the pool is usable: come back later")]
     NoBackend,
+    /// All servers of the pool have named limits, and too many requests wait.
+    #[display("all backend servers of the pool limit their requests: come back later")]
+    RateLimited,
     /// The class, pool or workspace is not in the tables.
     #[display("the class, pool or workspace is not in the tables: check the route")]
     Unknown,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod checks;
 mod events;
+mod limits;
 mod membership;
 mod outcomes;
 mod pacing;
@@ -28,6 +29,7 @@
     pool::Pool,
     prompt::{Prompt, RecentPrefixes},
     quarantine::Quarantine,
+    rate_limit::{LimitStatement, ServerHash},
     request::{Refusal, Request},
     settings::Settings,
     spec::{ClassSpec, Spec, SpecError, WorkspaceSpec},
@@ -126,6 +128,10 @@
     /// The known prompts of requests. An entry stays until the slot of its ticket is reused.
     prompts: SecondaryMap<Ticket, Prompt>,
     recent_prefixes: RecentPrefixes,
+    /// What the hub has told of the limits of servers that are not listed here yet.
+    unlisted_limits: BTreeMap<ServerHash, LimitStatement>,
+    /// The position from which the limited servers are asked permits for in the next exchange.
+    next_asked: usize,
     actions: Vec<Action>,
 }
 
@@ -169,6 +175,8 @@
             has_new_refused_part: false,
             prompts: SecondaryMap::default(),
             recent_prefixes: RecentPrefixes::default(),
+            unlisted_limits: BTreeMap::new(),
+            next_asked: 0,
             actions: Vec::new(),
         }
     }
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -41,7 +41,9 @@
     pub fn offer(&mut self, now: Instant, offer: Offer) -> Result<Ticket, Refusal> {
         self.check_configured(&offer)?;
         self.check_quarantine(now, &offer)?;
+        self.pools[offer.pool].arrivals.add(now, 1);
         self.check_backends(now, &offer)?;
+        self.check_limits(now, &offer)?;
         let cost = self.expected_tokens(&offer);
         let service = self.service_with_margin(&offer, cost);
         self.check_deadline(now, &offer, cost, service)?;
--- a/crates/policy/src/scheduler/checks.rs
+++ b/crates/policy/src/scheduler/checks.rs
@@ -124,7 +124,10 @@
         for (backend, entry) in &mut self.backends {
             if entry.probe_due().is_some_and(|it| it <= now) {
                 entry.next_probe = Some(now + self.settings.probe_interval);
-                self.actions.push(Action::Probe { backend });
+                // A probe is a request too.
+                if entry.limit.as_mut().is_none_or(|it| it.take(now)) {
+                    self.actions.push(Action::Probe { backend });
+                }
             }
         }
     }
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -185,6 +185,7 @@
         let key = self.backends.insert(backend);
         pool.members.push(key);
         self.backend_names.insert(entry.name.to_owned(), key);
+        self.apply_limit_of_listed(now, key);
         key
     }
 
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -36,6 +36,7 @@
         for pool in pools {
             self.refuse_unserved(now, pool);
             while self.dispatch_next(now, pool) {}
+            self.refuse_without_permit(now, pool);
             while self.preempt_next(now, pool) {}
             self.pause_for_engine_queued(now, pool);
             self.update_saturation(now, pool);
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -89,6 +89,7 @@
     fn may_overcommit(&self, now: Instant, backend: BackendKey) -> bool {
         let backend = &self.backends[backend];
         backend.in_flight < backend.slot_limit(now, &self.settings) + OVERCOMMIT_SLOTS
+            && backend.has_permit(now)
     }
 
     /// Whether [`LATE_FRACTION`] of the request's first-token target has passed.
@@ -129,7 +130,8 @@
     ///
     /// If no stream of that class can be paused, none is: a higher class is not paused instead.
     fn victim(&self, now: Instant, pool: PoolKey, ticket: Ticket) -> Option<(Ticket, BackendKey)> {
-        let hosts = self.hosts(now, &self.requests[ticket]);
+        let mut hosts = self.hosts(now, &self.requests[ticket]);
+        hosts.retain(|it| self.backends[*it].has_permit(now));
         self.victim_on(now, pool, ticket, &hosts)
     }
 
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -67,6 +67,9 @@
         preemption: Preemption,
     ) {
         let incarnation = self.backends[backend].incarnation;
+        if let Some(limit) = &mut self.backends[backend].limit {
+            limit.take(now);
+        }
         let estimate = self.record_prefill(now, ticket, backend);
         let request = &mut self.requests[ticket];
         let attempt = Attempt {
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -41,6 +41,9 @@
 /// Cost of a server of the strict side for a lenient request; it is high because a long prompt
 /// stalls all strict streams of a server.
 const STRICT_SERVER_COST_MS: f64 = 3_000.0;
+/// Gain of using a permit for a server with a rate limit, which would expire unused. It outweighs the
+/// prefill of a short prompt and not that of a long one.
+const PERMIT_GAIN_MS: f64 = 100.0;
 /// Upper bound of the slowness factor, as gaps between tokens also differ by the running requests.
 const SLOWNESS_MAX: f64 = 1.5;
 
@@ -88,6 +91,9 @@
         if criteria.isolation == Isolation::Preferred {
             retain_unless_empty(&mut candidates, |it| !criteria.suspect_hosts.contains(&it));
         }
+        if criteria.prompt.is_none() {
+            retain_unless_empty(&mut candidates, |it| self.is_limited(it));
+        }
         self.cheapest(&candidates, criteria)
             .or_else(|| self.affinity_server(&candidates, criteria.prefix_hash))
             .or_else(|| self.better_of_two(&candidates, rng))
@@ -115,7 +121,9 @@
     fn free_servers(&self, criteria: &Criteria<'_>) -> Vec<BackendKey> {
         let members = self.members.iter().copied();
         let free = members.filter(|it| {
-            self.backends[*it].free_slots_within(self.now, self.settings, criteria.ceiling) > 0
+            let backend = &self.backends[*it];
+            backend.free_slots_within(self.now, self.settings, criteria.ceiling) > 0
+                && backend.has_permit(self.now)
         });
         free.filter(|it| self.admits(*it, criteria)).collect()
     }
@@ -124,6 +132,12 @@
         self.backends[key].is_straggler(self.settings)
     }
 
+    /// Whether the server has a rate limit. A candidate then has a permit, which expires unused, while
+    /// other servers can be used at any time.
+    fn is_limited(&self, key: BackendKey) -> bool {
+        self.backends[key].limit.as_ref().is_some_and(|it| it.rate().is_some())
+    }
+
     fn affinity_server(&self, candidates: &[BackendKey], prefix_hash: u64) -> Option<BackendKey> {
         if prefix_hash == 0 || candidates.is_empty() {
             return None;
@@ -183,7 +197,9 @@
             Some(Side::Lenient) if !is_own => STRICT_SERVER_COST_MS,
             _ => 0.0,
         };
+        let permit_ms = if self.is_limited(key) { PERMIT_GAIN_MS } else { 0.0 };
         (prefill_ms + batch * BATCH_COST_MS + over * OVER_SLOTS_COST_MS) * slowness + partition_ms
+            - permit_ms
     }
 
     /// The tokens of a prompt that a server is expected to prefill.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -32,10 +32,21 @@
     pub no_backend_grace: Duration,
     /// How the load of other routers is taken into account while no lease is set.
     pub others: OtherLoad,
+    /// Where the permits for requests to servers with a rate limit come from.
+    pub permits: PermitSource,
     /// Whether lower classes are limited for a stricter class's target between tokens.
     pub pacing: Pacing,
 }
 
+/// Where the permits for requests to servers with a rate limit come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitSource {
+    /// The router is the only one, and issues its own.
+    Own,
+    /// The hub grants them.
+    Hub,
+}
+
 /// Whether lower classes leave slots empty while a full batch violates a stricter class's target
 /// between tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +85,7 @@
             pause_min_remaining: Duration::from_millis(500),
             no_backend_grace: Duration::from_secs(2),
             others: OtherLoad::FromReports,
+            permits: PermitSource::Own,
             pacing: Pacing::Adaptive,
         }
     }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -22,7 +22,7 @@
     signal,
 };
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener, time};
-use policy::{OtherLoad, Pacing};
+use policy::{OtherLoad, Pacing, PermitSource};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -397,7 +397,8 @@
 ) -> anyhow::Result<Services> {
     let backends = Backends::new(settings.backends, Rc::clone(&components.clock));
     let (seed, routers) = (components.seed, settings.routers);
-    let policy = policy::Settings { seed, routers, ..policy::Settings::default() };
+    let permits = if components.link.is_some() { PermitSource::Hub } else { PermitSource::Own };
+    let policy = policy::Settings { seed, routers, permits, ..policy::Settings::default() };
     // On a platform every router sends to all servers, and learns the load that the other routers
     // cause from the answers.
     let (backends, policy, own_domain) = match &components.interface {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -14,8 +14,9 @@
 use directory::ListedVm;
 use futures::future::LocalBoxFuture;
 use policy::{
-    BackendKey, LoadReport, PartEntry, PartReport, PendingWork, ProbeResult, Prompt,
-    QuarantineEntry, QueueSnapshot, Refusal, RefusalReason, Repeat, Settings, leases::Claim,
+    BackendKey, LimitEntry, LoadReport, PartEntry, PartReport, PendingWork, PermitGrant,
+    PermitRequest, ProbeResult, Prompt, QuarantineEntry, QueueSnapshot, Refusal, RefusalReason,
+    Repeat, ServerHash, Settings, leases::Claim,
 };
 use tables::{Revision, Tables};
 
@@ -195,6 +196,33 @@
         }
     }
 
+    /// The known rate limits of all servers.
+    #[must_use]
+    pub fn limit_entries(&self) -> Vec<LimitEntry> {
+        self.dispatchers.borrow().values().flat_map(|it| it.limit_entries()).collect()
+    }
+
+    /// Imports what the hub knows of the rate limits of servers; returns the servers of which this
+    /// router knows better.
+    pub fn import_limits(&self, entries: &[LimitEntry]) -> Vec<ServerHash> {
+        self.dispatchers.borrow().values().flat_map(|it| it.import_limits(entries)).collect()
+    }
+
+    /// The permits to ask the hub for.
+    #[must_use]
+    pub fn permit_requests(&self) -> Vec<PermitRequest> {
+        self.dispatchers.borrow().values().flat_map(|it| it.permit_requests()).collect()
+    }
+
+    /// Applies the hub's answer to the requests for permits, which may grant none.
+    pub fn grant_permits(&self, grants: &[PermitGrant]) {
+        let dispatchers: Vec<_> = self.dispatchers.borrow().values().cloned().collect();
+        for dispatcher in dispatchers {
+            dispatcher.grant_permits(grants);
+            dispatcher.run_actions();
+        }
+    }
+
     /// The status of each of a pool's servers, for the other routers of the failure domain.
     #[must_use]
     pub fn server_statuses(&self, pool: &str) -> Vec<ServerStatus> {
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,11 +1,11 @@
 //! A slot at a backend server, leased to one request from its admission to its end.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use futures::channel::{mpsc, oneshot};
 use policy::{
-    Execution, Failure, GiveUp, LoadReport, Offer, Outcome, PlacementEstimate, ProbeResult, Prompt,
-    Refusal, RetryDecision, Scheduler, Ticket,
+    Execution, Failure, GiveUp, LimitChange, LoadReport, Offer, Outcome, PlacementEstimate,
+    ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket,
 };
 
 use crate::fingerprint::Fingerprint;
@@ -158,6 +158,16 @@
         );
     }
 
+    /// Records what an answer of the server says of the rate of requests that it takes.
+    pub fn report_rate_limit(&self, rate: Option<RequestRate>) {
+        let server = self.server();
+        let limit_named =
+            |scheduler: &mut Scheduler, now| scheduler.limit_named(now, self.ticket, rate);
+        if self.dispatcher.apply_and_run(limit_named) == LimitChange::Changed {
+            log_limit(server.addr, rate, "answer");
+        }
+    }
+
     /// The scheduler's commands for the stream, to be read by its relay.
     ///
     /// # Panics
@@ -300,6 +310,12 @@
     dispatcher.apply_and_run(|scheduler, now| scheduler.finished(ticket, now, outcome));
 }
 
+/// Logs that the rate limit of a server has changed.
+pub(super) fn log_limit(server: SocketAddr, rate: Option<RequestRate>, source: &str) {
+    let limit_per_s = rate.map(RequestRate::per_second);
+    tracing::info!(event = "server_limit", %server, limit_per_s, source);
+}
+
 /// What a reset connection indicates, given the result of the probe after it.
 fn reset_failure(result: ProbeResult) -> Failure {
     match result {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -18,15 +18,16 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, LoadReport, Offer, PartChange, Pausing, PendingWork, PoolSpec,
-    ProbeResult, QuarantineEvent, QueueSnapshot, Refusal, Scheduler, Settings, Spec, Ticket,
-    WorkspaceSpec,
+    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, PartChange, Pausing,
+    PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QuarantineEvent, QueueSnapshot,
+    Refusal, Scheduler, ServerHash, Settings, Spec, Ticket, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
 use super::{
     Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, ServerClaim, ServerStatus,
-    UNKNOWN_REFUSAL, locality::Locality, revision_number, server_list::ServerList,
+    UNKNOWN_REFUSAL, lease::log_limit, locality::Locality, revision_number,
+    server_list::ServerList,
 };
 use crate::{
     fingerprint::Fingerprint,
@@ -293,6 +294,43 @@
         scheduler.set_others_work(now, pool, &known);
     }
 
+    /// The known rate limits of the pool's servers.
+    pub(super) fn limit_entries(&self) -> Vec<LimitEntry> {
+        self.apply(|scheduler, now| scheduler.limit_entries(now))
+    }
+
+    /// Imports what the hub knows of the rate limits of servers; returns the servers of which this
+    /// router knows better.
+    pub(super) fn import_limits(&self, entries: &[LimitEntry]) -> Vec<ServerHash> {
+        let changes = self.apply(|scheduler, now| scheduler.import_limits(now, entries));
+        let state = self.state.borrow();
+        for (key, entry, _) in changes.iter().filter(|it| it.2 == LimitChange::Changed) {
+            if let Some(server) = state.servers.find_by_key(*key) {
+                log_limit(server.addr, entry.rate, "hub");
+            }
+        }
+        let outdated = changes.into_iter().filter(|it| it.2 == LimitChange::Outdated);
+        outdated.map(|(_, entry, _)| entry.server).collect()
+    }
+
+    /// The permits to ask the hub for.
+    pub(super) fn permit_requests(&self) -> Vec<PermitRequest> {
+        let now = self.clock.now();
+        let State { scheduler, pool, .. } = &mut *self.state.borrow_mut();
+        let pool = scheduler.pool(pool);
+        pool.map(|it| scheduler.permit_requests(now, it)).unwrap_or_default()
+    }
+
+    /// Applies the hub's answer to the requests for permits; the caller must call
+    /// [`PoolDispatcher::run_actions`] afterwards.
+    pub(super) fn grant_permits(&self, grants: &[PermitGrant]) {
+        let now = self.clock.now();
+        let State { scheduler, pool, .. } = &mut *self.state.borrow_mut();
+        if let Some(pool) = scheduler.pool(pool) {
+            scheduler.grant_permits(now, pool, grants);
+        }
+    }
+
     /// Grants slots of a server, which this router may hold until `expires`.
     pub(super) fn grant_slots(self: &Rc<Self>, addr: SocketAddr, slots: u32, expires: Instant) {
         let state = self.state.borrow();
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -97,6 +97,8 @@
             observations: self.new_observations(&tables),
             quarantine: self.sent.new_suspects(&self.services.dispatcher),
             parts: self.sent.changed_parts(&self.services.dispatcher),
+            limits: self.sent.changed_limits(&self.services.dispatcher),
+            permit_requests: self.services.dispatcher.permit_requests(),
             demand: tables.pools.iter().zip(claims()).filter_map(demand).collect(),
             held_slots: claims().flatten().filter_map(|it| held_slots(state, &it)).collect(),
             ..empty
@@ -109,6 +111,7 @@
         let dispatcher = &self.services.dispatcher;
         let grants: BTreeMap<_, _> = state.grants().collect();
         self.sent.import(dispatcher, &tables, suspects);
+        self.sent.import_limits(dispatcher, state);
         for pool in &tables.pools {
             let hash = PoolHash::of(&pool.name);
             let entries: Vec<_> = state.servers().filter(|it| it.row.pool == hash).collect();
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -18,6 +18,7 @@
             (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded)
         }
         RefusalReason::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
+        RefusalReason::RateLimited => (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded),
         RefusalReason::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
         RefusalReason::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
         RefusalReason::Unknown => (StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute),
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -15,7 +15,10 @@
     call::{Call, SchedulingHints},
     class_limits::Permit,
     deadline::{Completion, run_until_deadline},
-    dialect::{AttemptMetadata, Dialect, NotStarted, RateLimitNotice, RequestMetadata, ServerLoad},
+    dialect::{
+        AnswerMetadata, AttemptMetadata, Dialect, NotStarted, RateLimitNotice, RequestMetadata,
+        ServerLoad,
+    },
     identity::Caller,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     refusals,
@@ -135,9 +138,7 @@
 
     fn check_response(&mut self, response: Response) -> Result<Response, AttemptError> {
         let answer = self.dialect.read_answer(&response.head);
-        if let RateLimitNotice::Limited(rate) = answer.rate_limit {
-            self.call.named_limit = Some(rate);
-        }
+        self.record_rate_limit(&answer);
         if answer.is_leaving {
             self.call.lease.report_leaving();
         }
@@ -156,6 +157,23 @@
         Ok(response)
     }
 
+    fn record_rate_limit(&mut self, answer: &AnswerMetadata) {
+        if answer.refusal == Some(NotStarted::OtherServer) {
+            return;
+        }
+        match answer.rate_limit {
+            RateLimitNotice::Limited(rate) => {
+                self.call.named_limit = Some(rate);
+                self.call.lease.report_rate_limit(Some(rate));
+            }
+            RateLimitNotice::Unlimited if answer.is_signed => {
+                self.call.lease.report_rate_limit(None);
+            }
+            // What is known of the server's limit still holds.
+            RateLimitNotice::Unlimited | RateLimitNotice::Unreadable => {}
+        }
+    }
+
     /// What can be done if a server that is alive falls silent.
     pub(super) fn remedy(&self) -> Remedy {
         let can_resume = self.call.routed.route().exchange == Exchange::ResumableEvents;
--- a/crates/router/src/sent_state.rs
+++ b/crates/router/src/sent_state.rs
@@ -9,7 +9,7 @@
 use dissemination::{
     CrashRows, MemberState, PartRow, PoolHash, QuarantineRow, Sender, ServerObservation, Summary,
 };
-use policy::{CrashSite, PartEntry, QuarantineEntry};
+use policy::{CrashSite, LimitEntry, PartEntry, QuarantineEntry, RequestRate, ServerHash};
 use tables::Tables;
 
 use crate::dispatch::Dispatcher;
@@ -23,6 +23,8 @@
     suspects: BTreeMap<(PoolHash, u64), Vec<CrashSite>>,
     /// The stamp of the last report on parts of prompts, by pool.
     part_stamps: BTreeMap<PoolHash, u64>,
+    /// The rate limit of each server that ever had one.
+    limits: BTreeMap<ServerHash, Option<RequestRate>>,
 }
 
 /// The state that the hub has acknowledged by its answers.
@@ -85,6 +87,25 @@
         rows
     }
 
+    /// The rate limits that have changed since the hub acknowledged a summary.
+    pub(crate) fn changed_limits(&self, dispatcher: &Dispatcher) -> Vec<LimitEntry> {
+        let sent = &mut self.pending.borrow_mut().limits;
+        let entries = dispatcher.limit_entries();
+        let known: BTreeSet<_> = entries.iter().map(|it| it.server).collect();
+        sent.retain(|it, _| known.contains(it));
+        let changed = entries.into_iter();
+        changed.filter(|it| sent.insert(it.server, it.rate) != Some(it.rate)).collect()
+    }
+
+    /// Applies the hub's news of rate limits and the permits that it grants. What this router knows
+    /// better is sent again.
+    pub(crate) fn import_limits(&self, dispatcher: &Dispatcher, state: &MemberState) {
+        for server in dispatcher.import_limits(state.new_limits()) {
+            self.acknowledged.borrow_mut().limits.remove(&server);
+        }
+        dispatcher.grant_permits(state.permits());
+    }
+
     /// Applies what the hub has sent about requests and parts of prompts that crash servers.
     pub(crate) fn import(&self, dispatcher: &Dispatcher, tables: &Tables, rows: &CrashRows) {
         for pool in &tables.pools {
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -1,5 +1,6 @@
 //! Exchanges state with the other routers of a platform, through the control VMs: the load of
-//! backend servers, and the requests that crash them.
+//! backend servers, their rate limits with the permits for requests to them, and the requests that crash
+//! them.
 //!
 //! With many routers, each one causes only a small part of a server's load, and sees only a few of
 //! the crashes of a request that comes again at any router. So each router reports the work of its
@@ -37,7 +38,9 @@
             work.map(|(addr, work)| ServerWork { server: state.server_ref(addr), work }).collect();
         let quarantine = self.sent.new_suspects(&self.services.dispatcher);
         let parts = self.sent.changed_parts(&self.services.dispatcher);
-        Summary { work, quarantine, parts, ..empty }
+        let limits = self.sent.changed_limits(&self.services.dispatcher);
+        let permit_requests = self.services.dispatcher.permit_requests();
+        Summary { work, quarantine, parts, limits, permit_requests, ..empty }
     }
 
     fn apply_digest(&self, state: &MemberState, _sent: Instant, suspects: &CrashRows) {
@@ -48,5 +51,6 @@
         for pool in &tables.pools {
             dispatcher.set_others_work(&pool.name, state.others_work());
         }
+        self.sent.import_limits(dispatcher, state);
     }
 }
