Log the software version of a server and what a caller takes up

Change: the list's version becomes part of a listed server and of the attempt line; a request that names the one that began its stream leaves a line. No decision uses either. Result: the tests of platform pass.

--- a/crates/directory/src/list.rs
+++ b/crates/directory/src/list.rs
@@ -23,6 +23,9 @@
     /// The name by which it identifies itself; empty if it is identified by its address only.
     #[serde(default)]
     pub label: String,
+    /// The version of its software; empty if the list does not specify it.
+    #[serde(default)]
+    pub software_version: String,
     /// How many requests it runs concurrently; zero if the list does not specify it.
     #[serde(default)]
     pub slots: u32,
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -308,6 +308,7 @@
             request_id = %self.routed.arrival.id,
             class = %self.routed.route().class,
             server = %self.lease.server().addr,
+            software_version = &*self.lease.software_version(),
             fingerprint = %self.lease.fingerprint(),
             shared_parts = logged_parts(&self.lease.shared_parts()),
             number = self.attempts,
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -27,6 +27,8 @@
     pub max_tokens: Option<u32>,
     /// The ID of the last event of the answer that the caller received.
     pub last_event: Option<u64>,
+    /// The ID of the request that brought the first event of the stream, if this request takes it up.
+    pub resumed_request: Option<String>,
 }
 
 /// The metadata that an attempt sends to the backend server.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -115,6 +115,12 @@
         self.dispatcher.label(self.server())
     }
 
+    /// The version of the backend server's software; empty if it is unknown.
+    #[must_use]
+    pub fn software_version(&self) -> Rc<str> {
+        self.dispatcher.software_version(self.server())
+    }
+
     /// What the scheduler knew about the server when it selected it; `None` if the prompt is
     /// unknown.
     #[must_use]
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -234,6 +234,11 @@
         self.state.borrow().servers.label(server.key)
     }
 
+    /// The version of the server's software; empty if it is unknown.
+    pub(super) fn software_version(&self, server: Server) -> Rc<str> {
+        self.state.borrow().servers.software_version(server.key)
+    }
+
     fn probe_target(&self, server: Server) -> ProbeTarget {
         let state = self.state.borrow();
         let (health_path, label) = (state.health_path.clone(), state.servers.label(server.key));
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -23,6 +23,7 @@
     incarnation: u64,
     listing: Listing,
     label: Rc<str>,
+    software_version: Rc<str>,
     /// Consecutive complete lists from which it was missing.
     missed_lists: u32,
 }
@@ -66,6 +67,12 @@
         known.map(|it| Rc::clone(&it.label)).unwrap_or_default()
     }
 
+    /// The version of a server's software; empty if the list does not specify it.
+    pub(super) fn software_version(&self, key: BackendKey) -> Rc<str> {
+        let known = self.servers.values().find(|it| it.key == key);
+        known.map(|it| Rc::clone(&it.software_version)).unwrap_or_default()
+    }
+
     /// Records the incarnation that a server reports of itself.
     pub(super) fn record_incarnation(&mut self, addr: SocketAddr, incarnation: u64) {
         if let Some(known) = self.servers.get_mut(&addr) {
@@ -143,12 +150,16 @@
                 incarnation,
                 listing: Listing::Platform,
                 label: vm.label.as_str().into(),
+                software_version: Rc::default(),
                 missed_lists: 0,
             });
             known.missed_lists = 0;
             // An entry older than the last known restart of the server is stale.
             if incarnation >= known.incarnation {
                 known.incarnation = incarnation;
+                if *known.software_version != *vm.software_version {
+                    known.software_version = vm.software_version.as_str().into();
+                }
                 known.listing = match (vm.state, known.listing) {
                     (VmState::Leaving, _) => Listing::Leaving,
                     (VmState::Live, Listing::Table) => Listing::Table,
@@ -221,9 +232,15 @@
                 scheduler.backend_live(now, entry)
             });
         if let Some(key) = key {
-            let (listing, label) = (Listing::Table, Rc::default());
-            self.servers
-                .insert(addr, KnownServer { key, incarnation, listing, label, missed_lists: 0 });
+            let known = KnownServer {
+                key,
+                incarnation,
+                listing: Listing::Table,
+                label: Rc::default(),
+                software_version: Rc::default(),
+                missed_lists: 0,
+            };
+            self.servers.insert(addr, known);
         }
     }
 }
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -140,13 +140,14 @@
     };
     let (addr, incarnation) = (row.addr, row.incarnation);
     let failure_domain = String::new();
-    let (label, slots) = (String::new(), 0);
+    let (label, software_version, slots) = (String::new(), String::new(), 0);
     Some(ListedVm {
         addr,
         failure_domain,
         pool: pool.name.clone(),
         incarnation,
         label,
+        software_version,
         slots,
         state,
     })
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -138,6 +138,14 @@
         metadata: RequestMetadata,
     ) -> Result<Reply, Failure> {
         let exchange = routed.route().exchange;
+        if let Some(resumes) = &metadata.resumed_request {
+            tracing::info!(
+                event = "stream_taken_up",
+                request_id = %routed.arrival.id,
+                resumes,
+                last_event = metadata.last_event,
+            );
+        }
         let services = Rc::clone(&self.services);
         let dialect = Rc::clone(&self.dialect);
         let relayed = RelayedCall::dispatch(services, dialect, routed, permit, metadata).await?;
