Measure the last share of a limit over its whole span

What servers would see: a router or hub whose granter falls silent soon after its first grants went on with up to twice its share, 2.7 in place of 2 permits a second in the test. Cause: the share was measured over the time since the first grant, which has one grant more than intervals. Change: it is always measured over 4 s; early on that is less than the share.

--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -24,8 +24,6 @@
 const PILED_UP_TIME: Duration = Duration::from_millis(500);
 /// The time over which the share of a holder is measured.
 const SHARE_SPAN: Duration = Duration::from_secs(4);
-/// The shortest time that a share is measured over, after the first grant.
-const SHARE_SPAN_MIN: Duration = Duration::from_secs(2);
 /// Without an answer to its requests for permits for this long, a holder goes on with its last share.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -236,7 +234,6 @@
     granted: VecDeque<Grant>,
     /// The grants of the last [`SHARE_SPAN`].
     received: VecDeque<(Instant, u32)>,
-    first_answer_at: Option<Instant>,
     answered_at: Option<Instant>,
     share_per_s: f64,
     own: PermitIssuer,
@@ -255,7 +252,6 @@
         Allowance {
             granted: VecDeque::new(),
             received: VecDeque::new(),
-            first_answer_at: None,
             answered_at: None,
             share_per_s: 0.0,
             own: PermitIssuer::new(now),
@@ -265,7 +261,6 @@
     /// Records an answer to a request for permits, which may grant none. The permits are for requests
     /// under the server's limit `rate`.
     pub fn answered(&mut self, now: Instant, rate: RequestRate, count: u32) {
-        self.first_answer_at.get_or_insert(now);
         self.answered_at = Some(now);
         self.own = PermitIssuer::new(now);
         if count > 0 {
@@ -275,7 +270,8 @@
         while self.received.front().is_some_and(|it| now >= it.0 + SHARE_SPAN) {
             self.received.pop_front();
         }
-        self.share_per_s = self.measured_share(now);
+        let count: u32 = self.received.iter().map(|it| it.1).sum();
+        self.share_per_s = f64::from(count) / SHARE_SPAN.as_secs_f64();
     }
 
     /// Forgets the permits that are left, because the limit was lowered.
@@ -312,13 +308,6 @@
         self.share_per_s
     }
 
-    fn measured_share(&self, now: Instant) -> f64 {
-        let count: u32 = self.received.iter().map(|it| it.1).sum();
-        let known_for = self.first_answer_at.map(|it| now.saturating_duration_since(it));
-        let span = known_for.unwrap_or_default().clamp(SHARE_SPAN_MIN, SHARE_SPAN);
-        f64::from(count) / span.as_secs_f64()
-    }
-
     fn is_silent(&self, now: Instant) -> bool {
         self.answered_at.is_some_and(|it| now >= it + SILENT_AFTER)
     }
