Keep a stream at the software version that began it

Cause: the server for the rest of a stream was chosen among all servers, both by the router that relays it and by the one where its caller takes it up, which did not know who had begun it. The class: state that a request leaves at a server is not taken into account when the request goes on elsewhere. Change: once a caller receives an event, the request may only run at servers of that version of that pool. Such a request goes to the pool and version of its origin, waits for a server there apart from the queue, and is refused as not run if none is left or nobody knows the version. Why it works: the choice is restricted before the first byte is sent, and a record is made before the event is passed on. What is lost with a router that is killed within its exchange interval is refused.

--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use consensus::{Message, Peer};
-use dissemination::{HubNews, HubPermitRequest};
+use dissemination::{BegunStreams, HubNews, HubPermitRequest};
 use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,8 @@
         hub: u64,
         /// The servers with pending work.
         rows: Vec<(SocketAddr, PendingWork)>,
+        /// The streams that began since the last message.
+        begun_streams: Vec<BegunStreams>,
     },
     /// Causes of crashes and rate limits of servers.
     News(HubNews),
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -191,8 +191,10 @@
         match Envelope::decode(&message) {
             Some(Envelope::Log(message)) => self.replica.step(message),
             Some(Envelope::Hello(peer)) => self.replica.record_hello(peer, &message),
-            Some(Envelope::Work { hub, rows }) => {
-                self.hub.borrow_mut().update_hub_work(self.clock.now(), hub, rows);
+            Some(Envelope::Work { hub, rows, begun_streams }) => {
+                let now = self.clock.now();
+                self.hub.borrow_mut().update_hub_work(now, hub, rows);
+                self.hub.borrow_mut().record_streams(now, &begun_streams);
             }
             Some(Envelope::News(news)) => {
                 self.hub.borrow_mut().merge_news(self.clock.now(), news);
--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -26,16 +26,17 @@
 }
 
 impl HubBroadcast {
-    /// Sends the pending work at a fixed interval for the lifetime of the process.
+    /// Sends the pending work and the streams that have begun, at a fixed interval for the lifetime of the process.
     pub(crate) async fn send_work(self) {
         loop {
             monoio::time::sleep(WORK_PERIOD).await;
             let rows = self.hub.borrow_mut().own_work(self.clock.now());
-            if rows.is_empty() {
+            let begun_streams = self.hub.borrow_mut().take_new_streams();
+            if rows.is_empty() && begun_streams.is_empty() {
                 continue;
             }
             let hub = self.replica.status().me.node.0;
-            self.replica.broadcast(&Envelope::Work { hub, rows });
+            self.replica.broadcast(&Envelope::Work { hub, rows, begun_streams });
         }
     }
 
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -9,8 +9,9 @@
 use policy::{PendingWork, PermitGrant};
 
 use crate::{
-    CrashRows, Digest, HubNews, Load, PoolHash, RouterIdx, Sender, ServerIdx, ServerLoad,
-    ServerObservation, ServerRef, ServerRow, ServerState, ServerWork, Summary, Version,
+    BegunStreams, CrashRows, Digest, HubNews, Load, PoolHash, RouterIdx, Sender, ServerIdx,
+    ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, ServerWork, StreamHash,
+    StreamLog, Summary, Version,
     grants::{self, Allocation},
     limits::Limits,
     parts::Parts,
@@ -53,6 +54,9 @@
     work: WorkReports,
     limits: Limits,
     permits: HubPermits,
+    streams: StreamLog,
+    /// The streams that began at this hub's routers and that the other hubs do not know yet.
+    new_streams: Vec<BegunStreams>,
 }
 
 #[derive(Debug)]
@@ -86,6 +90,8 @@
             work: WorkReports::default(),
             limits: Limits::default(),
             permits: HubPermits::default(),
+            streams: StreamLog::default(),
+            new_streams: Vec::new(),
         }
     }
 
@@ -114,6 +120,8 @@
         let limits = &self.limits;
         let rate = |server| limits.rate(server);
         self.permits.update(now, router, &summary.permit_requests, rate);
+        self.record_streams(now, &summary.begun_streams);
+        self.new_streams.extend(summary.begun_streams);
         self.decide(now);
         if let Some(allocation) = self.allocations.get_mut(&router) {
             // Indexes from another epoch refer to other servers.
@@ -125,7 +133,8 @@
             work.filter_map(|it| Some((self.resolve_server(it.server, is_current)?, it.work)));
         let work = work.collect();
         self.work.update_router(now, router, work);
-        self.digest(now, router, held)
+        let found_streams = self.find_streams(now, &summary.stream_lookups);
+        Digest { found_streams, ..self.digest(now, router, held) }
     }
 
     /// The pending work of this hub's routers by server, for the other hubs.
@@ -186,6 +195,23 @@
         self.permits.granted(now, grants);
     }
 
+    /// The streams that began at this hub's routers since the last call, for the other hubs.
+    pub fn take_new_streams(&mut self) -> Vec<BegunStreams> {
+        std::mem::take(&mut self.new_streams)
+    }
+
+    /// Records streams that began at routers of this or another hub.
+    pub fn record_streams(&mut self, now: Instant, begun: &[BegunStreams]) {
+        for group in begun {
+            group.streams.iter().for_each(|it| self.streams.record(now, *it, group.version));
+        }
+    }
+
+    fn find_streams(&self, now: Instant, streams: &[StreamHash]) -> Vec<BegunStreams> {
+        let found = streams.iter().filter_map(|it| Some((*it, self.streams.version(now, *it)?)));
+        BegunStreams::group(found)
+    }
+
     fn decide(&mut self, now: Instant) {
         self.suspects.decide(now, self.version);
         self.parts.decide(now, self.version);
@@ -346,6 +372,7 @@
             work,
             limits: self.limits.since(now, held),
             permits: self.permits.take(now, router),
+            found_streams: Vec::new(),
         }
     }
 
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -14,6 +14,7 @@
 mod parts;
 mod permits;
 mod rows;
+mod streams;
 mod suspects;
 mod wire;
 mod work;
@@ -27,5 +28,6 @@
     ServerIdx, ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, Slots, Summary,
     Version,
 };
+pub use streams::{BegunStreams, StreamHash, StreamLog};
 pub use wire::{DecodeError, decode_digest, decode_summary, encode_digest, encode_summary};
 pub use work::ServerWork;
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -5,8 +5,8 @@
 use policy::{LimitEntry, PendingWork, PermitGrant};
 
 use crate::{
-    CrashRows, Digest, Load, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow, ServerWork, Slots,
-    Summary, Version,
+    BegunStreams, CrashRows, Digest, Load, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow,
+    ServerWork, Slots, Summary, Version,
 };
 
 /// One backend server as the router knows it from the hub.
@@ -32,6 +32,7 @@
     others_work: Vec<ServerWork>,
     new_limits: Vec<LimitEntry>,
     permits: Vec<PermitGrant>,
+    found_streams: Vec<BegunStreams>,
 }
 
 impl MemberState {
@@ -49,6 +50,7 @@
             others_work: Vec::new(),
             new_limits: Vec::new(),
             permits: Vec::new(),
+            found_streams: Vec::new(),
         }
     }
 
@@ -73,6 +75,8 @@
             work: Vec::new(),
             limits: Vec::new(),
             permit_requests: Vec::new(),
+            begun_streams: Vec::new(),
+            stream_lookups: Vec::new(),
         }
     }
 
@@ -105,6 +109,7 @@
         self.others_work = digest.work;
         self.new_limits = digest.limits;
         self.permits = digest.permits;
+        self.found_streams = digest.found_streams;
         CrashRows { requests: digest.quarantine, parts: digest.parts }
     }
 
@@ -152,6 +157,11 @@
         &self.permits
     }
 
+    /// The streams that were looked up by the last summary and are known.
+    pub fn found_streams(&self) -> &[BegunStreams] {
+        &self.found_streams
+    }
+
     /// The epoch of the hub that the state belongs to; 0 before the first digest.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ServerWork;
+use crate::{BegunStreams, ServerWork, StreamHash};
 
 /// The index of a router at the hub.
 #[derive(
@@ -90,6 +90,10 @@
     pub limits: Vec<LimitEntry>,
     /// The permits that the router asks for, for requests to servers with rate limits.
     pub permit_requests: Vec<PermitRequest>,
+    /// The streams that have begun at this router.
+    pub begun_streams: Vec<BegunStreams>,
+    /// The streams whose software version the router needs to know.
+    pub stream_lookups: Vec<StreamHash>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
@@ -122,6 +126,8 @@
     pub limits: Vec<LimitEntry>,
     /// The permits for requests to servers with rate limits.
     pub permits: Vec<PermitGrant>,
+    /// The streams that were looked up and are known.
+    pub found_streams: Vec<BegunStreams>,
 }
 
 /// A hash of a pool's name, sent in place of the name because rows are sent every second.
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -15,6 +15,7 @@
     rate_limit::ServerLimit,
     selection::mix,
     settings::{OtherLoad, Settings},
+    software::VersionHash,
 };
 
 const GAP_EWMA_WEIGHT: f64 = 0.1;
@@ -112,6 +113,7 @@
     pub(crate) name_hash: u64,
     pub(crate) pool: PoolKey,
     pub(crate) incarnation: u64,
+    pub(crate) version: VersionHash,
     pub(crate) health: Health,
     pub(crate) next_probe: Option<Instant>,
     /// When the slow start began, if the server had one.
@@ -222,6 +224,7 @@
             name_hash,
             pool,
             incarnation,
+            version: VersionHash::default(),
             health: Health::Up,
             next_probe: None,
             slow_start_since: None,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -57,6 +57,7 @@
 mod scheduler;
 mod selection;
 mod settings;
+mod software;
 mod spec;
 mod urgency;
 
@@ -74,5 +75,6 @@
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
 pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
+pub use software::VersionHash;
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
 pub use urgency::{RequestPriority, UrgencyScale};
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -4,7 +4,10 @@
 
 use derive_more::Display;
 
-use crate::keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
+use crate::{
+    keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey},
+    software::VersionHash,
+};
 
 /// A request that is offered for admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +65,9 @@
     /// No server of the pool is usable.
     #[display("no backend server of the pool is usable: come back later")]
     NoBackend,
+    /// No server of the software version that began the stream is usable.
+    #[display("no backend server of the version that began the stream is usable: start it anew")]
+    NoVersion,
     /// All servers of the pool have named limits, and too many requests wait.
     #[display("all backend servers of the pool limit their requests: come back later")]
     RateLimited,
@@ -88,6 +94,8 @@
     pub(crate) failed_connects: u32,
     /// The servers of earlier attempts without duplicates, the latest at the end.
     pub(crate) tried: Vec<BackendKey>,
+    /// If set, only servers of this software version may run it.
+    pub(crate) version: Option<VersionHash>,
     pub(crate) preemption: Preemption,
     pub(crate) reservation: Reservation,
     /// The other attempt of a hedged request.
@@ -125,6 +133,8 @@
 pub(crate) struct Attempt {
     pub(crate) backend: BackendKey,
     pub(crate) incarnation: u64,
+    /// The software version of the server.
+    pub(crate) version: VersionHash,
     pub(crate) sent_at: Instant,
     pub(crate) tokens: u32,
     pub(crate) first_token_at: Option<Instant>,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod poll;
 mod preempt;
 mod transitions;
+mod versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -138,8 +138,7 @@
     }
 
     pub(super) fn has_usable_backend(&self, now: Instant, pool: PoolKey) -> bool {
-        let mut members = self.pools[pool].members.iter().map(|it| &self.backends[*it]);
-        members.any(|it| it.is_usable() && it.pause_end(now).is_none())
+        self.has_usable_backend_of(now, pool, None)
     }
 
     /// When the first server is usable again if all usable servers have asked for a pause.
@@ -331,6 +330,7 @@
             attempts: 0,
             failed_connects: 0,
             tried: Vec::new(),
+            version: None,
             preemption: Preemption::Pausable,
             reservation: Reservation::None,
             other_attempt: None,
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -118,7 +118,7 @@
         if now + self.settings.retry_jitter > request.dispatch_deadline {
             return Err(GiveUp::DeadlineUnreachable);
         }
-        if !self.has_usable_backend(now, offer.pool) {
+        if !self.has_usable_backend_for(now, request) {
             return Err(GiveUp::NoBackend);
         }
         Ok(())
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -139,7 +139,7 @@
                 return true;
             }
         }
-        false
+        self.set_restricted_aside(now, pool, &contenders)
     }
 
     fn has_free_slot(&self, now: Instant, pool: PoolKey) -> bool {
@@ -343,6 +343,7 @@
             side: None,
             priority: self.classes[offer.class].spec.priority,
             tried: &request.tried,
+            version: request.version,
             allowed,
             isolation: self.quarantine.isolation(now, offer.request_hash),
             suspect_hosts,
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -66,7 +66,8 @@
         backend: BackendKey,
         preemption: Preemption,
     ) {
-        let incarnation = self.backends[backend].incarnation;
+        let (incarnation, version) =
+            (self.backends[backend].incarnation, self.backends[backend].version);
         if let Some(limit) = &mut self.backends[backend].limit {
             limit.take(now);
         }
@@ -75,6 +76,7 @@
         let attempt = Attempt {
             backend,
             incarnation,
+            version,
             sent_at: now,
             tokens: 0,
             first_token_at: None,
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -19,6 +19,7 @@
     prompt::{Prompt, RecentPrefixes},
     quarantine::Isolation,
     settings::Settings,
+    software::VersionHash,
 };
 
 /// Load above the affinity bound that is tolerated, so that a nearly idle pool keeps its affinity.
@@ -63,6 +64,8 @@
     pub(crate) tried: &'a [BackendKey],
     /// If set, only these servers are eligible.
     pub(crate) allowed: Option<&'a [BackendKey]>,
+    /// If set, only servers of this software version are eligible.
+    pub(crate) version: Option<VersionHash>,
     pub(crate) isolation: Isolation,
     /// Servers on which other suspects run.
     pub(crate) suspect_hosts: &'a [BackendKey],
@@ -106,7 +109,8 @@
             criteria.isolation != Isolation::Required || !criteria.suspect_hosts.contains(&key);
         let is_fast = !self.is_slow(key)
             || backend.gap_ms.value().is_none_or(|it| it <= criteria.gap_limit_ms);
-        is_isolated && is_fast && criteria.allowed.is_none_or(|it| it.contains(&key))
+        let has_version = criteria.version.is_none_or(|it| it == backend.version);
+        has_version && is_isolated && is_fast && criteria.allowed.is_none_or(|it| it.contains(&key))
     }
 
     /// Whether a slot that a paused stream frees on the server can be used immediately.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, GiveUp, Prompt, Refusal, Repeat, RequestRate};
+use policy::{Execution, GiveUp, Prompt, Refusal, Repeat, RequestRate, VersionHash};
 use tables::Exchange;
 use telemetry::TraceContext;
 
@@ -61,6 +61,8 @@
     pub(crate) prefix_hash: u64,
     pub(crate) max_tokens: Option<u32>,
     pub(crate) prompt: Prompt,
+    /// If set, only servers of this software version may run the request.
+    pub(crate) version: Option<VersionHash>,
 }
 
 impl Call {
@@ -86,6 +88,7 @@
             request_hash: fingerprint.0,
             max_tokens: hints.max_tokens,
             prompt: &hints.prompt,
+            version: hints.version,
             repeat: match routed.is_order() {
                 true => Repeat::AtMostOnce,
                 false => Repeat::Idempotent,
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -52,6 +52,7 @@
     services::Services,
     settings::RouterSettings,
     shared_work::WorkMember,
+    stream_origins::StreamOrigins,
     table_source::{FixedTables, TableSource},
 };
 
@@ -426,6 +427,7 @@
         ids: IdGenerator::new(ChaCha8Rng::seed_from_u64(components.seed)),
         timeouts: settings.timeouts,
         urgency: EngineUrgency::default(),
+        streams: StreamOrigins::new(Rc::clone(&components.clock)),
         peers: settings.peers.clone(),
         domain: OnceCell::new(),
     })
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -8,7 +8,13 @@
 mod pool_dispatcher;
 mod server_list;
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use clock::Clock;
 use directory::ListedVm;
@@ -16,7 +22,7 @@
 use policy::{
     BackendKey, LimitEntry, LoadReport, PartEntry, PartReport, PendingWork, PermitGrant,
     PermitRequest, ProbeResult, Prompt, QuarantineEntry, QueueSnapshot, Refusal, RefusalReason,
-    Repeat, ServerHash, Settings, leases::Claim,
+    Repeat, ServerHash, Settings, VersionHash, leases::Claim,
 };
 use tables::{Revision, Tables};
 
@@ -60,6 +66,8 @@
     pub prompt: &'a Prompt,
     /// Whether it may run more than once.
     pub repeat: Repeat,
+    /// If set, only servers of this software version may run it.
+    pub version: Option<VersionHash>,
 }
 
 /// Dispatches the requests of all pools, each pool with a scheduler of its own.
@@ -196,6 +204,18 @@
         }
     }
 
+    /// Whether a server of the software version may be sent requests of the pool.
+    #[must_use]
+    pub fn serves_version(&self, pool: &str, version: VersionHash) -> bool {
+        self.pool_dispatcher(pool).is_some_and(|it| it.serves_version(version))
+    }
+
+    /// The software version of all servers of the pool, if they have had none else for `time`.
+    #[must_use]
+    pub fn sole_version(&self, pool: &str, time: Duration) -> Option<VersionHash> {
+        self.pool_dispatcher(pool)?.sole_version(time)
+    }
+
     /// The known rate limits of all servers.
     #[must_use]
     pub fn limit_entries(&self) -> Vec<LimitEntry> {
@@ -311,7 +331,7 @@
 
 /// Refuses a request whose pool, class or workspace the scheduler does not know.
 const UNKNOWN_REFUSAL: Refusal =
-    Refusal { reason: RefusalReason::Unknown, retry_after: std::time::Duration::from_secs(1) };
+    Refusal { reason: RefusalReason::Unknown, retry_after: Duration::from_secs(1) };
 
 /// The number by which the scheduler compares revisions.
 fn revision_number(revision: Revision) -> u64 {
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -5,7 +5,7 @@
 use futures::channel::{mpsc, oneshot};
 use policy::{
     Execution, Failure, GiveUp, LimitChange, LoadReport, Offer, Outcome, PlacementEstimate,
-    ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket,
+    ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket, VersionHash,
 };
 
 use crate::fingerprint::Fingerprint;
@@ -193,6 +193,12 @@
         self.dispatcher.apply_and_run(|scheduler, now| scheduler.first_token(self.ticket, now));
     }
 
+    /// Restricts the request to the software version of its server, because the caller receives the first
+    /// event; returns the version.
+    pub fn pin_version(&self) -> Option<VersionHash> {
+        self.dispatcher.apply(|scheduler, _| scheduler.pin_version(self.ticket))
+    }
+
     /// Records that `count` further tokens arrived.
     pub fn tokens(&self, count: u32) {
         self.dispatcher.apply(|scheduler, now| scheduler.tokens(self.ticket, now, count));
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::{Rc, Weak},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use clock::Clock;
@@ -20,7 +20,7 @@
 use policy::{
     Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, PartChange, Pausing,
     PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QuarantineEvent, QueueSnapshot,
-    Refusal, Scheduler, ServerHash, Settings, Spec, Ticket, WorkspaceSpec,
+    Refusal, Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
@@ -139,6 +139,9 @@
             let prompt = request.prompt.clone();
             self.apply(|scheduler, now| scheduler.offer_prompt(now, offer, prompt))?
         };
+        if let Some(version) = request.version {
+            self.apply(|scheduler, _| scheduler.restrict_version(ticket, version));
+        }
         let placed = self.register_waiter(ticket);
         // Dropping the lease while it waits removes the request from the queue.
         let mut lease = Lease::new(Rc::clone(&self), ticket, offer);
@@ -239,6 +242,20 @@
         self.state.borrow().servers.software_version(server.key)
     }
 
+    /// Whether a server of the software version may be sent requests.
+    pub(super) fn serves_version(&self, version: VersionHash) -> bool {
+        let now = self.clock.now();
+        let State { scheduler, pool, .. } = &*self.state.borrow();
+        scheduler.pool(pool).is_some_and(|it| scheduler.has_usable_version(now, it, version))
+    }
+
+    /// The software version of all servers, if they have had none else for `time`.
+    pub(super) fn sole_version(&self, time: Duration) -> Option<VersionHash> {
+        let state = self.state.borrow();
+        let version = state.servers.sole_version(self.clock.now(), time)?;
+        Some(VersionHash::of(&state.pool, &version))
+    }
+
     fn probe_target(&self, server: Server) -> ProbeTarget {
         let state = self.state.borrow();
         let (health_path, label) = (state.health_path.clone(), state.servers.label(server.key));
@@ -523,7 +540,7 @@
 }
 
 /// Stores the next wakeup and returns the time until it; `None` when the dispatcher is dropped.
-fn arm(dispatcher: &Weak<PoolDispatcher>) -> Option<Option<std::time::Duration>> {
+fn arm(dispatcher: &Weak<PoolDispatcher>) -> Option<Option<Duration>> {
     let dispatcher = dispatcher.upgrade()?;
     let now = dispatcher.clock.now();
     let mut state = dispatcher.state.borrow_mut();
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -1,8 +1,13 @@
 //! The backend servers of one pool, merged from the table and the platform's list.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use policy::{BackendEntry, BackendKey, Scheduler};
+use policy::{BackendEntry, BackendKey, Scheduler, VersionHash};
 use tables::Pool;
 
 use super::{Server, ServerStatus};
@@ -15,6 +20,8 @@
     /// The next incarnation of servers that were missing from complete lists, by name. A list that
     /// is older than its predecessor may omit live servers, so they can return without a restart.
     return_incarnations: BTreeMap<String, u64>,
+    /// The only software version of the servers, and since when it has been that.
+    sole_version: Option<(Rc<str>, Instant)>,
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +80,22 @@
         known.map(|it| Rc::clone(&it.software_version)).unwrap_or_default()
     }
 
+    /// The version of all servers, if they have had none else for `time`.
+    pub(super) fn sole_version(&self, now: Instant, time: Duration) -> Option<Rc<str>> {
+        let (version, since) = self.sole_version.as_ref()?;
+        (now >= *since + time).then(|| Rc::clone(version))
+    }
+
+    fn update_sole_version(&mut self, now: Instant) {
+        let mut versions = self.servers.values().map(|it| &it.software_version);
+        let first = versions.next().filter(|first| versions.all(|it| it == *first)).cloned();
+        let known = self.sole_version.take();
+        self.sole_version = first.map(|first| match known {
+            Some((version, since)) if version == first => (first, since),
+            _ => (first, now),
+        });
+    }
+
     /// Records the incarnation that a server reports of itself.
     pub(super) fn record_incarnation(&mut self, addr: SocketAddr, incarnation: u64) {
         if let Some(known) = self.servers.get_mut(&addr) {
@@ -160,6 +183,7 @@
                 if *known.software_version != *vm.software_version {
                     known.software_version = vm.software_version.as_str().into();
                 }
+                scheduler.set_version(key, VersionHash::of(pool, &vm.software_version));
                 known.listing = match (vm.state, known.listing) {
                     (VmState::Leaving, _) => Listing::Leaving,
                     (VmState::Live, Listing::Table) => Listing::Table,
@@ -167,6 +191,7 @@
                 };
             }
         }
+        self.update_sole_version(now);
     }
 
     /// Removes the servers that are missing from the last [`MISSED_LISTS_MAX`] complete lists, of
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod settings;
 mod shared_work;
 mod silence;
+mod stream_origins;
 pub mod table_source;
 mod token_stream;
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -20,7 +20,9 @@
         RefusalReason::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
         RefusalReason::RateLimited => (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded),
         RefusalReason::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
-        RefusalReason::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
+        RefusalReason::NoBackend | RefusalReason::NoVersion => {
+            (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer)
+        }
         RefusalReason::Unknown => (StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute),
     };
     let message = refusal.reason.to_string();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -25,6 +25,7 @@
     outcome::{Code, Failure, Outcome},
     routing::{Routed, host_name},
     services::Services,
+    stream_origins::restrict_to_origin,
     table_source::TableSource,
 };
 
@@ -138,17 +139,23 @@
         metadata: RequestMetadata,
     ) -> Result<Reply, Failure> {
         let exchange = routed.route().exchange;
-        if let Some(resumes) = &metadata.resumed_request {
-            tracing::info!(
-                event = "stream_taken_up",
-                request_id = %routed.arrival.id,
-                resumes,
-                last_event = metadata.last_event,
-            );
-        }
+        let mut routed = routed;
+        let is_taken_up = exchange == Exchange::ResumableEvents && metadata.last_event.is_some();
+        let version = match is_taken_up {
+            true => Some(
+                restrict_to_origin(
+                    &self.services,
+                    &mut routed,
+                    metadata.resumed_request.as_deref(),
+                )
+                .await?,
+            ),
+            false => None,
+        };
         let services = Rc::clone(&self.services);
         let dialect = Rc::clone(&self.dialect);
-        let relayed = RelayedCall::dispatch(services, dialect, routed, permit, metadata).await?;
+        let relayed =
+            RelayedCall::dispatch(services, dialect, routed, permit, metadata, version).await?;
         match exchange {
             Exchange::Native | Exchange::Whole => buffered::serve(relayed).await,
             Exchange::Events | Exchange::ResumableEvents => events::serve(relayed).await,
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -11,7 +11,6 @@
     sse::{self, Splitter},
 };
 use policy::{Execution, Failure as FailureKind};
-use tables::Exchange;
 
 use super::{buffered::Answer, relayed_call::RelayedCall};
 use crate::{
@@ -176,7 +175,7 @@
     relayed: &mut RelayedCall,
     error: AttemptError,
 ) -> Result<EventSource, AttemptError> {
-    if relayed.call.routed.route().exchange != Exchange::ResumableEvents {
+    if !relayed.is_resumable() {
         return Err(error);
     }
     let mut error = error;
@@ -228,6 +227,7 @@
             let Some(event) = event else { return Ok(None) };
             if self.accept_event(&event) {
                 self.events += 1;
+                self.record_origin();
                 return Ok(Some(event));
             }
             repeated_bytes += event.len();
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -7,7 +7,7 @@
 
 use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
-use policy::{Execution, Failure as FailureKind, LoadReport};
+use policy::{Execution, Failure as FailureKind, LoadReport, VersionHash};
 use tables::Exchange;
 
 use crate::{
@@ -25,6 +25,7 @@
     routing::Routed,
     services::Services,
     silence::{Remedy, Silent, probe_on_silence},
+    stream_origins::REPORT_INTERVAL,
 };
 
 /// The number of answers to other requests that are skipped before the connection is abandoned.
@@ -39,6 +40,10 @@
     pub(super) last_event: Option<u64>,
     /// The number of relayed events.
     pub(super) events: u32,
+    /// The ID of the request that began the stream, if the caller has taken it up.
+    resumed_request: Option<String>,
+    /// When the beginning of the stream was reported last.
+    reported_at: Option<Instant>,
     id: HeaderValue,
 }
 
@@ -53,6 +58,7 @@
         routed: Routed,
         permit: Permit,
         metadata: RequestMetadata,
+        version: Option<VersionHash>,
     ) -> Result<RelayedCall, Failure> {
         let id: &str = routed.arrival.id.as_ref();
         let id = HeaderValue::try_from(id).expect("a request ID is a valid header value");
@@ -65,6 +71,7 @@
             prefix_hash: metadata.prompt.shared_hash(),
             max_tokens: metadata.max_tokens,
             prompt: metadata.prompt,
+            version,
         };
         let dispatched = Call::dispatch(services, routed, permit, hints);
         let call = match run_until_deadline(&disconnected, left, dispatched).await {
@@ -73,7 +80,16 @@
                 return Err(refusals::deadline_passed(Outcome::NotRun));
             }
         };
-        Ok(RelayedCall { call, dialect, deadline, last_event: metadata.last_event, events: 0, id })
+        Ok(RelayedCall {
+            call,
+            dialect,
+            deadline,
+            last_event: metadata.last_event,
+            events: 0,
+            resumed_request: metadata.resumed_request,
+            reported_at: None,
+            id,
+        })
     }
 
     pub(super) fn time_left(&self) -> Duration {
@@ -85,6 +101,11 @@
         !self.call.routed.is_order()
     }
 
+    /// Whether its stream may go on at another server.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.call.routed.route().exchange == Exchange::ResumableEvents
+    }
+
     /// Makes one attempt and waits for the head of its answer.
     ///
     /// # Errors
@@ -174,10 +195,25 @@
         }
     }
 
+    /// Keeps a stream of which the caller receives an event at the software version of its server, and
+    /// reports that version, so that the caller can take the stream up at any router.
+    pub(super) fn record_origin(&mut self) {
+        let now = self.call.services.clock.now();
+        let is_reported = self.reported_at.is_some_and(|it| now < it + REPORT_INTERVAL);
+        if is_reported || !self.is_resumable() {
+            return;
+        }
+        self.reported_at = Some(now);
+        let begun_by =
+            self.resumed_request.as_deref().unwrap_or(self.call.routed.arrival.id.as_ref());
+        if let Some(version) = self.call.lease.pin_version() {
+            self.call.services.streams.record(begun_by, version);
+        }
+    }
+
     /// What can be done if a server that is alive falls silent.
     pub(super) fn remedy(&self) -> Remedy {
-        let can_resume = self.call.routed.route().exchange == Exchange::ResumableEvents;
-        if self.events == 0 || can_resume { Remedy::Retry } else { Remedy::KeepWaiting }
+        if self.events == 0 || self.is_resumable() { Remedy::Retry } else { Remedy::KeepWaiting }
     }
 
     /// The error of a silent attempt. Closes the idle connections too, as they may be broken in the
--- a/crates/router/src/sent_state.rs
+++ b/crates/router/src/sent_state.rs
@@ -7,12 +7,13 @@
 };
 
 use dissemination::{
-    CrashRows, MemberState, PartRow, PoolHash, QuarantineRow, Sender, ServerObservation, Summary,
+    BegunStreams, CrashRows, MemberState, PartRow, PoolHash, QuarantineRow, Sender,
+    ServerObservation, Summary,
 };
 use policy::{CrashSite, LimitEntry, PartEntry, QuarantineEntry, RequestRate, ServerHash};
 use tables::Tables;
 
-use crate::dispatch::Dispatcher;
+use crate::{dispatch::Dispatcher, stream_origins::StreamOrigins};
 
 /// The state that was sent to the hub since it started.
 #[derive(Debug, Clone, Default)]
@@ -25,6 +26,8 @@
     part_stamps: BTreeMap<PoolHash, u64>,
     /// The rate limit of each server that ever had one.
     limits: BTreeMap<ServerHash, Option<RequestRate>>,
+    /// The last record of a stream that began here.
+    last_stream: u64,
 }
 
 /// The state that the hub has acknowledged by its answers.
@@ -97,6 +100,13 @@
         changed.filter(|it| sent.insert(it.server, it.rate) != Some(it.rate)).collect()
     }
 
+    /// The streams that have begun here since the hub acknowledged a summary.
+    pub(crate) fn begun_streams(&self, streams: &StreamOrigins) -> Vec<BegunStreams> {
+        let last = &mut self.pending.borrow_mut().last_stream;
+        let known = std::mem::replace(last, streams.last_record());
+        streams.begun_since(known)
+    }
+
     /// Applies the hub's news of rate limits and the permits that it grants. What this router knows
     /// better is sent again.
     pub(crate) fn import_limits(&self, dispatcher: &Dispatcher, state: &MemberState) {
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -13,6 +13,7 @@
     engine_urgency::EngineUrgency,
     metrics::Metrics,
     order_ledger::OrderLedger,
+    stream_origins::StreamOrigins,
 };
 
 /// Timeouts within a request, and the limit of resumes after them.
@@ -78,6 +79,8 @@
     pub timeouts: Timeouts,
     /// The urgency of requests at model engines.
     pub urgency: EngineUrgency,
+    /// The software versions that began streams.
+    pub(crate) streams: StreamOrigins,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
     /// The exchange with the hub, once it has started.
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -1,6 +1,6 @@
 //! Exchanges state with the other routers of a platform, through the control VMs: the load of
-//! backend servers, their rate limits with the permits for requests to them, and the requests that crash
-//! them.
+//! backend servers, their rate limits with the permits for requests to them, the requests that crash them,
+//! and the software versions that began streams.
 //!
 //! With many routers, each one causes only a small part of a server's load, and sees only a few of
 //! the crashes of a request that comes again at any router. So each router reports the work of its
@@ -40,7 +40,18 @@
         let parts = self.sent.changed_parts(&self.services.dispatcher);
         let limits = self.sent.changed_limits(&self.services.dispatcher);
         let permit_requests = self.services.dispatcher.permit_requests();
-        Summary { work, quarantine, parts, limits, permit_requests, ..empty }
+        let begun_streams = self.sent.begun_streams(&self.services.streams);
+        let stream_lookups = self.services.streams.lookups();
+        Summary {
+            work,
+            quarantine,
+            parts,
+            limits,
+            permit_requests,
+            begun_streams,
+            stream_lookups,
+            ..empty
+        }
     }
 
     fn apply_digest(&self, state: &MemberState, _sent: Instant, suspects: &CrashRows) {
@@ -52,5 +63,6 @@
             dispatcher.set_others_work(&pool.name, state.others_work());
         }
         self.sent.import_limits(dispatcher, state);
+        self.services.streams.record_found(state.found_streams());
     }
 }
--- /dev/null
+++ b/crates/router/src/stream_origins.rs
@@ -0,0 +1,183 @@
+//! Which software version began each stream, so that a caller can take it up at any router.
+//!
+//! The router that passes on the first event of a stream tells the hub, and the hubs tell one another.
+//! Where nobody knows a stream, it goes on only if its pool has had one version for longer than streams
+//! last, or has one version and the caller does not name the stream; otherwise it is refused.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use control_client::Domain;
+use dissemination::{BegunStreams, StreamHash, StreamLog};
+use http::StatusCode;
+use monoio::time;
+use policy::VersionHash;
+
+use crate::{
+    outcome::{Code, Failure},
+    routing::Routed,
+    services::Services,
+};
+
+/// Pauses between lookups of a stream that the hub does not know. The router where it began reports it
+/// within its exchange, and the hub of that router tells the others a little later.
+const LOOKUP_PAUSES: [Duration; 3] =
+    [Duration::from_millis(100), Duration::from_millis(200), Duration::from_millis(300)];
+const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
+/// When a caller may start a stream anew that cannot go on.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The time after which a stream that is still running is reported again.
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The streams that this router knows, and those that it looks up.
+pub(crate) struct StreamOrigins {
+    clock: Rc<dyn Clock>,
+    /// The streams that began here.
+    own: RefCell<StreamLog>,
+    /// The streams that the hub has found.
+    found: RefCell<StreamLog>,
+    lookups: RefCell<BTreeSet<StreamHash>>,
+}
+
+impl StreamOrigins {
+    pub(crate) fn new(clock: Rc<dyn Clock>) -> StreamOrigins {
+        let (own, found, lookups) = (RefCell::default(), RefCell::default(), RefCell::default());
+        StreamOrigins { clock, own, found, lookups }
+    }
+
+    /// Records that this router passes on events of a stream that a server of `version` began.
+    pub(crate) fn record(&self, request_id: &str, version: VersionHash) {
+        let now = self.clock.now();
+        self.own.borrow_mut().record(now, StreamHash::of(request_id), version);
+    }
+
+    /// The number of the last record of a stream that began here.
+    pub(crate) fn last_record(&self) -> u64 {
+        self.own.borrow().last_record()
+    }
+
+    /// The streams that began here after the record `known`.
+    pub(crate) fn begun_since(&self, known: u64) -> Vec<BegunStreams> {
+        self.own.borrow().since(known)
+    }
+
+    /// The streams to look up at the hub.
+    pub(crate) fn lookups(&self) -> Vec<StreamHash> {
+        self.lookups.borrow().iter().copied().collect()
+    }
+
+    /// Records the streams that the hub has found.
+    pub(crate) fn record_found(&self, found: &[BegunStreams]) {
+        let now = self.clock.now();
+        for group in found {
+            let mut log = self.found.borrow_mut();
+            group.streams.iter().for_each(|it| log.record(now, *it, group.version));
+        }
+    }
+
+    /// The version that began the stream, looked up at the hub if it did not begin here.
+    async fn find(&self, request_id: &str, domain: Option<&Rc<Domain>>) -> Option<VersionHash> {
+        let stream = StreamHash::of(request_id);
+        if let Some(version) = self.known(stream) {
+            return Some(version);
+        }
+        let _lookup = Lookup::begin(&self.lookups, stream);
+        // A hub that does not answer knows nothing.
+        let _ = time::timeout(LOOKUP_TIMEOUT, self.look_up(stream, domain?)).await;
+        self.known(stream)
+    }
+
+    async fn look_up(&self, stream: StreamHash, domain: &Domain) {
+        domain.exchange_now().await;
+        for pause in LOOKUP_PAUSES {
+            if self.known(stream).is_some() {
+                return;
+            }
+            time::sleep(pause).await;
+            domain.exchange_now().await;
+        }
+    }
+
+    fn known(&self, stream: StreamHash) -> Option<VersionHash> {
+        let now: Instant = self.clock.now();
+        let own = self.own.borrow().version(now, stream);
+        own.or_else(|| self.found.borrow().version(now, stream))
+    }
+}
+
+/// A lookup under way, which ends if the caller leaves.
+struct Lookup<'a> {
+    lookups: &'a RefCell<BTreeSet<StreamHash>>,
+    stream: StreamHash,
+}
+
+impl Lookup<'_> {
+    fn begin(lookups: &RefCell<BTreeSet<StreamHash>>, stream: StreamHash) -> Lookup<'_> {
+        lookups.borrow_mut().insert(stream);
+        Lookup { lookups, stream }
+    }
+}
+
+impl Drop for Lookup<'_> {
+    fn drop(&mut self) {
+        self.lookups.borrow_mut().remove(&self.stream);
+    }
+}
+
+/// The software version to which a request that takes up a stream is restricted. The pool of the request
+/// becomes that of the version, if its route has that pool.
+///
+/// # Errors
+/// If the version is unknown, or its servers are gone.
+pub(crate) async fn restrict_to_origin(
+    services: &Services,
+    routed: &mut Routed,
+    resumed_request: Option<&str>,
+) -> Result<VersionHash, Failure> {
+    let known = match resumed_request {
+        Some(id) => services.streams.find(id, services.domain.get()).await,
+        None => None,
+    };
+    let dispatcher = &services.dispatcher;
+    // The record of a stream that is named may be lost. A caller that names none cannot be known, and
+    // goes on where there is no choice.
+    let alone_for = if resumed_request.is_some() { StreamHash::TTL } else { Duration::ZERO };
+    let sole = || dispatcher.sole_version(&routed.pool().name, alone_for);
+    let version = known.or_else(sole);
+    tracing::info!(
+        event = "stream_taken_up",
+        request_id = %routed.arrival.id,
+        resumes = resumed_request,
+        version_hash = version.map(|it| it.0),
+        known_by = match (known, version) {
+            (Some(_), _) => "record",
+            (None, Some(_)) => "sole-version",
+            (None, None) => "nobody",
+        },
+    );
+    let Some(version) = version else {
+        return Err(refusal("no router knows which version began the stream; start it anew"));
+    };
+    let serves =
+        |it: &tables::PoolIdx| dispatcher.serves_version(&routed.tables.pool(*it).name, version);
+    let pool = routed.route().pools().find(serves);
+    match pool {
+        Some(pool) => {
+            routed.pool = pool;
+            Ok(version)
+        }
+        None => {
+            Err(refusal("no server of the version that began the stream is left; start it anew"))
+        }
+    }
+}
+
+fn refusal(message: &str) -> Failure {
+    Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer, message)
+        .retry_after(RETRY_AFTER)
+}
--- a/crates/router/tests/shared_probes.rs
+++ b/crates/router/tests/shared_probes.rs
@@ -50,6 +50,7 @@
         max_tokens: None,
         prompt: &Prompt::default(),
         repeat: Repeat::Idempotent,
+        version: None,
     };
     dispatcher.dispatch(request).await.expect("a server is up")
 }
--- /dev/null
+++ b/crates/router/tests/sole_version.rs
@@ -0,0 +1,73 @@
+//! Whether a pool has had a single software version for longer than streams last.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use clock::ManualClock;
+use directory::{ListedVm, VmState};
+use dissemination::StreamHash;
+use futures::future::{FutureExt, LocalBoxFuture};
+use policy::{ProbeResult, VersionHash};
+use router::{
+    dispatch::{Dispatcher, ProbeTarget, Prober},
+    identity::Workspaces,
+};
+use support::{Setup, closed_port, run};
+use tables::Revision;
+
+const POOL: &str = "svc";
+
+struct NoProber;
+
+impl Prober for NoProber {
+    fn probe(&self, _: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
+        async { ProbeResult::Alive }.boxed_local()
+    }
+}
+
+fn listed(port: u16, version: &str) -> ListedVm {
+    ListedVm {
+        addr: ([127, 0, 0, 1], port).into(),
+        failure_domain: String::new(),
+        pool: POOL.to_owned(),
+        incarnation: 0,
+        label: format!("i-{port}"),
+        software_version: version.to_owned(),
+        slots: 4,
+        state: VmState::Live,
+    }
+}
+
+/// Guards against a stream of an older version that goes on at a newer one, because the router that does
+/// not know the stream sees no older server any more.
+#[test]
+fn after_a_release() {
+    run(async {
+        let setup = Setup { services: vec![closed_port()], ..Setup::default() };
+        let mut tables = tables::check(Revision(1), &setup.tables()).expect("the tables are valid");
+        for pool in &mut tables.pools {
+            pool.servers.clear();
+        }
+        let clock = ManualClock::default();
+        let settings = policy::Settings::default();
+        let dispatcher = Dispatcher::new(Rc::new(clock.clone()), Rc::new(NoProber), settings, "");
+        dispatcher.configure(&tables, &Workspaces::default());
+        let list = |vms: &[&ListedVm]| {
+            dispatcher.replace_servers(POOL, vms);
+            dispatcher.sole_version(POOL, StreamHash::TTL)
+        };
+        let (old, new) = (listed(1, "v1"), listed(2, "v2"));
+        let version = |it| Some(VersionHash::of(POOL, it));
+        assert_eq!(list(&[&old]), None, "the router has just started");
+        clock.advance(StreamHash::TTL);
+        assert_eq!(list(&[&old]), version("v1"));
+        assert_eq!(list(&[&old, &new]), None);
+        // A server leaves with the second list that lacks it.
+        (0..2).for_each(|_| assert_eq!(list(&[&new]), None));
+        clock.advance(StreamHash::TTL - Duration::from_millis(1));
+        assert_eq!(list(&[&new]), None);
+        clock.advance(Duration::from_millis(1));
+        assert_eq!(list(&[&new]), version("v2"));
+    });
+}
