Give a server whose requests fail a small share

Cause: nothing weighs how often a server's requests fail, and one that fails fast is always idle. Change: a share of failures by server, held against the median of its pool; a failing one gets an eighth of its share until a request succeeds, then a slow start. Fewer than half of a pool are avoided. Requests cut off by one event count once. Each change leaves a log line.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     estimate::Ewma,
+    failing::FailureRecord,
     keys::PoolKey,
     pace::{Ceiling, Pace},
     rate_limit::ServerLimit,
@@ -144,6 +145,8 @@
     overload_backoff: Option<OverloadBackoff>,
     /// Until when the server has asked for no request.
     pause_until: Option<Instant>,
+    /// How often its latest requests failed.
+    pub(crate) failures: FailureRecord,
     /// What is known of its limit on the rate of requests, if it ever named one.
     pub(crate) limit: Option<ServerLimit>,
     /// Recoveries after a crash without a newer incarnation being reported.
@@ -242,6 +245,7 @@
             crashed_incarnation: None,
             overload_backoff: None,
             pause_until: None,
+            failures: FailureRecord::default(),
             limit: None,
             recoveries: 0,
             configured_slots,
@@ -261,6 +265,7 @@
         self.recoveries = 0;
         self.overload_backoff = None;
         self.pause_until = None;
+        self.failures = FailureRecord::default();
         self.limit = None;
         self.reset_speed();
         self.other_requests = 0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod class_queue;
 mod crash_log;
 mod estimate;
+mod failing;
 mod keys;
 pub mod leases;
 mod pace;
@@ -73,7 +74,7 @@
 };
 pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
-pub use scheduler::{Action, ClassCounts, ProbeResult, QueueSnapshot, Scheduler};
+pub use scheduler::{Action, ClassCounts, FailingChange, ProbeResult, QueueSnapshot, Scheduler};
 pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
 pub use software::VersionHash;
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod checks;
 mod events;
+mod failing;
 mod limits;
 mod membership;
 mod outcomes;
@@ -38,6 +39,7 @@
 
 pub use checks::{ClassCounts, QueueSnapshot};
 pub use events::ProbeResult;
+pub use failing::FailingChange;
 
 /// An action that the router must carry out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,6 +133,8 @@
     recent_prefixes: RecentPrefixes,
     /// What the hub has told of the limits of servers that are not listed here yet.
     unlisted_limits: BTreeMap<ServerHash, LimitStatement>,
+    /// The servers that have begun or ceased to be avoided since they were last taken.
+    failing_changes: Vec<FailingChange>,
     /// The position from which the limited servers are asked permits for in the next exchange.
     next_asked: usize,
     actions: Vec<Action>,
@@ -177,6 +181,7 @@
             prompts: SecondaryMap::default(),
             recent_prefixes: RecentPrefixes::default(),
             unlisted_limits: BTreeMap::new(),
+            failing_changes: Vec::new(),
             next_asked: 0,
             actions: Vec::new(),
         }
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -5,6 +5,7 @@
 use super::{Action, Scheduler};
 use crate::{
     backend::Health,
+    failing::FailureRecord,
     keys::{BackendKey, Ticket},
     quarantine::{QuarantineEntry, QuarantineEvent},
     request::Phase,
@@ -114,6 +115,7 @@
                 entry.next_probe = None;
                 entry.slow_start_since = Some(now);
                 entry.reset_speed();
+                entry.failures = FailureRecord::default();
                 entry.recoveries += 1;
                 entry.crashed_incarnation = None;
             }
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -51,6 +51,7 @@
         let offer = request.offer;
         self.quarantine.record_completion(now, offer.request_hash, self.settings.quarantine_ttl);
         self.record_parts_answered(now, ticket);
+        self.record_attempt_success(now, ticket);
         self.backends[attempt.backend].clear_overload_backoff();
         let uncounted = tokens.saturating_sub(attempt.tokens);
         let pool = &mut self.pools[offer.pool];
@@ -157,6 +158,7 @@
     }
 
     fn record_failure(&mut self, ticket: Ticket, now: Instant, failure: Failure) {
+        self.record_attempt_failure(now, ticket, failure);
         let Some(attempt) = self.requests.get(ticket).and_then(Request::attempt) else { return };
         let is_current = self.backends[attempt.backend].incarnation == attempt.incarnation;
         match failure {
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -290,7 +290,8 @@
         let own_side = self.own_side(pool, class);
         let side = self.side(&self.pools[pool], class);
         let prompt = self.prompts.get(ticket);
-        let criteria = Criteria { prompt, own_side: &own_side, side, ..criteria };
+        let to_try = self.server_to_try(ticket);
+        let criteria = Criteria { prompt, own_side: &own_side, side, to_try, ..criteria };
         let (backends, settings, recent_prefixes) =
             (&self.backends, &self.settings, &self.recent_prefixes);
         let members = &self.pools[request.offer.pool].members;
@@ -343,6 +344,7 @@
             side: None,
             priority: self.classes[offer.class].spec.priority,
             tried: &request.tried,
+            to_try: None,
             version: request.version,
             allowed,
             isolation: self.quarantine.isolation(now, offer.request_hash),
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -64,6 +64,8 @@
     pub(crate) tried: &'a [BackendKey],
     /// If set, only these servers are eligible.
     pub(crate) allowed: Option<&'a [BackendKey]>,
+    /// The failing server that is tried with this request.
+    pub(crate) to_try: Option<BackendKey>,
     /// If set, only servers of this software version are eligible.
     pub(crate) version: Option<VersionHash>,
     pub(crate) isolation: Isolation,
@@ -90,6 +92,10 @@
         retain_unless_empty(&mut candidates, |it| !criteria.tried.contains(&it));
         retain_unless_empty(&mut candidates, |it| Some(&it) != criteria.tried.last());
         retain_unless_empty(&mut candidates, |it| self.backends[it].health == Health::Up);
+        if let Some(server) = criteria.to_try.filter(|it| candidates.contains(it)) {
+            return Some(server);
+        }
+        retain_unless_empty(&mut candidates, |it| !self.backends[it].failures.is_failing);
         retain_unless_empty(&mut candidates, |it| !self.is_slow(it));
         if criteria.isolation == Isolation::Preferred {
             retain_unless_empty(&mut candidates, |it| !criteria.suspect_hosts.contains(&it));
--- a/crates/policy/tests/server_health.rs
+++ b/crates/policy/tests/server_health.rs
@@ -21,6 +21,54 @@
     fixture.poll().iter().filter(|it| matches!(it, Action::Probe { .. })).count()
 }
 
+/// Sends one request; it fails at servers for which `fails` holds.
+fn send(fixture: &mut Fixture, fails: impl Fn(usize) -> bool) {
+    let ticket = fixture.offer("chat");
+    for _ in 0..3 {
+        let Some((_, backend)) = fixture.poll_dispatches().first().copied() else { return };
+        fixture.advance(10);
+        if !fails(fixture.server_index(backend)) {
+            return fixture.finish(ticket);
+        }
+        let outcome = Outcome::Failed(Failure::Other, Execution::NotRun);
+        fixture.scheduler.retry(ticket, outcome, fixture.now);
+        fixture.advance(60);
+    }
+    fixture.scheduler.cancelled(ticket);
+}
+
+/// Guards against a server that is put out by the requests of one caller, which fail wherever they are
+/// sent, or by one event that cuts off all its requests.
+#[test]
+fn failures_of_others() {
+    let mut fixture = fixture(6);
+    for turn in 0..400 {
+        send(&mut fixture, |_| turn % 3 == 0);
+    }
+    let tickets = fixture.offer_many("chat", 24);
+    fixture.poll();
+    fixture.advance(10);
+    for ticket in tickets {
+        fail(&mut fixture, ticket, Failure::Other);
+    }
+    let failing = fixture.backends.iter().filter(|it| fixture.scheduler.is_failing(**it));
+    assert_eq!(failing.count(), 0);
+}
+
+/// Guards against a server that fails at once and is chosen because it is idle.
+#[test]
+fn failing_server() {
+    let mut fixture = fixture(6);
+    for _ in 0..400 {
+        send(&mut fixture, |server| server == 2);
+    }
+    assert!(fixture.scheduler.is_failing(fixture.backends[2]));
+    for _ in 0..400 {
+        send(&mut fixture, |_| false);
+    }
+    assert!(!fixture.scheduler.is_failing(fixture.backends[2]), "a trial has shown it to be well");
+}
+
 #[test]
 fn crash_marks_down() {
     let mut fixture = fixture(2);
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -388,6 +388,7 @@
         let probes = std::mem::take(&mut state.probes);
         state.log_quarantine();
         state.log_parts();
+        state.log_failing();
         drop(state);
         for server in probes {
             drop(self.probe(server));
@@ -503,6 +504,18 @@
         }
     }
 
+    fn log_failing(&mut self) {
+        for change in self.scheduler.take_failing_changes() {
+            tracing::info!(
+                event = "server_failing",
+                pool = self.pool,
+                server = self.servers.find_by_key(change.backend).map(|it| it.addr.to_string()),
+                is_failing = change.is_failing,
+                failed_share = change.failed_share,
+            );
+        }
+    }
+
     fn send_control(&self, ticket: Ticket, control: Control) {
         if let Some(relay) = self.controls.get(&ticket) {
             // Sending fails if the relay has ended; then no control is needed.
