Void a hub's permits of a limit that has been lowered

What servers would see: after a limit is lowered, the permits that a hub holds of the higher one, up to its rate for 0.7 s. Found by reading. Cause: routers dropped their permits when a limit was lowered, hubs did not. Change: hubs do too. Result: lowered_at_hub (dissemination, limited_servers) failed before, with 50 permits handed out at 0.5 a second, and passes.

--- a/crates/dissemination/src/permits.rs
+++ b/crates/dissemination/src/permits.rs
@@ -111,6 +111,7 @@
                 requests: Requests::default(),
                 assigned: BTreeMap::new(),
             });
+            held.set_rate(rate);
             held.requests.update(now, router, row.demand);
         }
     }
@@ -124,7 +125,7 @@
         let requests = self.servers.iter_mut().filter_map(|(server, held)| {
             let demand = held.requests.total(now);
             let rate = rate(*server)?;
-            held.rate = rate;
+            held.set_rate(rate);
             if demand == PermitDemand::default() {
                 // Without a request, no answer is missing.
                 held.allowance.answered(now, rate, 0);
@@ -158,6 +159,15 @@
 }
 
 impl HeldPermits {
+    /// Sets the limit. Permits of a higher one are void.
+    fn set_rate(&mut self, rate: RequestRate) {
+        if rate < self.rate {
+            self.allowance.revoke();
+            self.assigned.clear();
+        }
+        self.rate = rate;
+    }
+
     /// Sets the available permits aside for the routers that ask for some.
     fn assign(&mut self, now: Instant) {
         self.assigned.retain(|_, it| now < it.1 + self.rate.permit_ttl());
--- a/crates/dissemination/tests/limited_servers.rs
+++ b/crates/dissemination/tests/limited_servers.rs
@@ -3,7 +3,11 @@
 #[path = "support/limited_site.rs"]
 mod limited_site;
 
+use std::time::Instant;
+
+use dissemination::{Hub, HubSettings, MemberState, Summary};
 use limited_site::{SERVERS, Site};
+use policy::{LimitEntry, PermitDemand, PermitGrant, PermitRequest, RequestRate, ServerHash};
 
 const LIMIT_PER_S: f64 = 1.4;
 /// 50 requests a second, four a second and server.
@@ -132,3 +136,27 @@
         assert!(bytes <= LEFT_BYTES_PER_S, "{bytes} B in second {second}");
     }
 }
+
+/// Guards against permits of a limit that has been lowered since, which a hub still hands out.
+#[test]
+fn lowered_at_hub() {
+    const SERVER: ServerHash = ServerHash(7);
+    let now = Instant::now();
+    let mut hub = Hub::new(HubSettings::default());
+    let asking = |limit_per_s| {
+        let rate = RequestRate::from_per_second(limit_per_s);
+        let demand = PermitDemand { waiting: 50, expected: 0 };
+        Summary {
+            limits: vec![LimitEntry { server: SERVER, rate, age_ms: 0 }],
+            permit_requests: vec![PermitRequest { server: SERVER, demand }],
+            ..MemberState::new("router-1").empty_summary()
+        }
+    };
+    hub.exchange(now, asking(100.0));
+    hub.permit_requests(now);
+    hub.permits_granted(now, &[PermitGrant { server: SERVER, count: 50 }]);
+    let later = now + std::time::Duration::from_millis(100);
+    let permits = hub.exchange(later, asking(0.5)).permits;
+    let count: u16 = permits.iter().map(|it| it.count).sum();
+    assert_eq!(count, 0, "{permits:?}");
+}
