Split the log lines of decisions from the dispatcher of a pool

Change: what is logged of a scheduler's decisions is in decision_log; behaviour and lines are the same.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! The crate `policy` makes the decisions and this module executes them: it wakes the request that
 //! a decision concerns, probes the servers that a decision names, and arms the timers.
 
+mod decision_log;
 mod lease;
 mod locality;
 mod pool_dispatcher;
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,6 +1,6 @@
 //! A slot at a backend server, leased to one request from its admission to its end.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use futures::channel::{mpsc, oneshot};
 use policy::{
@@ -12,6 +12,7 @@
 
 use super::{
     Server, UNKNOWN_REFUSAL,
+    decision_log::log_limit,
     pool_dispatcher::{Placement, PoolDispatcher},
 };
 
@@ -322,12 +323,6 @@
     dispatcher.apply_and_run(|scheduler, now| scheduler.finished(ticket, now, outcome));
 }
 
-/// Logs that the rate limit of a server has changed.
-pub(super) fn log_limit(server: SocketAddr, rate: Option<RequestRate>, source: &str) {
-    let limit_per_s = rate.map(RequestRate::per_second);
-    tracing::info!(event = "server_limit", %server, limit_per_s, source);
-}
-
 /// What a reset connection indicates, given the result of the probe after it.
 fn reset_failure(result: ProbeResult) -> Failure {
     match result {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -18,28 +18,25 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, PartChange, Pausing,
-    PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QuarantineEvent, QueueSnapshot,
-    Refusal, Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
+    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
+    PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QueueSnapshot, Refusal,
+    Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
 };
 use tables::{Pool, PoolKind, Revision, Route, Tables};
 
 use super::{
     Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, ServerClaim, ServerStatus,
-    UNKNOWN_REFUSAL, lease::log_limit, locality::Locality, revision_number,
+    UNKNOWN_REFUSAL,
+    decision_log::{log_changes, log_limit},
+    locality::Locality,
+    revision_number,
     server_list::ServerList,
 };
-use crate::{
-    fingerprint::Fingerprint,
-    identity::{ANONYMOUS, Workspaces},
-};
+use crate::identity::{ANONYMOUS, Workspaces};
 
 /// The scheduler counts priorities upwards, while in the tables 0 is the most urgent.
 const SCHEDULER_PRIORITY_MAX: u8 = u8::MAX;
 
-/// The number of suspects of a crash that the log names.
-const LOGGED_SUSPECTS_MAX: usize = 16;
-
 /// The result that a queued request receives.
 pub(super) type Placement = Result<Server, Refusal>;
 
@@ -386,9 +383,8 @@
             (None, _) => false,
         };
         let probes = std::mem::take(&mut state.probes);
-        state.log_quarantine();
-        state.log_parts();
-        state.log_failing();
+        let State { scheduler, servers, pool, .. } = &mut *state;
+        log_changes(scheduler, pool, servers);
         drop(state);
         for server in probes {
             drop(self.probe(server));
@@ -455,67 +451,6 @@
 }
 
 impl State {
-    fn log_quarantine(&mut self) {
-        for event in self.scheduler.take_quarantine_events() {
-            let pool = &self.pool;
-            match event {
-                QuarantineEvent::Crashed { backend, suspects } => {
-                    let server = self.servers.find_by_key(backend).map(|it| it.addr.to_string());
-                    let named = suspects.iter().take(LOGGED_SUSPECTS_MAX);
-                    let fingerprints: Vec<_> =
-                        named.map(|it| Fingerprint(*it).to_string()).collect();
-                    tracing::info!(
-                        event = "server_crashed",
-                        pool,
-                        server,
-                        suspects = suspects.len(),
-                        fingerprints = fingerprints.join(","),
-                    );
-                }
-                QuarantineEvent::Quarantined { request_hash, crashes } => tracing::warn!(
-                    event = "request_quarantined",
-                    pool,
-                    fingerprint = %Fingerprint(request_hash),
-                    crashes,
-                ),
-                QuarantineEvent::Cleared { request_hash } => tracing::info!(
-                    event = "suspect_cleared",
-                    pool,
-                    fingerprint = %Fingerprint(request_hash),
-                ),
-            }
-        }
-    }
-
-    fn log_parts(&mut self) {
-        for change in self.scheduler.take_part_changes() {
-            let pool = &self.pool;
-            match change {
-                PartChange::Refused { part, crashes } => tracing::warn!(
-                    event = "part_refused",
-                    pool,
-                    part = format!("{part:x}"),
-                    crashes,
-                ),
-                PartChange::Cleared { part } => {
-                    tracing::warn!(event = "part_cleared", pool, part = format!("{part:x}"),)
-                }
-            }
-        }
-    }
-
-    fn log_failing(&mut self) {
-        for change in self.scheduler.take_failing_changes() {
-            tracing::info!(
-                event = "server_failing",
-                pool = self.pool,
-                server = self.servers.find_by_key(change.backend).map(|it| it.addr.to_string()),
-                is_failing = change.is_failing,
-                failed_share = change.failed_share,
-            );
-        }
-    }
-
     fn send_control(&self, ticket: Ticket, control: Control) {
         if let Some(relay) = self.controls.get(&ticket) {
             // Sending fails if the relay has ended; then no control is needed.
