--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -26,7 +26,8 @@
 }
 
 impl HubBroadcast {
-    /// Sends the pending work and the streams that have begun, at a fixed interval for the lifetime of the process.
+    /// Sends the pending work and the streams that have begun, at a fixed interval for the lifetime of
+    /// the process.
     pub(crate) async fn send_work(self) {
         loop {
             monoio::time::sleep(WORK_PERIOD).await;
