--- a/crates/httpio/src/client/error.rs
+++ b/crates/httpio/src/client/error.rs
@@ -67,7 +67,7 @@
 
 /// A failed exchange.
 #[derive(Debug, Display, Error)]
-#[display("{kind} ({stage})")]
+#[display("{kind} ({stage}{})", if *reused { ", on a kept connection" } else { "" })]
 pub struct ClientError {
     /// The stage that the exchange had reached.
     pub stage: Stage,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -74,7 +74,9 @@
 };
 pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
-pub use scheduler::{Action, ClassCounts, FailingChange, ProbeResult, QueueSnapshot, Scheduler};
+pub use scheduler::{
+    Action, ClassCounts, FailingChange, ProbeResult, QueueSnapshot, ReachChange, Scheduler,
+};
 pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
 pub use software::VersionHash;
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -43,6 +43,10 @@
     /// The time since which the queue has not been empty.
     pub(crate) saturated_since: Option<Instant>,
     pub(crate) without_backend_since: Option<Instant>,
+    /// When a server last answered a request of this router.
+    pub(crate) last_answer: Option<Instant>,
+    /// Whether the last reported change was that no server can be reached.
+    pub(crate) was_unreachable: bool,
     /// The division of the servers by the target between tokens.
     pub(crate) partition: Partition,
 }
@@ -91,6 +95,8 @@
             next_server_comparison: None,
             saturated_since: None,
             without_backend_since: None,
+            last_answer: None,
+            was_unreachable: false,
             partition: Partition::default(),
         }
     }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod parts;
 mod poll;
 mod preempt;
+mod reach;
 mod transitions;
 mod versions;
 
@@ -40,6 +41,7 @@
 pub use checks::{ClassCounts, QueueSnapshot};
 pub use events::ProbeResult;
 pub use failing::FailingChange;
+pub use reach::ReachChange;
 
 /// An action that the router must carry out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -40,6 +40,7 @@
     pub fn first_token(&mut self, ticket: Ticket, now: Instant) {
         self.release_reservation(ticket);
         self.finish_prefill(ticket);
+        self.record_answer(now, ticket);
         let Some(request) = self.requests.get_mut(ticket) else { return };
         let (Phase::Running(attempt) | Phase::Paused(attempt)) = &mut request.phase else { return };
         attempt.tokens = attempt.tokens.max(1);
@@ -57,6 +58,7 @@
 
     /// Reports `count` tokens after the first one.
     pub fn tokens(&mut self, ticket: Ticket, now: Instant, count: u32) {
+        self.record_answer(now, ticket);
         let Some(request) = self.requests.get_mut(ticket) else { return };
         let is_running = matches!(request.phase, Phase::Running(_));
         let (Phase::Running(attempt) | Phase::Paused(attempt)) = &mut request.phase else { return };
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -52,6 +52,7 @@
         self.quarantine.record_completion(now, offer.request_hash, self.settings.quarantine_ttl);
         self.record_parts_answered(now, ticket);
         self.record_attempt_success(now, ticket);
+        self.record_answer(now, ticket);
         self.backends[attempt.backend].clear_overload_backoff();
         let uncounted = tokens.saturating_sub(attempt.tokens);
         let pool = &mut self.pools[offer.pool];
--- /dev/null
+++ b/crates/policy/src/scheduler/reach.rs
@@ -0,0 +1,52 @@
+//! Whether the router reaches the servers of a pool.
+
+use std::time::Instant;
+
+use super::Scheduler;
+use crate::{
+    backend::Health,
+    keys::{PoolKey, Ticket},
+};
+
+/// A pool whose servers can no longer be reached, or can be reached again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReachChange {
+    /// Whether a server of the pool can be reached.
+    pub is_reachable: bool,
+    /// The number of its servers that are down for this router.
+    pub down_servers: usize,
+    /// When a server of the pool last answered a request of this router.
+    pub last_answer: Option<Instant>,
+}
+
+impl Scheduler {
+    /// Whether a server of the pool can be reached, as far as known. Servers that are leaving do not
+    /// count, and neither does a pool without servers.
+    #[must_use]
+    pub fn is_reachable(&self, pool: PoolKey) -> bool {
+        let Some(pool) = self.pools.get(pool) else { return true };
+        let mut members = pool.members.iter().map(|it| &self.backends[*it]);
+        members.clone().any(|it| it.is_usable()) || !members.any(|it| it.health == Health::Down)
+    }
+
+    /// Whether the pool's servers have become reachable or unreachable since the last call, for logs.
+    pub fn take_reach_change(&mut self, key: PoolKey) -> Option<ReachChange> {
+        let is_reachable = self.is_reachable(key);
+        let pool = self.pools.get_mut(key)?;
+        if pool.was_unreachable != is_reachable {
+            return None;
+        }
+        pool.was_unreachable = !is_reachable;
+        let last_answer = pool.last_answer;
+        let members = self.pools[key].members.iter().map(|it| &self.backends[*it]);
+        let down_servers = members.filter(|it| it.health == Health::Down).count();
+        Some(ReachChange { is_reachable, down_servers, last_answer })
+    }
+
+    /// Records that the server of the request's current attempt has answered.
+    pub(super) fn record_answer(&mut self, now: Instant, ticket: Ticket) {
+        if let Some(request) = self.requests.get(ticket) {
+            self.pools[request.offer.pool].last_answer = Some(now);
+        }
+    }
+}
--- a/crates/router/src/dispatch/decision_log.rs
+++ b/crates/router/src/dispatch/decision_log.rs
@@ -1,17 +1,26 @@
 //! Log lines of what a pool's scheduler decides about servers, requests and parts of prompts.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
-use policy::{PartChange, QuarantineEvent, RequestRate, Scheduler};
+use policy::{PartChange, QuarantineEvent, ReachChange, RequestRate, Scheduler};
 
 use super::server_list::ServerList;
-use crate::fingerprint::Fingerprint;
+use crate::{backends::millis, fingerprint::Fingerprint};
 
 /// The number of suspects of a crash that the log names.
 const LOGGED_SUSPECTS_MAX: usize = 16;
 
 /// Logs what has changed in the pool since the last call.
-pub(super) fn log_changes(scheduler: &mut Scheduler, pool: &str, servers: &ServerList) {
+pub(super) fn log_changes(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    pool: &str,
+    servers: &ServerList,
+) {
+    let reach_change = scheduler.pool(pool).and_then(|it| scheduler.take_reach_change(it));
+    if let Some(change) = reach_change {
+        log_reach(now, change, pool);
+    }
     for event in scheduler.take_quarantine_events() {
         log_quarantine(event, pool, servers);
     }
@@ -62,6 +71,17 @@
     }
 }
 
+fn log_reach(now: Instant, change: ReachChange, pool: &str) {
+    let last_answer = change.last_answer.map(|it| now.saturating_duration_since(it));
+    tracing::warn!(
+        event = "pool_reach",
+        pool,
+        is_reachable = change.is_reachable,
+        down_servers = change.down_servers,
+        last_answer_ms = last_answer.map(millis),
+    );
+}
+
 fn log_part(change: PartChange, pool: &str) {
     match change {
         PartChange::Refused { part, crashes } => {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -384,7 +384,7 @@
         };
         let probes = std::mem::take(&mut state.probes);
         let State { scheduler, servers, pool, .. } = &mut *state;
-        log_changes(scheduler, pool, servers);
+        log_changes(scheduler, now, pool, servers);
         drop(state);
         for server in probes {
             drop(self.probe(server));
