Tell routers through the control VMs which other routers serve requests

A router that cannot reach a server needs to know its peers; they are told nowhere, as the hubs' lists hold names only. Nothing uses it yet.

--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use consensus::{Message, Peer};
-use dissemination::{BegunStreams, HubNews, HubPermitRequest};
+use dissemination::{BegunStreams, HubNews, HubPermitRequest, Peer as RouterPeer};
 use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +35,13 @@
     },
     /// The permits that the leader grants.
     Permits(Vec<PermitGrant>),
+    /// Routers that serve requests of other routers.
+    RouterPeers {
+        /// The control VM that they exchange with.
+        hub: u64,
+        /// The routers.
+        peers: Vec<RouterPeer>,
+    },
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -199,6 +199,9 @@
             Some(Envelope::News(news)) => {
                 self.hub.borrow_mut().merge_news(self.clock.now(), news);
             }
+            Some(Envelope::RouterPeers { hub, peers }) => {
+                self.hub.borrow_mut().update_hub_peers(self.clock.now(), hub, peers);
+            }
             Some(Envelope::PermitRequests { hub, rows }) => {
                 self.broadcast.record_requests(hub, &rows);
             }
--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -1,5 +1,6 @@
 //! Sends what this control VM's routers report to the other control VMs: the pending work at each
-//! backend server, the causes of crashes, the rate limits of servers, and the permits that they need.
+//! backend server, the causes of crashes, the rate limits of servers, the permits that they need, and the
+//! routers that serve requests of others.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -47,6 +48,16 @@
             monoio::time::sleep(NEWS_PERIOD).await;
             let news = self.hub.borrow_mut().repeated_news(self.clock.now());
             send_news(&self.replica, news);
+            self.send_peers();
+        }
+    }
+
+    /// Names some of this control VM's routers to the others.
+    fn send_peers(&self) {
+        let peers = self.hub.borrow().own_peers();
+        if !peers.is_empty() {
+            let hub = self.replica.status().me.node.0;
+            self.replica.broadcast(&Envelope::RouterPeers { hub, peers });
         }
     }
 
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -9,12 +9,13 @@
 use policy::{PendingWork, PermitGrant};
 
 use crate::{
-    BegunStreams, CrashRows, Digest, HubNews, Load, PoolHash, RouterIdx, Sender, ServerIdx,
+    BegunStreams, CrashRows, Digest, HubNews, Load, Peer, PoolHash, RouterIdx, Sender, ServerIdx,
     ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, ServerWork, StreamHash,
     StreamLog, Summary, Version,
     grants::{self, Allocation},
     limits::Limits,
     parts::Parts,
+    peers::{self, HubPeers},
     permits::{HubPermitRequest, HubPermits},
     suspects::Suspects,
     work::WorkReports,
@@ -47,6 +48,8 @@
     allocations: BTreeMap<RouterIdx, Allocation>,
     routers_version: Version,
     next_router: u16,
+    peers_of_hubs: HubPeers,
+    peers_version: Version,
     servers: Vec<Server>,
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
     suspects: Suspects,
@@ -62,6 +65,7 @@
 #[derive(Debug)]
 struct Router {
     name: String,
+    peer: Option<Peer>,
     last_summary: Instant,
 }
 
@@ -83,6 +87,8 @@
             allocations: BTreeMap::new(),
             routers_version: Version(0),
             next_router: 0,
+            peers_of_hubs: HubPeers::default(),
+            peers_version: Version(0),
             servers: Vec::new(),
             by_addr: BTreeMap::new(),
             suspects: Suspects::default(),
@@ -102,6 +108,7 @@
         let is_current = summary.epoch == self.settings.epoch;
         let held = if is_current { summary.held } else { Version(0) };
         let router = self.find_or_add_router(now, summary.from, is_current);
+        self.record_peer(router, summary.peer);
         for observation in summary.observations {
             self.merge_observation(router, observation);
         }
@@ -184,6 +191,27 @@
         self.decide(now);
     }
 
+    /// The routers of this hub that serve requests of others, for the other hubs.
+    pub fn own_peers(&self) -> Vec<Peer> {
+        peers::to_name(self.routers.values().filter_map(|it| it.peer))
+    }
+
+    /// Replaces the routers that another hub names.
+    pub fn update_hub_peers(&mut self, now: Instant, hub: u64, peers: Vec<Peer>) {
+        if self.peers_of_hubs.update(now, hub, peers) {
+            self.version = Version(self.version.0 + 1);
+            self.peers_version = self.version;
+        }
+    }
+
+    fn record_peer(&mut self, router: RouterIdx, peer: Option<Peer>) {
+        let Some(router) = self.routers.get_mut(&router) else { return };
+        if peer.is_some() && router.peer != peer {
+            router.peer = peer;
+            self.peers_version = self.version;
+        }
+    }
+
     /// The permits to ask the leader for, on behalf of this hub's routers.
     pub fn permit_requests(&mut self, now: Instant) -> Vec<HubPermitRequest> {
         let limits = &self.limits;
@@ -236,6 +264,10 @@
             let routers = &self.routers;
             self.allocations.retain(|idx, _| routers.contains_key(idx));
             self.routers_version = self.version;
+            self.peers_version = self.version;
+        }
+        if self.peers_of_hubs.expire(now) {
+            self.peers_version = self.version;
         }
         self.suspects.expire(now);
     }
@@ -261,7 +293,7 @@
         let Sender::Name(name) = from else { return RouterIdx(u16::MAX) };
         let idx = RouterIdx(self.next_router);
         self.next_router += 1;
-        self.routers.insert(idx, Router { name, last_summary: now });
+        self.routers.insert(idx, Router { name, peer: None, last_summary: now });
         self.allocations.insert(idx, Allocation::default());
         self.routers_version = self.version;
         idx
@@ -362,6 +394,7 @@
             version: self.version,
             recipient_idx: router.0,
             routers: (self.routers_version > held).then(|| self.router_list()),
+            peers: (self.peers_version > held).then(|| self.peer_list()),
             servers: rows.map(|it| it.row).collect(),
             loads: loads
                 .map(|it| ServerLoad { server: ServerRef::Idx(it.row.idx), load: it.load })
@@ -376,6 +409,11 @@
         }
     }
 
+    fn peer_list(&self) -> Vec<Peer> {
+        let own = self.routers.values().filter_map(|it| it.peer);
+        own.chain(self.peers_of_hubs.iter()).collect()
+    }
+
     fn router_list(&self) -> Vec<(u16, String)> {
         self.routers.iter().map(|(idx, it)| (idx.0, it.name.clone())).collect()
     }
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -12,6 +12,7 @@
 mod member;
 mod owner;
 mod parts;
+mod peers;
 mod permits;
 mod rows;
 mod streams;
@@ -22,6 +23,7 @@
 pub use hub::{Hub, HubSettings};
 pub use member::{MemberState, ServerEntry};
 pub use owner::owner;
+pub use peers::{DomainHash, Peer};
 pub use permits::{HubPermitRequest, PermitDesk};
 pub use rows::{
     CrashRows, Demand, Digest, HubNews, Load, PartRow, PoolHash, QuarantineRow, RouterIdx, Sender,
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -5,8 +5,8 @@
 use policy::{LimitEntry, PendingWork, PermitGrant};
 
 use crate::{
-    BegunStreams, CrashRows, Digest, Load, RouterIdx, Sender, ServerIdx, ServerRef, ServerRow,
-    ServerWork, Slots, Summary, Version,
+    BegunStreams, CrashRows, Digest, Load, Peer, RouterIdx, Sender, ServerIdx, ServerRef,
+    ServerRow, ServerWork, Slots, Summary, Version,
 };
 
 /// One backend server as the router knows it from the hub.
@@ -33,6 +33,8 @@
     new_limits: Vec<LimitEntry>,
     permits: Vec<PermitGrant>,
     found_streams: Vec<BegunStreams>,
+    own_peer: Option<Peer>,
+    peers: Vec<Peer>,
 }
 
 impl MemberState {
@@ -51,9 +53,17 @@
             new_limits: Vec::new(),
             permits: Vec::new(),
             found_streams: Vec::new(),
+            own_peer: None,
+            peers: Vec::new(),
         }
     }
 
+    /// The same state for a router that serves requests of other routers as `peer`.
+    #[must_use]
+    pub fn with_peer(self, peer: Option<Peer>) -> MemberState {
+        MemberState { own_peer: peer, ..self }
+    }
+
     /// The name of the router from the settings.
     pub fn name(&self) -> &str {
         &self.name
@@ -77,6 +87,7 @@
             permit_requests: Vec::new(),
             begun_streams: Vec::new(),
             stream_lookups: Vec::new(),
+            peer: self.own_peer.filter(|_| self.own_idx.is_none()),
         }
     }
 
@@ -96,6 +107,9 @@
         if let Some(routers) = digest.routers {
             self.routers = routers.into_iter().map(|(_, name)| name).collect();
         }
+        if let Some(peers) = digest.peers {
+            self.peers = peers;
+        }
         for row in digest.servers {
             self.insert_row(row);
         }
@@ -123,6 +137,11 @@
         self.servers.values()
     }
 
+    /// The other routers that serve requests of this one.
+    pub fn peers(&self) -> impl Iterator<Item = Peer> {
+        self.peers.iter().copied().filter(|it| Some(*it) != self.own_peer)
+    }
+
     /// The live routers of the failure domain, including this one once the hub lists it.
     pub fn routers(&self) -> impl Iterator<Item = &str> {
         self.routers.iter().map(String::as_str)
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{BegunStreams, ServerWork, StreamHash};
+use crate::{BegunStreams, Peer, ServerWork, StreamHash};
 
 /// The index of a router at the hub.
 #[derive(
@@ -94,6 +94,9 @@
     pub begun_streams: Vec<BegunStreams>,
     /// The streams whose software version the router needs to know.
     pub stream_lookups: Vec<StreamHash>,
+    /// The router as a peer of others, if it serves their requests; sent until the hub has assigned an
+    /// index.
+    pub peer: Option<Peer>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
@@ -109,6 +112,8 @@
     pub recipient_idx: u16,
     /// All live routers with their indexes, if the list has changed.
     pub routers: Option<Vec<(u16, String)>>,
+    /// The routers that serve requests of others, if the list has changed.
+    pub peers: Option<Vec<Peer>>,
     /// Servers whose entry has changed.
     pub servers: Vec<ServerRow>,
     /// Loads that have changed.
