Do not take a cut off router's servers for crashed

Callers saw: a request at a router that is cut off, with connections that are closed, was refused with 422 at every router for ten minutes. Cause: a connection that breaks and a probe that fails count as a crash of the server, and the request is its suspect. A router that is cut off sees all servers crash with each of its requests, and the hub tells the verdict to all. Change: before a crash is recorded, two servers of other pools or places are probed, and six more if neither answers. If none does, the router is cut off: no crash is recorded, and all servers are down until a probe succeeds. The same holds where the caller does not wait for the verdict. With other servers that answer a crash counts as before.

--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -214,7 +214,7 @@
         on_server.collect()
     }
 
-    fn mark_down(&mut self, backend: BackendKey, now: Instant) {
+    pub(super) fn mark_down(&mut self, backend: BackendKey, now: Instant) {
         let entry = &mut self.backends[backend];
         if matches!(entry.health, Health::Up | Health::Suspect) {
             entry.health = Health::Down;
--- a/crates/policy/src/scheduler/reach.rs
+++ b/crates/policy/src/scheduler/reach.rs
@@ -29,6 +29,16 @@
         members.clone().any(|it| it.is_usable()) || !members.any(|it| it.health == Health::Down)
     }
 
+    /// Records that this router is cut off from all servers. Queued requests are refused at once: no
+    /// server is expected back soon.
+    pub fn cut_off(&mut self, now: Instant, key: PoolKey) {
+        let Some(pool) = self.pools.get_mut(key) else { return };
+        pool.without_backend_since = now.checked_sub(self.settings.no_backend_grace);
+        for backend in pool.members.clone() {
+            self.mark_down(backend, now);
+        }
+    }
+
     /// Whether the pool's servers have become reachable or unreachable since the last call, for logs.
     pub fn take_reach_change(&mut self, key: PoolKey) -> Option<ReachChange> {
         let is_reachable = self.is_reachable(key);
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -232,6 +232,17 @@
         });
     }
 
+    /// Asks a server for its health on a new connection.
+    fn ask_health(
+        &self,
+        target: &ProbeTarget,
+    ) -> impl Future<Output = Result<Response, ClientError>> + 'static {
+        let (pool, addr) = (self.probe_pool.clone(), target.addr);
+        // The tables do not validate that a health path is a valid request target.
+        let uri = target.health_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
+        async move { pool.send_on_new_connection(addr, Request { uri, ..Request::default() }).await }
+    }
+
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.pool.close_idle(addr);
@@ -240,15 +251,10 @@
 
 impl Prober for Backends {
     fn probe(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
-        let (pool, dialect) = (self.probe_pool.clone(), self.dialect.clone());
-        let (addr, label) = (target.addr, target.label.clone());
-        // The tables do not validate that a health path is a valid request target.
-        let uri = target.health_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
+        let (dialect, label) = (self.dialect.clone(), target.label.clone());
+        let answer = self.ask_health(target);
         async move {
-            let request = Request { uri, ..Request::default() };
-            let Ok(response) = pool.send_on_new_connection(addr, request).await else {
-                return ProbeResult::Dead;
-            };
+            let Ok(response) = answer.await else { return ProbeResult::Dead };
             let headers = &response.head.headers;
             let name = dialect.as_ref().and_then(|it| it.server_name(headers));
             let is_other = !label.is_empty() && name.is_some_and(|it| it != &*label);
@@ -259,6 +265,11 @@
         }
         .boxed_local()
     }
+
+    fn is_reachable(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, bool> {
+        let answer = self.ask_health(target);
+        async move { answer.await.is_ok() }.boxed_local()
+    }
 }
 
 /// The `traceparent` header value of a span for the next hop.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod locality;
 mod pool_dispatcher;
+mod reach;
 mod server_list;
 
 use std::{
@@ -19,7 +20,7 @@
 
 use clock::Clock;
 use directory::ListedVm;
-use futures::future::LocalBoxFuture;
+use futures::future::{FutureExt, LocalBoxFuture};
 use policy::{
     BackendKey, LimitEntry, LoadReport, PartEntry, PartReport, PendingWork, PermitGrant,
     PermitRequest, ProbeResult, Prompt, QuarantineEntry, QueueSnapshot, Refusal, RefusalReason,
@@ -28,7 +29,7 @@
 use tables::{Revision, Tables};
 
 pub use self::lease::{Control, FailureReport, Lease, RetryResult};
-use self::pool_dispatcher::PoolDispatcher;
+use self::{pool_dispatcher::PoolDispatcher, reach::Reach};
 use crate::{identity::Workspaces, quarantine_exchange::QuarantineReport};
 
 /// A backend server whose health is probed.
@@ -46,6 +47,11 @@
 pub trait Prober {
     /// Returns whether the server answers.
     fn probe(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult>;
+
+    /// Returns whether there is a path to the server: whether it answers anything, even if it is not well.
+    fn is_reachable(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, bool> {
+        self.probe(target).map(|it| it != ProbeResult::Dead).boxed_local()
+    }
 }
 
 /// A request to be assigned to a backend server.
@@ -76,6 +82,7 @@
     dispatchers: RefCell<BTreeMap<String, Rc<PoolDispatcher>>>,
     clock: Rc<dyn Clock>,
     prober: Rc<dyn Prober>,
+    reach: Rc<Reach>,
     settings: Settings,
     own_domain: String,
 }
@@ -91,7 +98,8 @@
         own_domain: &str,
     ) -> Dispatcher {
         let own_domain = own_domain.to_owned();
-        Dispatcher { dispatchers: RefCell::default(), clock, prober, settings, own_domain }
+        let reach = Reach::new(Rc::clone(&prober));
+        Dispatcher { dispatchers: RefCell::default(), clock, prober, reach, settings, own_domain }
     }
 
     /// Applies `tables`, also to the requests that are queued or in flight.
@@ -100,7 +108,8 @@
         for pool in &tables.pools {
             let dispatcher = dispatchers.entry(pool.name.clone()).or_insert_with(|| {
                 let (clock, prober) = (Rc::clone(&self.clock), Rc::clone(&self.prober));
-                PoolDispatcher::start(clock, prober, self.settings.clone(), &self.own_domain)
+                let reach = Rc::clone(&self.reach);
+                PoolDispatcher::start(clock, prober, reach, self.settings.clone(), &self.own_domain)
             });
             dispatcher.configure(tables, pool, workspaces);
         }
@@ -134,6 +143,12 @@
         self.pool_dispatcher(pool).map(|it| it.local_servers()).unwrap_or_default()
     }
 
+    /// Whether a server of the pool can be reached, as far as known.
+    #[must_use]
+    pub fn is_reachable(&self, pool: &str) -> bool {
+        self.pool_dispatcher(pool).is_none_or(|it| it.is_reachable())
+    }
+
     /// Applies the load report of a backend server.
     pub fn report_load(&self, pool: &str, server: &Server, report: &LoadReport) {
         if let Some(dispatcher) = self.pool_dispatcher(pool) {
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -269,15 +269,16 @@
         self.dispatcher.probe(server).await
     }
 
-    /// Downgrades a connection reset to another failure if the server still answers a probe.
+    /// Downgrades a connection reset to another failure if the server still answers a probe, or if no
+    /// server does.
     async fn verify_failure(&mut self, failure: Failure, execution: Execution) -> Failure {
         if failure != Failure::Reset {
             return failure;
         }
         self.verifying = Some(execution);
-        let result = self.probe().await;
+        let failure = verify_crash(&self.dispatcher, self.server()).await;
         self.verifying = None;
-        reset_failure(result)
+        failure
     }
 
     fn end(mut self, outcome: Outcome) {
@@ -318,14 +319,17 @@
     server: Server,
     execution: Execution,
 ) {
-    let failure = reset_failure(dispatcher.probe(server).await);
+    let failure = verify_crash(&dispatcher, server).await;
     let outcome = Outcome::Failed(failure, execution);
     dispatcher.apply_and_run(|scheduler, now| scheduler.finished(ticket, now, outcome));
 }
 
-/// What a reset connection indicates, given the result of the probe after it.
-fn reset_failure(result: ProbeResult) -> Failure {
-    match result {
+/// What a reset connection indicates: a crash only if the server is dead and others are not.
+async fn verify_crash(dispatcher: &Rc<PoolDispatcher>, server: Server) -> Failure {
+    match dispatcher.probe(server).await {
+        ProbeResult::Dead if dispatcher.reach.is_cut_off(Some(server.addr)).await => {
+            Failure::ConnectRefused
+        }
         ProbeResult::Dead => Failure::Reset,
         ProbeResult::Alive | ProbeResult::AliveAs { .. } => Failure::Other,
     }
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -18,7 +18,7 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
+    Action, BackendKey, ClassSpec, Health, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
     PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QueueSnapshot, Refusal,
     Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
 };
@@ -29,6 +29,7 @@
     UNKNOWN_REFUSAL,
     decision_log::{log_changes, log_limit},
     locality::Locality,
+    reach::Reach,
     revision_number,
     server_list::ServerList,
 };
@@ -45,6 +46,7 @@
     state: RefCell<State>,
     clock: Rc<dyn Clock>,
     prober: Rc<dyn Prober>,
+    pub(super) reach: Rc<Reach>,
     /// Makes the timer task read the next wakeup again.
     rearm: mpsc::Sender<()>,
 }
@@ -74,6 +76,7 @@
     pub(super) fn start(
         clock: Rc<dyn Clock>,
         prober: Rc<dyn Prober>,
+        reach: Rc<Reach>,
         settings: Settings,
         own_domain: &str,
     ) -> Rc<PoolDispatcher> {
@@ -92,7 +95,8 @@
             probing: BTreeMap::new(),
         };
         let dispatcher =
-            Rc::new(PoolDispatcher { state: RefCell::new(state), clock, prober, rearm });
+            Rc::new(PoolDispatcher { state: RefCell::new(state), clock, prober, reach, rearm });
+        dispatcher.reach.add_pool(&dispatcher);
         monoio::spawn(run_timers(Rc::downgrade(&dispatcher), rearmed));
         dispatcher
     }
@@ -421,6 +425,31 @@
         }
     }
 
+    /// The servers that count as reachable.
+    pub(super) fn probe_targets(&self) -> Vec<ProbeTarget> {
+        let servers = self.state.borrow().servers.listed();
+        let scheduler = &self.state.borrow().scheduler;
+        let is_usable =
+            |it: &Server| matches!(scheduler.health(it.key), Some(Health::Up | Health::Suspect));
+        servers.into_iter().filter(is_usable).map(|it| self.probe_target(it)).collect()
+    }
+
+    /// Whether a server can be reached, as far as known.
+    pub(super) fn is_reachable(&self) -> bool {
+        let State { scheduler, pool, .. } = &*self.state.borrow();
+        scheduler.pool(pool).is_none_or(|it| scheduler.is_reachable(it))
+    }
+
+    /// Records that no server can be reached.
+    pub(super) fn mark_unreachable(self: &Rc<Self>) {
+        let pool = self.state.borrow().pool.clone();
+        self.apply_and_run(|scheduler, now| {
+            if let Some(pool) = scheduler.pool(&pool) {
+                scheduler.cut_off(now, pool);
+            }
+        });
+    }
+
     /// Probes the health of a server on a new connection and reports the result to the scheduler.
     /// While a probe of the server is under way, its result is awaited instead.
     pub(super) fn probe(self: &Rc<Self>, server: Server) -> SharedProbe {
