Notice within two seconds that a router is cut off from all servers

Cause: silence was watched for each request by itself, for 3 s, and then one server was probed; no request learned from another that nothing arrives from any server. Change: with requests in flight and no data from any server for 0.5 s, servers of all pools are probed, once a second at most. If none answers, all are down, their idle connections are closed, what waits is refused at once, and requests in flight that may be repeated stop waiting. Connections that break at once share one check, so that the second one does not find the others down and count a crash.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,6 +58,7 @@
 mod scheduler;
 mod selection;
 mod settings;
+mod silence;
 mod software;
 mod spec;
 mod urgency;
@@ -78,6 +79,7 @@
     Action, ClassCounts, FailingChange, ProbeResult, QueueSnapshot, ReachChange, Scheduler,
 };
 pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
+pub use silence::SilenceWatch;
 pub use software::VersionHash;
 pub use spec::{Admission, ClassSpec, Hedge, Pausing, PoolSpec, Spec, SpecError, WorkspaceSpec};
 pub use urgency::{RequestPriority, UrgencyScale};
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -232,6 +232,11 @@
         });
     }
 
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.pool.close_idle(addr);
+    }
+
     /// Asks a server for its health on a new connection.
     fn ask_health(
         &self,
@@ -242,11 +247,6 @@
         let uri = target.health_path.parse().unwrap_or_else(|_| Uri::from_static("/"));
         async move { pool.send_on_new_connection(addr, Request { uri, ..Request::default() }).await }
     }
-
-    /// Closes the idle connections to a server.
-    pub fn close_idle(&self, addr: SocketAddr) {
-        self.pool.close_idle(addr);
-    }
 }
 
 impl Prober for Backends {
@@ -270,6 +270,10 @@
         let answer = self.ask_health(target);
         async move { answer.await.is_ok() }.boxed_local()
     }
+
+    fn close_idle(&self, addr: SocketAddr) {
+        Backends::close_idle(self, addr);
+    }
 }
 
 /// The `traceparent` header value of a span for the next hop.
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -52,6 +52,9 @@
     fn is_reachable(&self, target: &ProbeTarget) -> LocalBoxFuture<'static, bool> {
         self.probe(target).map(|it| it != ProbeResult::Dead).boxed_local()
     }
+
+    /// Closes the idle connections to a server to which there is no path.
+    fn close_idle(&self, _: SocketAddr) {}
 }
 
 /// A request to be assigned to a backend server.
@@ -98,7 +101,7 @@
         own_domain: &str,
     ) -> Dispatcher {
         let own_domain = own_domain.to_owned();
-        let reach = Reach::new(Rc::clone(&prober));
+        let reach = Reach::new(Rc::clone(&clock), Rc::clone(&prober));
         Dispatcher { dispatchers: RefCell::default(), clock, prober, reach, settings, own_domain }
     }
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,8 +1,9 @@
 //! A slot at a backend server, leased to one request from its admission to its end.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use futures::channel::{mpsc, oneshot};
+use httpio::signal::Signal;
 use policy::{
     Execution, Failure, GiveUp, LimitChange, LoadReport, Offer, Outcome, PlacementEstimate,
     ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket, VersionHash,
@@ -14,6 +15,7 @@
     Server, UNKNOWN_REFUSAL,
     decision_log::log_limit,
     pool_dispatcher::{Placement, PoolDispatcher},
+    reach::AttemptInFlight,
 };
 
 /// A slot at a backend server. Dropping the lease frees the slot and cancels the request, for
@@ -26,6 +28,8 @@
     controls: Option<mpsc::UnboundedReceiver<Control>>,
     /// What the failed attempt proves about the execution, while a probe verifies its failure.
     verifying: Option<Execution>,
+    /// The attempt in flight, if the request was sent.
+    attempt: RefCell<Option<AttemptInFlight>>,
     is_open: bool,
 }
 
@@ -74,7 +78,16 @@
 impl Lease {
     pub(super) fn new(dispatcher: Rc<PoolDispatcher>, ticket: Ticket, offer: Offer) -> Lease {
         let controls = Some(dispatcher.register_controls(ticket));
-        Lease { dispatcher, ticket, offer, server: None, controls, verifying: None, is_open: true }
+        Lease {
+            dispatcher,
+            ticket,
+            offer,
+            server: None,
+            controls,
+            verifying: None,
+            attempt: RefCell::default(),
+            is_open: true,
+        }
     }
 
     pub(super) async fn wait_for_server(
@@ -136,6 +149,16 @@
         self.dispatcher.apply(|scheduler, _| prompt(scheduler)).unwrap_or_default()
     }
 
+    /// Records that the server has sent data.
+    pub(crate) fn heard(&self) {
+        self.dispatcher.reach.heard();
+    }
+
+    /// Raised when this router is next found to be cut off from all servers.
+    pub(crate) fn cut_off(&self) -> Signal {
+        self.dispatcher.reach.cut_off()
+    }
+
     /// Applies a load report that came with one of the server's answers.
     pub fn report_load(&self, report: &LoadReport) {
         self.dispatcher.report_load(&self.server(), report);
@@ -187,10 +210,12 @@
     /// Records that the request was sent.
     pub fn dispatched(&self) {
         self.dispatcher.apply(|scheduler, now| scheduler.dispatched(self.ticket, now));
+        self.attempt.replace(Some(self.dispatcher.reach.attempt_began()));
     }
 
     /// Records that the first token arrived.
     pub fn first_token(&self) {
+        self.heard();
         self.dispatcher.apply_and_run(|scheduler, now| scheduler.first_token(self.ticket, now));
     }
 
@@ -202,11 +227,13 @@
 
     /// Records that `count` further tokens arrived.
     pub fn tokens(&self, count: u32) {
+        self.heard();
         self.dispatcher.apply(|scheduler, now| scheduler.tokens(self.ticket, now, count));
     }
 
     /// Ends the lease after the complete answer arrived.
     pub fn finished(self, tokens: u32) {
+        self.heard();
         self.end(Outcome::Complete { tokens });
     }
 
@@ -227,6 +254,7 @@
         execution: Execution,
     ) -> FailureReport {
         let failure = self.verify_failure(failure, execution).await;
+        self.attempt.replace(None);
         let outcome = Outcome::Failed(failure, execution);
         // Register first, because the scheduler may dispatch the request within the call below.
         let placed = self.dispatcher.register_waiter(self.ticket);
@@ -326,10 +354,10 @@
 
 /// What a reset connection indicates: a crash only if the server is dead and others are not.
 async fn verify_crash(dispatcher: &Rc<PoolDispatcher>, server: Server) -> Failure {
+    let mut others = dispatcher.reach.probe_targets();
+    others.retain(|it| it.addr != server.addr);
     match dispatcher.probe(server).await {
-        ProbeResult::Dead if dispatcher.reach.is_cut_off(Some(server.addr)).await => {
-            Failure::ConnectRefused
-        }
+        ProbeResult::Dead if dispatcher.reach.is_cut_off(others).await => Failure::ConnectRefused,
         ProbeResult::Dead => Failure::Reset,
         ProbeResult::Alive | ProbeResult::AliveAs { .. } => Failure::Other,
     }
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -442,6 +442,8 @@
 
     /// Records that no server can be reached.
     pub(super) fn mark_unreachable(self: &Rc<Self>) {
+        let servers = self.state.borrow().servers.listed();
+        servers.into_iter().for_each(|it| self.prober.close_idle(it.addr));
         let pool = self.state.borrow().pool.clone();
         self.apply_and_run(|scheduler, now| {
             if let Some(pool) = scheduler.pool(&pool) {
@@ -475,6 +477,9 @@
 
     fn report_probe_result(self: &Rc<Self>, server: Server, result: ProbeResult) {
         tracing::info!(event = "probed", server = %server.addr, ?result);
+        if result != ProbeResult::Dead {
+            self.reach.heard();
+        }
         self.apply_and_run(|scheduler, now| scheduler.probe_result(server.key, now, result));
     }
 }
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -167,7 +167,7 @@
     async fn recover_from_silence(&mut self, silent: Silent) -> Result<(), AttemptError> {
         let error = AttemptError::from(silent);
         match silent {
-            Silent::Dead => Err(error),
+            Silent::Dead | Silent::CutOff => Err(error),
             // Resuming the stream on new connections did not help, so the engine is slow.
             Silent::Alive if self.may_keep_waiting() => Ok(()),
             Silent::Alive => self.recover(error).await,
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -158,6 +158,7 @@
     }
 
     fn check_response(&mut self, response: Response) -> Result<Response, AttemptError> {
+        self.call.lease.heard();
         let answer = self.dialect.read_answer(&response.head);
         self.record_rate_limit(&answer);
         if answer.is_leaving {
--- a/crates/router/src/silence.rs
+++ b/crates/router/src/silence.rs
@@ -16,6 +16,8 @@
     Dead,
     /// The server is alive, so the open connection may be broken on the path between the two ends.
     Alive,
+    /// No server answers.
+    CutOff,
 }
 
 impl From<Silent> for AttemptError {
@@ -23,6 +25,7 @@
         let detail = match silent {
             Silent::Dead => "the backend server fell silent and does not answer a probe",
             Silent::Alive => "the connection fell silent though the backend server answers a probe",
+            Silent::CutOff => "this router is cut off from all backend servers",
         };
         let (failure, execution) = (Failure::Timeout, Execution::MayHaveRun);
         AttemptError { failure, execution, detail: detail.to_owned() }
@@ -42,7 +45,8 @@
 
 /// Waits for `event`, and probes the server whenever nothing has arrived for `silence`.
 ///
-/// A server that is alive may just be slow, so the wait continues if there is no remedy.
+/// A server that is alive may just be slow, so the wait continues if there is no remedy. If the router is
+/// found to be cut off from all servers, a wait that has a remedy ends at once.
 ///
 /// # Errors
 /// [`Silent`] if nothing has arrived by the end of the probe and the server is dead or there is a
@@ -53,19 +57,28 @@
     lease: &Lease,
     remedy: Remedy,
 ) -> Result<T, Silent> {
-    let event = event.fuse();
-    pin_mut!(event);
+    let cut_off = lease.cut_off();
+    let cut_off = async {
+        cut_off.raised().await;
+        if remedy == Remedy::KeepWaiting {
+            futures::future::pending::<()>().await;
+        }
+    };
+    let (event, cut_off) = (event.fuse(), cut_off.fuse());
+    pin_mut!(event, cut_off);
     loop {
         let timeout = time::sleep(silence).fuse();
         pin_mut!(timeout);
         select_biased! {
             event = event => return Ok(event),
+            () = cut_off => return Err(Silent::CutOff),
             () = timeout => {}
         }
         let probe = lease.probe().fuse();
         pin_mut!(probe);
         let result = select_biased! {
             event = event => return Ok(event),
+            () = cut_off => return Err(Silent::CutOff),
             result = probe => result,
         };
         let has_remedy = match remedy {
