Forward requests to a router that reaches the servers

Cause: a router had no other way to a server than its own; 'spill-over' was named in the design and not built. Class: a fault that is local to one process is passed on to callers although the system as a whole can serve them. Change: a router whose pool has no reachable server, or whose attempts were all refused connections, sends the request to another router (own failure domain and others by turns, those that served lately first, those that refused not for a second), over a listener of its own with the routers' token. One hop: what comes that way is served or refused there, through the peer's own admission, limits, pauses, suspects and versions. Time left, attempts, id, trace and header fields go along; answers are passed on as they are, streams as they arrive; a caller that leaves is passed on; a peer that falls silent is asked on a new connection. An order goes on a new connection, and to another peer only if it has not run. Requests that wait for a server of a pool without one are forwarded after 0.1 s in place of refused after 2 s. Why it works: whether the servers are down or only this router is cut off need not be known; a peer in the same state refuses at once and is remembered. The stages are boxed, as the nested futures overflowed a test's stack.

--- a/crates/control-client/src/domain.rs
+++ b/crates/control-client/src/domain.rs
@@ -44,9 +44,9 @@
 const SMALL_DOMAIN_ROUTERS_MAX: usize = 16;
 
 impl Domain {
-    /// Starts the exchanges of the router `name`.
+    /// Starts the exchanges of a router, beginning with the state `held`.
     pub fn start(
-        name: &str,
+        held: MemberState,
         link: Link,
         clock: Rc<dyn Clock>,
         interval: Duration,
@@ -54,7 +54,7 @@
     ) -> Rc<Domain> {
         let (wake, woken) = mpsc::channel(0);
         let domain = Rc::new(Domain {
-            held: RefCell::new(MemberState::new(name)),
+            held: RefCell::new(held),
             exchanged_at: RefCell::default(),
             link,
             clock,
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -5,6 +5,7 @@
 //! routing, pools of backend servers or request outcomes.
 
 pub mod client;
+mod fields;
 mod framing;
 mod inbound;
 mod limits;
@@ -17,6 +18,7 @@
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 
 pub use crate::{
+    fields::end_to_end,
     framing::FramingFault,
     limits::{Limits, UnsizedBody},
 };
--- a/crates/load/src/capacity/light_routers.rs
+++ b/crates/load/src/capacity/light_routers.rs
@@ -120,7 +120,13 @@
             let link = router.watch.link().clone();
             let (clock, member) = (Rc::clone(&router.clock), Rc::new(BusyMember::new(servers)));
             // The exchange runs as long as its link, which the router owns.
-            let _domain = Domain::start(&format!("follower-{idx}"), link, clock, interval, member);
+            let _domain = Domain::start(
+                MemberState::new(&format!("follower-{idx}")),
+                link,
+                clock,
+                interval,
+                member,
+            );
         }
         router
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,6 +49,7 @@
 mod pace;
 mod part_suspects;
 mod partition;
+mod peers;
 mod pool;
 mod prompt;
 mod quarantine;
@@ -67,6 +68,7 @@
 pub use crash_log::{CrashLog, Proof};
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use part_suspects::{PartChange, PartEntry, PartReport, PartSuspects};
+pub use peers::{PeerAnswer, PeerPlace, Peers};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{CrashSite, QuarantineEntry, QuarantineEvent};
 pub use rate_limit::{
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -73,6 +73,13 @@
         RetryDecision::GiveUp(GiveUp::OtherAttemptRunning)
     }
 
+    /// Counts attempts of a request that has been offered which another router has made.
+    pub fn count_prior_attempts(&mut self, ticket: Ticket, attempts: u32) {
+        if let Some(request) = self.requests.get_mut(ticket) {
+            request.attempts += attempts;
+        }
+    }
+
     /// Whether a running attempt could be abandoned and retried, assuming that its server was
     /// reached and that no crash is recorded for it.
     pub fn could_retry(&self, ticket: Ticket, now: Instant) -> bool {
--- a/crates/router/src/access_log.rs
+++ b/crates/router/src/access_log.rs
@@ -1,16 +1,18 @@
 //! The access log: one log line and one count for each answered request.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use crate::{
-    arrival::Arrival, backends::millis, metrics::Labels, outcome::Outcome, routing::Routed,
-    services::Services,
+    arrival::Arrival, backends::millis, forwarding::Origin, metrics::Labels, outcome::Outcome,
+    routing::Routed, services::Services,
 };
 
 /// What is known about a request before it is answered.
 pub(crate) struct AccessRecord {
     pub(crate) arrival: Arrival,
     pub(crate) route: Option<Routed>,
+    /// The router that forwarded the request, if one did.
+    pub(crate) forwarded_by: Option<Rc<str>>,
 }
 
 /// How a request was answered.
@@ -23,13 +25,14 @@
 }
 
 impl AccessRecord {
-    pub(crate) fn new(arrival: &Arrival) -> AccessRecord {
-        AccessRecord { arrival: arrival.clone(), route: None }
+    pub(crate) fn new(arrival: &Arrival, origin: &Origin) -> AccessRecord {
+        let forwarded_by = origin.router();
+        AccessRecord { arrival: arrival.clone(), route: None, forwarded_by }
     }
 
     /// Counts and logs the answer.
     pub(crate) fn log_answer(&self, services: &Services, answer: AnswerSummary<'_>) {
-        let AccessRecord { arrival, route } = self;
+        let AccessRecord { arrival, route, forwarded_by } = self;
         let labels = match route {
             Some(routed) => Labels { class: &routed.route().class, pool: &routed.pool().name },
             None => Labels { class: "", pool: "" },
@@ -49,6 +52,7 @@
             status,
             outcome = %outcome,
             took_ms = millis(took),
+            forwarded_by = forwarded_by.as_deref(),
             detail,
         );
     }
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -62,6 +62,13 @@
         Ok(Arrival { request: Rc::new(request), id, trace, arrived: clock.now() })
     }
 
+    /// The same request as a part of the trace that another router has begun.
+    #[must_use]
+    pub fn continue_trace(&self, arrival: Arrival, trace: Option<&TraceContext>) -> Arrival {
+        let trace = trace.map_or(arrival.trace, |it| self.child_span(it));
+        Arrival { trace, ..arrival }
+    }
+
     /// The context of a new span below `parent`.
     pub fn child_span(&self, parent: &TraceContext) -> TraceContext {
         parent.child(&mut *self.rng.borrow_mut())
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -89,6 +89,7 @@
             max_tokens: hints.max_tokens,
             prompt: &hints.prompt,
             version: hints.version,
+            prior_attempts: routed.attempts.get(),
             repeat: match routed.is_order() {
                 true => Repeat::AtMostOnce,
                 false => Repeat::Idempotent,
@@ -245,6 +246,9 @@
     pub(crate) async fn retry(&mut self, error: AttemptError) -> Result<(), Failure> {
         self.log_attempt("failed", Some(&error));
         self.outcome = worse(self.outcome, error.outcome());
+        if error.execution != Execution::NotRun {
+            self.routed.attempts.set(self.routed.attempts.get() + 1);
+        }
         self.is_attempt_in_flight = false;
         if error.execution != Execution::NotRun && self.needs_engine_cancel() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -15,7 +15,8 @@
 use control_state::RouterId;
 use daemon::Admin;
 use directory::{Directory, Reader, VmList};
-use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
+use dissemination::MemberState;
+use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
 use httpio::{
     Limits,
     server::{self, Handler, LiveLimits, ServerSettings, StopSignals},
@@ -26,7 +27,7 @@
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rpc::{Link, LinkSettings};
+use rpc::{Link, LinkSettings, Trust};
 use tables::{CallerLimits, Tables, TablesParser};
 use telemetry::{LogSettings, Secret};
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,6 +42,7 @@
     dispatch::Dispatcher,
     domain::RouterMember,
     engine_urgency::EngineUrgency,
+    forwarding::{self, ForwardListener, ForwardedHandler, Forwarder, PeerClient},
     identity::{Authenticator, Workspaces},
     load_reports::{self, LoadReadings, ServerFilter},
     metrics::Metrics,
@@ -60,6 +62,9 @@
 /// follows a leader.
 const DOCUMENT_POLL_MS: u64 = 1_000;
 
+/// How long queued requests wait for a server of their pool to return before another router is asked.
+const FORWARDING_GRACE: Duration = Duration::from_millis(100);
+
 /// The components that a router uses besides its settings.
 pub struct Components {
     /// The source of the tables.
@@ -78,6 +83,8 @@
     pub interface: Interface,
     /// The format of the platform's list.
     pub directory: Rc<dyn Directory>,
+    /// The token by which routers authenticate to one another; `None` if the network is trusted.
+    pub token: Option<Secret>,
 }
 
 /// The protocol of callers and backend servers.
@@ -105,15 +112,22 @@
     pub callers: TcpListener,
     /// For health and metrics.
     pub admin: TcpListener,
+    /// For other routers.
+    pub forwarded: Option<TcpListener>,
 }
 
 impl Listeners {
-    /// Binds both listeners.
+    /// Binds the listeners; the last one only if it has an address.
     ///
     /// # Errors
     /// If an address cannot be bound, for instance because it is in use.
-    pub fn bind(callers: SocketAddr, admin: SocketAddr) -> io::Result<Listeners> {
-        Ok(Listeners { callers: server::bind(callers)?, admin: server::bind(admin)? })
+    pub fn bind(
+        callers: SocketAddr,
+        admin: SocketAddr,
+        forwarded: Option<SocketAddr>,
+    ) -> io::Result<Listeners> {
+        let forwarded = forwarded.map(server::bind).transpose()?;
+        Ok(Listeners { callers: server::bind(callers)?, admin: server::bind(admin)?, forwarded })
     }
 }
 
@@ -155,7 +169,8 @@
         if let Some(link) = components.link.clone() {
             monoio::spawn(reload_control_addrs(settings_file.to_owned(), link));
         }
-        let listeners = Listeners::bind(settings.listen, settings.admin_listen)?;
+        let (callers, admin) = (settings.listen, settings.admin_listen);
+        let listeners = Listeners::bind(callers, admin, settings.forward_listen)?;
         match serve(settings, components, listeners, daemon::signals::stop_requests()?).await? {
             Stopped::Gracefully => Ok(()),
             Stopped::AtOnce => bail!("stopped by a second signal; requests in flight were cut off"),
@@ -169,6 +184,10 @@
         Some(path) => Workspaces::read(path)?,
         None => Workspaces::default(),
     };
+    let token = match (settings.trust, &settings.files.command_token) {
+        (Trust::Tokens, Some(path)) => Some(Secret::read(path)?),
+        (Trust::Tokens | Trust::Network, _) => None,
+    };
     let (tables, ledger, link) = match settings.control.is_empty() {
         true => from_files(settings)?,
         false => from_control(settings, &clock)?,
@@ -182,6 +201,7 @@
         seed: rand::random(),
         interface: Interface::Native,
         directory: Rc::new(VmList),
+        token,
     })
 }
 
@@ -203,6 +223,7 @@
         seed: rand::random(),
         interface: Interface::Relayed(platform.dialect),
         directory: platform.directory,
+        token: None,
     }
 }
 
@@ -321,8 +342,14 @@
     let (drain, draining) = signal::signal();
     let (close, closing) = signal::signal();
     let stop = StopSignals { draining, closing };
-    let handler = build_handler(&components, services);
-    let callers = server::serve(listeners.callers, server_settings, stop, handler);
+    let handlers = build_handlers(&components, services);
+    let forwarded = listeners.forwarded.map(|listener| {
+        let token = components.token.clone();
+        let handler = Rc::new(ForwardListener { handler: handlers.forwarded, token });
+        server::serve(listener, server_settings.clone(), stop.clone(), handler)
+    });
+    let callers = server::serve(listeners.callers, server_settings, stop, handlers.callers);
+    let callers = async { futures::join!(callers, OptionFuture::from(forwarded)) };
     let mut callers = monoio::spawn(callers).fuse();
     tracing::info!(event = "serving", vm = %settings.vm, failure_domain = %settings.failure_domain);
 
@@ -339,7 +366,7 @@
     tracing::info!(event = "closing");
     close.raise();
     select_biased! {
-        () = callers => {
+        _ = callers => {
             tracing::info!(event = "stopped");
             Ok(Stopped::Gracefully)
         }
@@ -356,7 +383,9 @@
     let start_domain = |member: Rc<dyn DomainMember>, link: &Link| {
         let interval = Duration::from_millis(settings.exchange_period_ms);
         let clock = Rc::clone(&components.clock);
-        let domain = Domain::start(&settings.vm, link.clone(), clock, interval, member);
+        let peer = forwarding::own_peer(settings.forward_listen, &settings.failure_domain);
+        let held = MemberState::new(&settings.vm).with_peer(peer);
+        let domain = Domain::start(held, link.clone(), clock, interval, member);
         Rc::clone(of_domain.domain.get_or_init(|| domain))
     };
     let readings = LoadReadings::default();
@@ -377,16 +406,28 @@
     monoio::spawn(load_reports::poll(services, tables, is_owned, readings));
 }
 
-/// The handler of callers' requests.
-fn build_handler(components: &Components, services: Rc<Services>) -> Rc<dyn Handler> {
+/// The handlers of callers' requests and of those that other routers forward.
+struct Handlers {
+    callers: Rc<dyn Handler>,
+    forwarded: Rc<dyn ForwardedHandler>,
+}
+
+impl<T: Handler + ForwardedHandler + 'static> From<T> for Handlers {
+    fn from(handler: T) -> Self {
+        let handler = Rc::new(handler);
+        Handlers { callers: Rc::clone(&handler) as Rc<dyn Handler>, forwarded: handler }
+    }
+}
+
+fn build_handlers(components: &Components, services: Rc<Services>) -> Handlers {
     let (tables, limits) = (Rc::clone(&components.tables), ClassLimits::default());
     match &components.interface {
         Interface::Native => {
             let authenticator = Authenticator::new(Rc::clone(&components.workspaces));
-            Rc::new(Pipeline { services, authenticator, tables, limits })
+            Pipeline { services, authenticator, tables, limits }.into()
         }
         Interface::Relayed(dialect) => {
-            Rc::new(Relay { services, tables, limits, dialect: Rc::clone(dialect) })
+            Relay { services, tables, limits, dialect: Rc::clone(dialect) }.into()
         }
     }
 }
@@ -400,6 +441,10 @@
     let (seed, routers) = (components.seed, settings.routers);
     let permits = if components.link.is_some() { PermitSource::Hub } else { PermitSource::Own };
     let policy = policy::Settings { seed, routers, permits, ..policy::Settings::default() };
+    let policy = match settings.forward_listen {
+        Some(_) => policy::Settings { no_backend_grace: FORWARDING_GRACE, ..policy },
+        None => policy,
+    };
     // On a platform every router sends to all servers, and learns the load that the other routers
     // cause from the answers.
     let (backends, policy, own_domain) = match &components.interface {
@@ -415,6 +460,13 @@
             (backends.with_dialect(Rc::clone(dialect)), policy, "")
         }
     };
+    let client = PeerClient::new(
+        &settings.vm,
+        components.token.clone(),
+        settings.backends.pool.limits,
+        Rc::clone(&components.clock),
+    );
+    let forwarder = Forwarder::new(&settings.failure_domain, client, seed);
     let prober = Rc::new(backends.clone());
     let clock = Rc::clone(&components.clock);
     let dispatcher = Dispatcher::new(clock, prober, policy, own_domain);
@@ -429,6 +481,7 @@
         urgency: EngineUrgency::default(),
         streams: StreamOrigins::new(Rc::clone(&components.clock)),
         peers: settings.peers.clone(),
+        forwarder,
         domain: OnceCell::new(),
     })
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -78,6 +78,8 @@
     pub repeat: Repeat,
     /// If set, only servers of this software version may run it.
     pub version: Option<VersionHash>,
+    /// The attempts that may have run at other routers.
+    pub prior_attempts: u32,
 }
 
 /// Dispatches the requests of all pools, each pool with a scheduler of its own.
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -143,6 +143,7 @@
         if let Some(version) = request.version {
             self.apply(|scheduler, _| scheduler.restrict_version(ticket, version));
         }
+        self.apply(|scheduler, _| scheduler.count_prior_attempts(ticket, request.prior_attempts));
         let placed = self.register_waiter(ticket);
         // Dropping the lease while it waits removes the request from the queue.
         let mut lease = Lease::new(Rc::clone(&self), ticket, offer);
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -107,6 +107,7 @@
 
     fn apply_digest(&self, state: &MemberState, sent: Instant, suspects: &CrashRows) {
         self.sent.acknowledge();
+        self.services.forwarder.set_peers(state.peers());
         let tables = self.tables.current();
         let dispatcher = &self.services.dispatcher;
         let grants: BTreeMap<_, _> = state.grants().collect();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 mod engine_stream;
 pub mod engine_urgency;
 mod fingerprint;
+mod forwarding;
 pub mod identity;
 pub mod load_reports;
 pub mod metrics;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -15,6 +15,7 @@
 pub struct Metrics {
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    forwarded: IntCounterVec,
     tokens: IntCounterVec,
     first_token: HistogramVec,
     total: HistogramVec,
@@ -62,6 +63,12 @@
                 "Attempts at backend servers.",
                 &["class", "pool", "result"],
             )?,
+            forwarded: counter(
+                registry,
+                "router_forwarded_total",
+                "Requests that other routers were asked to serve.",
+                &["pool", "result"],
+            )?,
             tokens: counter(registry, "router_tokens_total", "Tokens received.", class_pool)?,
             first_token: time_histogram(
                 registry,
@@ -100,6 +107,11 @@
         self.attempts.with_label_values(&[labels.class, labels.pool, result]).inc();
     }
 
+    /// Counts a request that another router was asked to serve.
+    pub fn record_forwarded(&self, pool: &str, result: &str) {
+        self.forwarded.with_label_values(&[pool, result]).inc();
+    }
+
     /// Records the time until the request was assigned a backend server.
     pub fn record_queue_time(&self, labels: Labels<'_>, time: Duration) {
         self.queued.with_label_values(&[labels.class, labels.pool]).observe(time.as_secs_f64());
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -1,11 +1,11 @@
 //! The errors that callers receive, and what they state about the execution of the request.
 
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use httpio::{Bytes, server::Reply};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The header that carries an [`Outcome`].
 pub const OUTCOME_HEADER: &str = "x-outcome";
@@ -13,7 +13,7 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// What is known about the execution of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// No byte of it reached a backend server, or the server refused it before starting.
@@ -28,7 +28,7 @@
 }
 
 /// Why a request failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Code {
     /// The bearer token is unknown.
@@ -58,6 +58,9 @@
     /// No backend server of the pool is usable.
     #[display("no_backend_server")]
     NoBackendServer,
+    /// The backend servers that were tried refused connections.
+    #[display("unreachable")]
+    Unreachable,
     /// The attempt at the backend server failed.
     #[display("backend_failed")]
     BackendFailed,
@@ -123,7 +126,7 @@
         let retry_after_ms = self.retry_after.map(|it| it.as_millis() as u64);
         let error = ErrorDetail {
             code: self.code,
-            message: &self.message,
+            message: Cow::Borrowed(&self.message),
             outcome: self.outcome,
             retry_after_ms,
         };
@@ -131,6 +134,18 @@
             .expect("an error consists of serializable fields")
     }
 
+    /// Reads the JSON text of an error that was answered with `status`.
+    ///
+    /// # Errors
+    /// If the text is not that of an error.
+    pub fn from_json(status: StatusCode, text: &[u8]) -> serde_json::Result<Failure> {
+        let ErrorBody { error } = serde_json::from_slice(text)?;
+        let ErrorDetail { code, message, outcome, retry_after_ms } = error;
+        let (message, retry_after) =
+            (message.into_owned(), retry_after_ms.map(Duration::from_millis));
+        Ok(Failure { status, code, message, outcome, retry_after })
+    }
+
     /// The reply to the caller.
     #[must_use]
     pub fn to_reply(&self) -> Reply {
@@ -159,15 +174,17 @@
     wait.as_millis().div_ceil(1_000) as u64
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 struct ErrorBody<'a> {
+    #[serde(borrow)]
     error: ErrorDetail<'a>,
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 struct ErrorDetail<'a> {
     code: Code,
-    message: &'a str,
+    #[serde(borrow)]
+    message: Cow<'a, str>,
     outcome: Outcome,
     retry_after_ms: Option<u64>,
 }
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -14,6 +14,7 @@
     chat::{ChatRequest, Delivery},
     chat_call::ChatCall,
     class_limits::{ClassLimits, Permit},
+    forwarding::{self, ForwardedHandler, Hop, Origin},
     identity::Authenticator,
     order_call,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
@@ -39,7 +40,15 @@
 impl Handler for Pipeline {
     fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply> {
         let pipeline = self.clone();
-        async move { pipeline.answer(request).await }.boxed_local()
+        async move {
+            let (result, id) = pipeline.answer(request, Origin::Caller).await;
+            let mut reply = result.unwrap_or_else(|failure| failure.to_reply());
+            if let Some(id) = id {
+                reply.headers.insert(REQUEST_ID_HEADER, id);
+            }
+            reply
+        }
+        .boxed_local()
     }
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
@@ -47,37 +56,51 @@
     }
 }
 
-impl Pipeline {
-    async fn answer(self, request: Request) -> Reply {
-        match self.services.ids.assign(request, &*self.services.clock) {
-            Ok(arrival) => self.serve(arrival).await,
-            Err(failure) => failure.to_reply(),
-        }
+impl ForwardedHandler for Pipeline {
+    fn call_forwarded(
+        &self,
+        request: Request,
+        hop: Hop,
+    ) -> LocalBoxFuture<'static, Result<Reply, Failure>> {
+        let pipeline = self.clone();
+        async move { pipeline.answer(request, Origin::Router(hop)).await.0 }.boxed_local()
     }
+}
 
-    async fn serve(&self, arrival: Arrival) -> Reply {
-        let mut record = AccessRecord::new(&arrival);
-        let served = match self.admit(arrival) {
+impl Pipeline {
+    /// Answers a request; also returns its ID, if it has one.
+    async fn answer(
+        &self,
+        request: Request,
+        origin: Origin,
+    ) -> (Result<Reply, Failure>, Option<HeaderValue>) {
+        let arrival = match self.services.ids.assign(request, &*self.services.clock) {
+            Ok(arrival) => arrival,
+            Err(failure) => return (Err(failure), None),
+        };
+        let mut record = AccessRecord::new(&arrival, &origin);
+        let result = match self.admit(arrival, &origin) {
             Ok((routed, permit)) => {
                 record.route = Some(routed.clone());
-                self.dispatch(routed, permit).await
+                let deadline = routed.deadline();
+                let serve_here = self.dispatch(routed.clone(), permit).boxed_local();
+                let services = &self.services;
+                forwarding::serve_or_forward(services, &routed, &origin, deadline, serve_here).await
             }
             Err(failure) => Err(failure),
         };
-        let detail = served.as_ref().err().map(Failure::to_string).unwrap_or_default();
-        let mut reply = served.unwrap_or_else(|failure| failure.to_reply());
+        self.log_answer(&record, &result);
         let id: &str = record.arrival.id.as_ref();
         let id = HeaderValue::try_from(id).expect("a request ID is a valid header value");
-        reply.headers.insert(REQUEST_ID_HEADER, id);
-        self.log_answer(&record, &reply, &detail);
-        reply
+        (result, Some(id))
     }
 
     /// Runs the stages that do not wait.
-    fn admit(&self, arrival: Arrival) -> Result<(Routed, Permit), Failure> {
+    fn admit(&self, arrival: Arrival, origin: &Origin) -> Result<(Routed, Permit), Failure> {
         let identified = self.authenticator.authenticate(arrival)?;
         let tables: Rc<Tables> = self.tables.current();
         let routed = routing::resolve(identified, tables)?;
+        let routed = Routed { attempts: origin.prior_attempts(), ..routed };
         let permit = self.limits.apply(&routed)?;
         Ok((routed, permit))
     }
@@ -102,14 +125,21 @@
         }
     }
 
-    fn log_answer(&self, record: &AccessRecord, reply: &Reply, detail: &str) {
-        let outcome = reply.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok());
-        let outcome = match outcome {
-            Some("not-run") => Outcome::NotRun,
-            Some("ran") => Outcome::Ran,
-            _ => Outcome::MayHaveRun,
+    fn log_answer(&self, record: &AccessRecord, result: &Result<Reply, Failure>) {
+        let (status, outcome) = match result {
+            Ok(reply) => (reply.status, stated_outcome(reply)),
+            Err(failure) => (failure.status, failure.outcome),
         };
-        let status = reply.status.as_u16();
-        record.log_answer(&self.services, AnswerSummary { status, outcome, detail });
+        let detail = result.as_ref().err().map(Failure::to_string).unwrap_or_default();
+        let status = status.as_u16();
+        record.log_answer(&self.services, AnswerSummary { status, outcome, detail: &detail });
+    }
+}
+
+fn stated_outcome(reply: &Reply) -> Outcome {
+    match reply.headers.get(OUTCOME_HEADER).and_then(|it| it.to_str().ok()) {
+        Some("not-run") => Outcome::NotRun,
+        Some("ran") => Outcome::Ran,
+        _ => Outcome::MayHaveRun,
     }
 }
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use policy::{GiveUp, Refusal, RefusalReason};
+use policy::{Failure as FailureKind, GiveUp, Refusal, RefusalReason};
 
 use crate::{
     backends::AttemptError,
@@ -36,6 +36,9 @@
         GiveUp::Quarantined => (StatusCode::UNPROCESSABLE_ENTITY, Code::Quarantined),
         GiveUp::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackendServer),
         GiveUp::DeadlineUnreachable => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
+        _ if outcome == Outcome::NotRun && last.failure == FailureKind::ConnectRefused => {
+            (StatusCode::SERVICE_UNAVAILABLE, Code::Unreachable)
+        }
         _ if outcome == Outcome::NotRun => (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded),
         GiveUp::NotRetryable
         | GiveUp::RetryBudgetExhausted
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -21,6 +21,7 @@
     arrival::Arrival,
     class_limits::{ClassLimits, Permit},
     dialect::{Dialect, RequestMetadata},
+    forwarding::{self, ForwardedHandler, Hop, Origin},
     identity::Caller,
     outcome::{Code, Failure, Outcome},
     routing::{Routed, host_name},
@@ -49,7 +50,11 @@
 impl Handler for Relay {
     fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply> {
         let relay = self.clone();
-        async move { relay.answer(request).await }.boxed_local()
+        async move {
+            let (result, id) = relay.answer(request, Origin::Caller).await;
+            result.unwrap_or_else(|it| relay.dialect.failure_reply(&it, id.as_ref()))
+        }
+        .boxed_local()
     }
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
@@ -58,30 +63,52 @@
     }
 }
 
+impl ForwardedHandler for Relay {
+    fn call_forwarded(
+        &self,
+        request: Request,
+        hop: Hop,
+    ) -> LocalBoxFuture<'static, Result<Reply, Failure>> {
+        let relay = self.clone();
+        async move { relay.answer(request, Origin::Router(hop)).await.0 }.boxed_local()
+    }
+}
+
 impl Relay {
-    async fn answer(self, request: Request) -> Reply {
-        let metadata = self.dialect.read_request(&request);
-        let arrival = match self.services.ids.assign(request, &*self.services.clock) {
+    /// Answers a request; also returns its ID, if it has one.
+    async fn answer(
+        &self,
+        request: Request,
+        origin: Origin,
+    ) -> (Result<Reply, Failure>, Option<HeaderValue>) {
+        let mut metadata = self.dialect.read_request(&request);
+        let mut arrival = match self.services.ids.assign(request, &*self.services.clock) {
             Ok(arrival) => arrival,
-            Err(failure) => return self.dialect.failure_reply(&failure, None),
+            Err(failure) => return (Err(failure), None),
         };
-        let mut record = AccessRecord::new(&arrival);
+        if let Origin::Router(hop) = &origin {
+            metadata.timeout = Some(metadata.timeout.unwrap_or(hop.time_left).min(hop.time_left));
+            arrival = self.services.ids.continue_trace(arrival, hop.trace.as_ref());
+        }
+        let mut record = AccessRecord::new(&arrival, &origin);
         self.await_tables(&metadata).await;
-        let served = match self.admit(arrival, &metadata) {
+        let result = match self.admit(arrival, &metadata, &origin) {
             Ok((routed, permit)) => {
                 record.route = Some(routed.clone());
-                self.serve(routed, permit, metadata).await
+                self.serve(routed, permit, metadata, &origin).await
             }
             Err(failure) => Err(failure),
         };
-        match served {
-            Ok(reply) => {
-                let (status, outcome) = (reply.status.as_u16(), Outcome::Ran);
-                record.log_answer(&self.services, AnswerSummary { status, outcome, detail: "" });
-                reply
-            }
-            Err(failure) => self.failure_reply(&record, &failure),
-        }
+        let detail = result.as_ref().err().map(Failure::to_string).unwrap_or_default();
+        let (status, outcome) = match &result {
+            Ok(reply) => (reply.status, Outcome::Ran),
+            Err(failure) => (failure.status, failure.outcome),
+        };
+        let status = status.as_u16();
+        record.log_answer(&self.services, AnswerSummary { status, outcome, detail: &detail });
+        let id: &str = record.arrival.id.as_ref();
+        let id = HeaderValue::try_from(id).expect("a request ID is a valid header value");
+        (result, Some(id))
     }
 
     /// Waits for tables. A router that has just started receives them soon, so a short wait costs
@@ -95,20 +122,12 @@
         }
     }
 
-    fn failure_reply(&self, record: &AccessRecord, failure: &Failure) -> Reply {
-        let (status, outcome) = (failure.status.as_u16(), failure.outcome);
-        let detail = failure.to_string();
-        record.log_answer(&self.services, AnswerSummary { status, outcome, detail: &detail });
-        let id: &str = record.arrival.id.as_ref();
-        let id = HeaderValue::try_from(id).expect("a request ID is a valid header value");
-        self.dialect.failure_reply(failure, Some(&id))
-    }
-
     /// Runs the stages that do not wait.
     fn admit(
         &self,
         arrival: Arrival,
         metadata: &RequestMetadata,
+        origin: &Origin,
     ) -> Result<(Routed, Permit), Failure> {
         let tables = self.tables.current();
         if tables.routes.is_empty() {
@@ -127,7 +146,8 @@
             }
         };
         let pool = tables.route(route).pool_for(self.services.ids.nonce() as u32);
-        let routed = Routed { arrival, caller, tables, route, pool };
+        let attempts = origin.prior_attempts();
+        let routed = Routed { arrival, caller, tables, route, pool, attempts };
         let permit = self.limits.apply(&routed)?;
         Ok((routed, permit))
     }
@@ -137,6 +157,19 @@
         routed: Routed,
         permit: Permit,
         metadata: RequestMetadata,
+        origin: &Origin,
+    ) -> Result<Reply, Failure> {
+        let timeout = metadata.timeout.unwrap_or(Duration::MAX).min(routed.route().deadline());
+        let deadline = routed.arrival.arrived + timeout;
+        let serve_here = self.serve_here(routed.clone(), permit, metadata).boxed_local();
+        forwarding::serve_or_forward(&self.services, &routed, origin, deadline, serve_here).await
+    }
+
+    async fn serve_here(
+        &self,
+        routed: Routed,
+        permit: Permit,
+        metadata: RequestMetadata,
     ) -> Result<Reply, Failure> {
         let exchange = routed.route().exchange;
         let mut routed = routed;
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -1,7 +1,7 @@
 //! Third stage: finds the route of the request, which determines its class, its pool and its
 //! deadline.
 
-use std::{rc::Rc, time::Instant};
+use std::{cell::Cell, rc::Rc, time::Instant};
 
 use http::{StatusCode, header};
 use tables::{Idempotency, Pool, PoolIdx, PoolKind, Priority, Route, RouteIdx, Tables};
@@ -28,6 +28,8 @@
     pub route: RouteIdx,
     /// The pool that serves it.
     pub pool: PoolIdx,
+    /// The attempts that may have run so far, at this and at other routers.
+    pub attempts: Rc<Cell<u32>>,
 }
 
 impl Routed {
@@ -79,7 +81,7 @@
     };
     check_caller(&caller, tables.route(route))?;
     let pool = tables.route(route).pool;
-    Ok(Routed { arrival, caller, tables, route, pool })
+    Ok(Routed { arrival, caller, tables, route, pool, attempts: Rc::default() })
 }
 
 /// The host of a host header, without its port.
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -11,6 +11,7 @@
     backends::Backends,
     dispatch::Dispatcher,
     engine_urgency::EngineUrgency,
+    forwarding::Forwarder,
     metrics::Metrics,
     order_ledger::OrderLedger,
     stream_origins::StreamOrigins,
@@ -83,6 +84,8 @@
     pub(crate) streams: StreamOrigins,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
+    /// Forwards requests to other routers.
+    pub(crate) forwarder: Forwarder,
     /// The exchange with the hub, once it has started.
     pub domain: OnceCell<Rc<Domain>>,
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -29,6 +29,8 @@
     pub listen: SocketAddr,
     /// The address of the health and metrics endpoints.
     pub admin_listen: SocketAddr,
+    /// The address that other routers forward requests to; without it, none is forwarded to this router.
+    pub forward_listen: Option<SocketAddr>,
     /// The log filter.
     pub log: String,
     /// The number of routers that share the workspaces' limits, including this one.
@@ -105,6 +107,7 @@
             failure_domain: String::new(),
             listen: loopback,
             admin_listen: loopback,
+            forward_listen: None,
             log: "info".to_owned(),
             routers: 1,
             drain_delay_ms: 5_000,
@@ -163,6 +166,7 @@
         failure_domain: reader.required("failure_domain", "the name of the failure domain"),
         listen: reader.optional("listen", ADDRESS).unwrap_or(default.listen),
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(default.admin_listen),
+        forward_listen: reader.optional("forward_listen", ADDRESS),
         log: reader.or_default("log", "a filter such as info", default.log),
         routers: reader.or_default("routers", COUNT, default.routers),
         drain_delay_ms: reader.or_default("drain_delay_ms", MILLISECONDS, default.drain_delay_ms),
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -56,6 +56,7 @@
 
     fn apply_digest(&self, state: &MemberState, _sent: Instant, suspects: &CrashRows) {
         self.sent.acknowledge();
+        self.services.forwarder.set_peers(state.peers());
         let tables = self.tables.current();
         let dispatcher = &self.services.dispatcher;
         self.sent.import(dispatcher, &tables, suspects);
--- a/crates/router/tests/shared_probes.rs
+++ b/crates/router/tests/shared_probes.rs
@@ -51,6 +51,7 @@
         prompt: &Prompt::default(),
         repeat: Repeat::Idempotent,
         version: None,
+        prior_attempts: 0,
     };
     dispatcher.dispatch(request).await.expect("a server is up")
 }
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -304,8 +304,9 @@
             seed: self.seed,
             interface: self.interface,
             directory: Rc::new(VmList),
+            token: None,
         };
-        let bound = Listeners::bind(any_port(), any_port()).expect("free ports");
+        let bound = Listeners::bind(any_port(), any_port(), None).expect("free ports");
         let addr = bound.callers.local_addr().expect("a bound listener");
         let admin = bound.admin.local_addr().expect("a bound listener");
         let (stop, stops) = mpsc::unbounded();
