--- a/crates/dissemination/tests/router_peers.rs
+++ b/crates/dissemination/tests/router_peers.rs
@@ -103,3 +103,23 @@
     }
     assert_eq!(peers(&one), [peer(2, "north")]);
 }
+
+/// Guards against a list of peers that exceeds what a router's link may carry in a second, at 32 routers a
+/// hub and 11 hubs.
+#[test]
+fn bytes_of_peers() {
+    let (now, mut hub) = (Instant::now(), hub(1));
+    for other in 2..=11 {
+        hub.update_hub_peers(now, other, (0..8).map(|it| peer(it, &format!("{other}"))).collect());
+    }
+    let mut members: Vec<_> = (0..32)
+        .map(|it| MemberState::new(&format!("r-{it}")).with_peer(Some(peer(it, "north"))))
+        .collect();
+    for it in &mut members {
+        exchange(now, &mut hub, it);
+    }
+    let list = exchange(now, &mut hub, &mut members[0]);
+    let rest = exchange(now, &mut hub, &mut members[0]);
+    println!("{} B for the list, then {rest} B", list - rest);
+    assert!(list < 2_048, "{list}");
+}
