Keep the rest that a server asked for when the list names it again

Cause: a server that is missing from two lists and then named again counts as a newer incarnation, and that cleared its rest. Class: what a server said of itself is dropped on the word of a source that knows less. The list lags and lists come out of order, so a server may be left out for a moment without having stopped. Evidence: rest_outlives_list failed before with 31 requests at the server in place of 1. Why it works: a rest names a time, and it is kept until then whatever the list says; a server that has really restarted under its name waits out a rest of at most some seconds.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -260,11 +260,13 @@
 
     /// Resets the state for a newer incarnation; requests of the older one still count as in
     /// flight.
+    ///
+    /// A pause that the server has asked for holds: a server that was missing from a list for a while
+    /// counts as restarted too.
     pub(crate) fn restart(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
         self.recoveries = 0;
         self.overload_backoff = None;
-        self.pause_until = None;
         self.failures = FailureRecord::default();
         self.limit = None;
         self.reset_speed();
