--- a/crates/policy/src/scheduler/reach.rs
+++ b/crates/policy/src/scheduler/reach.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::{
     backend::Health,
-    keys::{PoolKey, Ticket},
+    keys::{BackendKey, PoolKey, Ticket},
 };
 
 /// A pool whose servers can no longer be reached, or can be reached again.
@@ -29,6 +29,15 @@
         members.clone().any(|it| it.is_usable()) || !members.any(|it| it.health == Health::Down)
     }
 
+    /// Whether the server counts as reachable and may be sent a probe at any time: it rests from no request
+    /// and has no limit on their rate.
+    #[must_use]
+    pub fn may_be_probed(&self, now: Instant, backend: BackendKey) -> bool {
+        self.backends
+            .get(backend)
+            .is_some_and(|it| it.is_usable() && it.pause_end(now).is_none() && it.limit.is_none())
+    }
+
     /// Records that this router is cut off from all servers. Queued requests are refused at once: no
     /// server is expected back soon.
     pub fn cut_off(&mut self, now: Instant, key: PoolKey) {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -18,7 +18,7 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, Health, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
+    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
     PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QueueSnapshot, Refusal,
     Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
 };
@@ -426,13 +426,13 @@
         }
     }
 
-    /// The servers that count as reachable.
+    /// The servers that count as reachable and may be probed.
     pub(super) fn probe_targets(&self) -> Vec<ProbeTarget> {
+        let now = self.clock.now();
         let servers = self.state.borrow().servers.listed();
         let scheduler = &self.state.borrow().scheduler;
-        let is_usable =
-            |it: &Server| matches!(scheduler.health(it.key), Some(Health::Up | Health::Suspect));
-        servers.into_iter().filter(is_usable).map(|it| self.probe_target(it)).collect()
+        let targets = servers.into_iter().filter(|it| scheduler.may_be_probed(now, it.key));
+        targets.map(|it| self.probe_target(it)).collect()
     }
 
     /// Whether a server can be reached, as far as known.
