Keep the limit that a server named when the list names it again

Why it works: a limit that no longer holds is lifted by the next answer without one, so a server that has really restarted gets its share after one request; until then it gets no more than it last asked for. A server that has said that it is leaving is still taken back when the list leaves it out and names it again: nothing there tells a late list from a restart under the same name.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -261,14 +261,13 @@
     /// Resets the state for a newer incarnation; requests of the older one still count as in
     /// flight.
     ///
-    /// A pause that the server has asked for holds: a server that was missing from a list for a while
-    /// counts as restarted too.
+    /// What the server has said of itself holds, its pause and its limit: a server that was missing from a
+    /// list for a while counts as restarted too. An answer without a limit lifts it.
     pub(crate) fn restart(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
         self.recoveries = 0;
         self.overload_backoff = None;
         self.failures = FailureRecord::default();
-        self.limit = None;
         self.reset_speed();
         self.other_requests = 0;
     }
