State the worst outcome of all routers that were asked

Callers would have been told that a request has not run because the last router that was asked refused it, although an attempt here or at a router that fell silent may have run it. Cause: the failure of the last peer was passed on with its own outcome. Change: the outcome of all attempts, here and at peers, is kept and is the least that the caller is told; the dialect derives the status from it as before.

--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -29,6 +29,7 @@
 };
 use crate::{
     backends::millis,
+    call::worse,
     deadline::{Completion, run_until_deadline},
     outcome::{Code, Failure, Outcome},
     refusals,
@@ -106,14 +107,15 @@
     }
     let pool = &routed.pool().name;
     if !services.dispatcher.is_reachable(pool) {
-        return match forward(services, routed, deadline).boxed_local().await {
+        return match forward(services, routed, deadline, Outcome::NotRun).boxed_local().await {
             Some(result) => result,
             None => serve_here.await,
         };
     }
     match serve_here.await {
         Err(failure) if may_forward(services, routed, &failure) => {
-            forward(services, routed, deadline).boxed_local().await.unwrap_or(Err(failure))
+            let forwarded = forward(services, routed, deadline, failure.outcome).boxed_local();
+            forwarded.await.unwrap_or(Err(failure))
         }
         result => result,
     }
@@ -141,25 +143,28 @@
     !routed.is_order() && routed.attempts.get() <= routed.route().retries_max
 }
 
-/// Asks one peer after the other; `None` if none can serve the request and it has not run.
+/// Asks one peer after the other; `None` if none can serve the request, and it has not run there. What
+/// earlier attempts may have done, `known`, is part of the outcome that the caller is told.
 async fn forward(
     services: &Services,
     routed: &Routed,
     deadline: Instant,
+    known: Outcome,
 ) -> Option<Result<Reply, Failure>> {
     let left = deadline.saturating_duration_since(services.clock.now());
     let disconnected = routed.arrival.request.disconnected.clone();
-    let outcome = Cell::new(Outcome::NotRun);
+    let outcome = Cell::new(known);
     let asking = ask_peers(services, routed, deadline, &outcome);
-    match run_until_deadline(&disconnected, left, asking).await {
-        Completion::Done(result) => result,
+    let result = match run_until_deadline(&disconnected, left, asking).await {
+        Completion::Done(result) => result?,
         Completion::DeadlinePassed | Completion::CallerDisconnected => {
-            Some(Err(refusals::deadline_passed(outcome.get())))
+            Err(refusals::deadline_passed(outcome.get()))
         }
-    }
+    };
+    Some(result.map_err(|it| Failure { outcome: worse(outcome.get(), it.outcome), ..it }))
 }
 
-/// As [`forward`]; `outcome` is kept up to date for the case that the deadline passes.
+/// As [`forward`]. `outcome` covers all attempts, also the one under way in case the deadline passes.
 async fn ask_peers(
     services: &Services,
     routed: &Routed,
@@ -175,12 +180,13 @@
         if time_left < FORWARD_TIME_MIN {
             break;
         }
-        outcome.set(Outcome::MayHaveRun);
+        let known = outcome.replace(Outcome::MayHaveRun);
         let answer = forwarder.client.forward(peer, routed, time_left, deadline).await;
         let is_asked_next = is_next_asked(&answer, routed);
         log_forwarded(services, routed, peer, started, &answer);
         let seen = if is_asked_next { PeerAnswer::Refused } else { PeerAnswer::Served };
         forwarder.peers.borrow_mut().record(services.clock.now(), peer, pool, seen);
+        outcome.set(worse(known, outcome_of(&answer)));
         match answer {
             Ok(result) if !is_asked_next => return Some(result),
             Err(error) if !is_asked_next => return Some(Err(failed(&error))),
@@ -190,11 +196,19 @@
             }
             Ok(_) | Err(_) => {}
         }
-        outcome.set(if unanswered.is_some() { Outcome::MayHaveRun } else { Outcome::NotRun });
     }
     unanswered.map(|error| Err(failed(&error)))
 }
 
+/// What a peer's answer, or its lack, shows about the execution of the request.
+fn outcome_of(answer: &Result<Result<Reply, Failure>, PeerError>) -> Outcome {
+    match answer {
+        Ok(Ok(_)) => Outcome::Ran,
+        Ok(Err(failure)) => failure.outcome,
+        Err(error) => error.outcome,
+    }
+}
+
 /// Whether another peer may be asked after this answer.
 fn is_next_asked(answer: &Result<Result<Reply, Failure>, PeerError>, routed: &Routed) -> bool {
     match answer {
@@ -233,11 +247,12 @@
     started: Instant,
     answer: &Result<Result<Reply, Failure>, PeerError>,
 ) {
-    let (result, outcome, detail) = match answer {
-        Ok(Ok(reply)) => ("answered", Outcome::Ran, reply.status.as_u16().to_string()),
-        Ok(Err(failure)) => ("refused", failure.outcome, failure.to_string()),
-        Err(error) => ("failed", error.outcome, error.detail.clone()),
+    let (result, detail) = match answer {
+        Ok(Ok(reply)) => ("answered", reply.status.as_u16().to_string()),
+        Ok(Err(failure)) => ("refused", failure.to_string()),
+        Err(error) => ("failed", error.detail.clone()),
     };
+    let outcome = outcome_of(answer);
     let (class, pool) = (&routed.route().class, &routed.pool().name);
     services.metrics.record_forwarded(pool, result);
     tracing::info!(
