--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod locality;
 mod pool_dispatcher;
+mod pool_spec;
 mod reach;
 mod server_list;
 
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -18,25 +18,23 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, ClassSpec, LimitChange, LimitEntry, LoadReport, Offer, Pausing,
-    PendingWork, PermitGrant, PermitRequest, PoolSpec, ProbeResult, QueueSnapshot, Refusal,
-    Scheduler, ServerHash, Settings, Spec, Ticket, VersionHash, WorkspaceSpec,
+    Action, BackendKey, LimitChange, LimitEntry, LoadReport, Offer, PendingWork, PermitGrant,
+    PermitRequest, ProbeResult, QueueSnapshot, Refusal, Scheduler, ServerHash, Settings, Spec,
+    Ticket, VersionHash,
 };
-use tables::{Pool, PoolKind, Revision, Route, Tables};
+use tables::{Pool, Revision, Tables};
 
 use super::{
     Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, ServerClaim, ServerStatus,
     UNKNOWN_REFUSAL,
     decision_log::{log_changes, log_limit},
     locality::Locality,
+    pool_spec::pool_spec,
     reach::Reach,
     revision_number,
     server_list::ServerList,
 };
-use crate::identity::{ANONYMOUS, Workspaces};
-
-/// The scheduler counts priorities upwards, while in the tables 0 is the most urgent.
-const SCHEDULER_PRIORITY_MAX: u8 = u8::MAX;
+use crate::identity::Workspaces;
 
 /// The result that a queued request receives.
 pub(super) type Placement = Result<Server, Refusal>;
@@ -112,7 +110,7 @@
         state.pool.clone_from(&pool.name);
         state.slots = pool.in_flight_max;
         state.health_path.clone_from(&pool.health_path);
-        let spec = spec(tables, pool, workspaces);
+        let spec = pool_spec(tables, pool, workspaces);
         if let Err(error) = state.scheduler.configure(spec) {
             tracing::error!(pool = %pool.name, %error, "tables not applied");
             return;
@@ -530,53 +528,3 @@
     state.armed = state.scheduler.next_wakeup(now);
     Some(state.armed.map(|it| it.saturating_duration_since(now)))
 }
-
-fn spec(tables: &Tables, pool: &Pool, workspaces: &Workspaces) -> Spec {
-    let routes =
-        tables.routes.iter().filter(|it| it.pools().any(|it| tables.pool(it).name == pool.name));
-    let anonymous = WorkspaceSpec { name: ANONYMOUS.to_owned(), ..WorkspaceSpec::default() };
-    let known = workspaces.iter().map(|it| WorkspaceSpec {
-        name: it.name.to_string(),
-        weight: it.weight.max(1),
-        in_flight_limit: it.in_flight_max,
-    });
-    let listed = tables
-        .workspaces
-        .iter()
-        .map(|it| WorkspaceSpec { name: it.name.clone(), ..WorkspaceSpec::default() });
-    Spec {
-        revision: revision_number(tables.revision),
-        classes: routes.map(class_spec).collect(),
-        pools: vec![PoolSpec {
-            name: pool.name.clone(),
-            slots: pool.in_flight_max,
-            pausing: match pool.kind {
-                PoolKind::Engine => Pausing::Supported,
-                PoolKind::Service => Pausing::Unsupported,
-            },
-            ..PoolSpec::default()
-        }],
-        workspaces: known.chain(listed).chain([anonymous]).collect(),
-    }
-}
-
-fn class_spec(route: &Route) -> ClassSpec {
-    let default = ClassSpec::default();
-    let whole_target_ms = route.targets.whole_ms.unwrap_or(route.deadline_ms);
-    ClassSpec {
-        name: route.class.clone(),
-        priority: SCHEDULER_PRIORITY_MAX - route.priority.0,
-        share_permille: route.share_permille,
-        first_token_target_ms: route.targets.first_token_ms.unwrap_or(whole_target_ms),
-        between_token_target_ms: route
-            .targets
-            .between_tokens_ms
-            .unwrap_or(default.between_token_target_ms),
-        whole_target_ms,
-        deadline_ms: route.deadline_ms,
-        queue_limit: route.queue_max as usize,
-        retry_budget_permille: route.retry_budget_permille,
-        max_attempts: route.retries_max + 1,
-        ..default
-    }
-}
--- /dev/null
+++ b/crates/router/src/dispatch/pool_spec.rs
@@ -0,0 +1,61 @@
+//! What the scheduler of a pool is told of the tables.
+
+use policy::{ClassSpec, Pausing, PoolSpec, Spec, WorkspaceSpec};
+use tables::{Pool, PoolKind, Route, Tables};
+
+use super::revision_number;
+use crate::identity::{ANONYMOUS, Workspaces};
+
+/// The scheduler counts priorities upwards, while in the tables 0 is the most urgent.
+const SCHEDULER_PRIORITY_MAX: u8 = u8::MAX;
+
+/// The classes, the pool and the workspaces, as the scheduler of the pool needs them.
+pub(super) fn pool_spec(tables: &Tables, pool: &Pool, workspaces: &Workspaces) -> Spec {
+    let routes =
+        tables.routes.iter().filter(|it| it.pools().any(|it| tables.pool(it).name == pool.name));
+    let anonymous = WorkspaceSpec { name: ANONYMOUS.to_owned(), ..WorkspaceSpec::default() };
+    let known = workspaces.iter().map(|it| WorkspaceSpec {
+        name: it.name.to_string(),
+        weight: it.weight.max(1),
+        in_flight_limit: it.in_flight_max,
+    });
+    let listed = tables
+        .workspaces
+        .iter()
+        .map(|it| WorkspaceSpec { name: it.name.clone(), ..WorkspaceSpec::default() });
+    Spec {
+        revision: revision_number(tables.revision),
+        classes: routes.map(class_spec).collect(),
+        pools: vec![PoolSpec {
+            name: pool.name.clone(),
+            slots: pool.in_flight_max,
+            pausing: match pool.kind {
+                PoolKind::Engine => Pausing::Supported,
+                PoolKind::Service => Pausing::Unsupported,
+            },
+            ..PoolSpec::default()
+        }],
+        workspaces: known.chain(listed).chain([anonymous]).collect(),
+    }
+}
+
+fn class_spec(route: &Route) -> ClassSpec {
+    let default = ClassSpec::default();
+    let whole_target_ms = route.targets.whole_ms.unwrap_or(route.deadline_ms);
+    ClassSpec {
+        name: route.class.clone(),
+        priority: SCHEDULER_PRIORITY_MAX - route.priority.0,
+        share_permille: route.share_permille,
+        first_token_target_ms: route.targets.first_token_ms.unwrap_or(whole_target_ms),
+        between_token_target_ms: route
+            .targets
+            .between_tokens_ms
+            .unwrap_or(default.between_token_target_ms),
+        whole_target_ms,
+        deadline_ms: route.deadline_ms,
+        queue_limit: route.queue_max as usize,
+        retry_budget_permille: route.retry_budget_permille,
+        max_attempts: route.retries_max + 1,
+        ..default
+    }
+}
