--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,5 +1,7 @@
 //! Runs a router: its listeners, its background tasks and the graceful stop.
 
+mod components;
+
 use std::{
     cell::{Cell, OnceCell},
     io,
@@ -10,11 +12,9 @@
 };
 
 use anyhow::{Context, bail};
-use clock::{Clock, SystemClock};
-use control_client::{DocumentWatch, Domain, DomainMember, TablesWatch, WatchSettings};
-use control_state::RouterId;
+use control_client::{Domain, DomainMember};
 use daemon::Admin;
-use directory::{Directory, Reader, VmList};
+use directory::Reader;
 use dissemination::MemberState;
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
 use httpio::{
@@ -27,17 +27,16 @@
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rpc::{Link, LinkSettings, Trust};
-use tables::{CallerLimits, Tables, TablesParser};
-use telemetry::{LogSettings, Secret};
-use xxhash_rust::xxh3::xxh3_64;
+use rpc::Link;
+use tables::{CallerLimits, Tables};
+use telemetry::LogSettings;
 
+pub use self::components::{Components, Interface, Platform};
+use self::components::{native_components, platform_components};
 use crate::{
     arrival::IdGenerator,
     backends::Backends,
     class_limits::ClassLimits,
-    control::{ControlLedger, ControlTables, DocumentTables},
-    dialect::Dialect,
     directory_watch::{CachedList, DirectorySource, DirectoryWatch},
     dispatch::Dispatcher,
     domain::RouterMember,
@@ -46,7 +45,6 @@
     identity::{Authenticator, Workspaces},
     load_reports::{self, LoadReadings, ServerFilter},
     metrics::Metrics,
-    order_ledger::{NoLedger, OrderLedger},
     pipeline::Pipeline,
     quarantine_exchange::{self, RouterAdmin},
     readiness::{Readiness, RouterHealth},
@@ -55,57 +53,12 @@
     settings::RouterSettings,
     shared_work::WorkMember,
     stream_origins::StreamOrigins,
-    table_source::{FixedTables, TableSource},
+    table_source::TableSource,
 };
 
-/// The long-poll timeout for a newer document. The answer also shows whether the control VM still
-/// follows a leader.
-const DOCUMENT_POLL_MS: u64 = 1_000;
-
 /// How long queued requests wait for a server of their pool to return before another router is asked.
 const FORWARDING_GRACE: Duration = Duration::from_millis(100);
 
-/// The components that a router uses besides its settings.
-pub struct Components {
-    /// The source of the tables.
-    pub tables: Rc<dyn TableSource>,
-    /// The ledger of claims on orders.
-    pub ledger: Rc<dyn OrderLedger>,
-    /// The workspaces, which identify callers.
-    pub workspaces: Rc<Workspaces>,
-    /// The link to the hub of the failure domain, if there is one.
-    pub link: Option<Link>,
-    /// The clock.
-    pub clock: Rc<dyn Clock>,
-    /// The seed of request IDs and random choices.
-    pub seed: u64,
-    /// The protocol of callers and backend servers.
-    pub interface: Interface,
-    /// The format of the platform's list.
-    pub directory: Rc<dyn Directory>,
-    /// The token by which routers authenticate to one another; `None` if the network is trusted.
-    pub token: Option<Secret>,
-}
-
-/// The protocol of callers and backend servers.
-#[derive(Clone)]
-pub enum Interface {
-    /// The product's own protocol.
-    Native,
-    /// A dialect whose requests are forwarded unchanged.
-    Relayed(Rc<dyn Dialect>),
-}
-
-/// The formats and conventions of a platform that a router runs on.
-pub struct Platform {
-    /// Parses the operator's document.
-    pub parser: Rc<dyn TablesParser>,
-    /// The header conventions of callers and backend servers.
-    pub dialect: Rc<dyn Dialect>,
-    /// The format of the platform's list.
-    pub directory: Rc<dyn Directory>,
-}
-
 /// The listeners of a router.
 pub struct Listeners {
     /// For callers.
@@ -178,55 +131,6 @@
     })
 }
 
-fn native_components(settings: &RouterSettings) -> anyhow::Result<Components> {
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let workspaces = match &settings.files.workspaces {
-        Some(path) => Workspaces::read(path)?,
-        None => Workspaces::default(),
-    };
-    let token = match (settings.trust, &settings.files.command_token) {
-        (Trust::Tokens, Some(path)) => Some(Secret::read(path)?),
-        (Trust::Tokens | Trust::Network, _) => None,
-    };
-    let (tables, ledger, link) = match settings.control.is_empty() {
-        true => from_files(settings)?,
-        false => from_control(settings, &clock)?,
-    };
-    Ok(Components {
-        tables,
-        ledger,
-        workspaces: Rc::new(workspaces),
-        link,
-        clock,
-        seed: rand::random(),
-        interface: Interface::Native,
-        directory: Rc::new(VmList),
-        token,
-    })
-}
-
-fn platform_components(settings: &RouterSettings, platform: Platform) -> Components {
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let sort_by_preference = control_order(&settings.vm);
-    let mut addrs = settings.control.clone();
-    sort_by_preference(&mut addrs);
-    let link = Link::start(LinkSettings { addrs, ..LinkSettings::default() });
-    let watch = WatchSettings { poll_ms: DOCUMENT_POLL_MS, ..WatchSettings::default() };
-    let documents =
-        DocumentWatch::start(link.clone(), watch, Rc::clone(&clock), sort_by_preference);
-    Components {
-        tables: Rc::new(DocumentTables::follow(documents, platform.parser)),
-        ledger: Rc::new(NoLedger),
-        workspaces: Rc::default(),
-        link: Some(link),
-        clock,
-        seed: rand::random(),
-        interface: Interface::Relayed(platform.dialect),
-        directory: platform.directory,
-        token: None,
-    }
-}
-
 /// Updates the addresses of the control VMs from the settings file on each reload request, while
 /// no control VM is connected. All other settings need a restart.
 async fn reload_control_addrs(path: PathBuf, link: Link) {
@@ -254,45 +158,6 @@
     Ok(RouterSettings::parse(&name, &text)?)
 }
 
-/// Orders the control VMs so that different routers connect to different ones first.
-fn control_order(vm: &str) -> impl Fn(&mut Vec<SocketAddr>) + 'static {
-    let hash = xxh3_64(vm.as_bytes());
-    move |addrs| {
-        addrs.sort();
-        let first = hash.checked_rem(addrs.len() as u64).unwrap_or_default();
-        addrs.rotate_left(first as usize);
-    }
-}
-
-type TablesAndLedger = (Rc<dyn TableSource>, Rc<dyn OrderLedger>, Option<Link>);
-
-fn from_files(settings: &RouterSettings) -> anyhow::Result<TablesAndLedger> {
-    let (Some(routes), Some(pools)) = (&settings.files.routes, &settings.files.pools) else {
-        bail!("no source of tables: name routes_file and pools_file in the settings");
-    };
-    Ok((Rc::new(FixedTables::read(routes, pools)?), Rc::new(NoLedger), None))
-}
-
-fn from_control(
-    settings: &RouterSettings,
-    clock: &Rc<dyn Clock>,
-) -> anyhow::Result<TablesAndLedger> {
-    let token = settings
-        .files
-        .command_token
-        .as_ref()
-        .context("no command token: name command_token_file in the settings")?;
-    let token = Secret::read(token)?;
-    let watch = TablesWatch::start(WatchSettings {
-        link: LinkSettings { addrs: settings.control.clone(), ..LinkSettings::default() },
-        ..WatchSettings::default()
-    });
-    let router_id = RouterId(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
-    let link = watch.link().clone();
-    let ledger = ControlLedger::new(link.clone(), token, router_id, clock.clone());
-    Ok((Rc::new(ControlTables(watch)), Rc::new(ledger), Some(link)))
-}
-
 /// Serves until a stop request, then drains and closes. A second stop request ends it at once.
 ///
 /// # Errors
