Ask a silent peer after half a second whether it is there

A peer that took a read and fell silent was given up after 1 s and a ping of 0.5 s, which is all the time that many callers have (lookups 1 s), so the next peer was asked too late. Change: 0.5 s and 0.3 s.

--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -28,9 +28,9 @@
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// The time without an answer after which the other router is asked whether it is still there.
-const SILENCE: Duration = Duration::from_millis(1_000);
+const SILENCE: Duration = Duration::from_millis(500);
 /// The timeout of that question.
-const PING_TIMEOUT_MS: u64 = 500;
+const PING_TIMEOUT_MS: u64 = 300;
 const IDLE_PER_PEER: usize = 8;
 const IDLE_AGE_MS: u64 = 5_000;
 /// The number of pieces of a stream that are buffered for a slow caller.
