--- a/crates/system-tests/src/lib.rs
+++ b/crates/system-tests/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub use crate::{
     http::{Reply, get, post},
+    process::Process,
     relay::SilentRelay,
     site::{Setup, Site, chat, order},
 };
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -10,29 +10,52 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 /// A child process that is killed when this value is dropped.
-pub(crate) struct Process {
+#[derive(Debug)]
+pub struct Process {
     child: Child,
 }
 
 impl Process {
-    /// Starts `program` and appends its output to the file `log`.
-    pub(crate) fn start(program: &str, args: &[String], log: &Path) -> Process {
+    /// Starts the program at `path` and appends its output to the file `log`.
+    ///
+    /// # Panics
+    /// When the log cannot be written or the program does not run.
+    #[must_use]
+    pub fn start(path: &Path, args: &[String], log: &Path) -> Process {
         let log = File::options().create(true).append(true).open(log).expect("a log file");
-        let mut command = Command::new(binary(program));
+        let mut command = Command::new(path);
         let child = command.args(args).stdout(log.try_clone().expect("a log file")).stderr(log);
         Process { child: child.spawn().expect("the program runs") }
     }
 
-    pub(crate) fn signal(&self, signal: Signal) {
+    /// The id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// When the process has been waited for.
+    pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal)
             .expect("the process is a child of the test");
     }
 
-    pub(crate) fn wait(&mut self) -> ExitStatus {
+    /// Waits for the exit of the process.
+    ///
+    /// # Panics
+    /// When the process cannot be waited for.
+    pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the process is a child of the test")
     }
 
-    pub(crate) fn has_exited(&mut self) -> bool {
+    /// Whether the process has exited.
+    ///
+    /// # Panics
+    /// When the process cannot be waited for.
+    pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("the process is a child of the test").is_some()
     }
 }
--- a/crates/system-tests/src/site.rs
+++ b/crates/system-tests/src/site.rs
@@ -304,7 +304,7 @@
         let settings = files::path(self.dir.path(), name);
         args.extend(["--config".to_owned(), settings.display().to_string()]);
         let log = self.dir.path().join(format!("{name}.log"));
-        self.processes.insert(name.to_owned(), Process::start(program, &args, &log));
+        self.processes.insert(name.to_owned(), Process::start(&binary(program), &args, &log));
     }
 }
 
