Send no order over a path that one probe has found open

Cause: a router that was cut off from all servers takes a server for up again after one answered probe. Where a path lets a connection through now and then, orders follow that probe and end with the path: 502, or no answer until the deadline. Change: after a cut the path to a server is proven by three answered probes in a row, 0.1 s apart, or by an answer to a request that may be repeated and was sent after the cut. Until then orders go by a peer router. A reset on such a path is taken for the cut that goes on, not for a crash.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -13,6 +13,7 @@
     failing::FailureRecord,
     keys::PoolKey,
     pace::{Ceiling, Pace},
+    path_proof::PathProof,
     rate_limit::ServerLimit,
     selection::mix,
     settings::{OtherLoad, Settings},
@@ -117,6 +118,8 @@
     pub(crate) version: VersionHash,
     pub(crate) health: Health,
     pub(crate) next_probe: Option<Instant>,
+    /// Whether requests that must not run twice may be sent to it.
+    pub(crate) path: PathProof,
     /// When the slow start began, if the server had one.
     pub(crate) slow_start_since: Option<Instant>,
     pub(crate) in_flight: u32,
@@ -230,6 +233,7 @@
             version: VersionHash::default(),
             health: Health::Up,
             next_probe: None,
+            path: PathProof::default(),
             slow_start_since: None,
             in_flight: 0,
             reserved: 0,
@@ -350,9 +354,13 @@
         self.overload_backoff.is_some_and(|it| it.until > now)
     }
 
-    /// When the next probe is due, if the server is suspect or down.
+    /// When the next probe is due, if the server is suspect or down or its path is not proven.
     pub(crate) fn probe_due(&self) -> Option<Instant> {
-        let needs_probe = matches!(self.health, Health::Suspect | Health::Down);
+        let needs_probe = match self.health {
+            Health::Up => !self.path.is_proven(),
+            Health::Suspect | Health::Down => true,
+            Health::Leaving | Health::Gone => false,
+        };
         // A probe is a request too.
         self.next_probe.filter(|_| needs_probe).and_then(|it| Some(it).max(self.pause_until))
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,6 +49,7 @@
 mod pace;
 mod part_suspects;
 mod partition;
+mod path_proof;
 mod peers;
 mod pool;
 mod prompt;
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -7,6 +7,7 @@
     backend::Health,
     failing::FailureRecord,
     keys::{BackendKey, Ticket},
+    path_proof::PROOF_INTERVAL,
     quarantine::{QuarantineEntry, QuarantineEvent},
     request::Phase,
 };
@@ -107,6 +108,10 @@
         }
         let interval = self.settings.probe_interval;
         let Some(entry) = self.backends.get_mut(backend) else { return };
+        match result {
+            ProbeResult::Alive | ProbeResult::AliveAs { .. } => entry.path.probe_answered(),
+            ProbeResult::Dead => entry.path.failed(),
+        }
         match (entry.health, result) {
             (Health::Suspect, ProbeResult::Alive | ProbeResult::AliveAs { .. }) => {
                 entry.health = Health::Up;
@@ -127,6 +132,9 @@
             }
             _ => {}
         }
+        if entry.health == Health::Up && !entry.path.is_proven() {
+            entry.next_probe = Some(now + PROOF_INTERVAL);
+        }
     }
 
     /// The quarantine entries to send to the other routers of the failure domain.
--- a/crates/policy/src/scheduler/membership.rs
+++ b/crates/policy/src/scheduler/membership.rs
@@ -193,7 +193,7 @@
         let backend = &mut self.backends[key];
         backend.restart(incarnation);
         backend.health = health;
-        backend.next_probe = None;
+        backend.next_probe = (!backend.path.is_proven()).then_some(now);
         backend.slow_start_since = Some(now);
     }
 
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -223,6 +223,7 @@
 
     pub(super) fn mark_down(&mut self, backend: BackendKey, now: Instant) {
         let entry = &mut self.backends[backend];
+        entry.path.failed();
         if matches!(entry.health, Health::Up | Health::Suspect) {
             entry.health = Health::Down;
             entry.next_probe = Some(now + self.settings.probe_interval);
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -346,6 +346,7 @@
             tried: &request.tried,
             to_try: None,
             version: request.version,
+            repeat: offer.repeat,
             allowed,
             isolation: self.quarantine.isolation(now, offer.request_hash),
             suspect_hosts,
--- a/crates/policy/src/scheduler/reach.rs
+++ b/crates/policy/src/scheduler/reach.rs
@@ -6,6 +6,7 @@
 use crate::{
     backend::Health,
     keys::{BackendKey, PoolKey, Ticket},
+    request::Repeat,
 };
 
 /// A pool whose servers can no longer be reached, or can be reached again.
@@ -29,6 +30,27 @@
         members.clone().any(|it| it.is_usable()) || !members.any(|it| it.health == Health::Down)
     }
 
+    /// Whether a server of the pool can be reached by requests of this kind. Those that must not run twice
+    /// need a proven path.
+    #[must_use]
+    pub fn is_reachable_by(&self, pool: PoolKey, repeat: Repeat) -> bool {
+        let Some(members) = self.pools.get(pool).map(|it| &it.members) else { return true };
+        let mut usable = members.iter().map(|it| &self.backends[*it]).filter(|it| it.is_usable());
+        match repeat {
+            Repeat::Idempotent => self.is_reachable(pool),
+            Repeat::AtMostOnce => {
+                self.is_reachable(pool)
+                    && (usable.clone().next().is_none() || usable.any(|it| it.path.is_proven()))
+            }
+        }
+    }
+
+    /// Whether requests that must not run twice may be sent to the server, as far as its path is concerned.
+    #[must_use]
+    pub fn has_proven_path(&self, backend: BackendKey) -> bool {
+        self.backends.get(backend).is_some_and(|it| it.path.is_proven())
+    }
+
     /// Whether the server counts as reachable and may be sent a probe at any time: it rests from no request
     /// and has no limit on their rate.
     #[must_use]
@@ -45,6 +67,7 @@
         pool.without_backend_since = now.checked_sub(self.settings.no_backend_grace);
         for backend in pool.members.clone() {
             self.mark_down(backend, now);
+            self.backends[backend].path.lost(now);
         }
     }
 
@@ -64,8 +87,10 @@
 
     /// Records that the server of the request's current attempt has answered.
     pub(super) fn record_answer(&mut self, now: Instant, ticket: Ticket) {
-        if let Some(request) = self.requests.get(ticket) {
-            self.pools[request.offer.pool].last_answer = Some(now);
+        let Some(request) = self.requests.get(ticket) else { return };
+        self.pools[request.offer.pool].last_answer = Some(now);
+        if let Some(attempt) = request.attempt() {
+            self.backends[attempt.backend].path.request_answered(attempt.sent_at);
         }
     }
 }
--- a/crates/policy/src/scheduler/versions.rs
+++ b/crates/policy/src/scheduler/versions.rs
@@ -44,7 +44,9 @@
     }
 
     pub(super) fn has_usable_backend_for(&self, now: Instant, request: &Request) -> bool {
-        self.has_usable_backend_of(now, request.offer.pool, request.version)
+        let offer = &request.offer;
+        self.is_reachable_by(offer.pool, offer.repeat)
+            && self.has_usable_backend_of(now, offer.pool, request.version)
     }
 
     pub(super) fn has_usable_backend_of(
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -18,6 +18,7 @@
     partition::Side,
     prompt::{Prompt, RecentPrefixes},
     quarantine::Isolation,
+    request::Repeat,
     settings::Settings,
     software::VersionHash,
 };
@@ -68,6 +69,8 @@
     pub(crate) to_try: Option<BackendKey>,
     /// If set, only servers of this software version are eligible.
     pub(crate) version: Option<VersionHash>,
+    /// A request that must not run twice is only sent to servers with a proven path.
+    pub(crate) repeat: Repeat,
     pub(crate) isolation: Isolation,
     /// Servers on which other suspects run.
     pub(crate) suspect_hosts: &'a [BackendKey],
@@ -116,7 +119,12 @@
         let is_fast = !self.is_slow(key)
             || backend.gap_ms.value().is_none_or(|it| it <= criteria.gap_limit_ms);
         let has_version = criteria.version.is_none_or(|it| it == backend.version);
-        has_version && is_isolated && is_fast && criteria.allowed.is_none_or(|it| it.contains(&key))
+        let has_path = criteria.repeat == Repeat::Idempotent || backend.path.is_proven();
+        has_version
+            && has_path
+            && is_isolated
+            && is_fast
+            && criteria.allowed.is_none_or(|it| it.contains(&key))
     }
 
     /// Whether a slot that a paused stream frees on the server can be used immediately.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use httpio::Bytes;
 use monoio::time;
-use policy::{Execution, GiveUp, Prompt, Refusal, Repeat, RequestRate, VersionHash};
+use policy::{Execution, GiveUp, Prompt, Refusal, RequestRate, VersionHash};
 use tables::Exchange;
 use telemetry::TraceContext;
 
@@ -90,10 +90,7 @@
             prompt: &hints.prompt,
             version: hints.version,
             prior_attempts: routed.attempts.get(),
-            repeat: match routed.is_order() {
-                true => Repeat::AtMostOnce,
-                false => Repeat::Idempotent,
-            },
+            repeat: routed.repeat(),
         };
         let lease = {
             let lease = services.dispatcher.dispatch(dispatch_request).fuse();
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -149,10 +149,10 @@
         self.pool_dispatcher(pool).map(|it| it.local_servers()).unwrap_or_default()
     }
 
-    /// Whether a server of the pool can be reached, as far as known.
+    /// Whether a server of the pool can be reached by requests of this kind, as far as known.
     #[must_use]
-    pub fn is_reachable(&self, pool: &str) -> bool {
-        self.pool_dispatcher(pool).is_none_or(|it| it.is_reachable())
+    pub fn is_reachable_by(&self, pool: &str, repeat: Repeat) -> bool {
+        self.pool_dispatcher(pool).is_none_or(|it| it.is_reachable_by(repeat))
     }
 
     /// Applies the load report of a backend server.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -352,8 +352,12 @@
     dispatcher.apply_and_run(|scheduler, now| scheduler.finished(ticket, now, outcome));
 }
 
-/// What a reset connection indicates: a crash only if the server is dead and others are not.
+/// What a reset connection indicates: a crash only if the server is dead and others are not. While the path
+/// to the server is not proven after a cut, it indicates that the cut goes on.
 async fn verify_crash(dispatcher: &Rc<PoolDispatcher>, server: Server) -> Failure {
+    if !dispatcher.apply(|scheduler, _| scheduler.has_proven_path(server.key)) {
+        return Failure::ConnectRefused;
+    }
     let mut others = dispatcher.reach.probe_targets();
     others.retain(|it| it.addr != server.addr);
     match dispatcher.probe(server).await {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -19,8 +19,8 @@
 use monoio::time;
 use policy::{
     Action, BackendKey, LimitChange, LimitEntry, LoadReport, Offer, PendingWork, PermitGrant,
-    PermitRequest, ProbeResult, QueueSnapshot, Refusal, Scheduler, ServerHash, Settings, Spec,
-    Ticket, VersionHash,
+    PermitRequest, ProbeResult, QueueSnapshot, Refusal, Repeat, Scheduler, ServerHash, Settings,
+    Spec, Ticket, VersionHash,
 };
 use tables::{Pool, Revision, Tables};
 
@@ -433,10 +433,10 @@
         targets.map(|it| self.probe_target(it)).collect()
     }
 
-    /// Whether a server can be reached, as far as known.
-    pub(super) fn is_reachable(&self) -> bool {
+    /// Whether a server can be reached by requests of this kind, as far as known.
+    pub(super) fn is_reachable_by(&self, repeat: Repeat) -> bool {
         let State { scheduler, pool, .. } = &*self.state.borrow();
-        scheduler.pool(pool).is_none_or(|it| scheduler.is_reachable(it))
+        scheduler.pool(pool).is_none_or(|it| scheduler.is_reachable_by(it, repeat))
     }
 
     /// Records that no server can be reached.
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -106,7 +106,7 @@
         return serve_here.await;
     }
     let pool = &routed.pool().name;
-    if !services.dispatcher.is_reachable(pool) {
+    if !services.dispatcher.is_reachable_by(pool, routed.repeat()) {
         return match forward(services, routed, deadline, Outcome::NotRun).boxed_local().await {
             Some(result) => result,
             None => serve_here.await,
@@ -126,7 +126,7 @@
     let is_unreached = match failure.code {
         Code::Unreachable => true,
         Code::NoBackendServer | Code::BackendFailed => {
-            !services.dispatcher.is_reachable(&routed.pool().name)
+            !services.dispatcher.is_reachable_by(&routed.pool().name, routed.repeat())
         }
         _ => false,
     };
--- a/crates/router/src/routing.rs
+++ b/crates/router/src/routing.rs
@@ -4,6 +4,7 @@
 use std::{cell::Cell, rc::Rc, time::Instant};
 
 use http::{StatusCode, header};
+use policy::Repeat;
 use tables::{Idempotency, Pool, PoolIdx, PoolKind, Priority, Route, RouteIdx, Tables};
 
 use crate::{
@@ -57,6 +58,15 @@
         self.route().idempotency == Idempotency::AtMostOnce
     }
 
+    /// Whether the request may run more than once.
+    #[must_use]
+    pub fn repeat(&self) -> Repeat {
+        match self.is_order() {
+            true => Repeat::AtMostOnce,
+            false => Repeat::Idempotent,
+        }
+    }
+
     /// Whether a model engine serves the request.
     #[must_use]
     pub fn is_for_engine(&self) -> bool {
