Hold orders while a router checks whether it is cut off

Cause: a hanging path is noticed after 0.5 s of silence and up to 2 s of probes, two servers and then six more; orders that are sent meanwhile hang until their deadline, and nobody can tell whether they ran.

--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -133,6 +133,10 @@
         self: Rc<Self>,
         request: DispatchRequest<'_>,
     ) -> Result<Lease, Refusal> {
+        if request.repeat == Repeat::AtMostOnce {
+            // If the router turns out to be cut off, nobody can tell whether the request ran.
+            self.reach.await_check().await;
+        }
         let offer = self.to_offer(&request)?;
         let ticket = {
             let prompt = request.prompt.clone();
--- a/crates/router/src/dispatch/reach.rs
+++ b/crates/router/src/dispatch/reach.rs
@@ -14,6 +14,7 @@
 use futures::{
     FutureExt, StreamExt,
     future::{LocalBoxFuture, Shared},
+    pin_mut, select_biased,
     stream::FuturesUnordered,
 };
 use httpio::signal::{self, Signal, Trigger};
@@ -27,6 +28,8 @@
 const FIRST_PROBES: usize = 2;
 /// The number of servers that are probed if none of the first answers.
 const FURTHER_PROBES: usize = 6;
+/// The time without an answer of the first after which the others are probed too.
+const FURTHER_AFTER: Duration = Duration::from_millis(250);
 
 /// What this router knows about its paths to the servers of all pools.
 pub(super) struct Reach {
@@ -95,6 +98,14 @@
         self.cut_off.borrow().1.clone()
     }
 
+    /// Waits for the end of the check that is under way, if there is one.
+    pub(super) async fn await_check(&self) {
+        let under_way = self.check.borrow().clone();
+        if let Some(check) = under_way {
+            check.await;
+        }
+    }
+
     /// Whether a server that was reset and does not answer shows that this router is cut off, rather than
     /// that the server crashed: none of `others`, which were reachable when the connection broke, answers a
     /// probe. Several connections that break at once share one check.
@@ -124,15 +135,11 @@
     /// Probes servers; if none answers, marks all as unreachable. Without a server to ask, the router does
     /// not count as cut off.
     async fn check(&self, mut targets: Vec<ProbeTarget>) -> bool {
-        let further = targets.split_off(targets.len().min(FIRST_PROBES));
+        targets.truncate(FIRST_PROBES + FURTHER_PROBES);
         if targets.is_empty() || self.any_answers(&targets).await {
             return false;
         }
-        let further: Vec<_> = further.into_iter().take(FURTHER_PROBES).collect();
-        if self.any_answers(&further).await {
-            return false;
-        }
-        self.mark_cut_off(targets.len() + further.len());
+        self.mark_cut_off(targets.len());
         true
     }
 
@@ -149,10 +156,29 @@
         }
     }
 
+    /// Whether one of the servers answers. Most are probed only if the first ones do not answer soon.
     async fn any_answers(&self, targets: &[ProbeTarget]) -> bool {
-        let probes: FuturesUnordered<_> =
-            targets.iter().map(|it| self.prober.is_reachable(it)).collect();
-        probes.any(|it| async move { it }).await
+        let (first, further) = targets.split_at(targets.len().min(FIRST_PROBES));
+        let probe = |it: &ProbeTarget| self.prober.is_reachable(it);
+        let mut probes: FuturesUnordered<_> = first.iter().map(probe).collect();
+        let mut further = Some(further);
+        let delay = time::sleep(FURTHER_AFTER).fuse();
+        pin_mut!(delay);
+        loop {
+            let answer = select_biased! {
+                answer = probes.next() => answer,
+                () = delay => None,
+            };
+            match answer {
+                Some(true) => return true,
+                Some(false) => {}
+                None => match further.take() {
+                    Some(further) => probes.extend(further.iter().map(probe)),
+                    None if probes.is_empty() => return false,
+                    None => {}
+                },
+            }
+        }
     }
 
     /// The servers that count as reachable, those of the pools by turns and another one first each time.
