Hand orders only to routers that have just answered

Cause: an order was written to a peer router on a new connection whether or not the peer runs: a process that stands still still accepts connections, and after the bytes left nobody can tell whether the order ran. Change: a peer is asked first and the order follows on the same connection; the next peer is asked after 50 ms. A peer that falls silent with an order is given 2 s in place of 0.8 s, as a VM that is suspended goes on.

--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -19,9 +19,9 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 use http::StatusCode;
 use httpio::server::Reply;
-use policy::{PeerAnswer, PeerPlace, Peers};
+use policy::{PeerAnswer, PeerPlace, Peers, Repeat};
 
-use self::peer_client::PeerError;
+use self::peer_client::{PeerError, PresentPeer};
 pub(crate) use self::{
     hop::Hop,
     listener::{ForwardListener, ForwardedHandler},
@@ -172,9 +172,9 @@
     outcome: &Cell<Outcome>,
 ) -> Option<Result<Reply, Failure>> {
     let (forwarder, pool) = (&services.forwarder, &routed.pool().name);
-    let candidates = forwarder.peers.borrow_mut().candidates(services.clock.now(), pool);
+    let mut candidates = forwarder.peers.borrow_mut().candidates(services.clock.now(), pool);
     let mut unanswered = None;
-    for peer in candidates {
+    while let Some(peer) = next_peer(services, routed, &mut candidates).await {
         let started = services.clock.now();
         let time_left = deadline.saturating_duration_since(started);
         if time_left < FORWARD_TIME_MIN {
@@ -200,6 +200,26 @@
     unanswered.map(|error| Err(failed(&error)))
 }
 
+/// Takes the peer to ask next from the candidates. One that is given a request which must not run twice has
+/// just shown that it answers.
+async fn next_peer(
+    services: &Services,
+    routed: &Routed,
+    candidates: &mut Vec<SocketAddr>,
+) -> Option<SocketAddr> {
+    if routed.repeat() == Repeat::Idempotent {
+        return (!candidates.is_empty()).then(|| candidates.remove(0));
+    }
+    let (forwarder, pool) = (&services.forwarder, &routed.pool().name);
+    let PresentPeer { answered, silent } = forwarder.client.find_present(candidates).await;
+    let now = services.clock.now();
+    for peer in &silent {
+        forwarder.peers.borrow_mut().record(now, *peer, pool, PeerAnswer::Refused);
+    }
+    candidates.retain(|it| Some(*it) != answered && !silent.contains(it));
+    answered
+}
+
 /// What a peer's answer, or its lack, shows about the execution of the request.
 fn outcome_of(answer: &Result<Result<Reply, Failure>, PeerError>) -> Outcome {
     match answer {
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -7,7 +7,7 @@
 };
 
 use clock::Clock;
-use futures::{FutureExt, pin_mut, select_biased};
+use futures::{FutureExt, StreamExt, pin_mut, select_biased, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Uri, header};
 use httpio::{
     Limits,
@@ -17,6 +17,7 @@
     sse,
 };
 use monoio::time;
+use policy::Repeat;
 use telemetry::Secret;
 
 use super::{Hop, hop, listener::PING_PATH};
@@ -30,9 +31,15 @@
 /// The time without an answer after which the other router is asked whether it is still there.
 const SILENCE: Duration = Duration::from_millis(500);
 /// The timeout of that question.
-const PING_TIMEOUT_MS: u64 = 300;
+const PING_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time without an answer after which the next router is asked whether it is there.
+const PING_INTERVAL: Duration = Duration::from_millis(50);
+/// A router that is silent for longer with a request that must not run twice is given up; a VM may be
+/// suspended for a shorter time.
+const ORDER_SILENCE_MAX: Duration = Duration::from_secs(2);
 const IDLE_PER_PEER: usize = 8;
 const IDLE_AGE_MS: u64 = 5_000;
+const PINGED_AGE_MS: u64 = 1_000;
 /// The number of pieces of a stream that are buffered for a slow caller.
 const BUFFERED_PIECES_MAX: usize = 8;
 
@@ -41,7 +48,8 @@
     vm: Rc<str>,
     token: Option<Secret>,
     pool: Pool,
-    ping_pool: Pool,
+    /// Connections on which a peer has just answered a question, for requests that must not run twice.
+    pinged: Pool,
     clock: Rc<dyn Clock>,
 }
 
@@ -70,15 +78,13 @@
         limits: Limits,
         clock: Rc<dyn Clock>,
     ) -> PeerClient {
-        let pool = |limits: Limits| {
-            let limits = Limits { connect_timeout_ms: CONNECT_TIMEOUT_MS, ..limits };
-            let settings =
-                PoolSettings { limits, idle_per_server: IDLE_PER_PEER, idle_age_ms: IDLE_AGE_MS };
+        let limits = Limits { connect_timeout_ms: CONNECT_TIMEOUT_MS, ..limits };
+        let pool = |idle_age_ms| {
+            let settings = PoolSettings { limits, idle_per_server: IDLE_PER_PEER, idle_age_ms };
             Pool::new(settings, Rc::clone(&clock))
         };
-        let ping_limits = Limits { head_timeout_ms: PING_TIMEOUT_MS, ..limits };
-        let (pool, ping_pool) = (pool(limits), pool(ping_limits));
-        PeerClient { vm: vm.into(), token, pool, ping_pool, clock }
+        let (pool, pinged) = (pool(IDLE_AGE_MS), pool(PINGED_AGE_MS));
+        PeerClient { vm: vm.into(), token, pool, pinged, clock }
     }
 
     /// Sends a request to a peer; returns its reply, or the failure that it states.
@@ -89,6 +95,11 @@
         time_left: Duration,
         deadline: Instant,
     ) -> Result<Result<Reply, Failure>, PeerError> {
+        let silence_max = match routed.repeat() {
+            Repeat::Idempotent => Duration::ZERO,
+            Repeat::AtMostOnce => ORDER_SILENCE_MAX,
+        };
+        let mut heard = self.clock.now();
         let exchange = self.exchange(peer, routed, time_left).fuse();
         pin_mut!(exchange);
         let response = loop {
@@ -98,7 +109,10 @@
                 response = exchange => break response?,
                 () = silence => {}
             }
-            if !self.is_there(peer).await {
+            let now = self.clock.now();
+            if self.is_there(peer).await {
+                heard = now;
+            } else if now.saturating_duration_since(heard) >= silence_max {
                 let detail = "another router fell silent".to_owned();
                 return Err(PeerError { outcome: Outcome::MayHaveRun, detail });
             }
@@ -131,14 +145,39 @@
             headers,
             body: arrival.request.body.clone(),
         };
-        match routed.is_order() {
-            // A kept connection may be closed while the order is on its way, which leaves its outcome open.
-            true => self.pool.send_on_new_connection(peer, request).await,
-            false => self.pool.send(peer, request).await,
+        match routed.repeat() {
+            // The peer has just answered on the connection that was used last.
+            Repeat::AtMostOnce => self.pinged.send(peer, request).await,
+            Repeat::Idempotent => self.pool.send(peer, request).await,
+        }
+    }
+
+    /// Finds a peer that answers, so that a request which must not run twice is not handed to one that
+    /// stands still.
+    pub(super) async fn find_present(&self, peers: &[SocketAddr]) -> PresentPeer {
+        let ask = async |peer| (peer, self.is_there(peer).await);
+        let (mut asked, mut silent) = (FuturesUnordered::new(), Vec::new());
+        let mut others = peers.iter();
+        loop {
+            match others.next() {
+                Some(peer) => asked.push(ask(*peer)),
+                None if asked.is_empty() => return PresentPeer { answered: None, silent },
+                None => {}
+            }
+            let interval = time::sleep(PING_INTERVAL).fuse();
+            pin_mut!(interval);
+            select_biased! {
+                (peer, is_there) = asked.select_next_some() => match is_there {
+                    true => return PresentPeer { answered: Some(peer), silent },
+                    false => silent.push(peer),
+                },
+                () = interval => {}
+            }
         }
     }
 
-    /// Whether a peer that is silent still answers on a new connection.
+    /// Whether a peer answers on a new connection. The connection is kept for a request that must not run
+    /// twice.
     async fn is_there(&self, peer: SocketAddr) -> bool {
         let mut headers = HeaderMap::new();
         let hop = Hop {
@@ -149,17 +188,28 @@
         };
         hop.write(&mut headers, self.token.as_ref().map(Secret::expose));
         let request = Request { uri: Uri::from_static(PING_PATH), headers, ..Request::default() };
-        match self.ping_pool.send_on_new_connection(peer, request).await {
-            Ok(response) => response.head.status.is_success(),
-            Err(error) => {
-                self.pool.close_idle(peer);
-                tracing::info!(event = "peer_silent", %peer, detail = %error);
-                false
-            }
-        }
+        let ping = async {
+            let response = self.pinged.send_on_new_connection(peer, request).await?;
+            let is_success = response.head.status.is_success();
+            response.body.collect().await.map(|_| is_success)
+        };
+        let error = match time::timeout(PING_TIMEOUT, ping).await {
+            Ok(Ok(is_success)) => return is_success,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer".to_owned(),
+        };
+        self.pool.close_idle(peer);
+        tracing::info!(event = "peer_silent", %peer, detail = error);
+        false
     }
 }
 
+/// A peer that answers, and those that were asked before it and did not.
+pub(super) struct PresentPeer {
+    pub(super) answered: Option<SocketAddr>,
+    pub(super) silent: Vec<SocketAddr>,
+}
+
 async fn read_failure(response: Response) -> Result<Failure, PeerError> {
     let status = response.head.status;
     let body = response.body.collect().await?;
