Start with settings that another build knows

Cause: a name that a build does not know in its settings file was a fault, so a fleet of two builds with one template for both could not start. Tables, plans and the stand-ins' settings stay strict.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -115,6 +115,7 @@
     let settings = Settings::read(settings_file)?;
     let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
     let _logs = telemetry::init_logs(&logs)?;
+    ::daemon::log_unknown_settings(&settings.unknown);
     if settings.peers.is_empty() {
         format_if_empty(&settings)?;
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context;
 use consensus::NodeId;
-use ini_settings::{Document, Faults, SectionReader};
+use ini_settings::{Document, Fault, Faults, SectionReader};
 use rpc::Trust;
 
 use crate::{FormatMode, address_book::node_id_of};
@@ -60,6 +60,8 @@
     pub seeds: Vec<NodeId>,
     /// Whether the seeds bootstrap a cluster if their disks are empty.
     pub format_mode: FormatMode,
+    /// Names in the file that this build does not know.
+    pub unknown: Vec<Fault>,
 }
 
 /// The token files.
@@ -92,6 +94,7 @@
             peers: BTreeMap::new(),
             seeds: Vec::new(),
             format_mode: FormatMode::Join,
+            unknown: Vec::new(),
         }
     }
 }
@@ -117,10 +120,10 @@
     pub fn parse(source_name: &str, text: &str) -> Result<Settings, Faults> {
         let document = Document::parse(source_name, text)?;
         let mut faults = Faults::default();
-        document.check_section_names(&SECTIONS, &mut faults);
+        document.note_section_names(&SECTIONS, &mut faults);
         let peers = read_peers(&document, &mut faults);
         let settings = read_control(&document, &peers, &mut faults);
-        let settings = Settings { peers, ..settings };
+        let settings = Settings { peers, unknown: faults.unknown().to_vec(), ..settings };
         let is_listed = settings.peers.is_empty() || settings.peers.contains_key(&settings.node);
         if !is_listed {
             let section = document.section_or_empty("peers");
@@ -187,7 +190,7 @@
     if settings.voters_max.is_multiple_of(2) {
         reader.fault("voters_max", "is even", "write 1, 3 or 5");
     }
-    reader.finish();
+    reader.finish_tolerant();
     settings
 }
 
--- a/crates/ini-settings/src/document.rs
+++ b/crates/ini-settings/src/document.rs
@@ -62,16 +62,24 @@
 
     /// Adds a fault for each section whose name is not in `known`.
     pub fn check_section_names(&self, known: &[&str], faults: &mut Faults) {
+        self.unknown_sections(known).for_each(|it| faults.push(it));
+    }
+
+    /// Notes each section whose name is not in `known`, without a fault.
+    pub fn note_section_names(&self, known: &[&str], faults: &mut Faults) {
+        self.unknown_sections(known).for_each(|it| faults.push_unknown(it));
+    }
+
+    fn unknown_sections(&self, known: &[&str]) -> impl Iterator<Item = Fault> {
+        let remedy = format!("use one of: {}", known.join(", "));
         let unknown = self.sections.iter().filter(|it| !known.contains(&it.name.as_str()));
-        for section in unknown {
-            faults.push(Fault {
-                source_name: self.source_name.clone(),
-                line: section.line,
-                name: section.name.clone(),
-                problem: "unknown section".to_owned(),
-                remedy: format!("use one of: {}", known.join(", ")),
-            });
-        }
+        unknown.map(move |section| Fault {
+            source_name: self.source_name.clone(),
+            line: section.line,
+            name: section.name.clone(),
+            problem: "unknown section".to_owned(),
+            remedy: remedy.clone(),
+        })
     }
 
     /// The section `name`, or an empty one, so that its required keys are reported as missing.
--- a/crates/ini-settings/src/fault.rs
+++ b/crates/ini-settings/src/fault.rs
@@ -23,6 +23,8 @@
 #[display("{}", self.lines())]
 pub struct Faults {
     list: Vec<Fault>,
+    /// Names that this build does not know; another build may.
+    unknown: Vec<Fault>,
 }
 
 impl Faults {
@@ -31,9 +33,20 @@
         self.list.push(fault);
     }
 
+    /// Adds a name that is not known, which alone does not make a file invalid.
+    pub(crate) fn push_unknown(&mut self, unknown: Fault) {
+        self.unknown.push(unknown);
+    }
+
+    /// The names that are not known but do not make a file invalid.
+    pub fn unknown(&self) -> &[Fault] {
+        &self.unknown
+    }
+
     /// Adds all faults of `other`.
     pub fn extend(&mut self, other: Faults) {
         self.list.extend(other.list);
+        self.unknown.extend(other.unknown);
     }
 
     /// Whether there are no faults.
@@ -50,11 +63,12 @@
     ///
     /// # Errors
     ///
-    /// Returns all faults, sorted by file and line.
+    /// Returns all faults, also the unknown names, sorted by file and line.
     pub fn into_result<T>(mut self, value: T) -> Result<T, Faults> {
         if self.list.is_empty() {
             return Ok(value);
         }
+        self.list.append(&mut self.unknown);
         self.list.sort_by(|a, b| (&a.source_name, a.line).cmp(&(&b.source_name, b.line)));
         Err(self)
     }
--- a/crates/ini-settings/src/reader.rs
+++ b/crates/ini-settings/src/reader.rs
@@ -77,14 +77,24 @@
     }
 
     /// Finishes reading; each key that was not read is a fault.
-    pub fn finish(mut self) {
-        let section = self.section;
-        for entry in &section.entries {
-            if !self.known.contains(&entry.key) {
-                let remedy = self.remedy_for_unknown(&entry.key);
-                self.fault_at(entry.line, &entry.key, "unknown key", &remedy);
-            }
-        }
+    pub fn finish(self) {
+        let unknown = self.unknown_keys();
+        unknown.into_iter().for_each(|it| self.faults.push(it));
+    }
+
+    /// Finishes reading; keys that were not read are noted without a fault, since the file may also be
+    /// read by another build.
+    pub fn finish_tolerant(self) {
+        let unknown = self.unknown_keys();
+        unknown.into_iter().for_each(|it| self.faults.push_unknown(it));
+    }
+
+    fn unknown_keys(&self) -> Vec<Fault> {
+        let unknown = self.section.entries.iter().filter(|it| !self.known.contains(&it.key));
+        let fault = |it: &Entry| {
+            self.to_fault(it.line, &it.key, "unknown key", &self.remedy_for_unknown(&it.key))
+        };
+        unknown.map(fault).collect()
     }
 
     fn entry(&self, key: &str) -> Option<&'a Entry> {
@@ -92,13 +102,18 @@
     }
 
     fn fault_at(&mut self, line: usize, key: &str, problem: &str, remedy: &str) {
-        self.faults.push(Fault {
+        let fault = self.to_fault(line, key, problem, remedy);
+        self.faults.push(fault);
+    }
+
+    fn to_fault(&self, line: usize, key: &str, problem: &str, remedy: &str) -> Fault {
+        Fault {
             source_name: self.source_name.to_owned(),
             line,
             name: format!("{}.{key}", self.section.name),
             problem: problem.to_owned(),
             remedy: remedy.to_owned(),
-        });
+        }
     }
 
     /// Suggests a known key that differs only in its unit, the most likely mistake, or else lists
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -116,6 +116,7 @@
     let settings = read_settings(settings_file)?;
     let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
     let _logs = telemetry::init_logs(&logs)?;
+    daemon::log_unknown_settings(&settings.unknown);
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
         let components = components(&settings)?;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -7,7 +7,7 @@
     client::PoolSettings,
     server::{ConnectionBound, ServerSettings},
 };
-use ini_settings::{Document, Faults, SectionReader};
+use ini_settings::{Document, Fault, Faults, SectionReader};
 use rpc::Trust;
 
 use crate::{backends::BackendSettings, services::Timeouts};
@@ -60,6 +60,8 @@
     pub backends: BackendSettings,
     /// Timeouts within a request.
     pub timeouts: Timeouts,
+    /// Names in the file that this build does not know.
+    pub unknown: Vec<Fault>,
 }
 
 /// The files named in the settings.
@@ -122,6 +124,7 @@
             server: CallerListener::default(),
             backends: BackendSettings::default(),
             timeouts: Timeouts::default(),
+            unknown: Vec::new(),
         }
     }
 }
@@ -134,13 +137,14 @@
     pub fn parse(name: &str, text: &str) -> Result<RouterSettings, Faults> {
         let doc = Document::parse(name, text)?;
         let mut faults = Faults::default();
-        doc.check_section_names(&["router", "callers", "backends", "waits"], &mut faults);
+        doc.note_section_names(&["router", "callers", "backends", "waits"], &mut faults);
         let mut settings = read_router(&doc, &mut faults);
         read_section(&doc, "callers", &mut faults, |it| read_callers(it, &mut settings.server));
         read_section(&doc, "backends", &mut faults, |it| {
             read_backends(it, &mut settings.backends);
         });
         read_section(&doc, "waits", &mut faults, |it| read_timeouts(it, &mut settings.timeouts));
+        settings.unknown = faults.unknown().to_vec();
         faults.into_result(settings)
     }
 }
@@ -154,7 +158,7 @@
     let section = doc.section_or_empty(name);
     let mut reader = doc.read(&section, faults);
     read(&mut reader);
-    reader.finish();
+    reader.finish_tolerant();
 }
 
 fn read_router(doc: &Document, faults: &mut Faults) -> RouterSettings {
@@ -209,7 +213,7 @@
             "name the token's file",
         );
     }
-    reader.finish();
+    reader.finish_tolerant();
     settings
 }
 
--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -35,6 +35,17 @@
     );
 }
 
+/// Guards against a router that does not start with the settings of a newer or an older build.
+#[test]
+fn unknown_names_ignored() {
+    let text = "[router]\nvm = vm-1\nfailure_domain = fd-1\nroutes_file = a\npools_file = b\n\
+                mystery = 3\n[later]\na = 1\n";
+    let settings = RouterSettings::parse("router.ini", text).expect("only unknown names");
+    assert_eq!(settings.vm, "vm-1");
+    let unknown: Vec<_> = settings.unknown.iter().map(|it| it.name.as_str()).collect();
+    assert_eq!(unknown, ["later", "router.mystery"]);
+}
+
 #[test]
 fn tokens_are_hidden() {
     let workspaces =
