Let requests wait for the first list of a new pool's servers

Cause: a pool without a server refused at once, so all requests that had waited for a router's tables were refused in the milliseconds between the tables and the list. Change: a pool that never had a server holds its requests for a second, the first list's time. empty_pool_refused moves that second on; its refusal stays.

--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -131,12 +131,28 @@
     }
 
     fn check_backends(&mut self, now: Instant, offer: &Offer) -> Result<(), Refusal> {
-        if self.has_usable_backend(now, offer.pool) {
+        if self.has_usable_backend(now, offer.pool) || self.awaits_first_list(now, offer.pool) {
             return Ok(());
         }
         Err(self.refusal(now, offer, RefusalReason::NoBackend))
     }
 
+    /// Whether the pool is so new that the list of its servers has not arrived yet.
+    fn awaits_first_list(&mut self, now: Instant, key: PoolKey) -> bool {
+        let grace = self.settings.first_list_grace;
+        let pool = &mut self.pools[key];
+        let since = *pool.without_backend_since.get_or_insert(now);
+        pool.members.is_empty() && now.saturating_duration_since(since) < grace
+    }
+
+    /// How long requests wait while no server of the pool is usable.
+    pub(super) fn backend_grace(&self, pool: PoolKey) -> Duration {
+        match self.pools[pool].members.is_empty() {
+            true => self.settings.first_list_grace,
+            false => self.settings.no_backend_grace,
+        }
+    }
+
     pub(super) fn has_usable_backend(&self, now: Instant, pool: PoolKey) -> bool {
         self.has_usable_backend_of(now, pool, None)
     }
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -88,7 +88,7 @@
     fn refuse_unserved(&mut self, now: Instant, key: PoolKey) {
         let usable = self.has_usable_backend(now, key);
         let is_paused = self.end_of_pauses(now, key).is_some();
-        let grace = self.settings.no_backend_grace;
+        let grace = self.backend_grace(key);
         let pool = &mut self.pools[key];
         let since = pool.without_backend_since.get_or_insert(now);
         let is_past_grace = now.saturating_duration_since(*since) >= grace;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -30,6 +30,9 @@
     pub pause_min_remaining: Duration,
     /// Time after which waiting requests of a pool without a usable server are refused.
     pub no_backend_grace: Duration,
+    /// Time after which waiting requests of a pool that never had a server are refused: its first list
+    /// follows its tables.
+    pub first_list_grace: Duration,
     /// How the load of other routers is taken into account while no lease is set.
     pub others: OtherLoad,
     /// Where the permits for requests to servers with a rate limit come from.
@@ -84,6 +87,7 @@
             retry_jitter: Duration::from_millis(50),
             pause_min_remaining: Duration::from_millis(500),
             no_backend_grace: Duration::from_secs(2),
+            first_list_grace: Duration::from_secs(1),
             others: OtherLoad::FromReports,
             permits: PermitSource::Own,
             pacing: Pacing::Adaptive,
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/early_refusal.rs
@@ -96,6 +96,9 @@
 #[test]
 fn empty_pool_refused() {
     let mut fixture = Fixture::new(vec![class("chat", 5, 100)], 0, 4);
+    fixture.poll();
+    // The first list follows the tables within this time.
+    fixture.advance(1_000);
     let refusal = fixture.try_offer("chat", "a").expect_err("the pool is empty");
     assert_eq!(refusal.reason, RefusalReason::NoBackend);
 }
