Read the platform's list once for all control VMs

Cause, confirmed on the large site: each of five control VMs reads all pages of the list each second (20 calls a second), and 195 routers read it themselves when they start and whenever control VMs are late; the platform's limit is 47 a second. Change: the leader reads the list and the others fetch it from the leader over the call that routers use; one that gets no fresh list reads it itself. A router reads the list only once it has tables that use it, and its interval doubles while the platform refuses. The leader's confirmation of a document counts as contact with it, so routers no longer leave a control VM that has just served them (30 of 195 did).

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -31,7 +31,7 @@
     hub_broadcast::HubBroadcast,
     peers::Peers,
     replica::{self, Replica},
-    server_feed::ServerFeed,
+    server_feed::{ListSource, ServerFeed},
     state_machine::StateMachine,
     tables_feed::TablesFeed,
 };
@@ -184,7 +184,8 @@
     if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
         let reader = Reader::new(addr, platform.directory.clone(), parts.clock.clone());
         let period = Duration::from_millis(settings.platform_period_ms);
-        monoio::spawn(servers.clone().poll(reader, period));
+        let source = ListSource { reader, period, replica: replica.clone() };
+        monoio::spawn(servers.clone().keep_fresh(source));
     }
     if let (Some(listener), Some(platform)) = (listeners.operators, parts.platform) {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -10,7 +10,7 @@
 
 use consensus::NodeId;
 use futures::{StreamExt, channel::mpsc};
-use rpc::{Link, LinkSettings, PeerClient, RpcError};
+use rpc::{ControlClient, Link, LinkSettings, PeerClient, RpcError};
 use telemetry::Secret;
 
 use crate::address_book::AddressBook;
@@ -71,6 +71,15 @@
         link.remote.client().await
     }
 
+    /// A client for the calls that a node answers to routers.
+    ///
+    /// # Errors
+    ///
+    /// If the node has no address or cannot be reached.
+    pub(crate) fn control_client(&self, node: NodeId) -> Result<ControlClient, RpcError> {
+        self.link_to(node).ok_or(RpcError::NotConnected)?.remote.link.client()
+    }
+
     /// The nodes to which links are open.
     pub(crate) fn nodes(&self) -> Vec<NodeId> {
         self.links.borrow().keys().copied().collect()
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -21,7 +21,7 @@
 };
 use control_state::Document;
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
-use rpc::SubmitResult;
+use rpc::{ControlClient, SubmitResult};
 
 use self::pending::Pending;
 use crate::{
@@ -211,7 +211,11 @@
     /// Returns `false` if no leader confirms the commit index or the entries are not applied
     /// within `timeout`.
     pub(crate) async fn confirm(&self, timeout: Duration) -> bool {
-        monoio::time::timeout(timeout, self.catch_up()).await.is_ok()
+        let caught_up = monoio::time::timeout(timeout, self.catch_up()).await;
+        if let Ok(asked) = caught_up {
+            self.confirmed_at.set(self.confirmed_at.get().max(Some(asked)));
+        }
+        caught_up.is_ok()
     }
 
     /// The index up to which entries must be applied before a read, if this member leads under a
@@ -241,6 +245,12 @@
         status.members.all().filter_map(|it| self.peers.addr(it.node)).collect()
     }
 
+    /// The member that leads, if it is another one, with a client for its calls.
+    pub(crate) fn other_leader(&self) -> Option<(NodeId, ControlClient)> {
+        let leader = self.status().leader.filter(|it| *it != self.me())?;
+        Some((leader.node, self.peers.control_client(leader.node).ok()?))
+    }
+
     /// Whether this member leads under a lease.
     pub(crate) fn leads(&self) -> bool {
         !self.status().lease_left.is_zero()
@@ -258,10 +268,7 @@
     /// Catches up with the leader's commit index at a fixed interval.
     async fn run_confirmation(self: Rc<Self>) {
         loop {
-            let started = self.clock.now();
-            if self.confirm(CONFIRM_TIMEOUT).await {
-                self.confirmed_at.set(Some(started));
-            }
+            self.confirm(CONFIRM_TIMEOUT).await;
             monoio::time::sleep(CONFIRM_INTERVAL).await;
         }
     }
@@ -299,16 +306,19 @@
         }
     }
 
-    async fn catch_up(&self) {
-        let target = loop {
+    /// Applies what the leader has committed; returns when the leader was asked for that.
+    async fn catch_up(&self) -> Instant {
+        let (asked, target) = loop {
+            let asked = self.clock.now();
             if let Some(index) = self.leader_read_index().await {
-                break index;
+                break (asked, index);
             }
             monoio::time::sleep(LEADER_POLL_INTERVAL).await;
         };
         while self.status().applied.0 < target {
             self.applied.changed().await;
         }
+        asked
     }
 
     async fn leader_read_index(&self) -> Option<u64> {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -5,10 +5,12 @@
 //! control VM provides it. The users of this crate decide what the list means for the servers.
 
 mod list;
+mod own_reads;
 mod reader;
 
 pub use list::{
     Absence, Directory, ListPage, ListedVm, MalformedList, VmList, VmState, decode_list,
     encode_list,
 };
+pub use own_reads::{LIST_AGE_MAX, OwnRead, OwnReads};
 pub use reader::{ReadError, Reader};
--- /dev/null
+++ b/crates/directory/src/own_reads.rs
@@ -0,0 +1,82 @@
+//! Decides when a router reads the platform's list itself.
+//!
+//! The platform limits the reads of all processes together, so routers read only while no control VM
+//! provides the list, and ever more rarely while the platform refuses.
+
+use std::time::{Duration, Instant};
+
+/// The maximum age of a list that is used without another one. The platform stops a leaving server after
+/// three seconds at the earliest, and its list lags by up to one second.
+pub const LIST_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// The shortest time that a control VM has to provide the first list.
+const LINK_TIME: Duration = Duration::from_millis(500);
+/// The factor by which the interval grows with each read that fails.
+const GROWTH: f64 = 2.0;
+/// The factor by which it shrinks with each read that succeeds. Slow enough that few reads fail.
+const SHRINKAGE: f64 = 0.9;
+const INTERVAL_MAX: Duration = Duration::from_secs(32);
+
+/// How an own read ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnRead {
+    /// The whole list was read.
+    Succeeded,
+    /// A page could not be read.
+    Failed,
+}
+
+/// The own reads of one router.
+#[derive(Debug, Clone)]
+pub struct OwnReads {
+    /// The shortest mean interval.
+    period: Duration,
+    /// The mean interval.
+    interval: Duration,
+    /// When the router may next read the list.
+    next: Option<Instant>,
+    /// When the list of a control VM was read from the platform, while that list is in use.
+    shared_at: Option<Instant>,
+    has_failed: bool,
+}
+
+impl OwnReads {
+    /// Creates the state of a router that reads at intervals of `period` while the platform answers.
+    #[must_use]
+    pub fn new(period: Duration) -> OwnReads {
+        OwnReads { period, interval: period, next: None, shared_at: None, has_failed: false }
+    }
+
+    /// Gives the control VMs time to provide the first list. `share`, from 0 to 1, spreads the first reads
+    /// of routers that start together.
+    pub fn await_control(&mut self, now: Instant, share: f64) {
+        self.next = Some(now + LINK_TIME.mul_f64(1.0 + share));
+    }
+
+    /// Records a list of a control VM that was read from the platform at `read_at`.
+    pub fn shared_list(&mut self, read_at: Option<Instant>) {
+        self.shared_at = read_at;
+    }
+
+    /// Whether the router reads the list now, given that no control VM provides a fresh one.
+    #[must_use]
+    pub fn is_due(&self, now: Instant) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= LIST_AGE_MAX;
+        self.shared_at.is_none_or(is_old) && self.next.is_none_or(|it| now >= it)
+    }
+
+    /// Records an own read that began at `started`; returns whether it ended unlike the one before. `share`,
+    /// from 0 to 1, spreads the next reads of routers that read at the same time.
+    pub fn ended(&mut self, started: Instant, result: OwnRead, share: f64) -> bool {
+        let interval = match result {
+            OwnRead::Succeeded => self.interval.mul_f64(SHRINKAGE),
+            OwnRead::Failed => self.interval.mul_f64(GROWTH),
+        };
+        self.interval = interval.clamp(self.period, INTERVAL_MAX.max(self.period));
+        if result == OwnRead::Succeeded {
+            self.shared_at = None;
+        }
+        self.next = Some(started + self.interval.mul_f64(0.5 + share));
+        let has_failed = result == OwnRead::Failed;
+        std::mem::replace(&mut self.has_failed, has_failed) != has_failed
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -3,6 +3,7 @@
 mod components;
 
 use std::{
+    cell::RefCell,
     cell::{Cell, OnceCell},
     io,
     net::SocketAddr,
@@ -14,7 +15,7 @@
 use anyhow::{Context, bail};
 use control_client::{Domain, DomainMember};
 use daemon::Admin;
-use directory::Reader;
+use directory::{OwnReads, Reader};
 use dissemination::MemberState;
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
 use httpio::{
@@ -202,7 +203,9 @@
             link: components.link.clone(),
         };
         let (services, tables) = (Rc::clone(&services), Rc::clone(&components.tables));
-        DirectoryWatch { source, services, tables, cached: CachedList::default() }.start();
+        let own_reads = RefCell::new(OwnReads::new(source.period));
+        let cached = CachedList::default();
+        DirectoryWatch { source, services, tables, cached, own_reads }.start();
     }
 
     let (drain, draining) = signal::signal();
--- a/crates/router/src/directory_watch.rs
+++ b/crates/router/src/directory_watch.rs
@@ -1,25 +1,21 @@
 //! Keeps the servers of pools up to date with the platform's list of VMs.
 //!
 //! The router fetches the list from a control VM, which reads it for all routers. While no control
-//! VM has a fresh list, the router reads the platform's list itself.
+//! VM has a fresh list and its own is old, the router reads the platform's list itself.
 
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use directory::{Absence, ListedVm, Reader, decode_list};
+use directory::{Absence, LIST_AGE_MAX, ListedVm, OwnRead, OwnReads, Reader, decode_list};
 use monoio::time;
 use rpc::Link;
 use tables::Discovery;
 
 use crate::{services::Services, table_source::TableSource};
 
-/// The maximum age of a control VM's list. The platform stops a leaving server after three seconds
-/// at the earliest, and its list lags by up to one second.
-const SHARED_AGE_MAX: Duration = Duration::from_millis(1_500);
-
 /// The pause after a fetch from the control VMs failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -37,6 +33,7 @@
     pub(crate) services: Rc<Services>,
     pub(crate) tables: Rc<dyn TableSource>,
     pub(crate) cached: CachedList,
+    pub(crate) own_reads: RefCell<OwnReads>,
 }
 
 /// The last list that was read.
@@ -45,10 +42,6 @@
     vms: RefCell<Vec<ListedVm>>,
     /// The stamp of the control VM's list; zero for a list that the router read itself.
     stamp: Cell<u64>,
-    /// The time at which the router last read the list itself.
-    last_own_read: Cell<Option<Instant>>,
-    /// Whether the router's last own read failed; only a change of it is logged at info level.
-    is_unreadable: Cell<bool>,
 }
 
 impl DirectoryWatch {
@@ -70,6 +63,7 @@
     }
 
     async fn update_list(self: Rc<Self>) {
+        self.await_use().await;
         loop {
             if self.fetch_shared_list().await {
                 self.apply(self.source.reader.directory().absence());
@@ -80,6 +74,26 @@
         }
     }
 
+    /// Waits for tables that use the list. Those that come from a control VM are followed by its list.
+    async fn await_use(&self) {
+        loop {
+            let tables = self.tables.current();
+            if tables.pools.iter().any(|it| it.discovery == Discovery::Platform) {
+                break;
+            }
+            self.tables.newer_than(tables.revision).await;
+        }
+        if self.source.link.is_some() {
+            let now = self.services.clock.now();
+            self.own_reads.borrow_mut().await_control(now, self.random_share());
+        }
+    }
+
+    /// A random number from 0 to 1.
+    fn random_share(&self) -> f64 {
+        f64::from(self.services.ids.nonce() as u32) / f64::from(u32::MAX)
+    }
+
     /// Fetches the list of the control VM, which answers when its list changes or the period ends.
     /// Returns whether that list is fresh.
     async fn fetch_shared_list(&self) -> bool {
@@ -90,14 +104,20 @@
         else {
             return false;
         };
-        if list.stamp == 0 || list.age > SHARED_AGE_MAX {
+        if list.stamp == 0 || list.age > LIST_AGE_MAX {
             return false;
         }
+        let read_at = self.services.clock.now().checked_sub(list.age);
         if list.stamp == self.cached.stamp.get() {
+            self.own_reads.borrow_mut().shared_list(read_at);
             return true;
         }
         match decode_list(&list.servers) {
             Ok(vms) => {
+                self.own_reads.borrow_mut().shared_list(read_at);
+                if self.cached.stamp.get() == 0 {
+                    tracing::info!(event = "list_source", addr = %client.addr(), is_shared = true);
+                }
                 self.cached.vms.replace(vms);
                 self.cached.stamp.set(list.stamp);
                 true
@@ -109,23 +129,24 @@
         }
     }
 
-    /// Reads the platform's list directly, at most once a period.
+    /// Reads the platform's list directly, if the known one is old and the last read is long enough ago.
     async fn read_own_list_if_due(&self) {
-        let now = self.services.clock.now();
-        let last = self.cached.last_own_read.get();
-        if last.is_some_and(|it| now.saturating_duration_since(it) < self.source.period) {
+        let started = self.services.clock.now();
+        if !self.own_reads.borrow().is_due(started) {
             return;
         }
-        self.cached.last_own_read.set(Some(now));
         let addr = self.source.reader.addr();
         let read = self.source.reader.read().await;
-        if self.cached.is_unreadable.replace(read.is_err()) != read.is_err() {
+        let result = if read.is_ok() { OwnRead::Succeeded } else { OwnRead::Failed };
+        if self.own_reads.borrow_mut().ended(started, result, self.random_share()) {
             tracing::info!(event = "platform_list", %addr, is_readable = read.is_ok());
         }
         match read {
             Ok(vms) => {
+                if self.cached.stamp.replace(0) != 0 {
+                    tracing::info!(event = "list_source", %addr, is_shared = false);
+                }
                 self.cached.vms.replace(vms);
-                self.cached.stamp.set(0);
                 self.apply(self.source.reader.directory().absence());
             }
             Err(error) => tracing::debug!(event = "platform_list_failed", %addr, %error),
