Let each router follow the control VM that is nearest to it

Cause, confirmed on the large site: when a fleet starts, the control VM that leads is the only one that serves the document; all 195 routers end up there and stay, as nothing brings a link back. Change: a router measures the round trips to all control VMs when its link is not where it should be, at most every 6 to 9 s, and moves it to the preferred one of the nearest, once the new connection stands. Tests: nearest_control (30, 100, 300 routers, five control VMs: a fifth each).

--- a/crates/control-client/src/document_watch.rs
+++ b/crates/control-client/src/document_watch.rs
@@ -15,7 +15,7 @@
 use crate::{Freshness, WatchSettings, first_tables::CONFIRM_WAIT};
 
 /// Sorts the addresses of the control VMs by preference.
-type Order = Box<dyn Fn(&mut Vec<SocketAddr>)>;
+pub(crate) type Order = Box<dyn Fn(&mut Vec<SocketAddr>)>;
 
 /// Follows the document and sends each newer version to a receiver.
 ///
@@ -81,6 +81,11 @@
         let update = match client.fetch_document(held, wait).await {
             Ok(update) => update,
             Err(error) => {
+                let current = self.link.client().map(|it| it.addr());
+                if current.is_ok_and(|it| it != client.addr()) {
+                    // The link has moved meanwhile.
+                    return false;
+                }
                 tracing::info!(event = "control_silent", addr = %client.addr(), %error);
                 self.link.fail_over();
                 return false;
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -7,10 +7,12 @@
 mod document_watch;
 mod domain;
 mod first_tables;
+mod nearest;
 mod tables_watch;
 
 pub use commands::{CommandError, submit};
 pub use document_watch::DocumentWatch;
 pub use domain::{Domain, DomainMember};
 pub use first_tables::{FirstTables, Freshness};
+pub use nearest::{NearestControl, choose};
 pub use tables_watch::{TablesWatch, WatchSettings};
--- a/crates/router/src/daemon/components.rs
+++ b/crates/router/src/daemon/components.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use control_client::{DocumentWatch, TablesWatch, WatchSettings};
+use control_client::{DocumentWatch, NearestControl, TablesWatch, WatchSettings};
 use control_state::RouterId;
 use directory::{Directory, VmList};
 use rpc::{Link, LinkSettings, Trust};
@@ -108,6 +108,8 @@
     let watch = WatchSettings { poll_ms: DOCUMENT_POLL_MS, ..WatchSettings::default() };
     let documents =
         DocumentWatch::start(link.clone(), watch, Rc::clone(&clock), sort_by_preference);
+    let (order, share) = (control_order(&settings.vm), rand::random());
+    NearestControl::start(link.clone(), Rc::clone(&clock), order, share);
     Components {
         tables: Rc::new(DocumentTables::follow(documents, platform.parser)),
         ledger: Rc::new(NoLedger),
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -43,21 +43,28 @@
 pub struct Link {
     current: Rc<RefCell<Option<Connection>>>,
     addrs: Rc<RefCell<Vec<SocketAddr>>>,
-    fail_over_signal: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    requests: Rc<RefCell<Option<oneshot::Sender<Request>>>>,
     counters: ByteCounters,
 }
 
+/// What the task of a link is asked to do with the current connection.
+#[derive(Debug, Clone, Copy)]
+enum Request {
+    FailOver,
+    MoveTo(SocketAddr),
+}
+
 impl Link {
     /// Starts a task that maintains a connection until all handles are dropped.
     pub fn start(settings: LinkSettings) -> Link {
         let addrs = Rc::new(RefCell::new(settings.addrs.clone()));
-        let (fail_over_signal, counters) = (Rc::default(), ByteCounters::default());
-        let link = Link { current: Rc::default(), addrs, fail_over_signal, counters };
+        let (requests, counters) = (Rc::default(), ByteCounters::default());
+        let link = Link { current: Rc::default(), addrs, requests, counters };
         let task = LinkTask {
             settings,
             current: Rc::downgrade(&link.current),
             addrs: link.addrs.clone(),
-            fail_over_signal: link.fail_over_signal.clone(),
+            requests: link.requests.clone(),
             counters: link.counters.clone(),
         };
         monoio::spawn(task.run());
@@ -93,9 +100,27 @@
             addrs.retain(|it| *it != current);
             addrs.push(current);
         }
-        if let Some(sender) = self.fail_over_signal.borrow_mut().take() {
+        self.request(Request::FailOver);
+    }
+
+    /// Makes `addr` the first address, and replaces the current connection once there is one to `addr`.
+    pub fn move_to(&self, addr: SocketAddr) {
+        let mut addrs = self.addrs.borrow_mut();
+        addrs.retain(|it| *it != addr);
+        addrs.insert(0, addr);
+        drop(addrs);
+        self.request(Request::MoveTo(addr));
+    }
+
+    /// Whether there are handles beside this one and the task's.
+    pub fn has_other_handles(&self) -> bool {
+        Rc::strong_count(&self.current) > 1
+    }
+
+    fn request(&self, request: Request) {
+        if let Some(sender) = self.requests.borrow_mut().take() {
             // Sending fails if the task has just lost the connection by itself.
-            let _ = sender.send(());
+            let _ = sender.send(request);
         }
     }
 
@@ -110,7 +135,7 @@
     settings: LinkSettings,
     current: Weak<RefCell<Option<Connection>>>,
     addrs: Rc<RefCell<Vec<SocketAddr>>>,
-    fail_over_signal: Rc<RefCell<Option<oneshot::Sender<()>>>>,
+    requests: Rc<RefCell<Option<oneshot::Sender<Request>>>>,
     counters: ByteCounters,
 }
 
@@ -149,12 +174,18 @@
     async fn send_heartbeats(&self) {
         let interval = Duration::from_millis(self.settings.heartbeat_interval_ms);
         let timeout = Duration::from_millis(self.settings.heartbeat_timeout_ms);
-        let (sender, mut fail_over) = oneshot::channel();
-        self.fail_over_signal.replace(Some(sender));
+        let mut requested = self.next_request();
         while let Some(client) = self.client() {
             let before = client.answered_calls();
-            if monoio::time::timeout(interval, &mut fail_over).await.is_ok() {
-                break;
+            match monoio::time::timeout(interval, &mut requested).await {
+                Ok(Ok(Request::MoveTo(addr))) => {
+                    // If this fails, the current connection stays.
+                    self.connect(addr).await;
+                    requested = self.next_request();
+                    continue;
+                }
+                Ok(Ok(Request::FailOver) | Err(_)) => break,
+                Err(_) => {}
             }
             let had_answers = client.answered_calls() > before;
             if !had_answers && client.ping(timeout).await.is_err() {
@@ -164,6 +195,12 @@
         self.replace(None);
     }
 
+    fn next_request(&self) -> oneshot::Receiver<Request> {
+        let (sender, receiver) = oneshot::channel();
+        self.requests.replace(Some(sender));
+        receiver
+    }
+
     fn client(&self) -> Option<ControlClient> {
         let current = self.current.upgrade()?;
         current.borrow().as_ref().map(|it| it.client.clone())
