Share the platform's list fairly among routers that read it themselves

The interval shrank by a factor, so routers that had read kept reading each second and those that were refused waited up to 48 s for the next attempt. Change: the interval starts at 3 s and is halved until a read fails; then each read adds a 128th of a read per second. A router that has never had a list tries every 8 s at least.

--- a/crates/directory/src/own_reads.rs
+++ b/crates/directory/src/own_reads.rs
@@ -10,11 +10,17 @@
 pub const LIST_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// The shortest time that a control VM has to provide the first list.
 const LINK_TIME: Duration = Duration::from_millis(500);
+/// The mean interval after the first read. It is halved by each further read until one fails, as a router
+/// does not know how many others read.
+const START_INTERVAL: Duration = Duration::from_secs(3);
 /// The factor by which the interval grows with each read that fails.
 const GROWTH: f64 = 2.0;
-/// The factor by which it shrinks with each read that succeeds. Slow enough that few reads fail.
-const SHRINKAGE: f64 = 0.9;
-const INTERVAL_MAX: Duration = Duration::from_secs(32);
+/// The reads per second that a router adds with each read that succeeds, once one has failed. A sum in place
+/// of a factor makes the shares of the routers even.
+const RATE_STEP_PER_S: f64 = 1.0 / 128.0;
+const INTERVAL_MAX: Duration = Duration::from_secs(64);
+/// The same for a router without any list, which goes before those that have an old one.
+const FIRST_LIST_INTERVAL_MAX: Duration = Duration::from_secs(8);
 
 /// How an own read ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,14 +42,27 @@
     next: Option<Instant>,
     /// When the list of a control VM was read from the platform, while that list is in use.
     shared_at: Option<Instant>,
+    /// Whether the router has had a list, of whatever age.
+    has_list: bool,
+    /// Whether the last read failed.
     has_failed: bool,
+    /// Whether any read has failed.
+    is_contended: bool,
 }
 
 impl OwnReads {
     /// Creates the state of a router that reads at intervals of `period` while the platform answers.
     #[must_use]
     pub fn new(period: Duration) -> OwnReads {
-        OwnReads { period, interval: period, next: None, shared_at: None, has_failed: false }
+        OwnReads {
+            period,
+            interval: START_INTERVAL.max(period),
+            next: None,
+            shared_at: None,
+            has_list: false,
+            has_failed: false,
+            is_contended: false,
+        }
     }
 
     /// Gives the control VMs time to provide the first list. `share`, from 0 to 1, spreads the first reads
@@ -55,6 +74,7 @@
     /// Records a list of a control VM that was read from the platform at `read_at`.
     pub fn shared_list(&mut self, read_at: Option<Instant>) {
         self.shared_at = read_at;
+        self.has_list = true;
     }
 
     /// Whether the router reads the list now, given that no control VM provides a fresh one.
@@ -67,16 +87,26 @@
     /// Records an own read that began at `started`; returns whether it ended unlike the one before. `share`,
     /// from 0 to 1, spreads the next reads of routers that read at the same time.
     pub fn ended(&mut self, started: Instant, result: OwnRead, share: f64) -> bool {
-        let interval = match result {
-            OwnRead::Succeeded => self.interval.mul_f64(SHRINKAGE),
-            OwnRead::Failed => self.interval.mul_f64(GROWTH),
-        };
-        self.interval = interval.clamp(self.period, INTERVAL_MAX.max(self.period));
-        if result == OwnRead::Succeeded {
+        let has_failed = result == OwnRead::Failed;
+        self.is_contended |= has_failed;
+        self.interval = self.next_interval(result);
+        if !has_failed {
             self.shared_at = None;
+            self.has_list = true;
         }
-        self.next = Some(started + self.interval.mul_f64(0.5 + share));
-        let has_failed = result == OwnRead::Failed;
+        let longest = if self.has_list { INTERVAL_MAX } else { FIRST_LIST_INTERVAL_MAX };
+        self.next = Some(started + self.interval.min(longest).mul_f64(0.5 + share));
         std::mem::replace(&mut self.has_failed, has_failed) != has_failed
     }
+
+    fn next_interval(&self, result: OwnRead) -> Duration {
+        let interval = match result {
+            OwnRead::Failed => self.interval.mul_f64(GROWTH),
+            OwnRead::Succeeded if self.is_contended => {
+                Duration::from_secs_f64(1.0 / (1.0 / self.interval.as_secs_f64() + RATE_STEP_PER_S))
+            }
+            OwnRead::Succeeded => self.interval.div_f64(GROWTH),
+        };
+        interval.clamp(self.period, INTERVAL_MAX.max(self.period))
+    }
 }
