Refuse a data folder of a later build

Cause: nothing on disk told which build had written it, so a build that is taken back would have read records of a later form as damaged ('format a new one'), or misread them. Change: a folder has a format number (absent: the first); a later one is refused with the remedy, and nothing is written.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -65,6 +65,17 @@
         /// The file.
         path: PathBuf,
     },
+    /// A later build wrote the folder in a format that this build does not know. The folder is unchanged.
+    #[display(
+        "{}: format {format} is not known: run the build that wrote it or a later one on this folder",
+        path.display()
+    )]
+    LaterFormat {
+        /// The file.
+        path: PathBuf,
+        /// The number of the format.
+        format: u32,
+    },
     /// Saved data fails its checksum or is inconsistent.
     #[display(
         "{}: {detail}: move the folder away, format a new one and let the node join as a new member",
--- a/crates/storage/src/log_file.rs
+++ b/crates/storage/src/log_file.rs
@@ -12,13 +12,16 @@
 
 use crate::{CommitPhases, Settings, folder, record};
 
-/// The values that exist once: the disk id, the hard state and the snapshot.
+/// The values that exist once: the disk id, the hard state, the snapshot and the number of the format.
 const SINGLES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("singles");
 /// The entries of the log by index.
 const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
 const DISK_KEY: u64 = 0;
 const HARD_STATE_KEY: u64 = 1;
 const SNAPSHOT_KEY: u64 = 2;
+const FORMAT_KEY: u64 = 3;
+/// The format of the records. Folders without a number have the first one.
+const FORMAT: u32 = 1;
 
 /// The open log file of a formatted data folder, which holds a member's state.
 #[derive(Debug)]
@@ -54,7 +57,7 @@
         let created = database_builder(settings).create_with_backend(backend);
         let database = created.map_err(|err| open_error(&path, err))?;
         if is_empty(&database).map_err(|err| open_error(&path, err))? {
-            write_disk_id(&path, &database, disk)?;
+            write_identity(&path, &database, disk)?;
         }
         LogFile::from_database(path, database, settings)
     }
@@ -79,7 +82,7 @@
     ) -> Result<LogFile, StorageError> {
         let database =
             database_builder(settings).create(path).map_err(|err| open_error(path, err))?;
-        write_disk_id(path, &database, disk)?;
+        write_identity(path, &database, disk)?;
         LogFile::from_database(path.to_owned(), database, settings)
     }
 
@@ -90,6 +93,10 @@
     ) -> Result<LogFile, StorageError> {
         let disk = DiskId(0);
         let mut log = LogFile { path, database, disk, commit_phases: settings.commit_phases };
+        let format = log.read_single(FORMAT_KEY)?.unwrap_or(FORMAT);
+        if format > FORMAT {
+            return Err(StorageError::LaterFormat { path: log.path, format });
+        }
         let found = log.read_single(DISK_KEY)?;
         log.disk = found.ok_or_else(|| log.corrupt("the disk id is missing".to_owned()))?;
         Ok(log)
@@ -203,10 +210,14 @@
     Ok(transaction.open_table(SINGLES).is_err())
 }
 
-fn write_disk_id(path: &Path, database: &Database, disk: DiskId) -> Result<(), StorageError> {
+fn write_identity(path: &Path, database: &Database, disk: DiskId) -> Result<(), StorageError> {
     let write = || -> Result<(), redb::Error> {
         let transaction = database.begin_write()?;
-        insert(&mut transaction.open_table(SINGLES)?, DISK_KEY, &disk)?;
+        {
+            let mut singles = transaction.open_table(SINGLES)?;
+            insert(&mut singles, DISK_KEY, &disk)?;
+            insert(&mut singles, FORMAT_KEY, &FORMAT)?;
+        }
         transaction.open_table(ENTRIES)?;
         transaction.commit()?;
         Ok(())
