Give messages between processes a base and extensions

The first extension is the level of a router's forms, shown by status. Unreadable messages leave one log line a minute and peer, with the number of those left out.

--- a/crates/control-client/src/domain.rs
+++ b/crates/control-client/src/domain.rs
@@ -14,6 +14,7 @@
     pin_mut, select_biased,
 };
 use rpc::Link;
+use telemetry::Throttle;
 
 /// The data that a router exchanges with the hub.
 pub trait DomainMember {
@@ -35,11 +36,15 @@
     waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Ends the pause before the next exchange.
     wake: RefCell<mpsc::Sender<()>>,
+    unreadable: Throttle,
 }
 
 /// Without an exchange for this long, the hub's data on the other routers are no longer used.
 const STALE_AFTER: Duration = Duration::from_secs(6);
 
+/// The time between two log lines about digests of a build that writes forms unknown to this one.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Above this many routers the interval doubles, so that a link stays within its bandwidth budget.
 const SMALL_DOMAIN_ROUTERS_MAX: usize = 16;
 
@@ -60,6 +65,7 @@
             clock,
             waiters: RefCell::default(),
             wake: RefCell::new(wake),
+            unreadable: Throttle::new(UNREADABLE_LOG_INTERVAL),
         });
         monoio::spawn(domain.clone().run(interval, member, woken));
         domain
@@ -127,12 +133,14 @@
         };
         let sent = self.clock.now();
         let Ok(digest) = client.exchange(&encode_summary(&summary)).await else { return };
-        let Ok(digest) = decode_digest(&digest) else {
-            tracing::warn!(
-                event = "digest_refused",
-                remedy = "run the same version in the whole failure domain"
-            );
-            return;
+        let digest = match decode_digest(&digest) {
+            Ok(digest) => digest,
+            Err(err) => {
+                if let Some(suppressed) = self.unreadable.record(self.clock.now()) {
+                    tracing::warn!(event = "digest_refused", addr = %client.addr(), %err, suppressed);
+                }
+                return;
+            }
         };
         let suspects = self.held.borrow_mut().apply_digest(digest);
         self.exchanged_at.replace(Some(sent));
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -26,7 +26,7 @@
     AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
     bootstrap::format_if_empty,
     commands::CommandCheck,
-    handler::{Handler, Tokens},
+    handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
     hub_broadcast::HubBroadcast,
     peers::Peers,
@@ -211,6 +211,7 @@
         check: parts.check,
         tokens: parts.tokens,
         clock: parts.clock,
+        unreadable: unreadable_throttle(),
     };
     monoio::spawn(rpc::serve(listeners.rpc, Rc::new(handler), feed.counters().clone()));
     tracing::info!(event = "serving", member = %me, failure_domain = %settings.failure_domain);
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -6,11 +6,12 @@
 use dissemination::{BegunStreams, HubNews, HubPermitRequest, Peer as RouterPeer};
 use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
+use wire_form::{Extensions, FormError};
 
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub(crate) enum Envelope {
+pub enum Envelope {
     /// A node announces that it runs and under which disk id.
     Hello(Peer),
     /// A message of the replicated log.
@@ -45,11 +46,18 @@
 }
 
 impl Envelope {
-    pub(crate) fn encode(&self) -> Option<Vec<u8>> {
-        postcard::to_stdvec(self).ok()
+    /// Encodes the message, or returns `None` if the codec cannot represent it.
+    #[must_use]
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        wire_form::encode(self, &Extensions::default()).ok()
     }
 
-    pub(crate) fn decode(bytes: &[u8]) -> Option<Envelope> {
-        postcard::from_bytes(bytes).ok()
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes do not decode to a message that this build knows.
+    pub fn decode(bytes: &[u8]) -> Result<Envelope, FormError> {
+        wire_form::decode(bytes).map(|(envelope, _)| envelope)
     }
 }
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -14,7 +14,7 @@
     TablesUpdate,
 };
 use tables::Revision;
-use telemetry::Secret;
+use telemetry::{Secret, Throttle};
 
 use crate::{
     commands::CommandCheck,
@@ -22,7 +22,7 @@
     hub_broadcast::{self, HubBroadcast},
     replica::Replica,
     server_feed::ServerFeed,
-    status::StatusReport,
+    status::{RouterReport, StatusReport},
     tables_feed::TablesFeed,
 };
 
@@ -32,6 +32,9 @@
 /// How often a waiting long poll checks that there still is a leader.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The time between two log lines about messages of a build that writes forms unknown to this one.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
 /// The tokens by which callers authenticate.
 #[derive(Debug, Clone)]
 pub struct Tokens {
@@ -52,6 +55,12 @@
     /// `None` on a network on which every process is trusted.
     pub(crate) tokens: Option<Tokens>,
     pub(crate) clock: Rc<dyn Clock>,
+    pub(crate) unreadable: Throttle,
+}
+
+/// A throttle for the log lines about unreadable messages.
+pub(crate) fn unreadable_throttle() -> Throttle {
+    Throttle::new(UNREADABLE_LOG_INTERVAL)
 }
 
 impl ControlHandler for Handler {
@@ -126,12 +135,11 @@
     }
 
     fn status(&self) -> String {
-        let routers = self.hub.borrow().routers().map(str::to_owned).collect();
         let report = StatusReport::new(
             &self.replica.status(),
             self.replica.repair_step(),
             self.feed.revision().0,
-            routers,
+            RouterReport::new(&self.hub.borrow()),
         );
         serde_json::to_string(&report).unwrap_or_default()
     }
@@ -146,7 +154,9 @@
                 encode_digest(&digest)
             }
             Err(err) => {
-                tracing::warn!(event = "summary_refused", %err);
+                if let Some(suppressed) = self.unreadable.record(self.clock.now()) {
+                    tracing::warn!(event = "summary_refused", %err, suppressed);
+                }
                 Vec::new()
             }
         }
@@ -157,7 +167,8 @@
         is_known.then(|| {
             let (replica, hub) = (self.replica.clone(), self.hub.clone());
             let (broadcast, clock) = (self.broadcast.clone(), self.clock.clone());
-            Rc::new(PeerCalls { replica, hub, broadcast, clock }) as Rc<dyn PeerHandler>
+            let unreadable = unreadable_throttle();
+            Rc::new(PeerCalls { replica, hub, broadcast, clock, unreadable }) as Rc<dyn PeerHandler>
         })
     }
 }
@@ -184,35 +195,35 @@
     hub: Rc<RefCell<Hub>>,
     broadcast: HubBroadcast,
     clock: Rc<dyn Clock>,
+    unreadable: Throttle,
 }
 
 impl PeerHandler for PeerCalls {
-    fn deliver(&self, _from: u64, message: Vec<u8>) {
+    fn deliver(&self, from: u64, message: Vec<u8>) {
         match Envelope::decode(&message) {
-            Some(Envelope::Log(message)) => self.replica.step(message),
-            Some(Envelope::Hello(peer)) => self.replica.record_hello(peer, &message),
-            Some(Envelope::Work { hub, rows, begun_streams }) => {
+            Ok(Envelope::Log(message)) => self.replica.step(message),
+            Ok(Envelope::Hello(peer)) => self.replica.record_hello(peer, &message),
+            Ok(Envelope::Work { hub, rows, begun_streams }) => {
                 let now = self.clock.now();
                 self.hub.borrow_mut().update_hub_work(now, hub, rows);
                 self.hub.borrow_mut().record_streams(now, &begun_streams);
             }
-            Some(Envelope::News(news)) => {
+            Ok(Envelope::News(news)) => {
                 self.hub.borrow_mut().merge_news(self.clock.now(), news);
             }
-            Some(Envelope::RouterPeers { hub, peers }) => {
+            Ok(Envelope::RouterPeers { hub, peers }) => {
                 self.hub.borrow_mut().update_hub_peers(self.clock.now(), hub, peers);
             }
-            Some(Envelope::PermitRequests { hub, rows }) => {
+            Ok(Envelope::PermitRequests { hub, rows }) => {
                 self.broadcast.record_requests(hub, &rows);
             }
-            Some(Envelope::Permits(grants)) => {
+            Ok(Envelope::Permits(grants)) => {
                 self.hub.borrow_mut().permits_granted(self.clock.now(), &grants);
             }
-            None => {
-                tracing::warn!(
-                    event = "delivery_refused",
-                    remedy = "run the same version on all control VMs"
-                );
+            Err(err) => {
+                if let Some(suppressed) = self.unreadable.record(self.clock.now()) {
+                    tracing::warn!(event = "delivery_refused", from, %err, suppressed);
+                }
             }
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 pub use bootstrap::{FormatMode, format, format_if_empty};
 pub use commands::CommandCheck;
 pub use documents::{Documents, OperatorApi, Unavailable};
+pub use envelope::Envelope;
 pub use log_state::{LogRules, LogState};
 pub use replica::pending::Pending;
 pub use settings::{Settings, TokenFiles};
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,6 +1,9 @@
 //! The status that a control VM reports to operators about itself and the other members.
 
+use std::collections::BTreeMap;
+
 use consensus::{PeerStatus, RepairStep, Status};
+use dissemination::Hub;
 use serde::Serialize;
 
 /// The state of a control VM.
@@ -20,7 +23,28 @@
     peers: Vec<PeerReport>,
     next_step: String,
     revision: u64,
+    /// The level of the forms that this build writes.
+    level: u16,
+    #[serde(flatten)]
+    routers: RouterReport,
+}
+
+/// The routers that exchange with this VM.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct RouterReport {
     routers: Vec<String>,
+    /// How many of them write the forms of each level; builds that do not tell it have level 0.
+    router_levels: BTreeMap<u16, usize>,
+}
+
+impl RouterReport {
+    pub(crate) fn new(hub: &Hub) -> RouterReport {
+        RouterReport {
+            routers: hub.routers().map(str::to_owned).collect(),
+            router_levels: hub.router_levels(),
+        }
+    }
 }
 
 /// Another member as known to the leader.
@@ -38,7 +62,7 @@
         status: &Status,
         next_step: RepairStep,
         revision: u64,
-        routers: Vec<String>,
+        routers: RouterReport,
     ) -> StatusReport {
         StatusReport {
             member: status.me.to_string(),
@@ -54,6 +78,7 @@
             peers: status.peers.iter().map(PeerReport::new).collect(),
             next_step: next_step.to_string(),
             revision,
+            level: wire_form::LEVEL,
             routers,
         }
     }
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -66,6 +66,8 @@
 struct Router {
     name: String,
     peer: Option<Peer>,
+    /// The level of its forms; 0 if its build does not tell it.
+    level: u16,
     last_summary: Instant,
 }
 
@@ -109,6 +111,7 @@
         let held = if is_current { summary.held } else { Version(0) };
         let router = self.find_or_add_router(now, summary.from, is_current);
         self.record_peer(router, summary.peer);
+        self.record_level(router, summary.level);
         for observation in summary.observations {
             self.merge_observation(router, observation);
         }
@@ -212,6 +215,11 @@
         }
     }
 
+    fn record_level(&mut self, router: RouterIdx, level: Option<u16>) {
+        let (Some(router), Some(level)) = (self.routers.get_mut(&router), level) else { return };
+        router.level = level;
+    }
+
     /// The permits to ask the leader for, on behalf of this hub's routers.
     pub fn permit_requests(&mut self, now: Instant) -> Vec<HubPermitRequest> {
         let limits = &self.limits;
@@ -250,6 +258,13 @@
         self.routers.values().map(|it| it.name.as_str())
     }
 
+    /// How many live routers have each level of forms.
+    pub fn router_levels(&self) -> BTreeMap<u16, usize> {
+        let mut levels = BTreeMap::new();
+        self.routers.values().for_each(|it| *levels.entry(it.level).or_default() += 1);
+        levels
+    }
+
     /// The known servers with their loads.
     pub fn servers(&self) -> impl Iterator<Item = (&ServerRow, &Load)> {
         self.servers.iter().map(|it| (&it.row, &it.load))
@@ -293,7 +308,7 @@
         let Sender::Name(name) = from else { return RouterIdx(u16::MAX) };
         let idx = RouterIdx(self.next_router);
         self.next_router += 1;
-        self.routers.insert(idx, Router { name, peer: None, last_summary: now });
+        self.routers.insert(idx, Router { name, peer: None, level: 0, last_summary: now });
         self.allocations.insert(idx, Allocation::default());
         self.routers_version = self.version;
         idx
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -31,5 +31,5 @@
     Version,
 };
 pub use streams::{BegunStreams, StreamHash, StreamLog};
-pub use wire::{DecodeError, decode_digest, decode_summary, encode_digest, encode_summary};
+pub use wire::{decode_digest, decode_summary, encode_digest, encode_summary};
 pub use work::ServerWork;
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -88,6 +88,7 @@
             begun_streams: Vec::new(),
             stream_lookups: Vec::new(),
             peer: self.own_peer.filter(|_| self.own_idx.is_none()),
+            level: self.own_idx.is_none().then_some(wire_form::LEVEL),
         }
     }
 
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -97,6 +97,9 @@
     /// The router as a peer of others, if it serves their requests; sent until the hub has assigned an
     /// index.
     pub peer: Option<Peer>,
+    /// The level of the router's forms, sent as often as `peer`.
+    #[serde(skip)]
+    pub level: Option<u16>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,9 +7,11 @@
 mod logs;
 mod metrics;
 mod secret;
+mod throttle;
 mod trace_context;
 
 pub use logs::{LogGuard, LogOutput, LogSettings, init_logs};
 pub use metrics::{register_process_metrics, render_metrics};
 pub use secret::Secret;
+pub use throttle::Throttle;
 pub use trace_context::{SpanId, TraceContext, TraceContextError, TraceId};
