Read the list of servers before the requests that wait for it are refused

Cause: a router whose control VM has no list waited a whole period of 1 s for that VM's answer, then up to 1 s for its turn, while requests wait 1 s for a first list. Change: the wait at the control VM ends when the router's own read is due, and that is due 0.4 to 0.8 s after the tables.

--- a/crates/directory/src/own_reads.rs
+++ b/crates/directory/src/own_reads.rs
@@ -8,8 +8,9 @@
 /// The maximum age of a list that is used without another one. The platform stops a leaving server after
 /// three seconds at the earliest, and its list lags by up to one second.
 pub const LIST_AGE_MAX: Duration = Duration::from_millis(1_500);
-/// The shortest time that a control VM has to provide the first list.
-const LINK_TIME: Duration = Duration::from_millis(500);
+/// The shortest time that a control VM has to provide the first list. Twice this time is less than requests
+/// wait for a first list.
+const LINK_TIME: Duration = Duration::from_millis(400);
 /// The mean interval after the first read. It is halved by each further read until one fails, as a router
 /// does not know how many others read.
 const START_INTERVAL: Duration = Duration::from_secs(3);
@@ -84,6 +85,18 @@
         self.shared_at.is_none_or(is_old) && self.next.is_none_or(|it| now >= it)
     }
 
+    /// How long the router may wait for a list of the control VM before it reads the list itself, if that
+    /// VM provides none.
+    #[must_use]
+    pub fn time_for_control(&self, now: Instant) -> Duration {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < LIST_AGE_MAX;
+        if self.shared_at.is_some_and(is_fresh) {
+            return self.period;
+        }
+        let until_next = self.next.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+        until_next.min(self.period)
+    }
+
     /// Records an own read that began at `started`; returns whether it ended unlike the one before. `share`,
     /// from 0 to 1, spreads the next reads of routers that read at the same time.
     pub fn ended(&mut self, started: Instant, result: OwnRead, share: f64) -> bool {
--- a/crates/directory/tests/own_reads.rs
+++ b/crates/directory/tests/own_reads.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// Guards against a first read that begins only when the requests that wait for it are refused, after a
+/// second.
+#[test]
+fn first_read_early() {
+    let start = Instant::now();
+    let latest = start + Duration::from_millis(900);
+    for share in [0.0, 0.5, 1.0] {
+        let mut reads = OwnReads::new(PERIOD);
+        reads.await_control(start, share);
+        assert!(reads.is_due(latest), "share {share}");
+        assert!(start + reads.time_for_control(start) <= latest, "share {share}");
+        reads.shared_list(Some(start));
+        assert_eq!(reads.time_for_control(start), PERIOD);
+    }
+}
+
 /// Guards against routers that keep one another from reading the list while no control VM provides it.
 #[test]
 fn limit_shared() {
--- a/crates/router/src/directory_watch.rs
+++ b/crates/router/src/directory_watch.rs
@@ -100,8 +100,8 @@
         let Some(client) = self.source.link.as_ref().and_then(|it| it.client().ok()) else {
             return false;
         };
-        let Ok(list) = client.fetch_servers(self.cached.stamp.get(), self.source.period).await
-        else {
+        let wait = self.own_reads.borrow().time_for_control(self.services.clock.now());
+        let Ok(list) = client.fetch_servers(self.cached.stamp.get(), wait).await else {
             return false;
         };
         if list.stamp == 0 || list.age > LIST_AGE_MAX {
