Notice at once that a connection to a control VM has ended

Cause: a link noticed a closed connection at its next heartbeat only, up to 2 s later, or 4 s if another call had been answered in that interval. After the planned restart of one control VM the others could not reach it, so the next restart left no majority.

--- a/crates/rpc/src/dial.rs
+++ b/crates/rpc/src/dial.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use capnp_rpc::{Disconnector, RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use futures::AsyncReadExt;
+use futures::{AsyncReadExt, FutureExt, channel::oneshot, future::Shared};
 use monoio::net::TcpStream;
 use monoio_compat::TcpStreamCompat;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -16,6 +16,8 @@
 pub struct Connection {
     /// Calls the control VM over this connection.
     pub client: ControlClient,
+    /// Resolves when the connection has ended.
+    pub(crate) ended: Shared<oneshot::Receiver<()>>,
     disconnector: Option<Disconnector<Side>>,
 }
 
@@ -51,10 +53,14 @@
     let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: control_capnp::control::Client = system.bootstrap(Side::Server);
-    let disconnector = system.get_disconnector();
+    let disconnector = Some(system.get_disconnector());
+    let (end, ended) = oneshot::channel();
     monoio::spawn(async move {
         // The calls in flight report a broken connection, so the error can be ignored here.
         let _ = system.await;
+        // The receiver is dropped with the connection.
+        let _ = end.send(());
     });
-    Ok(Connection { client: ControlClient::new(addr, client), disconnector: Some(disconnector) })
+    let ended = ended.shared();
+    Ok(Connection { client: ControlClient::new(addr, client), ended, disconnector })
 }
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use futures::channel::oneshot;
+use futures::{FutureExt, channel::oneshot, future::Shared, pin_mut, select_biased};
 
 use crate::{ByteCounters, Connection, ControlClient, RpcError, dial};
 
@@ -54,6 +54,13 @@
     MoveTo(SocketAddr),
 }
 
+/// What happens to the current connection.
+enum Event {
+    Requested(Request),
+    Ended,
+    IntervalPassed,
+}
+
 impl Link {
     /// Starts a task that maintains a connection until all handles are dropped.
     pub fn start(settings: LinkSettings) -> Link {
@@ -159,6 +166,7 @@
         self.current.strong_count() > 0
     }
 
+    /// Replaces the current connection by one to `addr`; returns whether that succeeded.
     async fn connect(&self, addr: SocketAddr) -> bool {
         let timeout = Duration::from_millis(self.settings.connect_timeout_ms);
         let Ok(connection) = dial(addr, timeout, &self.counters).await else { return false };
@@ -169,23 +177,22 @@
         true
     }
 
-    /// Sends heartbeats until one fails or a fail-over is requested, and then drops the connection.
-    /// No heartbeat is sent after an interval in which another call was answered.
+    /// Sends heartbeats until one fails, the connection ends or a fail-over is requested, and then drops
+    /// the connection. No heartbeat is sent after an interval in which another call was answered.
     async fn send_heartbeats(&self) {
-        let interval = Duration::from_millis(self.settings.heartbeat_interval_ms);
         let timeout = Duration::from_millis(self.settings.heartbeat_timeout_ms);
         let mut requested = self.next_request();
-        while let Some(client) = self.client() {
+        while let Some((client, ended)) = self.current() {
             let before = client.answered_calls();
-            match monoio::time::timeout(interval, &mut requested).await {
-                Ok(Ok(Request::MoveTo(addr))) => {
+            match self.next_event(&mut requested, ended).await {
+                Event::Requested(Request::MoveTo(addr)) => {
                     // If this fails, the current connection stays.
                     self.connect(addr).await;
                     requested = self.next_request();
                     continue;
                 }
-                Ok(Ok(Request::FailOver) | Err(_)) => break,
-                Err(_) => {}
+                Event::Requested(Request::FailOver) | Event::Ended => break,
+                Event::IntervalPassed => {}
             }
             let had_answers = client.answered_calls() > before;
             if !had_answers && client.ping(timeout).await.is_err() {
@@ -195,15 +202,32 @@
         self.replace(None);
     }
 
+    async fn next_event(
+        &self,
+        requested: &mut oneshot::Receiver<Request>,
+        ended: Shared<oneshot::Receiver<()>>,
+    ) -> Event {
+        let interval = Duration::from_millis(self.settings.heartbeat_interval_ms);
+        let interval = monoio::time::sleep(interval).fuse();
+        let mut ended = ended.fuse();
+        pin_mut!(interval);
+        select_biased! {
+            // The sender is dropped with the last handle.
+            request = requested.fuse() => request.map_or(Event::Ended, Event::Requested),
+            _ = ended => Event::Ended,
+            () = interval => Event::IntervalPassed,
+        }
+    }
+
     fn next_request(&self) -> oneshot::Receiver<Request> {
         let (sender, receiver) = oneshot::channel();
         self.requests.replace(Some(sender));
         receiver
     }
 
-    fn client(&self) -> Option<ControlClient> {
+    fn current(&self) -> Option<(ControlClient, Shared<oneshot::Receiver<()>>)> {
         let current = self.current.upgrade()?;
-        current.borrow().as_ref().map(|it| it.client.clone())
+        current.borrow().as_ref().map(|it| (it.client.clone(), it.ended.clone()))
     }
 
     fn replace(&self, connection: Option<Connection>) {
--- a/crates/rpc/tests/unresponsive_address.rs
+++ b/crates/rpc/tests/unresponsive_address.rs
@@ -1,57 +1,13 @@
 //! A link that gets no answer from one address connects to the next one.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
-
-use futures::{FutureExt, future::LocalBoxFuture};
-use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
-use rpc::{
-    ByteCounters, ControlHandler, DocumentUpdate, Link, LinkSettings, PeerHandler, ServerList,
-    SubmitResult, TablesUpdate, serve,
-};
-
-struct FixedHandler;
-
-impl ControlHandler for FixedHandler {
-    fn fetch_servers(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, ServerList> {
-        async { ServerList::default() }.boxed_local()
-    }
-
-    fn fetch_document(&self, _: u64, _: Duration) -> LocalBoxFuture<'static, DocumentUpdate> {
-        async { DocumentUpdate { controls: Vec::new(), has_leader: true, document: None } }
-            .boxed_local()
-    }
-
-    fn fetch_tables(
-        &self,
-        held: u64,
-        _: u64,
-        _: Duration,
-    ) -> LocalBoxFuture<'static, TablesUpdate> {
-        let snapshot = TablesUpdate::Snapshot {
-            revision: held + 1,
-            routes: "[chat]".to_owned(),
-            pools: String::new(),
-            confirmed: true,
-        };
-        async { snapshot }.boxed_local()
-    }
-
-    fn submit(&self, _: String, command: Vec<u8>) -> LocalBoxFuture<'static, SubmitResult> {
-        async { SubmitResult::Response(command) }.boxed_local()
-    }
+#[path = "support/fixed_control.rs"]
+mod fixed_control;
 
-    fn status(&self) -> String {
-        "{}".to_owned()
-    }
-
-    fn exchange(&self, summary: Vec<u8>) -> Vec<u8> {
-        summary
-    }
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-    fn peer(&self, _: &str) -> Option<Rc<dyn PeerHandler>> {
-        None
-    }
-}
+use fixed_control::{FixedHandler, run, wait_until_connected};
+use monoio::net::TcpListener;
+use rpc::{ByteCounters, Link, LinkSettings, TablesUpdate, serve};
 
 /// Binds a listener on which connections are established but never answered.
 fn unresponsive_listener() -> (SocketAddr, TcpListener) {
@@ -59,20 +15,6 @@
     (listener.local_addr().expect("an address"), listener)
 }
 
-fn run<T>(future: impl Future<Output = T>) -> T {
-    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
-    builder.build().expect("a runtime").block_on(future)
-}
-
-async fn wait_until_connected(link: &Link) -> rpc::ControlClient {
-    loop {
-        if let Ok(client) = link.client() {
-            return client;
-        }
-        monoio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 #[test]
 fn skips_unresponsive_address() {
     run(async {
