Compare some servers at random for a prompt, not all

Change: a router compares the servers that it has a reason to prefer (homes of the prompt's parts, recent ones, kept connections) and four others of each side of the partition, drawn at random.

--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -52,6 +52,9 @@
 const CONNECT_LOAD: f64 = 0.1;
 /// The servers of a kind that are compared for a request without a prompt.
 const COMPARED_SERVERS: usize = 2;
+/// The servers of each side of the partition that are compared for a prompt though the router has no reason
+/// to prefer them.
+const COMPARED_SERVERS_OF_SIDE: usize = 4;
 /// One in so many requests without a prompt does not prefer servers with a kept connection, so that a router
 /// learns how the others do.
 const EXPLORE_EVERY: u32 = 4;
@@ -115,7 +118,7 @@
         if criteria.prompt.is_none() {
             retain_unless_empty(&mut candidates, |it| self.is_limited(it));
         }
-        self.cheapest(&candidates, criteria)
+        self.cheapest(&candidates, criteria, rng)
             .or_else(|| self.affinity_server(&candidates, criteria.prefix_hash))
             .or_else(|| self.best_of_some(&candidates, rng))
     }
@@ -184,9 +187,15 @@
     ///
     /// The cache matters more than the queue: prefilling a long shared prefix takes longer than
     /// waiting behind several requests at the server that has it cached, and evicts another prefix.
-    fn cheapest(&self, candidates: &[BackendKey], criteria: &Criteria<'_>) -> Option<BackendKey> {
+    fn cheapest(
+        &self,
+        candidates: &[BackendKey],
+        criteria: &Criteria<'_>,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<BackendKey> {
         let prompt = criteria.prompt?;
         let homes = self.homes(prompt, criteria.own_side);
+        let candidates = self.compared(candidates, prompt, &homes, criteria.own_side, rng);
         let weight = self.prefill_weight();
         let cost = |it: &BackendKey| {
             let weighted_tokens = f64::from(self.uncached_tokens(*it, prompt, &homes)) * weight;
@@ -196,6 +205,31 @@
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
     }
 
+    /// The servers that are compared for a prompt: those that the router has a reason to prefer, and some at
+    /// random. Routers that know the same of all servers would otherwise all choose the same one.
+    fn compared(
+        &self,
+        candidates: &[BackendKey],
+        prompt: &Prompt,
+        homes: &[BackendKey],
+        own_side: &[BackendKey],
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<BackendKey> {
+        let is_preferred = |it: &BackendKey| {
+            homes.contains(it)
+                || self.has_connection(*it)
+                || self.recent_prefixes.contains(self.now, prompt, *it)
+        };
+        let (mut compared, others): (Vec<_>, Vec<_>) =
+            candidates.iter().copied().partition(is_preferred);
+        let (own, other): (Vec<_>, Vec<_>) =
+            others.into_iter().partition(|it| own_side.contains(it));
+        for side in [own, other] {
+            compared.extend(sample(side, COMPARED_SERVERS_OF_SIDE, rng));
+        }
+        compared
+    }
+
     /// The weight of a token to prefill, by the fraction of the pool's slots in use.
     fn prefill_weight(&self) -> f64 {
         let usable = self.members.iter().map(|it| &self.backends[*it]).filter(|it| it.is_usable());
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use fixture::{Fixture, class, spec};
-use policy::{BackendKey, OtherLoad, Pacing, Prompt, PromptPart, Settings, Ticket};
+use policy::{BackendKey, OtherLoad, Pacing, PendingWork, Prompt, PromptPart, Settings, Ticket};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -14,6 +14,7 @@
 const SIZES: [usize; 3] = [30, 100, 300];
 const SERVERS: usize = 160;
 const SLOTS: u32 = 64;
+const SESSIONS: u64 = 40;
 const STEP_MS: u64 = 50;
 const REQUEST_MS: u64 = 600;
 const SECONDS: u64 = 20;
@@ -23,6 +24,9 @@
 const KEPT_MAX: usize = 4;
 const KEPT_MS: u64 = 10_000;
 
+/// The prompts of [`prompt`] that a server reads within 0.4 s, the shortest target for a first token.
+const READ_IN_TIME: usize = 13;
+
 /// One router with its connections to the servers.
 struct Router {
     fixture: Fixture,
@@ -38,14 +42,14 @@
 }
 
 impl Router {
-    fn new(seed: u64) -> Router {
+    fn new(seed: u64, servers: usize) -> Router {
         let settings = Settings {
             seed,
             others: OtherLoad::Decaying,
             pacing: Pacing::Off,
             ..Settings::default()
         };
-        let fixture = Fixture::with(settings, spec(vec![class("chat", 1, 0)], SLOTS), SERVERS);
+        let fixture = Fixture::with(settings, spec(vec![class("chat", 1, 0)], SLOTS), servers);
         Router { fixture, idle: BTreeMap::new(), running: Vec::new() }
     }
 
@@ -80,21 +84,22 @@
     }
 }
 
-/// A prompt that shares no long part with others.
-fn prompt(rng: &mut ChaCha8Rng) -> Prompt {
+/// A short prompt that shares its first part with those of the same `session`.
+fn prompt(rng: &mut ChaCha8Rng, session: u64) -> Prompt {
     let part = |id, tokens| PromptPart { id, tokens };
-    Prompt { parts: vec![part(rng.random_range(1..40), 100), part(rng.random(), 1_000)] }
+    Prompt { parts: vec![part(session, 100), part(rng.random(), 1_000)] }
 }
 
 fn play(routers: usize, has_prompts: bool) -> Connections {
     let mut rng = ChaCha8Rng::seed_from_u64(routers as u64);
-    let mut routers: Vec<_> = (0..routers as u64).map(Router::new).collect();
+    let mut routers: Vec<_> = (0..routers as u64).map(|it| Router::new(it, SERVERS)).collect();
     let mut connections = Connections::default();
     for now_ms in (0..SECONDS * 1_000).step_by(STEP_MS as usize) {
         for router in &mut routers {
             router.finish_due(now_ms);
             if rng.random_bool(REQUESTS_PER_ROUTER_S * STEP_MS as f64 / 1_000.0) {
-                let prompt = has_prompts.then(|| prompt(&mut rng));
+                let session = rng.random_range(0..SESSIONS);
+                let prompt = has_prompts.then(|| prompt(&mut rng, session));
                 router.send(now_ms, prompt, &mut connections);
             }
             router.fixture.advance(STEP_MS);
@@ -118,3 +123,31 @@
         }
     }
 }
+
+/// Guards against routers that know the same of all servers and all choose the same one in one moment, so
+/// that their requests wait for one another there.
+#[test]
+fn choices_differ() {
+    for routers in SIZES {
+        let mut placed: BTreeMap<usize, usize> = BTreeMap::new();
+        for seed in 0..routers as u64 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            // Sites have about as many servers as routers.
+            let mut router = Router::new(seed, routers);
+            let fixture = &mut router.fixture;
+            let work_of = |(idx, server): (u32, &BackendKey)| {
+                (*server, PendingWork { requests: 1 + idx % 20, unread_tokens: 100 })
+            };
+            let work: Vec<_> = (0..).zip(&fixture.backends).map(work_of).collect();
+            fixture.scheduler.set_others_work(fixture.now, fixture.pool, &work);
+            let offer = fixture.new_offer("chat", "a");
+            let prompt = prompt(&mut rng, seed);
+            fixture.scheduler.offer_prompt(fixture.now, offer, prompt).expect("it has room");
+            for (_, server) in fixture.poll_dispatches() {
+                *placed.entry(fixture.server_index(server)).or_default() += 1;
+            }
+        }
+        let most = placed.values().max().copied().unwrap_or_default();
+        assert!(most <= READ_IN_TIME, "{routers} routers send {most} requests to one server");
+    }
+}
