Give strict streams more servers where the others' pauses are long for them

Cause: the servers of the strictest class follow its share of the work alone. Change: each router keeps the 0.9 quantile of the longest pauses of lenient streams, relative to the strict target. Up to 0.9 of it the strict side has 0.4 of its share, as before, from 1.1 on 0.7.

--- a/crates/policy/src/partition.rs
+++ b/crates/policy/src/partition.rs
@@ -3,7 +3,8 @@
 //! An engine prefills prompts in chunks between decode steps. While it prefills long prompts, the
 //! gap between the tokens of all its streams is as long as a chunk. Streams of the strictest class
 //! therefore get their own servers, in proportion to their share of the work. The partition is a
-//! preference: requests whose own side is busy use the other one.
+//! preference: requests whose own side is busy use the other one. If the pauses there are too long for
+//! them, they get more servers of their own.
 
 use std::time::{Duration, Instant};
 
@@ -27,9 +28,15 @@
 /// cache.
 const SHARE_HYSTERESIS: f64 = 0.2;
 
-/// Servers for strict streams relative to their share of the work; it is below 1 because a large
-/// batch of short streams costs less for each of them.
-const STRICT_SERVERS_FACTOR: f64 = 0.4;
+/// Servers for strict streams relative to their share of the work, if the lenient side has short pauses
+/// and if it has long ones. Below 1 because a large batch of short streams costs less for each of them.
+const STRICT_SERVERS_FACTORS: [f64; 2] = [0.4, 0.7];
+/// Pauses of the lenient side that count as short and as long, relative to the strict target.
+const PAUSE_RATIOS: [f64; 2] = [0.9, 1.1];
+/// Of the longest pauses of the streams, the quantile that is compared.
+const PAUSE_QUANTILE: f64 = 0.9;
+/// The part of the strict target by which the estimate of that quantile moves with each stream.
+const QUANTILE_STEP: f64 = 0.03;
 
 /// The assumed strict share of the work before any is measured.
 const STRICT_SHARE_PRIOR: f64 = 0.4;
@@ -47,6 +54,8 @@
     updated: Option<Instant>,
     /// The strict share on which the current partition is based.
     applied_share: f64,
+    /// The long pauses of lenient streams, relative to the strict target.
+    pause_ratio: f64,
 }
 
 impl Default for Partition {
@@ -56,6 +65,7 @@
             lenient_ms: PRIOR_WORK_MS * (1.0 - STRICT_SHARE_PRIOR),
             updated: None,
             applied_share: STRICT_SHARE_PRIOR,
+            pause_ratio: PAUSE_RATIOS[0],
         }
     }
 }
@@ -78,6 +88,14 @@
         }
     }
 
+    /// Records the longest pause of a complete lenient stream, relative to the strict target.
+    pub(crate) fn record_pause(&mut self, ratio: f64) {
+        self.pause_ratio += match ratio > self.pause_ratio {
+            true => QUANTILE_STEP * PAUSE_QUANTILE,
+            false => -QUANTILE_STEP * (1.0 - PAUSE_QUANTILE),
+        };
+    }
+
     /// The usable servers of one side, or all of them if the pool is too small to be partitioned.
     pub(crate) fn side(
         &self,
@@ -100,7 +118,15 @@
     }
 
     fn strict_count(&self, usable: usize) -> usize {
-        let count = (self.applied_share * STRICT_SERVERS_FACTOR * usable as f64).round() as usize;
+        let count =
+            (self.applied_share * self.strict_servers_factor() * usable as f64).round() as usize;
         count.clamp(1, usable - 1)
     }
+
+    fn strict_servers_factor(&self) -> f64 {
+        let [short, long] = PAUSE_RATIOS;
+        let [least, most] = STRICT_SERVERS_FACTORS;
+        let weight = ((self.pause_ratio - short) / (long - short)).clamp(0.0, 1.0);
+        least + (most - least) * weight
+    }
 }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -142,6 +142,8 @@
     pub(crate) is_proven: bool,
     /// When the last token arrived, or when the request was sent if there is none yet.
     pub(crate) last_token_at: Instant,
+    /// The longest time between two arrivals of tokens.
+    pub(crate) longest_pause: Duration,
     /// Prompt tokens that the server is expected to prefill before the first token.
     pub(crate) prefill_tokens: u32,
     /// `None` if the prompt is unknown.
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -66,8 +66,12 @@
         if count == 0 {
             return;
         }
-        let gap = now.saturating_duration_since(attempt.last_token_at) / count;
+        let pause = now.saturating_duration_since(attempt.last_token_at);
+        let gap = pause / count;
         let has_gap = attempt.tokens > 0 && is_running;
+        if has_gap {
+            attempt.longest_pause = attempt.longest_pause.max(pause);
+        }
         attempt.tokens += count;
         attempt.last_token_at = now;
         let backend = attempt.backend;
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -53,6 +53,7 @@
         self.record_parts_answered(now, ticket);
         self.record_attempt_success(now, ticket);
         self.record_answer(now, ticket);
+        self.record_pause(offer.pool, offer.class, &attempt);
         self.backends[attempt.backend].clear_overload_backoff();
         self.backends[attempt.backend].kept.put(now, &self.settings.kept_connections);
         let uncounted = tokens.saturating_sub(attempt.tokens);
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -9,7 +9,7 @@
     partition::Side,
     pool::{Contender, Pool, Turn, Urgency},
     quarantine::Isolation,
-    request::{Phase, Preemption, Refusal, RefusalReason, Request},
+    request::{Attempt, Phase, Preemption, Refusal, RefusalReason, Request},
     selection::{Criteria, Selector},
 };
 
@@ -310,14 +310,29 @@
     /// The class's side of the partition: strict if it has the strictest target between tokens of
     /// the classes that use the pool, `None` if all have the same target.
     pub(super) fn side(&self, pool: &Pool, class: ClassKey) -> Option<Side> {
+        let target_ms = self.classes[class].spec.between_token_target_ms;
+        let strictest_ms = self.strictest_target_ms(pool)?;
+        Some(if target_ms <= strictest_ms { Side::Strict } else { Side::Lenient })
+    }
+
+    /// The strictest target between tokens of the classes that use the pool; `None` if all have the same.
+    fn strictest_target_ms(&self, pool: &Pool) -> Option<u64> {
         let target = |it: ClassKey| self.classes[it].spec.between_token_target_ms;
         let used = pool.queues.keys().filter(|it| !self.classes[*it].retired);
         let (least, most) = used
             .fold((u64::MAX, 0), |(least, most), it| (least.min(target(it)), most.max(target(it))));
-        if least >= most {
-            return None;
+        (least < most).then_some(least)
+    }
+
+    /// Records the longest pause of a complete stream of a lenient class.
+    pub(super) fn record_pause(&mut self, pool: PoolKey, class: ClassKey, attempt: &Attempt) {
+        let entry = &self.pools[pool];
+        let (side, strictest_ms) = (self.side(entry, class), self.strictest_target_ms(entry));
+        let (Some(Side::Lenient), Some(strictest_ms)) = (side, strictest_ms) else { return };
+        if attempt.tokens > 0 {
+            let ratio = attempt.longest_pause.as_secs_f64() * 1e3 / strictest_ms as f64;
+            self.pools[pool].partition.record_pause(ratio);
         }
-        Some(if target(class) <= least { Side::Strict } else { Side::Lenient })
     }
 
     /// A selector over all servers of a pool.
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -1,6 +1,6 @@
 //! State transitions of a request, with the counters and queues that change with each of them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Action, Scheduler};
 use crate::{
@@ -84,6 +84,7 @@
             first_token_at: None,
             is_proven: false,
             last_token_at: now,
+            longest_pause: Duration::ZERO,
             prefill_tokens: estimate.map_or(0, |it| it.prefill_tokens),
             estimate,
         };
--- a/crates/policy/tests/prompt_placement.rs
+++ b/crates/policy/tests/prompt_placement.rs
@@ -156,6 +156,42 @@
     assert!(!chats.is_empty() && drafts.len() > SERVERS / 2);
 }
 
+/// The servers of chats after drafts whose tokens come in pauses of so many milliseconds.
+fn chat_servers(servers: usize, pause_ms: u64) -> usize {
+    let settings = Settings {
+        seed: 1,
+        others: OtherLoad::Decaying,
+        pacing: Pacing::Off,
+        ..Settings::default()
+    };
+    let mut fixture = Fixture::with(settings, spec(two_targets(), SLOTS), servers);
+    let (chat, _) = place(&mut fixture, "chat", prompt(1, SHORT_PREFIX_TOKENS));
+    fixture.finish(chat);
+    for prefix in 1..=100 {
+        let (draft, _) = place(&mut fixture, "draft", prompt(1_000 + prefix, LONG_PREFIX_TOKENS));
+        fixture.stream_tokens(&[draft], pause_ms, 3);
+        fixture.finish(draft);
+    }
+    let chats = (0..10 * servers as u64).map(|prefix| {
+        let (ticket, server) = place(&mut fixture, "chat", prompt(prefix, SHORT_PREFIX_TOKENS));
+        fixture.finish(ticket);
+        // Kept connections end, so that they decide nothing.
+        fixture.advance(10_000);
+        server
+    });
+    chats.collect::<BTreeSet<_>>().len()
+}
+
+/// Guards against chats that find no room at their own servers and run where pauses exceed their target,
+/// as on heavy days of a pool of whatever size.
+#[test]
+fn chats_avoid_long_pauses() {
+    for servers in [30, 100, 300] {
+        let (short, long) = (chat_servers(servers, 100), chat_servers(servers, 600));
+        assert!(2 * long >= 3 * short, "{servers} servers: {short} and {long} of chats");
+    }
+}
+
 /// Guards against filling the servers of the strict side before using others, since each further
 /// stream makes every step of an engine longer.
 #[test]
