Bound what all routers send to servers that fail if they reject too much

Cause: nothing read what such servers say. Change: the routers state a limit on the rate of each such server, which all lower with rejections and raise while there are none, and hold it with permits; no request goes to a server whose places are known to be taken.

--- a/crates/dissemination/tests/limited_servers.rs
+++ b/crates/dissemination/tests/limited_servers.rs
@@ -10,12 +10,12 @@
 use policy::{LimitEntry, PermitDemand, PermitGrant, PermitRequest, RequestRate, ServerHash};
 
 const LIMIT_PER_S: f64 = 1.4;
-/// 50 requests a second, four a second and server.
-const REQUEST_EVERY_MS: u64 = 20;
+/// Four requests a second and server.
+const REQUESTS_PER_S: f64 = 50.0;
 const FLEETS: [(usize, usize); 5] = [(1, 0), (1, 3), (9, 3), (40, 3), (85, 8)];
 
 fn site(routers: usize, hubs: usize) -> Site {
-    Site::new(routers, hubs, REQUEST_EVERY_MS)
+    Site::new(routers, hubs, REQUESTS_PER_S)
 }
 
 /// Guards against a server that gets more from all routers together than the limit that it names, or
--- a/crates/dissemination/tests/support/limited_site.rs
+++ b/crates/dissemination/tests/support/limited_site.rs
@@ -1,18 +1,26 @@
 //! A site in virtual time: callers, routers with their schedulers, hubs of which one leads, and servers
-//! that name rate limits.
+//! that name rate limits, or fail if they have to reject too much.
 #![allow(dead_code, unreachable_pub)]
 
+#[path = "room.rs"]
+mod room;
+
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use dissemination::{Hub, HubSettings, MemberState, PermitDesk, Summary, encode_summary};
+use dissemination::{
+    Hub, HubSettings, MemberState, PermitDesk, ServerWork, Summary, encode_summary,
+};
 use policy::{
-    Action, BackendEntry, BackendKey, ClassSpec, LimitChange, Offer, Outcome, PermitSource,
-    PoolKey, PoolSpec, Repeat, RequestRate, Scheduler, ServerHash, Settings, Spec, Ticket,
+    Action, BackendEntry, BackendKey, ClassSpec, Execution, Failure, FragileAnswer, LimitChange,
+    Offer, OtherLoad, Outcome, Pacing, PendingWork, PermitSource, PoolKey, PoolSpec, ProbeResult,
+    Repeat, RequestRate, RetryDecision, Scheduler, ServerHash, Settings, Spec, Ticket,
     WorkspaceSpec,
 };
+use room::{Admission, Room};
 
 const TICK_MS: u64 = 10;
 const EXCHANGE_MS: u64 = 250;
@@ -32,6 +40,8 @@
 struct Server {
     name: String,
     limit: Option<f64>,
+    /// The places of a server that fails if it has to reject too much.
+    room: Option<Room>,
     /// The times of arrivals.
     arrivals: Vec<u64>,
     /// Since when it has had its limit.
@@ -40,7 +50,17 @@
 
 struct Job {
     server: usize,
-    answer_ms: u64,
+    /// When it ends, and how.
+    end_ms: u64,
+    end: Outcome,
+}
+
+/// The places of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Places {
+    pub running: u32,
+    pub waiting_max: usize,
+    pub rejections_max: usize,
 }
 
 struct Router {
@@ -61,12 +81,15 @@
     pub sent: usize,
     pub served: usize,
     pub refused: usize,
+    pub failed: usize,
 }
 
 pub struct Site {
     start: Instant,
     pub now_ms: u64,
-    request_every_ms: u64,
+    requests_per_s: f64,
+    /// The part of the next request that is due.
+    due_requests: f64,
     next_id: u64,
     servers: Vec<Server>,
     routers: Vec<Router>,
@@ -80,19 +103,21 @@
 }
 
 impl Site {
-    pub fn new(routers: usize, hubs: usize, request_every_ms: u64) -> Site {
+    pub fn new(routers: usize, hubs: usize, requests_per_s: f64) -> Site {
         let start = Instant::now();
         let new_hub = |epoch| Hub::new(HubSettings { epoch, ..HubSettings::default() });
         let server = |idx| Server {
             name: format!("server-{idx}"),
             limit: None,
+            room: None,
             arrivals: Vec::new(),
             limited_since_ms: 0,
         };
         let mut site = Site {
             start,
             now_ms: 0,
-            request_every_ms,
+            requests_per_s,
+            due_requests: 0.0,
             next_id: 1,
             servers: (0..SERVERS).map(server).collect(),
             routers: Vec::new(),
@@ -115,6 +140,31 @@
         self.servers[server].limited_since_ms = self.now_ms;
     }
 
+    /// Gives all servers places, and lets them say in their answers that they fail if they have to reject
+    /// more than they can.
+    pub fn set_places(&mut self, places: Places) {
+        let Places { running, waiting_max, rejections_max } = places;
+        for (seed, server) in (0..).zip(&mut self.servers) {
+            server.room = Some(Room::new(seed, running as usize, waiting_max, rejections_max));
+        }
+        for router in &mut self.routers {
+            for server in &router.servers {
+                router.scheduler.set_slots(*server, running);
+            }
+        }
+    }
+
+    /// Changes how many requests may wait at each server.
+    pub fn set_waiting_max(&mut self, waiting_max: usize) {
+        let rooms = self.servers.iter_mut().filter_map(|it| it.room.as_mut());
+        rooms.for_each(|it| it.set_waiting_max(waiting_max));
+    }
+
+    /// How often servers failed.
+    pub fn failures(&self) -> usize {
+        self.servers.iter().filter_map(|it| Some(it.room.as_ref()?.failed_ms.len())).sum()
+    }
+
     pub fn restart_router(&mut self, idx: usize) {
         self.routers[idx] = self.new_router(idx);
     }
@@ -135,7 +185,9 @@
 
     pub fn play(&mut self, until_ms: u64) {
         while self.now_ms < until_ms {
-            if self.now_ms.is_multiple_of(self.request_every_ms) {
+            self.due_requests += self.requests_per_s * TICK_MS as f64 / 1e3;
+            while self.due_requests >= 1.0 {
+                self.due_requests -= 1.0;
                 self.send_request();
             }
             if self.now_ms.is_multiple_of(PERMIT_MS) {
@@ -184,7 +236,14 @@
     fn new_router(&self, idx: usize) -> Router {
         let permits = if self.hubs.is_empty() { PermitSource::Own } else { PermitSource::Hub };
         let seed = 7 + idx as u64 + self.now_ms;
-        let mut scheduler = Scheduler::new(Settings { seed, permits, ..Settings::default() });
+        let mut scheduler = Scheduler::new(Settings {
+            seed,
+            permits,
+            others: OtherLoad::Decaying,
+            pacing: Pacing::Off,
+            retry_burst: 1,
+            ..Settings::default()
+        });
         let class =
             ClassSpec { name: "read".to_owned(), deadline_ms: 3_000, ..ClassSpec::default() };
         let pool = PoolSpec { name: POOL.to_owned(), slots: 64, ..PoolSpec::default() };
@@ -243,7 +302,15 @@
                     let server = server.expect("a listed server");
                     router.scheduler.dispatched(ticket, now);
                     self.servers[server].arrivals.push(now_ms);
-                    router.jobs.insert(ticket, Job { server, answer_ms: now_ms + ANSWER_MS });
+                    let (end_ms, end) = self.servers[server].admit(now_ms);
+                    router.jobs.insert(ticket, Job { server, end_ms, end });
+                }
+                Action::Probe { backend } => {
+                    let server = router.servers.iter().position(|it| *it == backend);
+                    let room = &self.servers[server.expect("a listed server")].room;
+                    let is_up = room.as_ref().is_none_or(|it| it.is_up(now_ms));
+                    let result = if is_up { ProbeResult::Alive } else { ProbeResult::Dead };
+                    router.scheduler.probe_result(backend, now, result);
                 }
                 Action::Refuse { .. } => self.callers.refused += 1,
                 _ => {}
@@ -254,13 +321,36 @@
     fn answer(&mut self, idx: usize) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let router = &mut self.routers[idx];
-        let due: Vec<_> = router.jobs.extract_if(.., |_, it| it.answer_ms <= now_ms).collect();
-        for (ticket, job) in due {
-            let rate = self.servers[job.server].limit.and_then(RequestRate::from_per_second);
-            router.scheduler.limit_named(now, ticket, rate);
-            router.scheduler.first_token(ticket, now);
-            router.scheduler.finished(ticket, now, Outcome::Complete { tokens: 1 });
-            self.callers.served += 1;
+        let failed = |it: &Job| {
+            let room = self.servers[it.server].room.as_ref();
+            let has_answer = matches!(it.end, Outcome::Complete { .. });
+            has_answer && room.is_some_and(|it| !it.is_up(now_ms))
+        };
+        let due = router.jobs.extract_if(.., |_, it| it.end_ms <= now_ms || failed(it));
+        for (ticket, job) in due.collect::<Vec<_>>() {
+            let end = match failed(&job) {
+                true => Outcome::Failed(Failure::Reset, Execution::MayHaveRun),
+                false => job.end,
+            };
+            let is_answer =
+                !matches!(end, Outcome::Failed(Failure::Reset | Failure::ConnectRefused, _));
+            let server = &self.servers[job.server];
+            if is_answer && server.room.is_some() {
+                let rejections_max = server.rejections_max();
+                let is_rejection = matches!(end, Outcome::Failed(Failure::Overloaded, _));
+                let answer = FragileAnswer { rejections_max, is_rejection, named: None };
+                router.scheduler.fragile_named(now, ticket, answer);
+            } else if is_answer {
+                let rate = server.limit.and_then(RequestRate::from_per_second);
+                router.scheduler.limit_named(now, ticket, rate);
+            }
+            if let Outcome::Complete { .. } = end {
+                router.scheduler.first_token(ticket, now);
+                router.scheduler.finished(ticket, now, end);
+                self.callers.served += 1;
+            } else if let RetryDecision::GiveUp(_) = router.scheduler.retry(ticket, end, now) {
+                self.callers.failed += 1;
+            }
         }
     }
 
@@ -271,7 +361,8 @@
         let (now, hub) = (self.now(), idx % self.hubs.len());
         let summary = self.routers[idx].summary(now);
         let bare = self.routers[idx].held.empty_summary();
-        let mut bytes = encode_summary(&summary).len() - encode_summary(&bare).len();
+        let told = Summary { work: Vec::new(), ..summary.clone() };
+        let mut bytes = encode_summary(&told).len() - encode_summary(&bare).len();
         let digest = self.hubs[hub].exchange(now, summary);
         let told = Summary { limits: digest.limits.clone(), ..bare.clone() };
         bytes +=
@@ -295,12 +386,20 @@
                 router.sent.remove(&entry.server);
             }
         }
+        router.apply_others_work(now);
         let Router { scheduler, pool, held, .. } = router;
         scheduler.grant_permits(now, *pool, held.permits());
     }
 
+    /// Hubs tell one another the work of their routers, and ask the leader for permits.
     fn share_permits(&mut self) {
         let now = self.now();
+        for hub in 0..self.hubs.len() {
+            let work = self.hubs[hub].own_work(now);
+            for other in (0..self.hubs.len()).filter(|it| *it != hub) {
+                self.hubs[other].update_hub_work(now, hub as u64, work.clone());
+            }
+        }
         for hub in 0..self.hubs.len() {
             let rows = self.hubs[hub].permit_requests(now);
             if self.leader.is_some() {
@@ -315,12 +414,55 @@
     }
 }
 
+/// The address of a server, whose port is its index.
+fn server_addr(idx: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], idx as u16))
+}
+
+impl Server {
+    /// The rejections in a second that the server says it survives.
+    fn rejections_max(&self) -> u32 {
+        self.room.as_ref().map_or(0, |it| it.rejections_max as u32)
+    }
+
+    /// When and how a request ends that arrives now.
+    fn admit(&mut self, now_ms: u64) -> (u64, Outcome) {
+        let answered = Outcome::Complete { tokens: 1 };
+        match self.room.as_mut().map(|it| it.admit(now_ms)) {
+            None => (now_ms + ANSWER_MS, answered),
+            Some(Admission::Answered { at_ms }) => (at_ms, answered),
+            Some(Admission::Rejected) => {
+                (now_ms + TICK_MS, Outcome::Failed(Failure::Overloaded, Execution::NotRun))
+            }
+            Some(Admission::Unreachable) => {
+                (now_ms + TICK_MS, Outcome::Failed(Failure::ConnectRefused, Execution::NotRun))
+            }
+        }
+    }
+}
+
 impl Router {
     fn summary(&mut self, now: Instant) -> Summary {
         let entries = self.scheduler.limit_entries(now).into_iter();
         let limits = entries.filter(|it| self.sent.insert(it.server, it.rate) != Some(it.rate));
         let limits = limits.collect();
         let permit_requests = self.scheduler.permit_requests(now, self.pool);
-        Summary { limits, permit_requests, ..self.held.empty_summary() }
+        Summary { limits, permit_requests, work: self.work(), ..self.held.empty_summary() }
+    }
+
+    /// The pending work of this router at each server.
+    fn work(&self) -> Vec<ServerWork> {
+        let work = self.servers.iter().enumerate().map(|(idx, it)| ServerWork {
+            server: self.held.server_ref(server_addr(idx)),
+            work: self.scheduler.own_work(*it),
+        });
+        work.filter(|it| it.work != PendingWork::default()).collect()
+    }
+
+    fn apply_others_work(&mut self, now: Instant) {
+        let idx_of = |addr: SocketAddr| usize::from(addr.port());
+        let work = self.held.others_work().map(|(addr, work)| (self.servers[idx_of(addr)], work));
+        let work: Vec<_> = work.collect();
+        self.scheduler.set_others_work(now, self.pool, &work);
     }
 }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -317,6 +317,14 @@
         self.reported_slots.unwrap_or(self.configured_slots)
     }
 
+    /// How many times the work of one request the server is expected to take for another one, which waits
+    /// for a slot if all are taken.
+    pub(crate) fn expected_turns(&self, now: Instant) -> f64 {
+        let requests = f64::from(self.in_flight + 1) + self.other_routers_load(now).0;
+        let slots = f64::from(self.slots().max(1));
+        1.0 + (requests - slots).max(0.0) / slots
+    }
+
     /// Records the slots that the platform's list gives for the server.
     pub(crate) fn set_reported_slots(&mut self, slots: u32) {
         self.reported_slots = Some(slots);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod software;
 mod spec;
 mod urgency;
+mod work_time;
 
 pub use backend::{BackendEntry, Health, LoadReport, PendingWork};
 pub use crash_log::{CrashLog, Proof};
@@ -81,7 +82,8 @@
 pub use request::{Offer, PlacementEstimate, Refusal, RefusalReason, Repeat};
 pub use retry::{Execution, Failure, GiveUp, Outcome, RetryDecision};
 pub use scheduler::{
-    Action, ClassCounts, FailingChange, ProbeResult, QueueSnapshot, ReachChange, Scheduler,
+    Action, ClassCounts, FailingChange, FragileAnswer, ProbeResult, QueueSnapshot, ReachChange,
+    Scheduler,
 };
 pub use settings::{OtherLoad, Pacing, PermitSource, Settings};
 pub use silence::SilenceWatch;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -16,6 +16,7 @@
     pace::PaceTarget,
     partition::Partition,
     spec::{PoolSpec, WHOLE_PERMILLE},
+    work_time::WorkTime,
 };
 
 /// A class with a deficit yields to urgent requests until the deficit is this multiple of the cost
@@ -47,6 +48,8 @@
     pub(crate) last_answer: Option<Instant>,
     /// Whether the last reported change was that no server can be reached.
     pub(crate) was_unreachable: bool,
+    /// How long servers take for a request.
+    pub(crate) work_time: WorkTime,
     /// The division of the servers by the target between tokens.
     pub(crate) partition: Partition,
 }
@@ -97,6 +100,7 @@
             without_backend_since: None,
             last_answer: None,
             was_unreachable: false,
+            work_time: WorkTime::default(),
             partition: Partition::default(),
         }
     }
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -318,6 +318,10 @@
 pub(crate) struct ServerLimit {
     pub(crate) statement: LimitStatement,
     pub(crate) permits: Permits,
+    /// Until then requests need no permit.
+    pub(crate) free_until: Option<Instant>,
+    /// Whether the server fails if it has to reject too many requests.
+    pub(crate) is_fragile: bool,
 }
 
 /// Where the permits of a router come from.
@@ -360,8 +364,17 @@
         }
     }
 
-    /// The requests that the router may send now; `None` if the server has no limit.
+    /// The requests that the router may send now; `None` if that is not limited.
     pub(crate) fn available(&self, now: Instant) -> Option<u32> {
+        self.held(now).filter(|_| !self.is_free(now))
+    }
+
+    fn is_free(&self, now: Instant) -> bool {
+        self.free_until.is_some_and(|it| now < it)
+    }
+
+    /// The permits that the router has; `None` if the server has no limit.
+    pub(crate) fn held(&self, now: Instant) -> Option<u32> {
         let rate = self.rate()?;
         Some(match &self.permits {
             Permits::Granted(allowance) => allowance.available(now),
@@ -371,7 +384,7 @@
 
     /// Uses a permit, if the server has a limit. Returns whether there was one.
     pub(crate) fn take(&mut self, now: Instant) -> bool {
-        let Some(rate) = self.rate() else { return true };
+        let Some(rate) = self.rate().filter(|_| !self.is_free(now)) else { return true };
         match &mut self.permits {
             Permits::Granted(allowance) => allowance.take(now),
             Permits::Own(issuer) => {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -120,7 +120,7 @@
 }
 
 /// Where a request is in its life cycle.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Phase {
     Waiting,
     Delayed { until: Instant },
@@ -129,7 +129,7 @@
 }
 
 /// An attempt to serve a request on a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Attempt {
     pub(crate) backend: BackendKey,
     pub(crate) incarnation: u64,
@@ -144,6 +144,9 @@
     pub(crate) last_token_at: Instant,
     /// The longest time between two arrivals of tokens.
     pub(crate) longest_pause: Duration,
+    /// How many times the work of one request the server was expected to take for this one, as others
+    /// waited there for a place.
+    pub(crate) expected_turns: f64,
     /// Prompt tokens that the server is expected to prefill before the first token.
     pub(crate) prefill_tokens: u32,
     /// `None` if the prompt is unknown.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod events;
 mod failing;
+mod fragile;
 mod limits;
 mod membership;
 mod outcomes;
@@ -41,6 +42,7 @@
 pub use checks::{ClassCounts, QueueSnapshot};
 pub use events::ProbeResult;
 pub use failing::FailingChange;
+pub use fragile::FragileAnswer;
 pub use reach::ReachChange;
 
 /// An action that the router must carry out.
--- a/crates/policy/src/scheduler/limits.rs
+++ b/crates/policy/src/scheduler/limits.rs
@@ -101,9 +101,8 @@
         let Some(entry) = self.pools.get(pool) else { return Vec::new() };
         let limited = entry.members.iter().map(|it| &self.backends[*it]);
         let limited = limited.filter(|it| it.is_usable() || it.next_probe.is_some());
-        let limited: Vec<_> = limited
-            .filter_map(|it| Some((it.hash(), it.limit.as_ref()?.available(now)?)))
-            .collect();
+        let limited: Vec<_> =
+            limited.filter_map(|it| Some((it.hash(), it.limit.as_ref()?.held(now)?))).collect();
         if limited.is_empty() {
             return Vec::new();
         }
@@ -231,7 +230,7 @@
         }
     }
 
-    fn merge_limit(
+    pub(super) fn merge_limit(
         &mut self,
         now: Instant,
         key: BackendKey,
@@ -245,7 +244,8 @@
             PermitSource::Hub => Permits::Granted(Allowance::new(now)),
             PermitSource::Own => Permits::Own(PermitIssuer::new(now)),
         };
-        server.limit = Some(ServerLimit { statement, permits });
+        server.limit =
+            Some(ServerLimit { statement, permits, free_until: None, is_fragile: false });
         match statement.rate {
             Some(_) => LimitChange::Changed,
             None => LimitChange::Unchanged,
@@ -261,6 +261,13 @@
 
     /// Whether a request may be sent under the server's limit.
     pub(crate) fn has_permit(&self, now: Instant) -> bool {
-        self.limit.as_ref().and_then(|it| it.available(now)).is_none_or(|it| it > 0)
+        let Some(limit) = &self.limit else { return true };
+        let is_permitted = limit.available(now).is_none_or(|it| it > 0);
+        is_permitted && !(limit.is_fragile && limit.rate().is_some() && self.is_crowded(now))
+    }
+
+    /// Whether the requests of all routers take all places of the server, as far as is known.
+    fn is_crowded(&self, now: Instant) -> bool {
+        f64::from(self.in_flight) + self.other_routers_load(now).0 >= f64::from(self.slots())
     }
 }
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -52,6 +52,8 @@
         self.quarantine.record_completion(now, offer.request_hash, self.settings.quarantine_ttl);
         self.record_parts_answered(now, ticket);
         self.record_attempt_success(now, ticket);
+        let duration = now.saturating_duration_since(attempt.sent_at);
+        self.pools[offer.pool].work_time.add(duration, attempt.expected_turns);
         self.record_answer(now, ticket);
         self.record_pause(offer.pool, offer.class, &attempt);
         self.backends[attempt.backend].clear_overload_backoff();
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -85,6 +85,7 @@
             is_proven: false,
             last_token_at: now,
             longest_pause: Duration::ZERO,
+            expected_turns: self.backends[backend].expected_turns(now),
             prefill_tokens: estimate.map_or(0, |it| it.prefill_tokens),
             estimate,
         };
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -62,6 +62,8 @@
     pub pause: Option<Duration>,
     /// What the server says about the rate of requests that it takes.
     pub rate_limit: RateLimitNotice,
+    /// The rejections in a second above which the server fails, if it says that it does.
+    pub rejections_max: Option<u32>,
 }
 
 /// What the head of an answer says about the rate of requests that its server takes from all routers
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -5,8 +5,9 @@
 use futures::channel::{mpsc, oneshot};
 use httpio::signal::Signal;
 use policy::{
-    Execution, Failure, GiveUp, LimitChange, LoadReport, Offer, Outcome, PlacementEstimate,
-    ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket, VersionHash,
+    Execution, Failure, FragileAnswer, GiveUp, LimitChange, LoadReport, Offer, Outcome,
+    PlacementEstimate, ProbeResult, Prompt, Refusal, RequestRate, RetryDecision, Scheduler, Ticket,
+    VersionHash,
 };
 
 use crate::fingerprint::Fingerprint;
@@ -198,6 +199,19 @@
         }
     }
 
+    /// Records an answer of a server that fails if it has to reject too many requests.
+    pub fn report_fragile(&self, answer: FragileAnswer) {
+        let server = self.server();
+        let named = |scheduler: &mut Scheduler, now| {
+            let change = scheduler.fragile_named(now, self.ticket, answer);
+            (change, scheduler.rate_limit(server.key))
+        };
+        let (change, rate) = self.dispatcher.apply_and_run(named);
+        if change == LimitChange::Changed {
+            log_limit(server.addr, rate, "rejections");
+        }
+    }
+
     /// The scheduler's commands for the stream, to be read by its relay.
     ///
     /// # Panics
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -7,7 +7,7 @@
 
 use http::HeaderValue;
 use httpio::client::{Request as ClientRequest, Response};
-use policy::{Execution, Failure as FailureKind, LoadReport, VersionHash};
+use policy::{Execution, Failure as FailureKind, FragileAnswer, LoadReport, VersionHash};
 use tables::Exchange;
 
 use crate::{
@@ -183,16 +183,21 @@
         if answer.refusal == Some(NotStarted::OtherServer) {
             return;
         }
-        match answer.rate_limit {
-            RateLimitNotice::Limited(rate) => {
-                self.call.named_limit = Some(rate);
-                self.call.lease.report_rate_limit(Some(rate));
-            }
-            RateLimitNotice::Unlimited if answer.is_signed => {
-                self.call.lease.report_rate_limit(None);
+        let named = match answer.rate_limit {
+            RateLimitNotice::Limited(rate) => Some(rate),
+            RateLimitNotice::Unlimited | RateLimitNotice::Unreadable => None,
+        };
+        self.call.named_limit = named;
+        let lease = &self.call.lease;
+        match (answer.rejections_max, answer.rate_limit) {
+            (Some(rejections_max), _) => {
+                let is_rejection = answer.refusal == Some(NotStarted::Full);
+                lease.report_fragile(FragileAnswer { rejections_max, is_rejection, named });
             }
+            (None, RateLimitNotice::Limited(rate)) => lease.report_rate_limit(Some(rate)),
+            (None, RateLimitNotice::Unlimited) if answer.is_signed => lease.report_rate_limit(None),
             // What is known of the server's limit still holds.
-            RateLimitNotice::Unlimited | RateLimitNotice::Unreadable => {}
+            (None, RateLimitNotice::Unlimited | RateLimitNotice::Unreadable) => {}
         }
     }
 
