Let control VMs finish reading a long list while the platform's rate is used up

The list has 20 and 60 pages; a page that the platform refuses for its rate cost all pages before it, and all routers began to read the list themselves within 0.4 to 0.8 s of their tables. Change: a control VM goes on with the refused page after 0.15 s, up to twenty times; first reads of routers are spread over 0.1 s for each router of their hub. Tests: read_pages refused_pages_awaited (30, 100 pages; did not compile before), own_reads first_reads_spread (30, 100, 300 routers; all read in the first second before).

--- a/crates/control-client/src/domain.rs
+++ b/crates/control-client/src/domain.rs
@@ -94,6 +94,11 @@
         owner.is_none_or(|it| it == held.name())
     }
 
+    /// The number of routers that exchange with the same hub.
+    pub fn router_count(&self) -> usize {
+        self.held.borrow().routers().count()
+    }
+
     /// Whether the hub has answered lately.
     pub fn is_fresh(&self) -> bool {
         let exchanged_at = *self.exchanged_at.borrow();
@@ -115,7 +120,7 @@
                 // The waiter may have given up.
                 let _ = waiter.send(());
             }
-            let is_small = self.held.borrow().routers().count() <= SMALL_DOMAIN_ROUTERS_MAX;
+            let is_small = self.router_count() <= SMALL_DOMAIN_ROUTERS_MAX;
             let pause = monoio::time::sleep(if is_small { interval } else { 2 * interval }).fuse();
             pin_mut!(pause);
             select_biased! {
--- a/crates/control/src/server_feed.rs
+++ b/crates/control/src/server_feed.rs
@@ -12,7 +12,7 @@
 use ::daemon::Watch;
 use clock::Clock;
 use consensus::NodeId;
-use directory::{Reader, encode_list};
+use directory::{OnRefusal, Reader, encode_list};
 use monoio::time;
 use rpc::ServerList;
 
@@ -61,7 +61,7 @@
             if self.fetch_from_leader(&source).await.is_some() {
                 continue;
             }
-            let read = source.reader.read().await;
+            let read = source.reader.read(OnRefusal::Continue).await;
             if read.is_ok() != was_read {
                 was_read = read.is_ok();
                 let addr = source.reader.addr();
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -13,4 +13,4 @@
     encode_list,
 };
 pub use own_reads::{LIST_AGE_MAX, OwnRead, OwnReads};
-pub use reader::{ReadError, Reader};
+pub use reader::{OnRefusal, ReadError, Reader};
--- a/crates/directory/src/own_reads.rs
+++ b/crates/directory/src/own_reads.rs
@@ -8,9 +8,13 @@
 /// The maximum age of a list that is used without another one. The platform stops a leaving server after
 /// three seconds at the earliest, and its list lags by up to one second.
 pub const LIST_AGE_MAX: Duration = Duration::from_millis(1_500);
-/// The shortest time that a control VM has to provide the first list. Twice this time is less than requests
-/// wait for a first list.
+/// The shortest time that a control VM has to provide the first list, and the shortest time over which the
+/// first reads of routers that start together are spread. Both together are less than requests wait for a
+/// first list.
 const LINK_TIME: Duration = Duration::from_millis(400);
+/// The time over which the first reads are spread for each router that is known: all together they take
+/// from the platform's rate what the control VMs need to read the list for all.
+const FIRST_READ_SPACING: Duration = Duration::from_millis(100);
 /// The mean interval after the first read. It is halved by each further read until one fails, as a router
 /// does not know how many others read.
 const START_INTERVAL: Duration = Duration::from_secs(3);
@@ -39,8 +43,12 @@
     period: Duration,
     /// The mean interval.
     interval: Duration,
-    /// When the router may next read the list.
+    /// When the router may next read the list, once it has read it.
     next: Option<Instant>,
+    /// When the router started to wait for its first list, with its random share.
+    awaited_since: Option<(Instant, f64)>,
+    /// The routers known to start together.
+    routers: usize,
     /// When the list of a control VM was read from the platform, while that list is in use.
     shared_at: Option<Instant>,
     /// Whether the router has had a list, of whatever age.
@@ -59,6 +67,8 @@
             period,
             interval: START_INTERVAL.max(period),
             next: None,
+            awaited_since: None,
+            routers: 1,
             shared_at: None,
             has_list: false,
             has_failed: false,
@@ -69,7 +79,21 @@
     /// Gives the control VMs time to provide the first list. `share`, from 0 to 1, spreads the first reads
     /// of routers that start together.
     pub fn await_control(&mut self, now: Instant, share: f64) {
-        self.next = Some(now + LINK_TIME.mul_f64(1.0 + share));
+        self.awaited_since = Some((now, share));
+    }
+
+    /// Sets how many routers are known to be in the same place.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.routers = routers;
+    }
+
+    /// When the router may next read the list; `None` if it may at once.
+    fn next_read(&self) -> Option<Instant> {
+        self.next.or_else(|| {
+            let (since, share) = self.awaited_since?;
+            let spread = LINK_TIME.max(FIRST_READ_SPACING.mul_f64(self.routers as f64));
+            Some(since + LINK_TIME + spread.mul_f64(share))
+        })
     }
 
     /// Records a list of a control VM that was read from the platform at `read_at`.
@@ -82,7 +106,7 @@
     #[must_use]
     pub fn is_due(&self, now: Instant) -> bool {
         let is_old = |at: Instant| now.saturating_duration_since(at) >= LIST_AGE_MAX;
-        self.shared_at.is_none_or(is_old) && self.next.is_none_or(|it| now >= it)
+        self.shared_at.is_none_or(is_old) && self.next_read().is_none_or(|it| now >= it)
     }
 
     /// How long the router may wait for a list of the control VM before it reads the list itself, if that
@@ -93,7 +117,8 @@
         if self.shared_at.is_some_and(is_fresh) {
             return self.period;
         }
-        let until_next = self.next.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+        let next = self.next_read();
+        let until_next = next.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
         until_next.min(self.period)
     }
 
--- a/crates/directory/src/reader.rs
+++ b/crates/directory/src/reader.rs
@@ -1,6 +1,6 @@
 //! Reads the complete list, page by page.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use clock::Clock;
 use derive_more::{Display, Error, From};
@@ -9,6 +9,7 @@
     Limits,
     client::{ClientError, Pool, PoolSettings, Request},
 };
+use monoio::time;
 
 use crate::{Directory, ListPage, ListedVm, MalformedList};
 
@@ -19,6 +20,21 @@
 /// The connect, head and idle timeouts of reading one page.
 const PAGE_TIMEOUT_MS: u64 = 1_000;
 
+/// The pause before a page that the platform has refused because of its rate limit is asked for again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+/// How often pages of one read are asked for again: the rate of a few seconds is shared by all processes
+/// that start together.
+const REFUSALS_MAX: usize = 20;
+
+/// Whether a read goes on after the platform has refused a page because of its rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OnRefusal {
+    /// It goes on with that page after a pause, as others wait for the list.
+    Continue,
+    /// It fails at once, and leaves the rate to others.
+    Fail,
+}
+
 /// Why the list was not read.
 #[derive(Debug, Display, Error, From)]
 pub enum ReadError {
@@ -75,10 +91,14 @@
     /// # Errors
     /// When a page cannot be read. The list is then discarded, because an incomplete list does not
     /// show which servers are missing.
-    pub async fn read(&self) -> Result<Vec<ListedVm>, ReadError> {
+    pub async fn read(&self, on_refusal: OnRefusal) -> Result<Vec<ListedVm>, ReadError> {
         let (mut vms, mut token) = (Vec::new(), None);
+        let mut refusals_left = match on_refusal {
+            OnRefusal::Continue => REFUSALS_MAX,
+            OnRefusal::Fail => 0,
+        };
         for _ in 0..PAGES_MAX {
-            let page = self.read_page(token.as_deref()).await?;
+            let page = self.read_page_patiently(token.as_deref(), &mut refusals_left).await?;
             vms.extend(page.vms);
             token = page.next;
             if token.is_none() {
@@ -88,6 +108,23 @@
         Err(ReadError::TooManyPages)
     }
 
+    async fn read_page_patiently(
+        &self,
+        token: Option<&str>,
+        refusals_left: &mut usize,
+    ) -> Result<ListPage, ReadError> {
+        loop {
+            let page = self.read_page(token).await;
+            let is_refused =
+                matches!(page, Err(ReadError::Refused { status: StatusCode::TOO_MANY_REQUESTS }));
+            if !is_refused || *refusals_left == 0 {
+                return page;
+            }
+            *refusals_left -= 1;
+            time::sleep(REFUSED_PAUSE).await;
+        }
+    }
+
     async fn read_page(&self, token: Option<&str>) -> Result<ListPage, ReadError> {
         let request = Request { uri: self.directory.page_uri(token), ..Request::default() };
         let response = self.pool.send(self.addr, request).await?;
--- a/crates/directory/tests/own_reads.rs
+++ b/crates/directory/tests/own_reads.rs
@@ -91,6 +91,23 @@
     }
 }
 
+/// Guards against routers that start together and take from the platform's rate what the control VMs need to
+/// read a list of many pages.
+#[test]
+fn first_reads_spread() {
+    for routers in SIZES {
+        let start = Instant::now();
+        let due_after_a_second = (0..routers as u64).filter(|idx| {
+            let mut reads = OwnReads::new(PERIOD);
+            reads.await_control(start, share(*idx, 0));
+            reads.set_routers(routers);
+            reads.is_due(start + Duration::from_secs(1))
+        });
+        let calls = due_after_a_second.count();
+        assert!(calls <= CALLS_PER_S / 2, "{routers} routers: {calls} reads in the first second");
+    }
+}
+
 /// Guards against routers that keep one another from reading the list while no control VM provides it.
 #[test]
 fn limit_shared() {
--- a/crates/directory/tests/read_pages.rs
+++ b/crates/directory/tests/read_pages.rs
@@ -3,7 +3,9 @@
 use std::{cell::Cell, rc::Rc};
 
 use clock::SystemClock;
-use directory::{Absence, Directory, ListPage, MalformedList, ReadError, Reader, VmList};
+use directory::{
+    Absence, Directory, ListPage, MalformedList, OnRefusal, ReadError, Reader, VmList,
+};
 use futures::future::{FutureExt, LocalBoxFuture};
 use http::Uri;
 use httpio::{
@@ -36,7 +38,11 @@
     }
 }
 
-fn read(last: usize, rejected_from: usize) -> (Result<usize, ReadError>, usize) {
+fn read(
+    last: usize,
+    rejected: std::ops::Range<usize>,
+    on_refusal: OnRefusal,
+) -> (Result<usize, ReadError>, usize) {
     let mut runtime =
         RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().expect("a runtime");
     runtime.block_on(async move {
@@ -46,7 +52,7 @@
         let count = Rc::clone(&pages);
         let handler = move |req: Request| -> LocalBoxFuture<'static, Reply> {
             count.set(count.get() + 1);
-            let status = match count.get() >= rejected_from {
+            let status = match rejected.contains(&count.get()) {
                 true => StatusCode::TOO_MANY_REQUESTS,
                 false => StatusCode::OK,
             };
@@ -56,24 +62,36 @@
         let (settings, stop) = (ServerSettings::default(), StopSignals::default());
         monoio::spawn(server::serve(listener, settings, stop, Rc::new(handler)));
         let reader = Reader::new(addr, Rc::new(Paged { last }), Rc::new(SystemClock));
-        (reader.read().await.map(|it| it.len()), pages.get())
+        (reader.read(on_refusal).await.map(|it| it.len()), pages.get())
     })
 }
 
 #[test]
 fn all_pages() {
-    let (list, pages) = read(3, usize::MAX);
+    let (list, pages) = read(3, 0..0, OnRefusal::Fail);
     assert_eq!((list.expect("a complete list"), pages), (3, 3));
 }
 
 #[test]
 fn rejected_page() {
-    let (list, _) = read(3, 2);
+    let (list, _) = read(3, 2..usize::MAX, OnRefusal::Fail);
+    assert!(matches!(list, Err(ReadError::Refused { .. })), "an incomplete list must be an error");
+}
+
+/// Guards against a list of many pages that is never read whole, because each page that is refused for the
+/// platform's rate limit costs all pages before it.
+#[test]
+fn refused_pages_awaited() {
+    for pages in [30, 100] {
+        let (list, calls) = read(pages, 10..14, OnRefusal::Continue);
+        assert_eq!((list.expect("a complete list"), calls), (pages, pages + 4));
+    }
+    let (list, _) = read(3, 2..usize::MAX, OnRefusal::Continue);
     assert!(matches!(list, Err(ReadError::Refused { .. })), "an incomplete list must be an error");
 }
 
 #[test]
 fn endless_pages() {
-    let (list, _) = read(usize::MAX, usize::MAX);
+    let (list, _) = read(usize::MAX, 0..0, OnRefusal::Fail);
     assert!(matches!(list, Err(ReadError::TooManyPages)));
 }
--- a/crates/router/src/directory_watch.rs
+++ b/crates/router/src/directory_watch.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use directory::{Absence, LIST_AGE_MAX, ListedVm, OwnRead, OwnReads, Reader, decode_list};
+use directory::{
+    Absence, LIST_AGE_MAX, ListedVm, OnRefusal, OwnRead, OwnReads, Reader, decode_list,
+};
 use monoio::time;
 use rpc::Link;
 use tables::Discovery;
@@ -132,11 +134,14 @@
     /// Reads the platform's list directly, if the known one is old and the last read is long enough ago.
     async fn read_own_list_if_due(&self) {
         let started = self.services.clock.now();
+        if let Some(domain) = self.services.domain.get() {
+            self.own_reads.borrow_mut().set_routers(domain.router_count());
+        }
         if !self.own_reads.borrow().is_due(started) {
             return;
         }
         let addr = self.source.reader.addr();
-        let read = self.source.reader.read().await;
+        let read = self.source.reader.read(OnRefusal::Fail).await;
         let result = if read.is_ok() { OwnRead::Succeeded } else { OwnRead::Failed };
         if self.own_reads.borrow_mut().ended(started, result, self.random_share()) {
             tracing::info!(event = "platform_list", %addr, is_readable = read.is_ok());
