Compare all servers of a small side of the partition

Cause: with nine routers before twelve servers few requests meet, and a choice among four of ten misses the best one. Change: a side with at most twelve servers that there is no reason to prefer is compared whole.

--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -55,6 +55,8 @@
 /// The servers of each side of the partition that are compared for a prompt though the router has no reason
 /// to prefer them.
 const COMPARED_SERVERS_OF_SIDE: usize = 4;
+/// A side with at most so many such servers is compared whole: few routers share it.
+const SMALL_SIDE_SERVERS_MAX: usize = 12;
 /// One in so many requests without a prompt does not prefer servers with a kept connection, so that a router
 /// learns how the others do.
 const EXPLORE_EVERY: u32 = 4;
@@ -225,7 +227,9 @@
         let (own, other): (Vec<_>, Vec<_>) =
             others.into_iter().partition(|it| own_side.contains(it));
         for side in [own, other] {
-            compared.extend(sample(side, COMPARED_SERVERS_OF_SIDE, rng));
+            let is_small = side.len() <= SMALL_SIDE_SERVERS_MAX;
+            let count = if is_small { side.len() } else { COMPARED_SERVERS_OF_SIDE };
+            compared.extend(sample(side, count, rng));
         }
         compared
     }
