Ask for the permits that a router lacks once

Cause: a router asked for a permit at each of eight servers for every request that it expected, and anew in the exchange that brought its grant, and the hub kept requests for servers that the router no longer asked for. Change: a permit held for one server counts for all, the same servers are asked for until there is a grant, and the hub takes off what the router gets with the exchange and forgets what it does not ask for any more. A hub whose last request the leader has not answered counts it as silent although nothing is asked for in between.

--- a/crates/dissemination/src/permits.rs
+++ b/crates/dissemination/src/permits.rs
@@ -89,6 +89,8 @@
     rate: RequestRate,
     allowance: Allowance,
     requests: Requests<RouterIdx>,
+    /// Whether the leader has not answered the last request yet.
+    awaits_answer: bool,
     /// The permits set aside for each router until its next exchange, and when that was.
     assigned: BTreeMap<RouterIdx, (u32, Instant)>,
 }
@@ -103,16 +105,20 @@
         rate: impl Fn(ServerHash) -> Option<RequestRate>,
     ) {
         self.servers.retain(|_, it| it.requests.is_in_use(now));
+        self.servers.values_mut().for_each(|it| it.requests.withdraw(router));
         for row in rows {
             let Some(rate) = rate(row.server) else { continue };
             let held = self.servers.entry(row.server).or_insert_with(|| HeldPermits {
                 rate,
                 allowance: Allowance::new(now),
                 requests: Requests::default(),
+                awaits_answer: false,
                 assigned: BTreeMap::new(),
             });
             held.set_rate(rate);
-            held.requests.update(now, router, row.demand);
+            // The router does not know yet what it gets with this exchange.
+            let assigned = held.assigned.get(&router).map_or(0, |it| it.0);
+            held.requests.update(now, router, without(row.demand, assigned));
         }
     }
 
@@ -127,10 +133,13 @@
             let rate = rate(*server)?;
             held.set_rate(rate);
             if demand == PermitDemand::default() {
-                // Without a request, no answer is missing.
-                held.allowance.answered(now, rate, 0);
+                if !held.awaits_answer {
+                    // Without a request, no answer is missing.
+                    held.allowance.answered(now, rate, 0);
+                }
                 return None;
             }
+            held.awaits_answer = true;
             Some(HubPermitRequest { server: *server, rate, demand })
         });
         requests.collect()
@@ -140,6 +149,7 @@
     pub(crate) fn granted(&mut self, now: Instant, grants: &[PermitGrant]) {
         for grant in grants {
             if let Some(held) = self.servers.get_mut(&grant.server) {
+                held.awaits_answer = false;
                 held.allowance.answered(now, held.rate, grant.count.into());
                 held.assign(now);
             }
@@ -182,6 +192,16 @@
     }
 }
 
+/// The demand that is left after so many permits.
+fn without(demand: PermitDemand, permits: u32) -> PermitDemand {
+    let permits = permits.try_into().unwrap_or(u16::MAX);
+    let left = permits.saturating_sub(demand.waiting);
+    PermitDemand {
+        waiting: demand.waiting.saturating_sub(permits),
+        expected: demand.expected.saturating_sub(left),
+    }
+}
+
 /// Requests for permits, which are served by turns.
 #[derive(Debug)]
 struct Requests<K> {
@@ -213,6 +233,13 @@
         (holder.demand, holder.updated_at) = (demand, now);
     }
 
+    /// Withdraws what the holder asks for.
+    fn withdraw(&mut self, key: K) {
+        if let Some(holder) = self.holders.get_mut(&key) {
+            holder.demand = PermitDemand::default();
+        }
+    }
+
     fn is_in_use(&self, now: Instant) -> bool {
         self.updated_at.is_some_and(|it| now < it + IDLE_TTL)
     }
--- a/crates/dissemination/tests/limited_servers.rs
+++ b/crates/dissemination/tests/limited_servers.rs
@@ -160,3 +160,32 @@
     let count: u16 = permits.iter().map(|it| it.count).sum();
     assert_eq!(count, 0, "{permits:?}");
 }
+
+/// Guards against permits that a router gets twice, because it asks again before it knows of its grant or
+/// because the hub still holds a request that the router no longer makes. They expire unused.
+#[test]
+fn repeated_requests() {
+    const SERVERS: [ServerHash; 2] = [ServerHash(7), ServerHash(8)];
+    let now = Instant::now();
+    let mut hub = Hub::new(HubSettings::default());
+    let asking = |server| {
+        let entry =
+            |server| LimitEntry { server, rate: RequestRate::from_per_second(100.0), age_ms: 0 };
+        let demand = PermitDemand { waiting: 1, expected: 1 };
+        Summary {
+            limits: SERVERS.map(entry).to_vec(),
+            permit_requests: vec![PermitRequest { server, demand }],
+            ..MemberState::new("router-1").empty_summary()
+        }
+    };
+    hub.exchange(now, asking(SERVERS[0]));
+    hub.permit_requests(now);
+    hub.permits_granted(now, &[PermitGrant { server: SERVERS[0], count: 2 }]);
+    let got = hub.exchange(now, asking(SERVERS[0])).permits;
+    assert_eq!(got, [PermitGrant { server: SERVERS[0], count: 2 }]);
+    assert_eq!(hub.permit_requests(now), [], "the router has got what it asks for again");
+    hub.exchange(now, asking(SERVERS[0]));
+    hub.exchange(now, asking(SERVERS[1]));
+    let asked: Vec<_> = hub.permit_requests(now).iter().map(|it| it.server).collect();
+    assert_eq!(asked, [SERVERS[1]], "the router asks for the other server only");
+}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -139,8 +139,10 @@
     unlisted_limits: BTreeMap<ServerHash, LimitStatement>,
     /// The servers that have begun or ceased to be avoided since they were last taken.
     failing_changes: Vec<FailingChange>,
-    /// The position from which the limited servers are asked permits for in the next exchange.
-    next_asked: usize,
+    /// The position of the first limited server for which permits are asked.
+    first_asked: usize,
+    /// The exchanges in which permits were asked for from there.
+    unanswered_asks: u32,
     actions: Vec<Action>,
 }
 
@@ -186,7 +188,8 @@
             recent_prefixes: RecentPrefixes::default(),
             unlisted_limits: BTreeMap::new(),
             failing_changes: Vec::new(),
-            next_asked: 0,
+            first_asked: 0,
+            unanswered_asks: 0,
             actions: Vec::new(),
         }
     }
--- a/crates/policy/src/scheduler/limits.rs
+++ b/crates/policy/src/scheduler/limits.rs
@@ -20,6 +20,10 @@
 /// The largest number of servers for which one exchange asks for permits, so that a pool whose servers
 /// all have limits does not exceed the bandwidth for control.
 const ASKED_SERVERS_MAX: usize = 8;
+/// After so many exchanges without a grant other servers are asked for.
+const UNANSWERED_ASKS_MAX: u32 = 4;
+/// More than a pool has servers.
+const SERVER_POSITIONS: usize = 1 << 16;
 /// The largest number of servers that are not listed here and whose limits are kept.
 const UNLISTED_LIMITS_MAX: usize = 4_096;
 /// Permits are asked for the requests that are expected within this time.
@@ -40,6 +44,30 @@
     share_per_s: f64,
 }
 
+/// The permits that a router lacks for requests to a pool.
+struct MissingPermits {
+    waiting: usize,
+    expected: usize,
+}
+
+impl MissingPermits {
+    /// Spreads the permits evenly over the servers.
+    fn spread(&self, servers: impl Iterator<Item = ServerHash>) -> Vec<PermitRequest> {
+        let servers: Vec<_> = servers.collect();
+        let total = self.waiting + self.expected;
+        let each = |permits: usize, idx: usize| {
+            let count = (permits + servers.len() - 1 - idx) / servers.len();
+            count.try_into().unwrap_or(u16::MAX)
+        };
+        let requests = servers.iter().enumerate().map(|(idx, server)| {
+            let waiting = each(self.waiting, idx);
+            let expected = each(total, idx) - waiting;
+            PermitRequest { server: *server, demand: PermitDemand { waiting, expected } }
+        });
+        requests.filter(|it| it.demand != PermitDemand::default()).collect()
+    }
+}
+
 impl LimitedPool {
     /// The expected time until so many requests have been sent.
     fn time_for(&self, requests: usize) -> Duration {
@@ -99,33 +127,37 @@
     /// The permits to ask for, for requests to the pool's servers.
     pub fn permit_requests(&mut self, now: Instant, pool: PoolKey) -> Vec<PermitRequest> {
         let Some(entry) = self.pools.get(pool) else { return Vec::new() };
-        let limited = entry.members.iter().map(|it| &self.backends[*it]);
-        let limited = limited.filter(|it| it.is_usable() || it.next_probe.is_some());
+        let members = entry.members.iter().map(|it| &self.backends[*it]);
+        let known = members.filter(|it| it.is_usable() || it.next_probe.is_some());
         let limited: Vec<_> =
-            limited.filter_map(|it| Some((it.hash(), it.limit.as_ref()?.held(now)?))).collect();
+            known.filter_map(|it| Some((it, it.limit.as_ref()?.held(now)?))).collect();
         if limited.is_empty() {
             return Vec::new();
         }
-        let usable = entry.members.iter().filter(|it| self.backends[**it].is_usable()).count();
-        let mut waiting = if self.limited_pool(now, pool).is_some() { entry.waiting } else { 0 };
-        let arrivals = self.pools[pool].arrivals.per_second(now).unwrap_or(1.0);
-        let expected = (arrivals * EXPECTED_TIME.as_secs_f64() / usable.max(1) as f64).ceil();
-        let waiting_each = waiting.div_ceil(limited.len());
-        self.next_asked = self.next_asked.wrapping_add(ASKED_SERVERS_MAX);
-        let start = self.next_asked % limited.len();
-        let requests = limited.iter().cycle().skip(start).take(limited.len());
-        let requests = requests.map(|(server, held)| {
-            let missing = |it: usize| it.saturating_sub(*held as usize).min(u16::MAX.into()) as u16;
-            let waiting_here = waiting.min(waiting_each);
-            waiting -= waiting_here;
-            let demand = PermitDemand {
-                waiting: missing(waiting_here),
-                expected: missing(expected as usize),
-            };
-            PermitRequest { server: *server, demand }
-        });
-        let requests = requests.filter(|it| it.demand != PermitDemand::default());
-        requests.take(ASKED_SERVERS_MAX).collect()
+        // Any of the servers can take a request, so a permit for one of them counts for all.
+        let usable = limited.iter().filter(|(it, _)| it.is_usable() && it.pause_end(now).is_none());
+        let held: usize = usable.map(|it| it.1 as usize).sum();
+        let limited: Vec<_> = limited.iter().map(|it| it.0.hash()).collect();
+        let waiting = if self.limited_pool(now, pool).is_some() { entry.waiting } else { 0 };
+        let expected = self.expected_requests(now, pool, limited.len());
+        let missing = MissingPermits {
+            waiting: waiting.saturating_sub(held),
+            expected: expected.saturating_sub(held.saturating_sub(waiting)),
+        };
+        let start = self.first_asked % limited.len();
+        let servers = limited.iter().cycle().skip(start).take(limited.len()).copied();
+        let requests = missing.spread(servers.take(ASKED_SERVERS_MAX));
+        self.unanswered_asks += u32::from(!requests.is_empty());
+        requests
+    }
+
+    /// The requests expected within [`EXPECTED_TIME`] at so many of the pool's servers.
+    fn expected_requests(&mut self, now: Instant, pool: PoolKey, servers: usize) -> usize {
+        let pool = &mut self.pools[pool];
+        let usable = pool.members.iter().filter(|it| self.backends[**it].is_usable()).count();
+        let arrivals_per_s = pool.arrivals.per_second(now).unwrap_or(1.0);
+        let share = servers as f64 / usable.max(1) as f64;
+        (arrivals_per_s * EXPECTED_TIME.as_secs_f64() * share).ceil() as usize
     }
 
     /// Applies the hub's answer to the requests for permits. It is called after each exchange, also if
@@ -139,6 +171,12 @@
                 limit.granted(now, granted.map_or(0, |it| it.count.into()));
             }
         }
+        // The same servers are asked for until there is a grant, so that the hub can tell a repeated
+        // request from a further one.
+        if !grants.is_empty() || self.unanswered_asks >= UNANSWERED_ASKS_MAX {
+            self.first_asked = self.rng.random_range(0..SERVER_POSITIONS);
+            self.unanswered_asks = 0;
+        }
     }
 
     /// The limit of a server, if it has one.
