Retry without budget what fragile servers reject within their permits

Cause: what servers reject for want of room used the retry budget, which a router with few requests hardly has, so callers failed although permits bound all rejections (45 of 3,060 with nine routers below capacity). Change: such a rejection costs no budget while the server's requests need permits; the attempts of a request stay bounded.

--- a/crates/dissemination/tests/fragile_servers.rs
+++ b/crates/dissemination/tests/fragile_servers.rs
@@ -45,6 +45,25 @@
     }
 }
 
+/// Guards against more repeats in 10 s than the users allow: a fifth of the requests, and 52.
+#[test]
+fn repeats_bounded() {
+    const SPAN_MS: u64 = 10_000;
+    const SLACK: f64 = 52.0;
+    for (routers, hubs) in FLEETS {
+        for (requests_per_s, rejections_max) in OVERLOADS {
+            let site = play(routers, hubs, requests_per_s, rejections_max);
+            let bound = 0.2 * requests_per_s * SPAN_MS as f64 / 1e3 + SLACK;
+            let within = |from_ms: u64| {
+                let span = from_ms..from_ms + SPAN_MS;
+                site.repeats_ms.iter().filter(|it| span.contains(it)).count()
+            };
+            let most = (0..END_MS).step_by(100).map(within).max().unwrap_or_default();
+            assert!(most as f64 <= bound, "{routers} routers, {requests_per_s}/s: {most} repeats");
+        }
+    }
+}
+
 /// Guards against a pool that serves far less than it could under overload.
 #[test]
 fn capacity_used() {
--- a/crates/dissemination/tests/support/limited_site.rs
+++ b/crates/dissemination/tests/support/limited_site.rs
@@ -6,7 +6,7 @@
 mod room;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -71,6 +71,8 @@
     epoch: u64,
     servers: Vec<BackendKey>,
     jobs: BTreeMap<Ticket, Job>,
+    /// The requests that were sent to a server before.
+    sent_before: BTreeSet<Ticket>,
     is_up: bool,
     is_cut_off: bool,
 }
@@ -98,6 +100,8 @@
     /// The hub that issues permits.
     pub leader: Option<usize>,
     pub callers: Callers,
+    /// The times at which requests reached a server that had reached one before.
+    pub repeats_ms: Vec<u64>,
     /// Bytes of the exchanges of the first router about limits and permits, with their times.
     pub bytes: Vec<(u64, usize)>,
 }
@@ -125,6 +129,7 @@
             desk: PermitDesk::default(),
             leader: Some(0),
             callers: Callers::default(),
+            repeats_ms: Vec::new(),
             bytes: Vec::new(),
         };
         for idx in 0..routers {
@@ -267,6 +272,7 @@
             epoch: 0,
             servers,
             jobs: BTreeMap::new(),
+            sent_before: BTreeSet::new(),
             is_up: true,
             is_cut_off: false,
         }
@@ -302,6 +308,9 @@
                     let server = server.expect("a listed server");
                     router.scheduler.dispatched(ticket, now);
                     self.servers[server].arrivals.push(now_ms);
+                    if !router.sent_before.insert(ticket) {
+                        self.repeats_ms.push(now_ms);
+                    }
                     let (end_ms, end) = self.servers[server].admit(now_ms);
                     router.jobs.insert(ticket, Job { server, end_ms, end });
                 }
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -32,11 +32,11 @@
             return RetryDecision::GiveUp(GiveUp::NotFailed);
         }
         self.record_failure(ticket, now, failure);
-        let reached = self.count_unreached(ticket, failure, execution);
+        let cost = self.retry_cost(ticket, failure, execution, now);
         if let Some(other_attempt) = self.requests[ticket].other_attempt {
             return self.defer_to_other_attempt(ticket, other_attempt);
         }
-        match self.spend_retry(ticket, execution, reached, now) {
+        match self.spend_retry(ticket, execution, cost, now) {
             Ok(()) => self.schedule_retry(ticket, now),
             Err(reason) => {
                 self.cancelled(ticket);
@@ -98,17 +98,26 @@
         &mut self,
         ticket: Ticket,
         execution: Execution,
-        reached: Reached,
+        cost: RetryCost,
         now: Instant,
     ) -> Result<(), GiveUp> {
         let Offer { pool, class, .. } = self.requests[ticket].offer;
         self.check_retry(ticket, execution, now)?;
-        if reached == Reached::Server && !self.pools[pool].queue(class).retries.spend() {
+        if cost == RetryCost::Budget && !self.pools[pool].queue(class).retries.spend() {
             return Err(GiveUp::RetryBudgetExhausted);
         }
         Ok(())
     }
 
+    /// Whether the permits of the attempt's server bound how many requests it rejects, so that this
+    /// rejection needs no budget.
+    fn is_bounded(&self, ticket: Ticket, failure: Failure, now: Instant) -> bool {
+        let attempt = self.requests[ticket].attempt();
+        let limit = attempt.and_then(|it| self.backends[it.backend].limit.as_ref());
+        failure == Failure::Overloaded
+            && limit.is_some_and(|it| it.is_fragile && it.available(now).is_some())
+    }
+
     fn check_retry(
         &self,
         ticket: Ticket,
@@ -137,23 +146,26 @@
         Ok(())
     }
 
-    /// Determines whether the attempt counts as one that reached a server. Up to
-    /// [`UNCOUNTED_CONNECT_FAILURES_MAX`] refused connections of a request neither count as
-    /// attempts nor use the retry budget.
-    fn count_unreached(
+    /// Determines what a retry costs. Up to [`UNCOUNTED_CONNECT_FAILURES_MAX`] refused connections of a
+    /// request neither count as attempts nor use the retry budget.
+    fn retry_cost(
         &mut self,
         ticket: Ticket,
         failure: Failure,
         execution: Execution,
-    ) -> Reached {
+        now: Instant,
+    ) -> RetryCost {
+        if self.is_bounded(ticket, failure, now) {
+            return RetryCost::Free;
+        }
         let request = &mut self.requests[ticket];
         let is_unreached = failure == Failure::ConnectRefused && execution == Execution::NotRun;
         if !is_unreached || request.failed_connects >= UNCOUNTED_CONNECT_FAILURES_MAX {
-            return Reached::Server;
+            return RetryCost::Budget;
         }
         request.failed_connects += 1;
         request.attempts -= 1;
-        Reached::NoServer
+        RetryCost::Free
     }
 
     fn schedule_retry(&mut self, ticket: Ticket, now: Instant) -> RetryDecision {
@@ -240,13 +252,13 @@
     }
 }
 
-/// Whether an attempt reached a server.
+/// What a retry costs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reached {
-    /// The attempt may have reached a server.
-    Server,
-    /// There was no connection.
-    NoServer,
+enum RetryCost {
+    /// One retry of the budget.
+    Budget,
+    /// Nothing: no server was reached, or permits bound what servers reject.
+    Free,
 }
 
 /// Refused connections of one request that do not count as attempts.
--- a/crates/policy/tests/retry_budget.rs
+++ b/crates/policy/tests/retry_budget.rs
@@ -5,7 +5,8 @@
 
 use fixture::{Fixture, class, load_report};
 use policy::{
-    Action, ClassSpec, Execution, Failure, GiveUp, Hedge, Offer, Outcome, Repeat, RetryDecision,
+    Action, ClassSpec, Execution, Failure, FragileAnswer, GiveUp, Hedge, Offer, Outcome, Repeat,
+    RetryDecision, Settings,
 };
 use proptest::prelude::*;
 
@@ -38,6 +39,28 @@
     }
 }
 
+/// Guards against requests that are given up because servers reject some of what their permits allow: a
+/// router with few requests has less budget than that.
+#[test]
+fn rejected_within_permits() {
+    let chat = ClassSpec { retry_budget_permille: 0, max_attempts: 9, ..class("chat", 1, 100) };
+    let settings = Settings { retry_burst: 0, ..Settings::default() };
+    let mut fixture = Fixture::with(settings, fixture::spec(vec![chat], 4), 2);
+    let answer = |is_rejection| FragileAnswer { rejections_max: 10, is_rejection, named: None };
+    for _ in 0..20 {
+        let ticket = fixture.offer("chat");
+        fixture.poll();
+        fixture.advance(200);
+        fixture.scheduler.fragile_named(fixture.now, ticket, answer(false));
+        fixture.finish(ticket);
+    }
+    let ticket = fixture.offer("chat");
+    fixture.poll();
+    fixture.scheduler.fragile_named(fixture.now, ticket, answer(true));
+    let decision = fixture.scheduler.retry(ticket, overloaded(Execution::NotRun), fixture.now);
+    assert!(matches!(decision, RetryDecision::Retry { .. }), "{decision:?}");
+}
+
 fn decide(repeat: Repeat, execution: Execution) -> RetryDecision {
     let mut fixture = Fixture::new(vec![class("chat", 1, 100)], 2, 4);
     let offer = Offer { repeat, ..fixture.new_offer("chat", "a") };
