Let routers begin to ask for permits at different servers

Cause: the first server for which permits are asked was the first listed one at every router, until the first grant. Change: it follows from the router's seed.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -164,6 +164,8 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            // Routers begin at different servers.
+            first_asked: settings.seed as usize,
             settings,
             revision: 0,
             classes: SlotMap::default(),
@@ -188,7 +190,6 @@
             recent_prefixes: RecentPrefixes::default(),
             unlisted_limits: BTreeMap::new(),
             failing_changes: Vec::new(),
-            first_asked: 0,
             unanswered_asks: 0,
             actions: Vec::new(),
         }
