Begin with a higher limit where fragile servers survive rejections

Cause: the limit of a fragile server began at 0.6 of what takes its places and grew by a twentieth a second to at most 0.9, so a fleet of 40 or 85 routers had too few permits for 0.75 of the capacity, and callers were refused although there was room. Change: it begins at 0.77 less 0.7 divided by the rejections that the server survives, and may reach 1.0. Ruled out: 0.8 at first (six failures of 12 servers that survive four rejections, three allowed), a growth of 0.08 a second and limits up to 1.3 (nothing gained).

--- a/crates/policy/src/scheduler/fragile.rs
+++ b/crates/policy/src/scheduler/fragile.rs
@@ -14,16 +14,18 @@
     request::{Attempt, Request},
 };
 
-/// The part of the places that requests use on average, at first.
-const USE_AT_FIRST: f64 = 0.6;
-/// Bounds of the limit relative to the rate at which requests use all places. Not all permits are used.
-const BOUNDS: [f64; 2] = [0.3, 0.9];
+/// The part of the places that requests use on average, at first, if the server survives many rejections;
+/// one that survives only some is used less, by this part divided by their number.
+const USE_AT_FIRST: f64 = 0.77;
+const UNUSED_AT_FIRST: f64 = 0.7;
+/// Bounds of the limit relative to the rate at which requests use all places.
+const BOUNDS: [f64; 2] = [0.3, 1.0];
 /// The limit grows by this factor while no request is rejected, once in this time.
 const GROWTH: f64 = 1.05;
 const GROWTH_INTERVAL: Duration = Duration::from_secs(1);
 /// The limit settles where a server rejects this part of its requests, or this part of the rejections that
 /// it survives if that is less.
-const SETTLED_PARTS: [f64; 2] = [0.03, 0.1];
+const SETTLED_PARTS: [f64; 2] = [0.04, 0.1];
 /// The largest part by which a rejection lowers the limit.
 const DECREASE_MAX: f64 = 0.3;
 /// After the first statement on a server its requests need no permit for this long, in which all routers
@@ -59,7 +61,7 @@
         let known = known.filter(|it| it.rate.is_some());
         let per_s = match known {
             Some(known) => next_rate_per_s(now, known, full_per_s, answer),
-            None => Some(full_per_s * USE_AT_FIRST),
+            None => Some(full_per_s * use_at_first(answer.rejections_max)),
         };
         let rate = per_s.and_then(RequestRate::from_per_second);
         let Some(rate) = [rate, answer.named].into_iter().flatten().min() else {
@@ -93,6 +95,12 @@
     }
 }
 
+/// The part of the places that requests to a server use at first that survives so many rejections.
+fn use_at_first(rejections_max: u32) -> f64 {
+    let unused = UNUSED_AT_FIRST / f64::from(rejections_max.max(1));
+    (USE_AT_FIRST - unused).max(BOUNDS[0])
+}
+
 /// The next limit of a server that has one, if it is another one.
 fn next_rate_per_s(
     now: Instant,
