Tell all routers which servers are down

Change: a router reports the servers that it has found down, control VMs tell one another how many routers have, and a router avoids what two or more report: as homes, as candidates and in the partition. One such server is probed in each exchange; one that answers is used for 5 s whatever is reported.

--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -6,7 +6,10 @@
 use dissemination::{BegunStreams, HubNews, HubPermitRequest, Peer as RouterPeer};
 use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
-use wire_form::{Extensions, FormError};
+use wire_form::{ExtensionId, Extensions, FormError};
+
+/// In [`Envelope::Work`], the servers that routers have found down.
+const DOWN: ExtensionId = ExtensionId(1);
 
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +27,9 @@
         rows: Vec<(SocketAddr, PendingWork)>,
         /// The streams that began since the last message.
         begun_streams: Vec<BegunStreams>,
+        /// How many of the routers have found each server down.
+        #[serde(skip)]
+        down: Vec<(SocketAddr, u32)>,
     },
     /// Causes of crashes and rate limits of servers.
     News(HubNews),
@@ -49,7 +55,8 @@
     /// Encodes the message, or returns `None` if the codec cannot represent it.
     #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
-        wire_form::encode(self, &Extensions::default()).ok()
+        let extensions = self.extensions().ok()?;
+        wire_form::encode(self, &extensions).ok()
     }
 
     /// Decodes a message.
@@ -58,6 +65,20 @@
     ///
     /// If the bytes do not decode to a message that this build knows.
     pub fn decode(bytes: &[u8]) -> Result<Envelope, FormError> {
-        wire_form::decode(bytes).map(|(envelope, _)| envelope)
+        let (mut envelope, extensions): (Envelope, _) = wire_form::decode(bytes)?;
+        if let Envelope::Work { down, .. } = &mut envelope {
+            *down = extensions.get(DOWN)?.unwrap_or_default();
+        }
+        Ok(envelope)
+    }
+
+    fn extensions(&self) -> Result<Extensions, FormError> {
+        let mut extensions = Extensions::default();
+        if let Envelope::Work { down, .. } = self
+            && !down.is_empty()
+        {
+            extensions.insert(DOWN, down)?;
+        }
+        Ok(extensions)
     }
 }
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -203,8 +203,9 @@
         match Envelope::decode(&message) {
             Ok(Envelope::Log(message)) => self.replica.step(message),
             Ok(Envelope::Hello(peer)) => self.replica.record_hello(peer, &message),
-            Ok(Envelope::Work { hub, rows, begun_streams }) => {
+            Ok(Envelope::Work { hub, rows, begun_streams, down }) => {
                 let now = self.clock.now();
+                self.hub.borrow_mut().update_hub_down(now, hub, down);
                 self.hub.borrow_mut().update_hub_work(now, hub, rows);
                 self.hub.borrow_mut().record_streams(now, &begun_streams);
             }
--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -1,5 +1,5 @@
 //! Sends what this control VM's routers report to the other control VMs: the pending work at each
-//! backend server, the causes of crashes, the rate limits of servers, the permits that they need, and the
+//! backend server, the servers that are down, the causes of crashes, the rate limits of servers, the permits that they need, and the
 //! routers that serve requests of others.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -34,11 +34,12 @@
             monoio::time::sleep(WORK_PERIOD).await;
             let rows = self.hub.borrow_mut().own_work(self.clock.now());
             let begun_streams = self.hub.borrow_mut().take_new_streams();
-            if rows.is_empty() && begun_streams.is_empty() {
+            let down = self.hub.borrow_mut().own_down(self.clock.now());
+            if rows.is_empty() && begun_streams.is_empty() && down.is_empty() {
                 continue;
             }
             let hub = self.replica.status().me.node.0;
-            self.replica.broadcast(&Envelope::Work { hub, rows, begun_streams });
+            self.replica.broadcast(&Envelope::Work { hub, rows, begun_streams, down });
         }
     }
 
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -17,10 +17,15 @@
     parts::Parts,
     peers::{self, HubPeers},
     permits::{HubPermitRequest, HubPermits},
+    reports::LatestReports,
     suspects::Suspects,
-    work::WorkReports,
 };
 
+/// Time for which a report of servers that are down counts: routers and hubs send several within it.
+const DOWN_TTL: Duration = Duration::from_millis(1_500);
+/// A server counts as down once so many routers have found it down: the path of a single router may be broken.
+const DOWN_REPORTERS_MIN: u32 = 2;
+
 /// Settings of a hub.
 #[derive(Debug, Clone)]
 pub struct HubSettings {
@@ -54,7 +59,12 @@
     by_addr: BTreeMap<SocketAddr, ServerIdx>,
     suspects: Suspects,
     parts: Parts,
-    work: WorkReports,
+    /// The pending work of the routers and of the other hubs at each server.
+    work: LatestReports<RouterIdx, ServerIdx, PendingWork>,
+    work_of_hubs: LatestReports<u64, SocketAddr, PendingWork>,
+    /// How many routers, and how many of those of the other hubs, have found each server down.
+    down: LatestReports<RouterIdx, ServerIdx, u32>,
+    down_of_hubs: LatestReports<u64, SocketAddr, u32>,
     limits: Limits,
     permits: HubPermits,
     streams: StreamLog,
@@ -95,7 +105,10 @@
             by_addr: BTreeMap::new(),
             suspects: Suspects::default(),
             parts: Parts::default(),
-            work: WorkReports::default(),
+            work: LatestReports::new(PendingWork::TTL),
+            work_of_hubs: LatestReports::new(PendingWork::TTL),
+            down: LatestReports::new(DOWN_TTL),
+            down_of_hubs: LatestReports::new(DOWN_TTL),
             limits: Limits::default(),
             permits: HubPermits::default(),
             streams: StreamLog::default(),
@@ -142,14 +155,40 @@
         let work =
             work.filter_map(|it| Some((self.resolve_server(it.server, is_current)?, it.work)));
         let work = work.collect();
-        self.work.update_router(now, router, work);
+        self.work.update(now, router, work);
+        let down = summary.down.into_iter().filter_map(|it| self.resolve_server(it, is_current));
+        let down = down.map(|it| (it, 1)).collect();
+        self.down.update(now, router, down);
         let found_streams = self.find_streams(now, &summary.stream_lookups);
-        Digest { found_streams, ..self.digest(now, router, held) }
+        let down = self.down_servers(now);
+        Digest { found_streams, down, ..self.digest(now, router, held) }
+    }
+
+    /// The servers that several routers have found down.
+    fn down_servers(&mut self, now: Instant) -> Vec<ServerIdx> {
+        let mut reporters = self.down.sums(now, None);
+        for (addr, count) in self.down_of_hubs.sums(now, None) {
+            let idx = self.find_or_add_server(addr);
+            *reporters.entry(idx).or_default() += count;
+        }
+        let down = reporters.into_iter().filter(|it| it.1 >= DOWN_REPORTERS_MIN);
+        down.map(|it| it.0).collect()
+    }
+
+    /// How many of this hub's routers have found each server down, for the other hubs.
+    pub fn own_down(&mut self, now: Instant) -> Vec<(SocketAddr, u32)> {
+        let reporters = self.down.sums(now, None).into_iter();
+        reporters.map(|(idx, count)| (self.servers[idx.0 as usize].row.addr, count)).collect()
+    }
+
+    /// Replaces how many routers of another hub have found each server down.
+    pub fn update_hub_down(&mut self, now: Instant, hub: u64, rows: Vec<(SocketAddr, u32)>) {
+        self.down_of_hubs.update(now, hub, rows);
     }
 
     /// The pending work of this hub's routers by server, for the other hubs.
     pub fn own_work(&mut self, now: Instant) -> Vec<(SocketAddr, PendingWork)> {
-        let sums = self.work.of_routers(now, None).into_iter();
+        let sums = self.work.sums(now, None).into_iter();
         sums.map(|(idx, work)| (self.servers[idx.0 as usize].row.addr, work)).collect()
     }
 
@@ -160,7 +199,7 @@
         hub: u64,
         rows: Vec<(SocketAddr, PendingWork)>,
     ) {
-        self.work.update_hub(now, hub, rows);
+        self.work_of_hubs.update(now, hub, rows);
     }
 
     /// The suspects and rate limits that have changed through this hub's routers since the last call,
@@ -350,8 +389,8 @@
 
     /// The pending work of all other routers, including those of other hubs.
     fn others_work(&mut self, now: Instant, router: RouterIdx) -> Vec<ServerWork> {
-        let mut all = self.work.of_routers(now, Some(router));
-        for (addr, work) in self.work.of_hubs(now) {
+        let mut all = self.work.sums(now, Some(router));
+        for (addr, work) in self.work_of_hubs.sums(now, None) {
             let idx = self.find_or_add_server(addr);
             *all.entry(idx).or_default() += work;
         }
@@ -421,6 +460,7 @@
             limits: self.limits.since(now, held),
             permits: self.permits.take(now, router),
             found_streams: Vec::new(),
+            down: Vec::new(),
         }
     }
 
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -14,6 +14,7 @@
 mod parts;
 mod peers;
 mod permits;
+mod reports;
 mod rows;
 mod streams;
 mod suspects;
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -33,6 +33,7 @@
     new_limits: Vec<LimitEntry>,
     permits: Vec<PermitGrant>,
     found_streams: Vec<BegunStreams>,
+    down: Vec<ServerIdx>,
     own_peer: Option<Peer>,
     peers: Vec<Peer>,
 }
@@ -53,6 +54,7 @@
             new_limits: Vec::new(),
             permits: Vec::new(),
             found_streams: Vec::new(),
+            down: Vec::new(),
             own_peer: None,
             peers: Vec::new(),
         }
@@ -89,6 +91,7 @@
             stream_lookups: Vec::new(),
             peer: self.own_peer.filter(|_| self.own_idx.is_none()),
             level: self.own_idx.is_none().then_some(wire_form::LEVEL),
+            down: Vec::new(),
         }
     }
 
@@ -125,6 +128,7 @@
         self.new_limits = digest.limits;
         self.permits = digest.permits;
         self.found_streams = digest.found_streams;
+        self.down = digest.down;
         CrashRows { requests: digest.quarantine, parts: digest.parts }
     }
 
@@ -182,6 +186,11 @@
         &self.found_streams
     }
 
+    /// The addresses of the servers that several routers have found down.
+    pub fn down(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.down.iter().filter_map(|it| Some(self.servers.get(it)?.row.addr))
+    }
+
     /// The epoch of the hub that the state belongs to; 0 before the first digest.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -100,6 +100,9 @@
     /// The level of the router's forms, sent as often as `peer`.
     #[serde(skip)]
     pub level: Option<u16>,
+    /// The servers that the router has found down.
+    #[serde(skip)]
+    pub down: Vec<ServerRef>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
@@ -136,6 +139,9 @@
     pub permits: Vec<PermitGrant>,
     /// The streams that were looked up and are known.
     pub found_streams: Vec<BegunStreams>,
+    /// The servers that several routers have found down.
+    #[serde(skip)]
+    pub down: Vec<ServerIdx>,
 }
 
 /// A hash of a pool's name, sent in place of the name because rows are sent every second.
--- a/crates/dissemination/src/wire.rs
+++ b/crates/dissemination/src/wire.rs
@@ -8,12 +8,25 @@
 
 /// In a summary, the [`wire_form::LEVEL`] of the router.
 const LEVEL: ExtensionId = ExtensionId(1);
+/// In a summary, the servers that the router has found down.
+const OWN_DOWN: ExtensionId = ExtensionId(2);
+/// In a digest, the servers that several routers have found down.
+const DOWN: ExtensionId = ExtensionId(1);
 
 /// Encodes a summary; if that fails, the result is empty, which the hub rejects.
 pub fn encode_summary(summary: &Summary) -> Vec<u8> {
+    summary_extensions(summary).and_then(|it| wire_form::encode(summary, &it)).unwrap_or_default()
+}
+
+fn summary_extensions(summary: &Summary) -> Result<Extensions, FormError> {
     let mut extensions = Extensions::default();
-    let level = summary.level.map_or(Ok(()), |it| extensions.insert(LEVEL, &it));
-    level.and_then(|()| wire_form::encode(summary, &extensions)).unwrap_or_default()
+    if let Some(level) = summary.level {
+        extensions.insert(LEVEL, &level)?;
+    }
+    if !summary.down.is_empty() {
+        extensions.insert(OWN_DOWN, &summary.down)?;
+    }
+    Ok(extensions)
 }
 
 /// Decodes a summary.
@@ -22,12 +35,21 @@
 /// Fails if the bytes do not decode to a summary.
 pub fn decode_summary(bytes: &[u8]) -> Result<Summary, FormError> {
     let (summary, extensions): (Summary, _) = wire_form::decode(bytes)?;
-    Ok(Summary { level: extensions.get(LEVEL)?, ..summary })
+    let down = extensions.get(OWN_DOWN)?.unwrap_or_default();
+    Ok(Summary { level: extensions.get(LEVEL)?, down, ..summary })
 }
 
 /// Encodes a digest; if that fails, the result is empty, which the router rejects.
 pub fn encode_digest(digest: &Digest) -> Vec<u8> {
-    wire_form::encode(digest, &Extensions::default()).unwrap_or_default()
+    digest_extensions(digest).and_then(|it| wire_form::encode(digest, &it)).unwrap_or_default()
+}
+
+fn digest_extensions(digest: &Digest) -> Result<Extensions, FormError> {
+    let mut extensions = Extensions::default();
+    if !digest.down.is_empty() {
+        extensions.insert(DOWN, &digest.down)?;
+    }
+    Ok(extensions)
 }
 
 /// Decodes a digest.
@@ -35,5 +57,6 @@
 /// # Errors
 /// Fails if the bytes do not decode to a digest.
 pub fn decode_digest(bytes: &[u8]) -> Result<Digest, FormError> {
-    wire_form::decode(bytes).map(|(digest, _)| digest)
+    let (digest, extensions): (Digest, _) = wire_form::decode(bytes)?;
+    Ok(Digest { down: extensions.get(DOWN)?.unwrap_or_default(), ..digest })
 }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -16,6 +16,7 @@
     pace::{Ceiling, Pace},
     path_proof::PathProof,
     rate_limit::ServerLimit,
+    scheduler::DownReport,
     selection::mix,
     settings::{OtherLoad, Settings},
     software::VersionHash,
@@ -149,6 +150,8 @@
     overload_backoff: Option<OverloadBackoff>,
     /// Until when the server has asked for no request.
     pause_until: Option<Instant>,
+    /// What other routers have told if it is down for them.
+    pub(crate) down_report: DownReport,
     /// How often its latest requests failed.
     pub(crate) failures: FailureRecord,
     /// What is known of its limit on the rate of requests, if it ever named one.
@@ -252,6 +255,7 @@
             crashed_incarnation: None,
             overload_backoff: None,
             pause_until: None,
+            down_report: DownReport::default(),
             failures: FailureRecord::default(),
             limit: None,
             recoveries: 0,
--- a/crates/policy/src/partition.rs
+++ b/crates/policy/src/partition.rs
@@ -96,15 +96,16 @@
         };
     }
 
-    /// The usable servers of one side, or all of them if the pool is too small to be partitioned.
+    /// The available servers of one side, or all of them if the pool is too small to be partitioned.
     pub(crate) fn side(
         &self,
+        now: Instant,
         backends: &SlotMap<BackendKey, Backend>,
         members: &[BackendKey],
         side: Side,
     ) -> Vec<BackendKey> {
-        let usable = members.iter().copied().filter(|it| backends[*it].is_usable());
-        let mut ranked: Vec<_> = usable.collect();
+        let available = members.iter().copied().filter(|it| backends[*it].is_available(now));
+        let mut ranked: Vec<_> = available.collect();
         if ranked.len() < PARTITIONED_SERVERS_MIN {
             return ranked;
         }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod checks;
+mod down_servers;
 mod events;
 mod failing;
 mod fragile;
@@ -39,6 +40,8 @@
     spec::{ClassSpec, Spec, SpecError, WorkspaceSpec},
 };
 
+pub(crate) use down_servers::DownReport;
+
 pub use checks::{ClassCounts, QueueSnapshot};
 pub use events::ProbeResult;
 pub use failing::FailingChange;
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -113,7 +113,10 @@
         let interval = self.settings.probe_interval;
         let Some(entry) = self.backends.get_mut(backend) else { return };
         match result {
-            ProbeResult::Alive | ProbeResult::AliveAs { .. } => entry.path.probe_answered(),
+            ProbeResult::Alive | ProbeResult::AliveAs { .. } => {
+                entry.path.probe_answered();
+                entry.down_report.probe_answered(now);
+            }
             ProbeResult::Dead => entry.path.failed(),
         }
         match (entry.health, result) {
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -287,7 +287,7 @@
         let criteria = self.criteria(now, request, allowed.as_deref(), &suspect_hosts);
         let criteria = Criteria { ceiling, ..criteria };
         let (pool, class) = (request.offer.pool, request.offer.class);
-        let own_side = self.own_side(pool, class);
+        let own_side = self.own_side(now, pool, class);
         let side = self.side(&self.pools[pool], class);
         let prompt = self.prompts.get(ticket);
         let to_try = self.server_to_try(ticket);
@@ -301,10 +301,10 @@
 
     /// The servers that the class prefers; empty if all classes of the pool have the same target
     /// between tokens.
-    pub(super) fn own_side(&self, pool: PoolKey, class: ClassKey) -> Vec<BackendKey> {
+    pub(super) fn own_side(&self, now: Instant, pool: PoolKey, class: ClassKey) -> Vec<BackendKey> {
         let pool = &self.pools[pool];
         let Some(side) = self.side(pool, class) else { return Vec::new() };
-        pool.partition.side(&self.backends, &pool.members, side)
+        pool.partition.side(now, &self.backends, &pool.members, side)
     }
 
     /// The class's side of the partition: strict if it has the strictest target between tokens of
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -113,7 +113,7 @@
         let prompt = self.prompts.get(ticket)?;
         let request = &self.requests[ticket];
         let (offer, cost) = (request.offer, request.cost);
-        let own_side = self.own_side(offer.pool, offer.class);
+        let own_side = self.own_side(now, offer.pool, offer.class);
         let selector = self.selector(now, offer.pool);
         let homes = selector.homes(prompt, &own_side);
         let uncached = selector.uncached_tokens(backend, prompt, &homes).max(1);
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -108,7 +108,10 @@
         let mut candidates = self.free_servers(criteria);
         retain_unless_empty(&mut candidates, |it| !criteria.tried.contains(&it));
         retain_unless_empty(&mut candidates, |it| Some(&it) != criteria.tried.last());
-        retain_unless_empty(&mut candidates, |it| self.backends[it].health == Health::Up);
+        retain_unless_empty(&mut candidates, |it| {
+            let server = &self.backends[it];
+            server.health == Health::Up && server.is_available(self.now)
+        });
         if let Some(server) = criteria.to_try.filter(|it| candidates.contains(it)) {
             return Some(server);
         }
@@ -293,8 +296,9 @@
             return Vec::new();
         }
         let members = if own_side.is_empty() { self.members } else { own_side };
-        let usable = members.iter().copied().filter(|it| self.backends[*it].is_usable());
-        let mut ranked: Vec<_> = usable.collect();
+        let available = members.iter().copied();
+        let available = available.filter(|it| self.backends[*it].is_available(self.now));
+        let mut ranked: Vec<_> = available.collect();
         ranked.sort_by_cached_key(|it| std::cmp::Reverse(self.rendezvous(*it, hash)));
         ranked.truncate(HOME_CACHED_FRACTIONS.len());
         ranked
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -302,6 +302,18 @@
         }
     }
 
+    /// The servers of a pool that this router has found down.
+    pub fn down_servers(&self, pool: &str) -> Vec<SocketAddr> {
+        self.pool_dispatcher(pool).map(|it| it.down_servers()).unwrap_or_default()
+    }
+
+    /// Sets the servers that are down for several routers, of all pools.
+    pub fn set_reported_down(&self, servers: &[SocketAddr]) {
+        for dispatcher in self.dispatchers.borrow().values() {
+            dispatcher.set_reported_down(servers);
+        }
+    }
+
     /// Grants slots of a server, which this router may hold until `expires`.
     pub fn grant_slots(&self, pool: &str, addr: SocketAddr, slots: u32, expires: Instant) {
         if let Some(dispatcher) = self.pool_dispatcher(pool) {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -320,6 +320,27 @@
         scheduler.set_others_work(now, pool, &known);
     }
 
+    /// The servers of the pool that this router has found down.
+    pub(super) fn down_servers(&self) -> Vec<SocketAddr> {
+        let State { scheduler, servers, pool, .. } = &*self.state.borrow();
+        let Some(pool) = scheduler.pool(pool) else { return Vec::new() };
+        let down = scheduler.down_servers(pool).into_iter();
+        down.filter_map(|it| Some(servers.find_by_key(it)?.addr)).collect()
+    }
+
+    /// Sets the servers that are down for several routers; those of other pools are ignored.
+    pub(super) fn set_reported_down(&self, addrs: &[SocketAddr]) {
+        let now = self.clock.now();
+        let State { scheduler, servers, pool, .. } = &mut *self.state.borrow_mut();
+        let Some(key) = scheduler.pool(pool) else { return };
+        let reported = addrs.iter().filter_map(|it| Some(servers.find_by_addr(*it)?.key));
+        let reported: Vec<_> = reported.collect();
+        if let Some(avoided) = scheduler.set_reported_down(now, key, &reported) {
+            let reported = reported.len();
+            tracing::info!(event = "servers_reported_down", %pool, reported, avoided);
+        }
+    }
+
     /// The known rate limits of the pool's servers.
     pub(super) fn limit_entries(&self) -> Vec<LimitEntry> {
         self.apply(|scheduler, now| scheduler.limit_entries(now))
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -1,5 +1,5 @@
 //! Exchanges state with the other routers of a platform, through the control VMs: the load of
-//! backend servers, their rate limits with the permits for requests to them, the requests that crash them,
+//! backend servers, those that are down, their rate limits with the permits for requests to them, the requests that crash them,
 //! and the software versions that began streams.
 //!
 //! With many routers, each one causes only a small part of a server's load, and sees only a few of
@@ -36,6 +36,9 @@
         let work = pools.flat_map(|it| self.services.dispatcher.own_work(&it.name));
         let work =
             work.map(|(addr, work)| ServerWork { server: state.server_ref(addr), work }).collect();
+        let pools = tables.pools.iter();
+        let down = pools.flat_map(|it| self.services.dispatcher.down_servers(&it.name));
+        let down = down.map(|it| state.server_ref(it)).collect();
         let quarantine = self.sent.new_suspects(&self.services.dispatcher);
         let parts = self.sent.changed_parts(&self.services.dispatcher);
         let limits = self.sent.changed_limits(&self.services.dispatcher);
@@ -50,6 +53,7 @@
             permit_requests,
             begun_streams,
             stream_lookups,
+            down,
             ..empty
         }
     }
@@ -63,6 +67,7 @@
         for pool in &tables.pools {
             dispatcher.set_others_work(&pool.name, state.others_work());
         }
+        dispatcher.set_reported_down(&state.down().collect::<Vec<_>>());
         self.sent.import_limits(dispatcher, state);
         self.services.streams.record_found(state.found_streams());
     }
--- a/crates/wire-form/tests/support/samples.rs
+++ b/crates/wire-form/tests/support/samples.rs
@@ -115,6 +115,7 @@
         stream_lookups: vec![StreamHash::of("abc")],
         peer: Some(router_peer()),
         level: None,
+        down: Vec::new(),
     };
     let brief = Summary {
         from: Sender::Idx(RouterIdx(3)),
@@ -133,6 +134,7 @@
         stream_lookups: Vec::new(),
         peer: None,
         level: None,
+        down: Vec::new(),
     };
     vec![("summary", full), ("summary-brief", brief)]
 }
@@ -162,6 +164,7 @@
         limits: vec![limit_entry()],
         permits: vec![PermitGrant { server: ServerHash(77), count: 3 }],
         found_streams: vec![begun_streams()],
+        down: Vec::new(),
     };
     vec![("digest", full), ("digest-brief", Digest::default())]
 }
@@ -179,6 +182,7 @@
                 hub: 5,
                 rows: vec![(addr(1), work())],
                 begun_streams: vec![begun_streams()],
+                down: Vec::new(),
             },
         ),
         (
