--- a/crates/control/src/hub_broadcast.rs
+++ b/crates/control/src/hub_broadcast.rs
@@ -1,6 +1,7 @@
 //! Sends what this control VM's routers report to the other control VMs: the pending work at each
-//! backend server, the servers that are down, the causes of crashes, the rate limits of servers, the permits that they need, and the
-//! routers that serve requests of others.
+//! backend server, the servers that are down, the causes of crashes, the rate limits of servers, the
+//! permits that they need, the pauses that they have measured, and the routers that serve requests of
+//! others.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
