Untie four knots between the modules of the router

Change: the values of log lines and header fields, the report of crashing requests and the restriction of a resumed stream have modules of their own, and the worse of two outcomes is a method of the outcome.

--- a/crates/router/src/access_log.rs
+++ b/crates/router/src/access_log.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
-    arrival::Arrival, backends::millis, forwarding::Origin, metrics::Labels, outcome::Outcome,
+    arrival::Arrival, fields::millis, forwarding::Origin, metrics::Labels, outcome::Outcome,
     routing::Routed, services::Services,
 };
 
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -1,7 +1,7 @@
 //! The client side: exchanges with backend servers, and what a failed exchange proves about the
 //! execution of its request.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use clock::Clock;
 use futures::{FutureExt, future::LocalBoxFuture};
@@ -16,6 +16,7 @@
 use crate::{
     dialect::Dialect,
     dispatch::{ProbeTarget, Prober},
+    fields::traceparent,
     outcome::{Outcome, REQUEST_ID_HEADER},
 };
 
@@ -276,18 +277,6 @@
     }
 }
 
-/// The `traceparent` header value of a span for the next hop.
-#[must_use]
-pub fn traceparent(trace: &TraceContext) -> HeaderValue {
-    HeaderValue::try_from(trace.to_string()).expect("a trace context is a valid header value")
-}
-
-/// A duration in whole milliseconds, for logs.
-#[must_use]
-pub fn millis(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
-
 fn client_request(attempt: Attempt) -> Request {
     let Attempt { method, uri, id, trace, mut headers, body, .. } = attempt;
     headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id);
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -14,9 +14,10 @@
 use telemetry::TraceContext;
 
 use crate::{
-    backends::{Attempt, AttemptError, millis},
+    backends::{Attempt, AttemptError},
     class_limits::Permit,
     dispatch::{DispatchRequest, Lease, RetryResult},
+    fields::millis,
     fingerprint::Fingerprint,
     metrics::{InFlightGuard, Labels},
     outcome::{Code, Failure, Outcome},
@@ -147,7 +148,7 @@
     /// What is known about the execution of the request, including the attempt in flight.
     pub(crate) fn known_outcome(&self) -> Outcome {
         match self.is_attempt_in_flight {
-            true => worse(self.outcome, Outcome::MayHaveRun),
+            true => self.outcome.worse(Outcome::MayHaveRun),
             false => self.outcome,
         }
     }
@@ -242,7 +243,7 @@
     /// If the request is not retried; the error is the answer to the caller.
     pub(crate) async fn retry(&mut self, error: AttemptError) -> Result<(), Failure> {
         self.log_attempt("failed", Some(&error));
-        self.outcome = worse(self.outcome, error.outcome());
+        self.outcome = self.outcome.worse(error.outcome());
         if error.execution != Execution::NotRun {
             self.routed.attempts.set(self.routed.attempts.get() + 1);
         }
@@ -372,12 +373,3 @@
     let message = "the caller went away while the request waited";
     Failure::not_run(StatusCode::REQUEST_TIMEOUT, Code::CallerGone, message)
 }
-
-/// The worse of two outcomes, in the order not run, may have run, ran.
-pub(crate) fn worse(one: Outcome, other: Outcome) -> Outcome {
-    match (one, other) {
-        (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
-        (Outcome::MayHaveRun, _) | (_, Outcome::MayHaveRun) => Outcome::MayHaveRun,
-        (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
-    }
-}
--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     backends::AttemptError,
-    call::{Call, worse},
+    call::Call,
     chat::{ChatRequest, WholeAnswer},
     deadline::{Completion, run_until_deadline},
     engine_stream::EngineStream,
@@ -96,7 +96,7 @@
         match run_until_deadline(disconnected, left, work(self)).await {
             Completion::Done(done) => Ok(done),
             Completion::DeadlinePassed | Completion::CallerDisconnected => {
-                Err(refusals::deadline_passed(worse(self.engine.call.outcome, Outcome::MayHaveRun)))
+                Err(refusals::deadline_passed(self.engine.call.outcome.worse(Outcome::MayHaveRun)))
             }
         }
     }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -31,7 +31,7 @@
 
 pub use self::lease::{Control, FailureReport, Lease, RetryResult};
 use self::{pool_dispatcher::PoolDispatcher, reach::Reach};
-use crate::{identity::Workspaces, quarantine_exchange::QuarantineReport};
+use crate::{identity::Workspaces, quarantine_report::QuarantineReport};
 
 /// A backend server whose health is probed.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/router/src/dispatch/decision_log.rs
+++ b/crates/router/src/dispatch/decision_log.rs
@@ -5,7 +5,7 @@
 use policy::{PartChange, QuarantineEvent, ReachChange, RequestRate, Scheduler};
 
 use super::server_list::ServerList;
-use crate::{backends::millis, fingerprint::Fingerprint};
+use crate::{fields::millis, fingerprint::Fingerprint};
 
 /// The number of suspects of a crash that the log names.
 const LOGGED_SUSPECTS_MAX: usize = 16;
--- a/crates/router/src/dispatch/reach.rs
+++ b/crates/router/src/dispatch/reach.rs
@@ -22,7 +22,7 @@
 use policy::SilenceWatch;
 
 use super::{ProbeTarget, Prober, pool_dispatcher::PoolDispatcher};
-use crate::backends::millis;
+use crate::fields::millis;
 
 /// The number of servers that are probed first: one that answers is enough.
 const FIRST_PROBES: usize = 2;
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -28,9 +28,8 @@
     peer_client::PeerClient,
 };
 use crate::{
-    backends::millis,
-    call::worse,
     deadline::{Completion, run_until_deadline},
+    fields::millis,
     outcome::{Code, Failure, Outcome},
     refusals,
     routing::Routed,
@@ -161,7 +160,7 @@
             Err(refusals::deadline_passed(outcome.get()))
         }
     };
-    Some(result.map_err(|it| Failure { outcome: worse(outcome.get(), it.outcome), ..it }))
+    Some(result.map_err(|it| Failure { outcome: outcome.get().worse(it.outcome), ..it }))
 }
 
 /// As [`forward`]. `outcome` covers all attempts, also the one under way in case the deadline passes.
@@ -186,7 +185,7 @@
         log_forwarded(services, routed, peer, started, &answer);
         let seen = if is_asked_next { PeerAnswer::Refused } else { PeerAnswer::Served };
         forwarder.peers.borrow_mut().record(services.clock.now(), peer, pool, seen);
-        outcome.set(worse(known, outcome_of(&answer)));
+        outcome.set(known.worse(outcome_of(&answer)));
         match answer {
             Ok(result) if !is_asked_next => return Some(result),
             Err(error) if !is_asked_next => return Some(Err(failed(&error))),
--- a/crates/router/src/forwarding/hop.rs
+++ b/crates/router/src/forwarding/hop.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use telemetry::TraceContext;
 
-use crate::backends::{millis, traceparent};
+use crate::fields::{millis, traceparent};
 
 const ROUTER: HeaderName = HeaderName::from_static("x-forwarding-router");
 const TIME_LEFT_MS: HeaderName = HeaderName::from_static("x-forwarding-time-left-ms");
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -27,6 +27,18 @@
     Ran,
 }
 
+impl Outcome {
+    /// The worse of two outcomes, in the order not run, may have run, ran.
+    #[must_use]
+    pub fn worse(self, other: Outcome) -> Outcome {
+        match (self, other) {
+            (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
+            (Outcome::MayHaveRun, _) | (_, Outcome::MayHaveRun) => Outcome::MayHaveRun,
+            (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
+        }
+    }
+}
+
 /// Why a request failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/router/src/quarantine_exchange.rs
+++ b/crates/router/src/quarantine_exchange.rs
@@ -5,7 +5,7 @@
 //! request to any router at once. An entry carries its remaining time to live, so forwarding it
 //! never extends it.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use daemon::Admin;
 use futures::{
@@ -17,10 +17,8 @@
     server::{Handler, Reply, Request},
 };
 use monoio::time;
-use policy::QuarantineEntry;
-use serde::{Deserialize, Serialize};
 
-use crate::services::Services;
+use crate::{quarantine_report::QuarantineReport, services::Services};
 
 const QUARANTINE_PATH: &str = "/quarantine";
 const TEXT_PLAIN: &str = "text/plain";
@@ -28,14 +26,6 @@
 /// How long the caller of a crashing request waits while the hub and the peers are told.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The entries of each pool.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct QuarantineReport {
-    /// The entries by the name of their pool.
-    pub pools: BTreeMap<String, Vec<QuarantineEntry>>,
-}
-
 /// The handler of the admin listener: the router's quarantine, and the endpoints of every daemon.
 pub(crate) struct RouterAdmin {
     pub(crate) admin: Admin,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 
 mod buffered;
 mod events;
+mod origin;
 mod relayed_call;
 
 use std::{rc::Rc, time::Duration};
@@ -15,7 +16,7 @@
 use monoio::time;
 use tables::{Access, Exchange};
 
-use self::relayed_call::RelayedCall;
+use self::{origin::restrict_to_origin, relayed_call::RelayedCall};
 use crate::{
     access_log::{AccessRecord, AnswerSummary},
     arrival::Arrival,
@@ -26,7 +27,6 @@
     outcome::{Code, Failure, Outcome},
     routing::{Routed, host_name},
     services::Services,
-    stream_origins::restrict_to_origin,
     table_source::TableSource,
 };
 
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     backends::{Attempt, AttemptError, forwarded_headers},
-    call::{Call, worse},
+    call::Call,
     deadline::{Completion, run_until_deadline},
     order_ledger::StoredAnswer,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
@@ -41,7 +41,7 @@
     let left = time_left(&call);
     let completion = run_until_deadline(&disconnected, left, call_with_retries(&mut call)).await;
     let Completion::Done(answer) = completion else {
-        let outcome = worse(call.outcome, Outcome::MayHaveRun);
+        let outcome = call.outcome.worse(Outcome::MayHaveRun);
         call.abandon();
         return Err(refusals::deadline_passed(outcome));
     };
