--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -566,9 +567,11 @@
 def run(case, case_folder):
     """Plays a case; returns the exit status: 0 held, 1 broken, 2 could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A script that is told to stop ends its processes first.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         site = Site(case_folder)
-    except CannotRun as error:
+    except (CannotRun, OSError) as error:
         print(f"cannot run: {error}")
         return 2
     try:
@@ -576,7 +579,7 @@
         site.note("result: " + ("the rule was broken" if broken else "the rule held"))
         print("broken" if broken else "held")
         return 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the script says nothing of the rule.
         site.note(f"result: the case could not run: {error!r}")
         print(f"cannot run: {error!r}")
         return 2
