--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -23,7 +23,6 @@
 # The sheet of the deployment pfvc-backup, as far as the templates use it.
 CONTACT_S = 3.0
 CATCH_UP_S = 4.0
-CONFIG_APPLY_S = 2.0
 DRAIN_S = 3.0
 RECOVERY_S = 12.0
 GRACE_S = 8.0
