--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -28,6 +28,8 @@
 GRACE_S = 8.0
 LIST_LAG_S = 0.8
 LOSSES_MAX = 1
+# The machines of a site have the numbers from 1 to this one.
+MACHINES_MAX = 20
 
 # The path that deploy/wire.toml gives to the question whether a machine is ready.
 READY_PATH = "/readyz"
@@ -158,16 +160,16 @@
         self.subnet, self.ports = self.find_ports()
 
     def find_ports(self):
-        """A part of 127.0.0.0/8 and ports that nothing else uses."""
+        """A part of 127.0.0.0/8 and ports that nothing else uses there."""
         for _ in range(50):
             subnet = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
             base = random.randint(20_000, 30_000)
             ports = {"front": base, "ready": base + 1, "control": base + 2, "range": base + 3}
-            used = [base, base + 1, base + 2, base + 3, base + 4]
             try:
-                for port in used:
-                    with socket.socket() as it:
-                        it.bind(("0.0.0.0", port))
+                for number in range(1, MACHINES_MAX + 1):
+                    for port in range(base, base + 5):
+                        with socket.socket() as it:
+                            it.bind((f"{subnet}.{number}", port))
                 return subnet, ports
             except OSError:
                 continue
