Give the vote of a control VM that stops or fails to a synced learner

Cause: the vote of the VM that had left moved to its successor only once it had been silent for 6 s under one leader without a break. The users allow the next loss 4 s after the successor's start, and lossy links change the leader about once a second.

Ruled out: a successor that lags (it was synced 4.5 s before), a change refused as unsafe (none was tried).

Change: a VM that is told to stop asks the leader to take its vote and waits for that, at most 2 s; a voter has failed after two election timeouts; the learner is promoted before the voter is removed; any synced learner will do.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -27,7 +27,7 @@
 pub use message::{Body, Campaign, Message};
 pub use node::Node;
 pub use ready::{Proposal, Ready, RoleChange, WriteId, Writes};
-pub use repair::{RepairStep, next_repair_step};
+pub use repair::{RepairInput, RepairStep, next_repair_step};
 pub use settings::Settings;
 pub use status::{PeerStatus, Role, Status};
 pub use storage::{Recovered, Storage, StorageError};
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -8,7 +8,7 @@
 
 use consensus::{
     DiskId, Entry, Members, Message, Node, NodeId, Payload, Peer, Proposal, Ready, Recovered,
-    RepairStep, Role, Settings, Snapshot, Writes,
+    RepairInput, RepairStep, Role, Settings, Snapshot, Writes,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -237,7 +237,8 @@
         let status = self.hosts[&id].node.as_ref()?.status(self.local_now(id));
         let is_running = |it: &&Host<A>| it.node.is_some() && !it.is_frozen;
         let running = self.hosts.values().filter(is_running).map(|it| it.peer).collect();
-        Some((id, consensus::next_repair_step(&status, &running)))
+        let input = RepairInput { running, ..RepairInput::default() };
+        Some((id, consensus::next_repair_step(&status, &input)))
     }
 
     /// Carries out the leader's next repair step if it is a membership change.
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -36,6 +36,13 @@
     tables_feed::TablesFeed,
 };
 
+/// A voter that has not answered the leader for this many election timeouts has failed, so that a
+/// synced learner takes its vote.
+const VOTER_TIMEOUT_ELECTIONS: u32 = 2;
+
+/// How long a graceful stop waits until a learner has this member's vote.
+const GIVE_UP_VOTE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How long a graceful stop waits until another member leads.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 const TRANSFER_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -159,12 +166,13 @@
     let epoch = parts.seed.max(1);
     let hub = Hub::new(HubSettings { epoch, ..HubSettings::default() });
     let hub = Rc::new(RefCell::new(hub));
+    let election_timeout = Duration::from_millis(settings.election_timeout_ms);
     let (replica, saved) = Replica::start(replica::Parts {
         me,
         settings: consensus::Settings {
             seed: parts.seed ^ settings.node.0,
             heartbeat_interval: Duration::from_millis(settings.heartbeat_ms),
-            election_timeout: Duration::from_millis(settings.election_timeout_ms),
+            election_timeout,
             ..consensus::Settings::default()
         },
         storage: parts.storage,
@@ -173,6 +181,7 @@
         peers: peers(&settings, parts.tokens.as_ref()),
         clock: parts.clock.clone(),
         voters_max: settings.voters_max,
+        voter_timeout: election_timeout * VOTER_TIMEOUT_ELECTIONS,
         snapshot_every_entries: settings.snapshot_every_entries,
     })?;
     let registry = Registry::new();
@@ -222,6 +231,7 @@
         fault = disk_fault => fail(fault),
         _ = stop_requests.next().fuse() => {
             transfer_leadership(&replica).await;
+            give_up_vote(&replica).await;
             tracing::info!(event = "stopped");
             Ok(())
         }
@@ -258,6 +268,14 @@
     }
 }
 
+/// Moves this member's vote to a synced learner, if there is one, so that another VM may fail as soon
+/// as this one is gone.
+async fn give_up_vote(replica: &Replica) {
+    if monoio::time::timeout(GIVE_UP_VOTE_TIMEOUT, replica.give_up_vote()).await.is_err() {
+        tracing::warn!(event = "vote_kept", reason = "no learner took it in time");
+    }
+}
+
 /// Transfers the leadership to another member, so that commands do not wait for an election.
 async fn transfer_leadership(replica: &Replica) {
     let Some(target) = replica.start_transfer() else { return };
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -54,6 +54,10 @@
         #[serde(skip)]
         pauses: Vec<PauseRow>,
     },
+    /// A member is about to stop and asks the leader to give its vote to a learner.
+    Leave(Peer),
+    /// The leader tells a member that is about to stop that it no longer votes.
+    Left(Peer),
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -203,6 +203,8 @@
         match Envelope::decode(&message) {
             Ok(Envelope::Log(message)) => self.replica.step(message),
             Ok(Envelope::Hello(peer)) => self.replica.record_hello(peer, &message),
+            Ok(Envelope::Leave(peer)) => self.replica.record_leave(peer),
+            Ok(Envelope::Left(peer)) => self.replica.record_left(peer),
             Ok(Envelope::Work { hub, rows, begun_streams, down }) => {
                 let now = self.clock.now();
                 self.hub.borrow_mut().update_hub_down(now, hub, down);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod pending;
 mod repair;
+mod stopping;
 
 use std::{
     cell::{Cell, RefCell},
@@ -23,7 +24,7 @@
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::{ControlClient, SubmitResult};
 
-use self::pending::Pending;
+use self::{pending::Pending, stopping::Departure};
 use crate::{
     disk_writer::{DiskWriter, SaveResult},
     envelope::Envelope,
@@ -60,6 +61,7 @@
     pub(crate) peers: Peers,
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) voters_max: usize,
+    pub(crate) voter_timeout: Duration,
     pub(crate) snapshot_every_entries: u64,
 }
 
@@ -71,6 +73,10 @@
     clock: Rc<dyn Clock>,
     applied: Watch,
     voters_max: usize,
+    /// A voter that has not answered the leader for this long has failed.
+    voter_timeout: Duration,
+    /// What this member still votes for while the process stops.
+    departure: Cell<Departure>,
     /// When the last successful read of the leader's commit index started.
     confirmed_at: Cell<Option<Instant>>,
     /// Since when this member has led without interruption.
@@ -84,6 +90,8 @@
     pending: Pending,
     /// The last hello of each node and when it arrived.
     last_hellos: BTreeMap<NodeId, (Peer, Instant)>,
+    /// When each member that is about to stop last asked to give up its vote.
+    leave_requests: BTreeMap<Peer, Instant>,
     snapshot_every_entries: u64,
     snapshot_index: u64,
     seconds_to_advance: u32,
@@ -110,6 +118,7 @@
             disk,
             pending: Pending::default(),
             last_hellos: BTreeMap::new(),
+            leave_requests: BTreeMap::new(),
             snapshot_every_entries: parts.snapshot_every_entries,
             snapshot_index,
             seconds_to_advance: TIME_ADVANCE_INTERVAL_S,
@@ -121,6 +130,8 @@
             clock: parts.clock,
             applied: Watch::default(),
             voters_max: parts.voters_max,
+            voter_timeout: parts.voter_timeout,
+            departure: Cell::default(),
             confirmed_at: Cell::new(None),
             leads_since: Cell::new(None),
         });
@@ -172,7 +183,11 @@
     /// some of the seeds may not know which member leads.
     pub(crate) fn record_hello(&self, peer: Peer, hello: &[u8]) {
         let now = self.clock.now();
-        self.core.borrow_mut().last_hellos.insert(peer.node, (peer, now));
+        {
+            let mut core = self.core.borrow_mut();
+            core.last_hellos.insert(peer.node, (peer, now));
+            core.leave_requests.remove(&peer);
+        }
         let status = self.status();
         if let Some(leader) = status.leader.filter(|it| *it != status.me && it.node != peer.node) {
             self.peers.send(leader.node, hello.to_vec());
--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -7,10 +7,10 @@
     time::{Duration, UNIX_EPOCH},
 };
 
-use consensus::{MemberChange, Peer, RepairStep, Status, next_repair_step};
+use consensus::{Peer, RepairInput, RepairStep, next_repair_step};
 use control_state::{Command, encode_command};
 
-use super::Replica;
+use super::{Replica, stopping::LEAVE_REQUEST_TIMEOUT};
 use crate::envelope::Envelope;
 
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
@@ -21,10 +21,6 @@
 /// A node whose last hello is older than this counts as stopped.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A voter that has not answered the leader for this long is removed, so that a waiting learner can
-/// take its vote.
-const VOTER_TIMEOUT: Duration = Duration::from_secs(6);
-
 impl Replica {
     /// Runs the next repair step at a fixed interval, and once a second sends a hello and checks
     /// whether the replicated clock is due to advance.
@@ -47,36 +43,25 @@
 
     /// The next safe step towards a membership in which every voter is synced.
     pub(crate) fn repair_step(&self) -> RepairStep {
-        let status = self.status();
-        let step = next_repair_step(&status, &self.running());
-        let is_full = status.members.voters.len() >= self.voters_max;
-        match step {
-            RepairStep::Change(MemberChange::Promote(_)) if is_full => {
-                let lost = self.lost_voter(&status);
-                lost.map_or(RepairStep::Finished, |it| RepairStep::Change(MemberChange::Remove(it)))
-            }
-            step => step,
-        }
-    }
-
-    /// A voter that has not answered within `VOTER_TIMEOUT`, whose vote a synced learner may take.
-    fn lost_voter(&self, status: &Status) -> Option<Peer> {
-        // The members have not had time to answer a leader that was just elected.
-        let leading_for = self.clock.now().saturating_duration_since(self.leads_since.get()?);
-        if leading_for < VOTER_TIMEOUT {
-            return None;
-        }
-        let is_unresponsive = |it: &Peer| {
-            let peer = status.peers.iter().find(|peer| peer.peer == *it);
-            peer.is_some_and(|peer| peer.answer_age.is_none_or(|age| age >= VOTER_TIMEOUT))
+        let now = self.clock.now();
+        let leading_for = self.leads_since.get().map(|it| now.saturating_duration_since(it));
+        let input = RepairInput {
+            running: self.running(),
+            leaving: self.leaving(),
+            voters_max: self.voters_max,
+            leading_for: leading_for.unwrap_or_default(),
+            voter_timeout: self.voter_timeout,
         };
-        status.members.voters.iter().copied().find(is_unresponsive)
+        next_repair_step(&self.status(), &input)
     }
 
     /// Announces this node and its disk: to the leader if one is known, else to every known node.
     ///
     /// Only the leader changes the membership, so the others do not need the hello.
     fn send_hello(&self) {
+        if self.is_departing() {
+            return;
+        }
         let status = self.status();
         let Some(bytes) = Envelope::Hello(status.me).encode() else { return };
         let linked = self.peers.nodes();
@@ -88,7 +73,7 @@
         }
     }
 
-    fn run_repair_step(&self) {
+    pub(super) fn run_repair_step(&self) {
         let RepairStep::Change(change) = self.repair_step() else { return };
         let now = self.clock.now();
         let result = self.core.borrow_mut().node.change_members(now, change);
@@ -121,4 +106,13 @@
         let recent = core.last_hellos.values().filter(|(_, at)| now - *at < HELLO_TIMEOUT);
         recent.map(|(peer, _)| *peer).chain([core.node.status(now).me]).collect()
     }
+
+    /// The peers that have asked lately to give up their votes.
+    fn leaving(&self) -> BTreeSet<Peer> {
+        let now = self.clock.now();
+        let core = self.core.borrow();
+        let recent =
+            core.leave_requests.iter().filter(|(_, at)| now - **at < LEAVE_REQUEST_TIMEOUT);
+        recent.map(|(peer, _)| *peer).collect()
+    }
 }
