Bound the log, its messages and its keys in bytes, and wait for room on a full disk

Cause: the log was compacted by the number of its entries alone (1,000, and 1,000 kept), and the first refused write ended the process.

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -16,6 +16,21 @@
     pub payload: Payload,
 }
 
+/// The memory of an entry beside its command, rounded up.
+const ENTRY_OVERHEAD_BYTES: usize = 64;
+
+impl Entry {
+    /// The size of the entry, for limits on the log.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        let command_bytes = match &self.payload {
+            Payload::Command(command) => command.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        };
+        ENTRY_OVERHEAD_BYTES + command_bytes
+    }
+}
+
 /// The content of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -20,6 +20,9 @@
     /// The leader is transferring its leadership.
     #[display("leadership is moving to another node: retry there")]
     TransferInProgress,
+    /// The entries that wait to be applied or saved use up the limit of the log.
+    #[display("the log is full of entries that are not applied yet: retry soon")]
+    LogFull,
 }
 
 /// A read cannot be served from this node's state.
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -11,6 +11,8 @@
     base_index: LogIndex,
     base_term: Term,
     entries: VecDeque<Entry>,
+    /// The size of all entries.
+    bytes: usize,
     snapshot: Arc<Snapshot>,
     members: Members,
     members_index: LogIndex,
@@ -24,6 +26,13 @@
     restore: Option<Arc<Snapshot>>,
 }
 
+/// How much of the log before a snapshot to keep for lagging members.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeptEntries {
+    pub(crate) entries: u64,
+    pub(crate) bytes: usize,
+}
+
 /// Changes beside appended entries that no write contains yet.
 #[derive(Debug, Default)]
 struct Unsaved {
@@ -50,6 +59,7 @@
         let mut log = Log {
             base_index: snapshot.index,
             base_term: snapshot.term,
+            bytes: entries.iter().map(Entry::size_bytes).sum(),
             entries,
             members: Members::default(),
             members_index: LogIndex(0),
@@ -72,6 +82,11 @@
         self.entries.back().map_or(self.base_term, |it| it.term)
     }
 
+    /// The size of all entries that the log holds.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(crate) fn base_index(&self) -> LogIndex {
         self.base_index
     }
@@ -154,24 +169,36 @@
     }
 
     /// Makes the application's state at `index` the snapshot and removes the entries before it except
-    /// the newest `kept_entries`.
-    pub(crate) fn compact(&mut self, index: LogIndex, data: Vec<u8>, kept_entries: u64) {
+    /// the newest of them that `kept` allows.
+    pub(crate) fn compact(&mut self, index: LogIndex, data: Vec<u8>, kept: KeptEntries) {
         let Some(term) = self.term_at(index) else { return };
         let members = self.members_at(index);
         let snapshot = Arc::new(Snapshot { index, term, members, data });
         self.snapshot = snapshot.clone();
         self.unsaved.snapshot = Some(snapshot);
-        let base = LogIndex(index.0.saturating_sub(kept_entries));
+        let base = LogIndex(index.0 - self.count_kept(index, kept));
         if base <= self.base_index {
             return;
         }
         let Some(base_term) = self.term_at(base) else { return };
-        self.entries.drain(..(base.0 - self.base_index.0) as usize);
+        let removed = self.entries.drain(..(base.0 - self.base_index.0) as usize);
+        self.bytes -= removed.map(|it| it.size_bytes()).sum::<usize>();
         self.base_index = base;
         self.base_term = base_term;
         self.unsaved.compact_to = Some(base);
     }
 
+    /// How many of the entries up to `index` to keep.
+    fn count_kept(&self, index: LogIndex, kept: KeptEntries) -> u64 {
+        let mut bytes = 0;
+        let held = self.entries.iter().take((index.0 - self.base_index.0) as usize).rev();
+        let fits = |entry: &&Entry| {
+            bytes += entry.size_bytes();
+            bytes <= kept.bytes
+        };
+        held.take_while(fits).take(kept.entries as usize).count() as u64
+    }
+
     pub(crate) fn is_write_in_flight(&self) -> bool {
         self.in_flight.is_some()
     }
@@ -227,6 +254,7 @@
             self.members = members.clone();
             self.members_index = entry.index;
         }
+        self.bytes += entry.size_bytes();
         self.entries.push_back(entry);
     }
 
@@ -234,7 +262,8 @@
         if from > self.last_index() {
             return;
         }
-        self.entries.truncate((from.0 - self.base_index.0 - 1) as usize);
+        let removed = self.entries.drain((from.0 - self.base_index.0 - 1) as usize..);
+        self.bytes -= removed.map(|it| it.size_bytes()).sum::<usize>();
         let last = from.prev();
         if self.issued >= from {
             let earlier = self.unsaved.truncate_from.unwrap_or(from);
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -13,11 +13,16 @@
 
 use crate::{
     Body, HardState, LogIndex, Message, Peer, Proposal, ProposeError, ReadError, Ready, Recovered,
-    Role, RoleChange, Settings, Status, Term, WriteId, Writes, log::Log,
+    Role, RoleChange, Settings, Status, Term, WriteId, Writes,
+    log::{KeptEntries, Log},
 };
 use election::Votes;
 use leader::Leader;
 
+/// A disk that has not finished a write for this many election timeouts counts as stalled: its member
+/// cannot apply what is committed, so it leaves the leadership to others.
+const STALLED_DISK_ELECTION_TIMEOUTS: u32 = 5;
+
 /// One member of the cluster as a pure state machine.
 #[derive(Debug)]
 pub struct Node {
@@ -45,6 +50,8 @@
     after_current_write: Vec<Message>,
     /// The id of the last write that was returned to the caller.
     write_id: WriteId,
+    /// The write in flight and since when a tick has found it so.
+    waiting_write: Option<(WriteId, Instant)>,
     /// The last role change that was returned to the caller.
     reported_role: Option<RoleChange>,
 }
@@ -80,6 +87,7 @@
             after_next_write: Vec::new(),
             after_current_write: Vec::new(),
             write_id: WriteId(0),
+            waiting_write: None,
             reported_role: None,
         };
         node.hard_state.term = node.hard_state.term.max(node.log.last_term());
@@ -89,6 +97,7 @@
 
     /// Starts elections and heartbeats that are due; call it at [`Node::next_tick`] at the latest.
     pub fn tick(&mut self, now: Instant) {
+        self.observe_write(now);
         match self.state {
             State::Leader(_) => self.tick_leader(now),
             _ if now >= self.election_deadline => self.start_pre_vote(now),
@@ -145,10 +154,13 @@
     /// Commands proposed between two calls of [`Node::ready`] share one write and one message.
     ///
     /// # Errors
-    /// Fails if this node is not a leader with a valid lease, or is transferring its leadership. The
-    /// command is then not in the log and never runs.
+    /// Fails if this node is not a leader with a valid lease, is transferring its leadership, or its
+    /// log is full. The command is then not in the log and never runs.
     pub fn propose(&mut self, now: Instant, command: Vec<u8>) -> Result<Proposal, ProposeError> {
         self.check_can_propose(now)?;
+        if self.log.bytes() >= self.settings.log_bytes_max {
+            return Err(ProposeError::LogFull);
+        }
         Ok(self.append_own(crate::Payload::Command(command)))
     }
 
@@ -208,14 +220,17 @@
     }
 
     /// Makes the application's state after the entry at `index` the new snapshot, and removes the
-    /// entries before it except the newest [`Settings::kept_entries`].
+    /// entries before it except the newest [`Settings::kept_entries`] that fit into
+    /// [`Settings::kept_bytes`].
     ///
     /// Does nothing if the index is not applied yet or is covered by the last snapshot.
     pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
         if index > self.applied || index <= self.log.snapshot().index {
             return;
         }
-        self.log.compact(index, data, self.settings.kept_entries);
+        let kept =
+            KeptEntries { entries: self.settings.kept_entries, bytes: self.settings.kept_bytes };
+        self.log.compact(index, data, kept);
     }
 
     /// The status of this member for operators and for [`crate::next_repair_step`].
@@ -281,6 +296,19 @@
         self.send_after_sync(message.from, body);
     }
 
+    /// Notes since when the write in flight waits for the disk.
+    fn observe_write(&mut self, now: Instant) {
+        let is_waiting = self.log.is_write_in_flight();
+        let earlier = self.waiting_write.filter(|(id, _)| is_waiting && *id == self.write_id);
+        self.waiting_write = earlier.or(is_waiting.then_some((self.write_id, now)));
+    }
+
+    /// Whether the disk has not finished a write for so long that this member should not lead.
+    fn is_disk_stalled(&self, now: Instant) -> bool {
+        let timeout = self.settings.election_timeout * STALLED_DISK_ELECTION_TIMEOUTS;
+        self.waiting_write.is_some_and(|(_, since)| now >= since + timeout)
+    }
+
     fn become_follower(&mut self, now: Instant, term: Term) {
         if term > self.hard_state.term {
             self.hard_state = HardState { term, voted_for: None };
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -42,7 +42,7 @@
 
     pub(super) fn start_pre_vote(&mut self, now: Instant) {
         self.reset_election_timer(now);
-        if !self.log.members().voters.contains(&self.me) {
+        if !self.log.members().voters.contains(&self.me) || self.is_disk_stalled(now) {
             return;
         }
         self.leader = None;
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -131,11 +131,12 @@
 
     pub(super) fn tick_leader(&mut self, now: Instant) {
         let timeout = self.settings.election_timeout;
+        let is_disk_stalled = self.is_disk_stalled(now);
         let State::Leader(leader) = &mut self.state else { return };
         leader.transfer.abort_overdue_catch_up(now);
         let is_cut_off = now >= leader.majority_contact_at + timeout;
         let is_round_due = now >= leader.heartbeat_at;
-        if is_cut_off || leader.transfer.is_takeover_overdue(now) {
+        if is_cut_off || is_disk_stalled || leader.transfer.is_takeover_overdue(now) {
             self.become_follower(now, self.hard_state.term);
             return;
         }
@@ -288,14 +289,12 @@
     }
 }
 
-/// The first entries whose commands fit into `limit_bytes`, but at least one if there is any.
+/// The first entries that fit into `limit_bytes`, but at least one if there is any.
 fn entries_within<'a>(entries: impl Iterator<Item = &'a Entry>, limit_bytes: usize) -> Vec<Entry> {
     let mut bytes = 0;
     let mut taken = Vec::new();
     for entry in entries {
-        if let Payload::Command(command) = &entry.payload {
-            bytes += command.len();
-        }
+        bytes += entry.size_bytes();
         if bytes > limit_bytes && !taken.is_empty() {
             break;
         }
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -18,6 +18,11 @@
     pub inflight_entries: u64,
     /// How many entries before a snapshot stay in the log, so that lagging members need no snapshot.
     pub kept_entries: u64,
+    /// The most bytes of those entries.
+    pub kept_bytes: usize,
+    /// A leader whose log holds more bytes accepts no further commands, until a snapshot has made
+    /// entries superfluous.
+    pub log_bytes_max: usize,
     /// The seed of the random election timeouts; it must differ between members.
     pub seed: u64,
 }
@@ -31,6 +36,8 @@
             append_bytes: 256 * 1024,
             inflight_entries: 4_096,
             kept_entries: 1_000,
+            kept_bytes: 1024 * 1024,
+            log_bytes_max: 32 * 1024 * 1024,
             seed: 0,
         }
     }
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -1,6 +1,9 @@
 //! The interface to the disk that holds a member's state.
 
-use std::path::PathBuf;
+use std::{
+    io,
+    path::{Path, PathBuf},
+};
 
 use derive_more::{Display, Error};
 
@@ -23,6 +26,12 @@
     /// Fails if the disk cannot be written. Whether the changes were saved is then unknown until the
     /// next start.
     fn save(&mut self, writes: &Writes) -> Result<(), StorageError>;
+
+    /// Prepares for a retry of a save that failed; the retry writes the same changes.
+    ///
+    /// # Errors
+    /// Fails if the disk cannot be used yet.
+    fn reopen(&mut self) -> Result<(), StorageError>;
 }
 
 /// The state that a member recovers from its disk.
@@ -47,6 +56,12 @@
         /// The reported error.
         reason: String,
     },
+    /// The disk has no room for the change. The same change can be saved once there is.
+    #[display("{}: the disk is full: free space on it or enlarge it", path.display())]
+    Full {
+        /// The file or folder.
+        path: PathBuf,
+    },
     /// The folder was never formatted, or its disk was lost.
     #[display("{}: no formatted data: format it; the node then joins as a new member", path.display())]
     NotFormatted {
@@ -88,3 +103,17 @@
         detail: String,
     },
 }
+
+impl StorageError {
+    /// The error of a failed system call on `path`.
+    #[must_use]
+    pub fn from_io(path: &Path, err: &io::Error) -> StorageError {
+        let path = path.to_owned();
+        match err.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                StorageError::Full { path }
+            }
+            _ => StorageError::Io { path, reason: err.to_string() },
+        }
+    }
+}
--- a/crates/consensus/tests/single_node.rs
+++ b/crates/consensus/tests/single_node.rs
@@ -189,3 +189,77 @@
     node.step(now, Message { from: SECOND, to, term: Term(3), body });
     assert!(node.ready().writes.is_none());
 }
+
+/// The leader of term 3 with a committed entry of its own and nothing left to write.
+fn leader(now: Instant) -> Node {
+    let mut node = candidate(now);
+    node.step(now, from(SECOND, 3, Body::VoteReply { granted: true }));
+    sync(&mut node, now);
+    node.step(now, from(SECOND, 3, Body::Appended { matched: LogIndex(3), round: 1 }));
+    node.ready();
+    node
+}
+
+/// A leader whose commands are not committed would keep all of them in memory.
+#[test]
+fn full_log() {
+    let now = Instant::now();
+    let mut node = leader(now);
+    let command = vec![1; 1024 * 1024];
+    let accepted = (0..64).take_while(|_| node.propose(now, command.clone()).is_ok()).count();
+    assert_eq!(accepted, 32, "the limit is 32 MiB");
+    assert_eq!(node.propose(now, command), Err(ProposeError::LogFull));
+
+    let last = LogIndex(3 + accepted as u64);
+    sync(&mut node, now);
+    node.step(now, from(SECOND, 3, Body::Appended { matched: last, round: 1 }));
+    node.ready();
+    node.compact(last, b"state".to_vec());
+    assert!(node.propose(now, Vec::new()).is_ok());
+}
+
+/// Entries that are kept for lagging members are few if they are large.
+#[test]
+fn kept_bytes() {
+    let now = Instant::now();
+    let mut node = leader(now);
+    for _ in 0..20 {
+        node.propose(now, vec![1; 300 * 1024]).expect("the lease holds");
+    }
+    sync(&mut node, now);
+    node.step(now, from(SECOND, 3, Body::Appended { matched: LogIndex(23), round: 1 }));
+    node.ready();
+    node.compact(LogIndex(23), b"state".to_vec());
+    let writes = node.ready().writes.expect("a snapshot is saved");
+    assert_eq!(writes.compact_to, Some(LogIndex(20)), "3 entries of 300 KiB fit into 1 MiB");
+}
+
+/// A leader with a stalled disk cannot apply what the others commit, so nothing is answered while it
+/// leads.
+#[test]
+fn stalled_disk() {
+    let start = Instant::now();
+    let mut node = leader(start);
+    node.propose(start, Vec::new()).expect("the lease holds");
+    let stalled = node.ready().writes.expect("the entry is written").id;
+    let mut now = start;
+    let mut round = 1;
+    while now < start + Settings::default().election_timeout * 6 {
+        now += Settings::default().heartbeat_interval;
+        round += 1;
+        node.tick(now);
+        node.step(now, from(SECOND, 3, Body::Appended { matched: LogIndex(4), round }));
+        node.ready();
+    }
+    assert_eq!(node.status(now).role, Role::Follower);
+    // It does not campaign either until the write is finished.
+    now += Settings::default().election_timeout * 3;
+    node.tick(now);
+    assert_eq!(node.status(now).role, Role::Follower);
+    node.persisted(now, stalled);
+    now += Settings::default().election_timeout * 3;
+    node.tick(now);
+    now += Settings::default().election_timeout * 3;
+    node.tick(now);
+    assert_eq!(node.status(now).role, Role::PreCandidate);
+}
--- a/crates/control-state/src/check.rs
+++ b/crates/control-state/src/check.rs
@@ -26,6 +26,12 @@
         /// The limit in bytes.
         limit_bytes: usize,
     },
+    /// The retained keys of orders use up their limit.
+    #[display("the keys of orders have {limit_bytes} bytes: retry once older ones have expired")]
+    KeysFull {
+        /// The limit in bytes.
+        limit_bytes: usize,
+    },
 }
 
 /// Validates proposed tables before they are put in force.
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -25,7 +25,8 @@
     PlannedServer, ProposeTables, RouterId,
 };
 pub use orders::{
-    ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, KEY_RETENTION, KEYS_MAX, RELEASED_CLAIMS_MAX,
+    ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, KEY_RETENTION, KEYS_MAX, KEYS_MAX_BYTES,
+    RELEASED_CLAIMS_MAX,
 };
 pub use response::{
     ClaimAnswer, DocumentAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer,
--- a/crates/control-state/src/orders.rs
+++ b/crates/control-state/src/orders.rs
@@ -23,6 +23,11 @@
 pub const ANSWERS_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// The maximum number of retained keys; new orders above it are rejected as not run.
 pub const KEYS_MAX: usize = 200_000;
+/// The maximum size of all retained keys. New orders above it are refused before they enter the log,
+/// so that a snapshot fits the disk twice.
+pub const KEYS_MAX_BYTES: usize = 12 * 1024 * 1024;
+/// The size of a claim beside its names, rounded up.
+const CLAIM_OVERHEAD_BYTES: usize = 48;
 /// The maximum number of released claims that are remembered.
 pub const RELEASED_CLAIMS_MAX: usize = 10_000;
 
@@ -35,6 +40,9 @@
     expired_ms: u64,
     claims: BTreeMap<OrderKey, Claim>,
     kept_bytes: usize,
+    /// The size of all retained keys; not part of a snapshot, whose form older builds read.
+    #[serde(skip)]
+    key_bytes: usize,
     /// Released claims, which are not granted again: a delayed copy of the claim may still be in
     /// the log.
     released: BTreeSet<ClaimId>,
@@ -85,6 +93,7 @@
             until_ms: request.until_ms,
             state: OrderState::Running,
         };
+        self.key_bytes += claim.size_bytes(&request.order);
         self.claims.insert(request.order, claim);
         ClaimAnswer::Granted
     }
@@ -114,9 +123,11 @@
             self.remember_release(claim);
             return SettleAnswer::Settled;
         };
+        let size_bytes = held.size_bytes(order);
         match held.state {
             OrderState::Running => {
                 self.claims.remove(order);
+                self.key_bytes -= size_bytes;
                 self.remember_release(claim);
                 SettleAnswer::Settled
             }
@@ -148,9 +159,20 @@
         let expired_ms = self.expired_ms;
         self.claims.retain(|_, it| it.at_ms > expired_ms);
         self.kept_bytes = self.claims.values().map(Claim::kept_bytes).sum();
+        self.count_key_bytes();
         self.claims.values_mut().filter(|it| it.until_ms <= now_ms).for_each(Claim::mark_in_doubt);
     }
 
+    /// Whether a claim of this key may enter the log: its key is retained already, or there is room.
+    pub(crate) fn has_room_for(&self, order: &OrderKey) -> bool {
+        self.key_bytes < KEYS_MAX_BYTES || self.claims.contains_key(order)
+    }
+
+    /// Counts the size of all keys, after some were removed or restored.
+    pub(crate) fn count_key_bytes(&mut self) {
+        self.key_bytes = self.claims.iter().map(|(order, claim)| claim.size_bytes(order)).sum();
+    }
+
     /// The number of retained keys.
     pub(crate) fn len(&self) -> usize {
         self.claims.len()
@@ -187,6 +209,12 @@
         }
     }
 
+    /// The size of the claim and its key in a snapshot, without the answer.
+    fn size_bytes(&self, order: &OrderKey) -> usize {
+        let names = order.workspace.len() + order.route.len() + order.key.len();
+        CLAIM_OVERHEAD_BYTES + names + self.router.0.len()
+    }
+
     fn kept_bytes(&self) -> usize {
         match &self.state {
             OrderState::Done(answer) => answer.kept_bytes(),
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -6,9 +6,15 @@
 use tables::{Revision, TablesText};
 
 use crate::{
-    CodecError, Command, ControlNode, Document, FencingToken, Plan, Response, codec,
-    decode_command, document_store::DocumentStore, encode_response, engines::Engines,
-    orders::Orders, registry::Registry, table_store::TableStore,
+    CodecError, Command, ControlNode, Document, FencingToken, Plan, Response,
+    check::CommandFault,
+    codec, decode_command,
+    document_store::DocumentStore,
+    encode_response,
+    engines::Engines,
+    orders::{KEYS_MAX_BYTES, Orders},
+    registry::Registry,
+    table_store::TableStore,
 };
 
 /// The replicated state: the result of applying all committed commands.
@@ -57,6 +63,20 @@
         }
     }
 
+    /// Whether there is room for what a command adds to the state. The answer is not part of the
+    /// replicated state, so members may differ in it.
+    ///
+    /// # Errors
+    /// The limit that is reached; the command must not be proposed then.
+    pub fn admit(&self, command: &Command) -> Result<(), CommandFault> {
+        match command {
+            Command::ClaimOrder(it) if !self.orders.has_room_for(&it.order) => {
+                Err(CommandFault::KeysFull { limit_bytes: KEYS_MAX_BYTES })
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Applies an encoded command and returns the encoded response.
     pub fn apply_bytes(&mut self, command: &[u8]) -> Vec<u8> {
         let response = match decode_command(command) {
@@ -79,7 +99,9 @@
         if data.is_empty() {
             return Ok(State::default());
         }
-        codec::decode(data)
+        let mut state: State = codec::decode(data)?;
+        state.orders.count_key_bytes();
+        Ok(state)
     }
 
     /// The revision of the tables in force.
--- a/crates/control-state/tests/bounded_memory.rs
+++ b/crates/control-state/tests/bounded_memory.rs
@@ -3,8 +3,8 @@
 
 use control_state::{
     ANSWER_MAX_BYTES, ANSWERS_MAX_BYTES, CHANGE_IDS_MAX, ClaimAnswer, ClaimId, ClaimOrder, Command,
-    KEY_RETENTION, KEYS_MAX, OrderKey, ProposeTables, Response, RouterId, SettleAnswer, State,
-    StoredAnswer, TablesAnswer,
+    KEY_RETENTION, KEYS_MAX, KEYS_MAX_BYTES, OrderKey, ProposeTables, Response, RouterId,
+    SettleAnswer, State, StoredAnswer, TablesAnswer,
 };
 use tables::{Revision, TablesText};
 
@@ -101,3 +101,39 @@
     let conflict = TablesAnswer::Conflict { current: Revision(last + 1) };
     assert_eq!(propose(&mut state, 0, 0), conflict, "an evicted change is not applied twice");
 }
+
+/// Keys of the greatest length would make a snapshot larger than a disk, long before their number is
+/// at its limit.
+#[test]
+fn long_keys() {
+    let claim_of = |number: u64| {
+        let key = format!("{number:0>256}");
+        let name = "n".repeat(256);
+        Command::ClaimOrder(ClaimOrder {
+            order: OrderKey { workspace: name.clone(), route: name, key },
+            body_hash: 0,
+            router: RouterId("router".to_owned()),
+            claim: ClaimId(number),
+            at_ms: 1,
+            until_ms: u64::MAX,
+        })
+    };
+    let mut state = State::default();
+    let admitted = (0..KEYS_MAX as u64).take_while(|number| {
+        let is_admitted = state.admit(&claim_of(*number)).is_ok();
+        if is_admitted {
+            state.apply(claim_of(*number));
+        }
+        is_admitted
+    });
+    let admitted = admitted.count() as u64;
+    assert!(state.snapshot().len() < KEYS_MAX_BYTES + 1024 * 1024);
+    assert!(admitted > 10_000, "only {admitted} keys were admitted");
+    // A retry of a known order is admitted, also after a restart, and new ones once keys have expired.
+    let mut state = State::restore(&state.snapshot()).expect("the snapshot is whole");
+    assert!(state.admit(&claim_of(admitted)).is_err());
+    assert!(state.admit(&claim_of(0)).is_ok());
+    let now_ms = KEY_RETENTION.as_millis() as u64 + 2;
+    state.apply(Command::AdvanceTime { now_ms });
+    assert!(state.admit(&claim_of(admitted)).is_ok());
+}
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{bail, ensure};
-use consensus::{DiskId, Members, Peer, Snapshot};
+use consensus::{DiskId, Members, Peer, Snapshot, StorageError};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, dial};
 use std::time::Duration;
@@ -57,7 +57,7 @@
 /// # Errors
 ///
 /// If the folder cannot be written.
-pub fn format_if_empty(settings: &Settings) -> anyhow::Result<()> {
+pub fn format_if_empty(settings: &Settings) -> Result<(), StorageError> {
     if storage::is_formatted(&settings.data_dir) {
         return Ok(());
     }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -26,12 +26,14 @@
     AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
     bootstrap::format_if_empty,
     commands::CommandCheck,
+    disk_writer::retry_while_full,
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
     hub_broadcast::HubBroadcast,
     peers::Peers,
     replica::{self, Replica},
     server_feed::{ListSource, ServerFeed},
+    snapshot_pace::SnapshotPace,
     state_machine::StateMachine,
     tables_feed::TablesFeed,
 };
@@ -124,8 +126,10 @@
     let _logs = telemetry::init_logs(&logs)?;
     ::daemon::log_unknown_settings(&settings.unknown);
     if settings.peers.is_empty() {
-        format_if_empty(&settings)?;
+        retry_while_full(|| format_if_empty(&settings))?;
     }
+    let open_log = || LogFile::open(&settings.data_dir, &storage::Settings::default());
+    let log_file = retry_while_full(open_log)?;
     let tokens = match &settings.token_files {
         Some(files) => Some(Tokens {
             command: Secret::read(&files.command)?,
@@ -134,7 +138,7 @@
         None => None,
     };
     let parts = Parts {
-        storage: Box::new(LogFile::open(&settings.data_dir, &storage::Settings::default())?),
+        storage: Box::new(log_file),
         machine: Rc::new(RefCell::new(LogState::default())),
         check: Rc::new(LogRules),
         tokens,
@@ -182,7 +186,10 @@
         clock: parts.clock.clone(),
         voters_max: settings.voters_max,
         voter_timeout: election_timeout * VOTER_TIMEOUT_ELECTIONS,
-        snapshot_every_entries: settings.snapshot_every_entries,
+        snapshot_pace: SnapshotPace::new(
+            settings.snapshot_every_entries,
+            settings.snapshot_every_bytes,
+        ),
     })?;
     let registry = Registry::new();
     let health = Rc::new(ControlHealth::register(replica.clone(), feed.clone(), &registry)?);
--- a/crates/control/src/disk_writer.rs
+++ b/crates/control/src/disk_writer.rs
@@ -1,39 +1,98 @@
 //! Writes to the disk on a separate thread, since file I/O would block the async runtime.
 
-use std::{sync::mpsc, thread};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread,
+    time::Duration,
+};
 
 use consensus::{Storage, StorageError, WriteId, Writes};
 use futures::channel::mpsc as async_mpsc;
 
+/// The pause between two attempts to write to a full disk.
+const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The result of one write.
-pub(crate) type SaveResult = Result<WriteId, StorageError>;
+pub type SaveResult = Result<WriteId, StorageError>;
 
 /// Passes writes to the disk thread.
-pub(crate) struct DiskWriter {
+///
+/// A write that finds the disk full is retried until there is room. Until then the member neither
+/// votes nor acknowledges anything that depends on the write.
+#[derive(Debug)]
+pub struct DiskWriter {
     writes: mpsc::Sender<Writes>,
+    is_full: Arc<AtomicBool>,
 }
 
 impl DiskWriter {
     /// Starts the disk thread; the receiver yields the results in the order of the writes.
-    pub(crate) fn start(
+    #[must_use]
+    pub fn start(
         mut storage: Box<dyn Storage + Send>,
     ) -> (DiskWriter, async_mpsc::UnboundedReceiver<SaveResult>) {
         let (writes, incoming) = mpsc::channel::<Writes>();
         let (results, saved) = async_mpsc::unbounded();
+        let is_full = Arc::new(AtomicBool::new(false));
+        let full_disk = Arc::clone(&is_full);
         thread::spawn(move || {
             for writes in incoming {
-                let result = storage.save(&writes).map(|()| writes.id);
-                if results.unbounded_send(result).is_err() {
+                let result = retry_while_full(|| {
+                    if full_disk.load(Ordering::Relaxed) {
+                        storage.reopen()?;
+                    }
+                    let result = storage.save(&writes);
+                    let found_full = matches!(result, Err(StorageError::Full { .. }));
+                    full_disk.store(found_full, Ordering::Relaxed);
+                    result
+                });
+                if results.unbounded_send(result.map(|()| writes.id)).is_err() {
                     return;
                 }
             }
         });
-        (DiskWriter { writes }, saved)
+        (DiskWriter { writes, is_full }, saved)
     }
 
     /// Enqueues a write; at most one is in flight, so the queue stays short.
-    pub(crate) fn save(&self, writes: Writes) {
+    pub fn save(&self, writes: Writes) {
         // A disk thread that has ended has reported its error, which stops the process.
         let _ = self.writes.send(writes);
     }
+
+    /// Whether a write waits for room on the disk.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.is_full.load(Ordering::Relaxed)
+    }
+}
+
+/// Repeats an attempt while the disk is full.
+pub(crate) fn retry_while_full<T>(
+    mut attempt: impl FnMut() -> Result<T, StorageError>,
+) -> Result<T, StorageError> {
+    let mut attempts: u64 = 0;
+    loop {
+        let result = attempt();
+        match &result {
+            Err(StorageError::Full { path }) => {
+                // One line at the first attempt, then fewer and fewer.
+                if attempts.is_power_of_two() || attempts == 0 {
+                    tracing::error!(event = "disk_full", path = %path.display(), attempts);
+                }
+                attempts += 1;
+                thread::sleep(FULL_DISK_RETRY_INTERVAL);
+            }
+            _ => {
+                if attempts > 0 {
+                    tracing::info!(event = "disk_has_room", attempts);
+                }
+                return result;
+            }
+        }
+    }
 }
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -127,7 +127,8 @@
             let remedy = "the command token is wrong: use the one from the control VMs' settings";
             return async { SubmitResult::Refused(remedy.to_owned()) }.boxed_local();
         }
-        if let Err(refusal) = self.check.check(&command) {
+        let checked = self.check.check(&command).and_then(|()| self.replica.admit(&command));
+        if let Err(refusal) = checked {
             return async { SubmitResult::Refused(refusal) }.boxed_local();
         }
         let replica = self.replica.clone();
--- a/crates/control/src/health.rs
+++ b/crates/control/src/health.rs
@@ -19,6 +19,7 @@
     term: IntGauge,
     applied: IntGauge,
     is_leader: IntGauge,
+    is_disk_full: IntGauge,
     peer_sent: IntGauge,
     peer_received: IntGauge,
     clients_sent: IntGauge,
@@ -38,8 +39,12 @@
 }
 
 impl Health for ControlHealth {
-    /// A control VM is ready once it knows a leader: it can then forward commands.
+    /// A control VM is ready while it knows a leader, to which it can forward commands, and its disk
+    /// takes writes.
     fn ready(&self) -> Result<String, String> {
+        if self.replica.is_disk_full() {
+            return Err("the disk is full".to_owned());
+        }
         match self.replica.status().leader {
             Some(leader) => Ok(format!("ready leader={leader}")),
             None => Err("no leader is known".to_owned()),
@@ -54,6 +59,7 @@
         self.gauges.term.set(status.term.0 as i64);
         self.gauges.applied.set(status.applied.0 as i64);
         self.gauges.is_leader.set(i64::from(!status.lease_left.is_zero()));
+        self.gauges.is_disk_full.set(i64::from(self.replica.is_disk_full()));
         self.gauges.peer_sent.set(peer_sent as i64);
         self.gauges.peer_received.set(peer_received as i64);
         self.gauges.clients_sent.set(clients.sent_bytes() as i64);
@@ -73,6 +79,10 @@
             term: gauge("control_term", "Term of the replicated log.")?,
             applied: gauge("control_applied_index", "Last log index applied here.")?,
             is_leader: gauge("control_is_leader", "1 while this member leads under a lease.")?,
+            is_disk_full: gauge(
+                "control_disk_full",
+                "1 while a write waits because the disk is full.",
+            )?,
             peer_sent: gauge("control_peer_sent_bytes", "Bytes sent to other control VMs.")?,
             peer_received: gauge("control_peer_received_bytes", "Bytes from other control VMs.")?,
             clients_sent: gauge("control_clients_sent_bytes", "Bytes sent on accepted links.")?,
--- a/crates/control/src/log_state.rs
+++ b/crates/control/src/log_state.rs
@@ -19,6 +19,11 @@
         self.state.apply_bytes(command)
     }
 
+    fn admit(&self, command: &[u8]) -> Result<(), String> {
+        let command = control_state::decode_command(command).map_err(|err| err.to_string())?;
+        self.state.admit(&command).map_err(|err| err.to_string())
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         self.state.snapshot()
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -18,6 +18,10 @@
 /// The capacity of a peer's queue; consensus resends what is dropped.
 const QUEUE_MESSAGES_MAX: usize = 256;
 
+/// The maximum size of the messages to one peer that are queued or not answered; a larger message goes
+/// only when nothing else is under way.
+const PENDING_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// The maximum number of unanswered deliveries to one peer.
 const IN_FLIGHT_MAX: usize = 128;
 
@@ -55,9 +59,11 @@
 
     /// Enqueues a message; it is dropped if the queue is full or the node has no address.
     pub(crate) fn send(&self, node: NodeId, message: Vec<u8>) {
-        if let Some(mut link) = self.link_to(node) {
-            // A message for a peer with a full queue is dropped; consensus resends it.
-            let _ = link.queue.try_send(message);
+        let Some(mut link) = self.link_to(node) else { return };
+        let bytes = message.len();
+        // A message for a peer with a full queue is dropped; consensus resends it.
+        if link.remote.has_room_for(bytes) && link.queue.try_send(message).is_ok() {
+            link.remote.add_pending(bytes);
         }
     }
 
@@ -122,12 +128,29 @@
     link: Link,
     cached: RefCell<Option<PeerClient>>,
     in_flight: Cell<usize>,
+    /// The size of the messages that are queued or in flight.
+    pending_bytes: Cell<usize>,
 }
 
 impl Remote {
     fn new(me: NodeId, addr: SocketAddr, token: Secret) -> Remote {
         let link = Link::start(LinkSettings { addrs: vec![addr], ..LinkSettings::default() });
-        Remote { me, token, link, cached: RefCell::default(), in_flight: Cell::new(0) }
+        let (in_flight, pending_bytes) = (Cell::new(0), Cell::new(0));
+        Remote { me, token, link, cached: RefCell::default(), in_flight, pending_bytes }
+    }
+
+    /// Whether one more message keeps the messages under way within their limit.
+    fn has_room_for(&self, bytes: usize) -> bool {
+        let pending = self.pending_bytes.get();
+        pending == 0 || pending + bytes <= PENDING_BYTES_MAX
+    }
+
+    fn add_pending(&self, bytes: usize) {
+        self.pending_bytes.set(self.pending_bytes.get() + bytes);
+    }
+
+    fn remove_pending(&self, bytes: usize) {
+        self.pending_bytes.set(self.pending_bytes.get().saturating_sub(bytes));
     }
 
     async fn run(self: Rc<Self>, mut messages: mpsc::Receiver<Vec<u8>>) {
@@ -136,8 +159,11 @@
                 monoio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
             }
             // Messages for an unreachable peer are dropped; consensus resends them.
-            if let Ok(client) = self.client().await {
-                monoio::spawn(self.clone().deliver(client, message));
+            match self.client().await {
+                Ok(client) => {
+                    monoio::spawn(self.clone().deliver(client, message));
+                }
+                Err(_) => self.remove_pending(message.len()),
             }
         }
     }
@@ -146,6 +172,7 @@
         self.in_flight.set(self.in_flight.get() + 1);
         let result = client.deliver(self.me.0, &message, DELIVER_TIMEOUT).await;
         self.in_flight.set(self.in_flight.get() - 1);
+        self.remove_pending(message.len());
         if result.is_err() {
             self.cached.take();
         }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -29,6 +29,7 @@
     disk_writer::{DiskWriter, SaveResult},
     envelope::Envelope,
     peers::Peers,
+    snapshot_pace::SnapshotPace,
     state_machine::StateMachine,
     tables_feed::TablesFeed,
 };
@@ -62,7 +63,7 @@
     pub(crate) clock: Rc<dyn Clock>,
     pub(crate) voters_max: usize,
     pub(crate) voter_timeout: Duration,
-    pub(crate) snapshot_every_entries: u64,
+    pub(crate) snapshot_pace: SnapshotPace,
 }
 
 /// One member of the replicated log.
@@ -92,8 +93,7 @@
     last_hellos: BTreeMap<NodeId, (Peer, Instant)>,
     /// When each member that is about to stop last asked to give up its vote.
     leave_requests: BTreeMap<Peer, Instant>,
-    snapshot_every_entries: u64,
-    snapshot_index: u64,
+    snapshot_pace: SnapshotPace,
     seconds_to_advance: u32,
 }
 
@@ -108,7 +108,8 @@
     ) -> anyhow::Result<(Rc<Replica>, UnboundedReceiver<SaveResult>)> {
         let recovered = parts.storage.load()?;
         parts.machine.borrow_mut().restore(&recovered.snapshot.data)?;
-        let snapshot_index = recovered.snapshot.index.0;
+        let mut snapshot_pace = parts.snapshot_pace;
+        snapshot_pace.restart(recovered.snapshot.data.len());
         let now = parts.clock.now();
         let node = Node::new(parts.settings, parts.me, recovered, now);
         let (disk, saved) = DiskWriter::start(parts.storage);
@@ -119,8 +120,7 @@
             pending: Pending::default(),
             last_hellos: BTreeMap::new(),
             leave_requests: BTreeMap::new(),
-            snapshot_every_entries: parts.snapshot_every_entries,
-            snapshot_index,
+            snapshot_pace,
             seconds_to_advance: TIME_ADVANCE_INTERVAL_S,
         };
         let replica = Rc::new(Replica {
@@ -194,6 +194,15 @@
         }
     }
 
+    /// Whether the state applied here has room for what a command adds to it.
+    ///
+    /// # Errors
+    ///
+    /// The limit that is reached.
+    pub(crate) fn admit(&self, command: &[u8]) -> Result<(), String> {
+        self.core.borrow().machine.borrow().admit(command)
+    }
+
     /// Proposes a command here, or forwards it to the leader if that is another member.
     pub(crate) async fn submit(&self, command: Vec<u8>) -> SubmitResult {
         let leader = self.status().leader;
@@ -306,6 +315,11 @@
         self.peers.bytes()
     }
 
+    /// Whether a write of this member waits for room on the disk.
+    pub(crate) fn is_disk_full(&self) -> bool {
+        self.core.borrow().disk.is_full()
+    }
+
     fn me(&self) -> Peer {
         self.status().me
     }
@@ -428,7 +442,7 @@
     }
 
     fn restore(&mut self, snapshot: &consensus::Snapshot) {
-        self.snapshot_index = snapshot.index.0;
+        self.snapshot_pace.restart(snapshot.data.len());
         self.pending.restored(snapshot.index);
         if let Err(err) = self.machine.borrow_mut().restore(&snapshot.data) {
             tracing::error!(event = "snapshot_refused", %err);
@@ -441,9 +455,9 @@
             Payload::Empty | Payload::Members(_) => Vec::new(),
         };
         self.pending.applied(entry.index, entry.term, response);
-        if entry.index.0 - self.snapshot_index >= self.snapshot_every_entries {
-            self.snapshot_index = entry.index.0;
+        if self.snapshot_pace.count(entry.size_bytes()) {
             let data = self.machine.borrow().snapshot();
+            self.snapshot_pace.restart(data.len());
             self.node.compact(entry.index, data);
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -46,6 +46,9 @@
     pub voters_max: usize,
     /// The number of applied entries between two snapshots.
     pub snapshot_every_entries: u64,
+    /// The bytes of applied entries between two snapshots; a state that is larger than this is saved
+    /// less often.
+    pub snapshot_every_bytes: usize,
     /// The interval at which a leader sends heartbeats.
     pub heartbeat_ms: u64,
     /// The shortest time without a leader's message after which a member starts an election; the
@@ -88,6 +91,7 @@
             token_files: None,
             voters_max: 5,
             snapshot_every_entries: 1000,
+            snapshot_every_bytes: 2 * 1024 * 1024,
             heartbeat_ms: 250,
             election_timeout_ms: 1_500,
             log: "info".to_owned(),
@@ -166,6 +170,11 @@
             "a whole number",
             defaults.snapshot_every_entries,
         ),
+        snapshot_every_bytes: reader.or_default(
+            "snapshot_every_bytes",
+            "a whole number of bytes",
+            defaults.snapshot_every_bytes,
+        ),
         heartbeat_ms: reader.or_default("heartbeat_ms", MILLISECONDS, defaults.heartbeat_ms),
         election_timeout_ms: reader.or_default(
             "election_timeout_ms",
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -11,6 +11,14 @@
     /// Applies one committed command and returns the encoded response.
     fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8>;
 
+    /// Whether the state has room for what a command adds to it; asked before the command enters the
+    /// log.
+    ///
+    /// # Errors
+    ///
+    /// The limit that is reached.
+    fn admit(&self, command: &[u8]) -> Result<(), String>;
+
     /// The whole state, encoded.
     fn snapshot(&self) -> Vec<u8>;
 
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -150,6 +150,22 @@
         fs::remove_dir_all(self.data_dir(node)).expect("the test folder is writable");
     }
 
+    /// The size of all files in a node's data folder.
+    pub(crate) fn disk_bytes(&self, node: usize) -> u64 {
+        let files = fs::read_dir(self.data_dir(node)).expect("the data folder is readable");
+        files.map(|it| it.and_then(|it| it.metadata()).map_or(0, |it| it.len())).sum()
+    }
+
+    /// The most memory that a node's process has had resident.
+    pub(crate) fn memory_peak_bytes(&self, node: usize) -> u64 {
+        let child = self.children[node - 1].as_ref().expect("the node is running");
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process has a status");
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|it| it.trim().strip_suffix(" kB")).map(str::trim);
+        kib.and_then(|it| it.parse::<u64>().ok()).expect("the peak is a number") * 1024
+    }
+
     /// The status of a node, if it answers.
     pub(crate) fn status(&self, node: usize) -> Option<Value> {
         run(async {
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -54,7 +54,7 @@
     if path.exists() {
         return Err(StorageError::AlreadyFormatted { path: folder.to_owned() });
     }
-    let io_error = |err| io_error(folder, &err);
+    let io_error = |err| StorageError::from_io(folder, &err);
     fs::create_dir_all(folder).map_err(io_error)?;
     let temporary = folder.join(TEMPORARY_FILE);
     remove_if_exists(&temporary).map_err(io_error)?;
@@ -82,7 +82,3 @@
         _ => Ok(()),
     }
 }
-
-fn io_error(path: &Path, err: &io::Error) -> StorageError {
-    StorageError::Io { path: path.to_owned(), reason: err.to_string() }
-}
--- a/crates/storage/src/log_file.rs
+++ b/crates/storage/src/log_file.rs
@@ -1,6 +1,9 @@
 //! Stores the state of one member in a redb database.
 
-use std::path::{Path, PathBuf};
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+};
 
 use consensus::{
     DiskId, Entry, HardState, LogIndex, Recovered, Snapshot, Storage, StorageError, Writes,
@@ -24,14 +27,25 @@
 const FORMAT: u32 = 1;
 
 /// The open log file of a formatted data folder, which holds a member's state.
-#[derive(Debug)]
 pub struct LogFile {
     path: PathBuf,
-    database: Database,
+    /// `None` only if it could not be opened again after a failed write.
+    database: Option<Database>,
+    opener: Opener,
     disk: DiskId,
     commit_phases: CommitPhases,
 }
 
+impl fmt::Debug for LogFile {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = f.debug_struct("LogFile");
+        text.field("path", &self.path).field("disk", &self.disk).finish_non_exhaustive()
+    }
+}
+
+/// Opens the database again after a failed write, which leaves an open one unusable.
+type Opener = Box<dyn Fn() -> Result<Database, redb::DatabaseError> + Send>;
+
 impl LogFile {
     /// Opens a formatted folder; a commit that a crash interrupted is dropped.
     ///
@@ -39,9 +53,9 @@
     /// Fails if the folder is not formatted, is in use, or holds damaged data.
     pub fn open(folder: &Path, settings: &Settings) -> Result<LogFile, StorageError> {
         let path = folder::log_path(folder)?;
-        let database =
-            database_builder(settings).open(&path).map_err(|err| open_error(&path, err))?;
-        LogFile::from_database(path, database, settings)
+        let database = file_opener(&path, settings)().map_err(|err| open_error(&path, err))?;
+        let opener = file_opener(&path, settings);
+        LogFile::from_database(path, database, opener, settings)
     }
 
     /// Opens a log on a backend other than a file; an empty backend is formatted under `disk`.
@@ -49,17 +63,20 @@
     /// # Errors
     /// Fails if the backend cannot be used or holds damaged data.
     pub fn with_backend(
-        backend: impl StorageBackend,
+        backend: impl StorageBackend + Clone,
         settings: &Settings,
         disk: DiskId,
     ) -> Result<LogFile, StorageError> {
         let path = PathBuf::from("backend");
-        let created = database_builder(settings).create_with_backend(backend);
-        let database = created.map_err(|err| open_error(&path, err))?;
+        let opener: Opener = {
+            let settings = settings.clone();
+            Box::new(move || database_builder(&settings).create_with_backend(backend.clone()))
+        };
+        let database = opener().map_err(|err| open_error(&path, err))?;
         if is_empty(&database).map_err(|err| open_error(&path, err))? {
             write_identity(&path, &database, disk)?;
         }
-        LogFile::from_database(path, database, settings)
+        LogFile::from_database(path, database, opener, settings)
     }
 
     /// Saves the initial snapshot of a new cluster; only the cluster's first members need it.
@@ -83,16 +100,19 @@
         let database =
             database_builder(settings).create(path).map_err(|err| open_error(path, err))?;
         write_identity(path, &database, disk)?;
-        LogFile::from_database(path.to_owned(), database, settings)
+        let opener = file_opener(path, settings);
+        LogFile::from_database(path.to_owned(), database, opener, settings)
     }
 
     fn from_database(
         path: PathBuf,
         database: Database,
+        opener: Opener,
         settings: &Settings,
     ) -> Result<LogFile, StorageError> {
         let disk = DiskId(0);
-        let mut log = LogFile { path, database, disk, commit_phases: settings.commit_phases };
+        let commit_phases = settings.commit_phases;
+        let mut log = LogFile { path, database: Some(database), opener, disk, commit_phases };
         let format = log.read_single(FORMAT_KEY)?.unwrap_or(FORMAT);
         if format > FORMAT {
             return Err(StorageError::LaterFormat { path: log.path, format });
@@ -104,7 +124,7 @@
 
     fn read_single<T: DeserializeOwned>(&self, key: u64) -> Result<Option<T>, StorageError> {
         let read = || -> Result<_, redb::Error> {
-            let table = self.database.begin_read()?.open_table(SINGLES)?;
+            let table = self.database()?.begin_read()?.open_table(SINGLES)?;
             Ok(table.get(key)?.map(|it| it.value().to_vec()))
         };
         let bytes = read().map_err(|err| self.error(err))?;
@@ -113,7 +133,7 @@
 
     fn read_entries(&self) -> Result<Vec<Entry>, StorageError> {
         let read = || -> Result<Vec<_>, redb::Error> {
-            let table = self.database.begin_read()?.open_table(ENTRIES)?;
+            let table = self.database()?.begin_read()?.open_table(ENTRIES)?;
             let mut records = Vec::new();
             for item in table.iter()? {
                 let (key, value) = item?;
@@ -140,7 +160,7 @@
     }
 
     fn write(&self, writes: &Writes) -> Result<(), redb::Error> {
-        let mut transaction = self.database.begin_write()?;
+        let mut transaction = self.database()?.begin_write()?;
         transaction.set_two_phase_commit(self.commit_phases == CommitPhases::Two);
         {
             let mut singles = transaction.open_table(SINGLES)?;
@@ -165,6 +185,10 @@
         Ok(())
     }
 
+    fn database(&self) -> Result<&Database, redb::Error> {
+        self.database.as_ref().ok_or(redb::Error::PreviousIo)
+    }
+
     fn error(&self, err: redb::Error) -> StorageError {
         redb_error(&self.path, err)
     }
@@ -191,6 +215,19 @@
     fn save(&mut self, writes: &Writes) -> Result<(), StorageError> {
         self.write(writes).map_err(|err| self.error(err))
     }
+
+    fn reopen(&mut self) -> Result<(), StorageError> {
+        // The file is locked until the old database is closed.
+        self.database = None;
+        let database = (self.opener)().map_err(|err| open_error(&self.path, err))?;
+        self.database = Some(database);
+        Ok(())
+    }
+}
+
+fn file_opener(path: &Path, settings: &Settings) -> Opener {
+    let (path, settings) = (path.to_owned(), settings.clone());
+    Box::new(move || database_builder(&settings).open(&path))
 }
 
 fn database_builder(settings: &Settings) -> Builder {
@@ -244,6 +281,7 @@
     match err {
         redb::Error::Corrupted(detail) => StorageError::Corrupt { path, detail },
         redb::Error::DatabaseAlreadyOpen => StorageError::InUse { path },
+        redb::Error::Io(err) => StorageError::from_io(&path, &err),
         err => StorageError::Io { path, reason: err.to_string() },
     }
 }
--- a/crates/storage/tests/support/simulated_disk.rs
+++ b/crates/storage/tests/support/simulated_disk.rs
@@ -1,4 +1,5 @@
 //! An in-memory disk on which a crash may lose any of the unsynced changes.
+#![allow(dead_code)]
 
 use std::{
     io,
@@ -21,6 +22,8 @@
     unsynced: Vec<Change>,
     /// How many more changes and syncs succeed before the power loss, if one is planned.
     calls_left: Option<u64>,
+    /// The size of the disk, if it is limited.
+    limit_bytes: Option<usize>,
 }
 
 #[derive(Debug, Clone)]
@@ -35,6 +38,11 @@
         self.0.lock().unwrap().calls_left = Some(calls);
     }
 
+    /// Limits the size of the disk; without a limit it has room for everything.
+    pub(crate) fn limit(&self, limit_bytes: Option<usize>) {
+        self.0.lock().unwrap().limit_bytes = limit_bytes;
+    }
+
     /// The disk after a crash. `keep` decides for each unsynced change whether it survives.
     pub(crate) fn after_crash(&self, mut keep: impl FnMut() -> bool) -> SimulatedDisk {
         let content = self.0.lock().unwrap();
@@ -56,6 +64,9 @@
 impl Content {
     fn change(&mut self, change: Change) -> Result<(), BackendError> {
         self.consume_call()?;
+        if self.limit_bytes.is_some_and(|it| change.end() > it) {
+            return Err(BackendError::Io(io::ErrorKind::StorageFull.into()));
+        }
         change.apply(&mut self.visible);
         self.unsynced.push(change);
         Ok(())
@@ -75,6 +86,14 @@
 }
 
 impl Change {
+    /// The size that the disk needs for the change.
+    fn end(&self) -> usize {
+        match self {
+            Change::Resize(len) => *len,
+            Change::Write(offset, data) => offset + data.len(),
+        }
+    }
+
     fn apply(&self, bytes: &mut Vec<u8>) {
         match self {
             Change::Resize(len) => bytes.resize(*len, 0),
