Split the platform's list into entries before any of them is parsed

Cause: a page was parsed as one JSON value before single entries were looked at.

Change: directory splits a list by brackets, quotes and commas alone and parses each entry on its own, with bounds of its own; it resumes after an entry without an end. What is left out is logged.

--- a/crates/directory/src/list.rs
+++ b/crates/directory/src/list.rs
@@ -6,6 +6,8 @@
 use http::Uri;
 use serde::{Deserialize, Serialize};
 
+use crate::parse_array;
+
 /// One backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,9 +99,9 @@
     }
 
     fn read_page(&self, body: &[u8]) -> Result<ListPage, MalformedList> {
-        let vms = serde_json::from_slice(body)
-            .map_err(|error| MalformedList { reason: error.to_string() })?;
-        Ok(ListPage { vms, ..ListPage::default() })
+        let parsed = parse_array(body)?;
+        let malformed_entries = parsed.malformed_entries;
+        Ok(ListPage { vms: parsed.entries, malformed_entries, next: None })
     }
 
     fn absence(&self) -> Absence {
--- a/crates/directory/src/reader.rs
+++ b/crates/directory/src/reader.rs
@@ -10,6 +10,7 @@
     client::{ClientError, Pool, PoolSettings, Request},
 };
 use monoio::time;
+use telemetry::Throttle;
 
 use crate::{Directory, ListPage, ListedVm, MalformedList};
 
@@ -26,6 +27,9 @@
 /// that start together.
 const REFUSALS_MAX: usize = 20;
 
+/// The time between two log lines about entries that cannot be read.
+const MALFORMED_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Whether a read goes on after the platform has refused a page because of its rate limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OnRefusal {
@@ -58,6 +62,8 @@
     addr: SocketAddr,
     directory: Rc<dyn Directory>,
     pool: Pool,
+    clock: Rc<dyn Clock>,
+    malformed: Throttle,
 }
 
 impl Reader {
@@ -71,7 +77,9 @@
             ..Limits::default()
         };
         let settings = PoolSettings { limits, ..PoolSettings::default() };
-        Reader { addr, directory, pool: Pool::new(settings, clock) }
+        let pool = Pool::new(settings, Rc::clone(&clock));
+        let malformed = Throttle::new(MALFORMED_LOG_INTERVAL);
+        Reader { addr, directory, pool, clock, malformed }
     }
 
     /// The address from which the list is read.
@@ -132,6 +140,21 @@
         if !status.is_success() {
             return Err(ReadError::Refused { status });
         }
-        Ok(self.directory.read_page(&response.body.collect().await?)?)
+        let page = self.directory.read_page(&response.body.collect().await?)?;
+        if page.malformed_entries > 0 {
+            self.log_malformed(&page);
+        }
+        Ok(page)
+    }
+
+    fn log_malformed(&self, page: &ListPage) {
+        if let Some(suppressed) = self.malformed.record(self.clock.now()) {
+            tracing::warn!(
+                event = "list_entries_malformed",
+                malformed = page.malformed_entries,
+                read = page.vms.len(),
+                suppressed,
+            );
+        }
     }
 }
