Take no refusal for an answer that does not name its request

Cause: an answer without X-Request-Id was taken for the answer to the request that waits.

Change: a refusal counts only if it echoes the ID of the request, on the platform and in our own interface (x-not-started); otherwise the request may have run.

The servers of router's tests and of the capacity site now echo the ID in refusals, as the stand-ins do; what the tests expect of the router is unchanged.

--- a/crates/load/src/capacity/site.rs
+++ b/crates/load/src/capacity/site.rs
@@ -81,7 +81,7 @@
             r#"{"running":4,"waiting":0,"kv_used_permille":300,"step_us":30000,"batch_max":64,"age_ms":100,"incarnation":1}"#,
         ),
         "/v1/cache/events" => json(r#"{"events":[],"next":0,"gap":false}"#),
-        _ => refusal(),
+        _ => refusal(&request),
     };
     futures::future::ready(reply).boxed_local()
 }
@@ -90,9 +90,12 @@
     Reply::typed(StatusCode::OK, JSON, body.into())
 }
 
-fn refusal() -> Reply {
+fn refusal(request: &Request) -> Reply {
     let body = r#"{"error":{"code":"light","message":"this backend server does no work"}}"#;
     let mut reply = Reply::typed(StatusCode::SERVICE_UNAVAILABLE, JSON, body.into());
     reply.headers.insert("x-not-started", HeaderValue::from_static("1"));
+    if let Some(id) = request.headers.get("x-request-id") {
+        reply.headers.insert("x-request-id", id.clone());
+    }
     reply
 }
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -292,6 +292,10 @@
         return Err(AttemptError::in_doubt("the answer belongs to another request"));
     }
     if !head.status.is_success() && head.headers.contains_key(NOT_STARTED_HEADER) {
+        if echo.is_none() {
+            // It may be a copy of an earlier refusal, while the server runs this request.
+            return Err(AttemptError::in_doubt("a refusal names no request"));
+        }
         let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE;
         return Err(AttemptError {
             failure: if is_full { Failure::Overloaded } else { Failure::Other },
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -160,6 +160,10 @@
     fn check_response(&mut self, response: Response) -> Result<Response, AttemptError> {
         self.call.lease.heard();
         let answer = self.dialect.read_answer(&response.head);
+        if answer.refusal.is_some() && !response.head.headers.contains_key(REQUEST_ID_HEADER) {
+            // It may be a copy of an earlier refusal, while the server runs this request.
+            return Err(AttemptError::in_doubt("a refusal names no request"));
+        }
         self.record_rate_limit(&answer);
         if answer.is_leaving {
             self.call.lease.report_leaving();
--- a/crates/router/tests/at_most_once.rs
+++ b/crates/router/tests/at_most_once.rs
@@ -230,7 +230,7 @@
     check(
         async move |req| {
             refusals.set(refusals.get() + 1);
-            if refusals.get() == 1 { not_started() } else { confirm_order(req).await }
+            if refusals.get() == 1 { not_started(&req) } else { confirm_order(req).await }
         },
         twice(order("k1")),
         expect![[r#"
--- a/crates/router/tests/failed_attempts.rs
+++ b/crates/router/tests/failed_attempts.rs
@@ -73,14 +73,14 @@
 
 #[test]
 fn not_started_fails_over() {
-    check_retried(async |_| not_started(), streamed_chat());
-    check_retried(async |_| not_started(), unstreamed_chat());
+    check_retried(async |req| not_started(&req), streamed_chat());
+    check_retried(async |req| not_started(&req), unstreamed_chat());
 }
 
 #[test]
 fn not_started_sole_engine() {
     check_sole_engine(
-        async |_| not_started(),
+        async |req| not_started(&req),
         streamed_chat(),
         expect![[r#"
             503 Service Unavailable
--- a/crates/router/tests/refusing_engine.rs
+++ b/crates/router/tests/refusing_engine.rs
@@ -19,7 +19,7 @@
 #[test]
 fn refusals_fail_over() {
     run(async {
-        let refusing = FakeServer::start(async |_| not_started());
+        let refusing = FakeServer::start(async |req| not_started(&req));
         let good = [FakeServer::engine(TOKENS), FakeServer::engine(TOKENS)];
         let engines = vec![refusing.addr, good[0].addr, good[1].addr];
         let router = Setup { engines, ..Setup::default() }.start();
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -209,8 +209,10 @@
     Reply::stream(StatusCode::OK, headers, 1)
 }
 
-pub(crate) fn not_started() -> Reply {
+pub(crate) fn not_started(req: &Request) -> Reply {
     let mut reply = Reply::typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "full".into());
+    let id = request_id(req).parse().expect("a request id is a header value");
+    reply.headers.insert("x-request-id", id);
     reply.headers.insert("x-not-started", HeaderValue::from_static("1"));
     reply
 }
