--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -149,6 +149,12 @@
         self.pool_dispatcher(pool).map(|it| it.local_servers()).unwrap_or_default()
     }
 
+    /// The servers of a pool that get new requests.
+    #[must_use]
+    pub fn usable_servers(&self, pool: &str) -> Vec<UsableServer> {
+        self.pool_dispatcher(pool).map(|it| it.usable_servers()).unwrap_or_default()
+    }
+
     /// Whether a server of the pool can be reached by requests of this kind, as far as known.
     #[must_use]
     pub fn is_reachable_by(&self, pool: &str, repeat: Repeat) -> bool {
@@ -345,6 +351,15 @@
     }
 }
 
+/// A server that gets new requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsableServer {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The name that it reports of itself; empty if it is known by its address alone.
+    pub name: Rc<str>,
+}
+
 /// What a router knows about a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerStatus {
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -19,13 +19,13 @@
 };
 use monoio::time;
 use policy::{
-    Action, BackendKey, LoadReport, Offer, ProbeResult, QueueSnapshot, Refusal, Repeat, Scheduler,
-    Settings, Spec, Ticket, VersionHash,
+    Action, BackendKey, Health, LoadReport, Offer, ProbeResult, QueueSnapshot, Refusal, Repeat,
+    Scheduler, Settings, Spec, Ticket, VersionHash,
 };
 use tables::{Pool, Revision, Tables};
 
 use super::{
-    Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, UNKNOWN_REFUSAL,
+    Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, UNKNOWN_REFUSAL, UsableServer,
     decision_log::log_changes, locality::Locality, pool_spec::pool_spec, reach::Reach,
     revision_number, server_list::ServerList,
 };
@@ -212,6 +212,15 @@
         listed.filter(|it| !state.locality.is_remote(it.addr)).collect()
     }
 
+    pub(super) fn usable_servers(&self) -> Vec<UsableServer> {
+        let state = self.state.borrow();
+        let is_usable = |it: &Server| {
+            matches!(state.scheduler.health(it.key), Some(Health::Up | Health::Suspect))
+        };
+        let listed = state.servers.listed().into_iter().filter(is_usable);
+        listed.map(|it| UsableServer { addr: it.addr, name: state.servers.label(it.key) }).collect()
+    }
+
     pub(super) fn update_servers(self: &Rc<Self>, vms: &[&ListedVm]) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -1,7 +1,7 @@
 //! The backend servers of one pool, merged from the table and the platform's list.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -17,9 +17,13 @@
 #[derive(Debug, Default)]
 pub(super) struct ServerList {
     servers: BTreeMap<SocketAddr, KnownServer>,
-    /// The next incarnation of servers that were missing from complete lists, by name. A list that
-    /// is older than its predecessor may omit live servers, so they can return without a restart.
+    /// The next incarnation of servers that were missing from complete lists or replaced at their
+    /// addresses, by name and by address. A list that is older than its predecessor may omit live servers or show
+    /// replaced ones, and a list that does not tell when a server started shows a restart only by its
+    /// absence, so they can return without a newer incarnation in the list.
     return_incarnations: BTreeMap<String, u64>,
+    /// The servers whose addresses others have taken over, while the list still has both.
+    replaced: BTreeSet<String>,
     /// The only software version of the servers, and since when it has been that.
     sole_version: Option<(Rc<str>, Instant)>,
 }
@@ -56,6 +60,9 @@
 /// The number of consecutive complete lists from which a server must be missing to count as gone.
 const MISSED_LISTS_MAX: u32 = 2;
 
+/// The number of names and addresses of a pool for which a return is prepared.
+const RETURNS_MAX: usize = 4_096;
+
 impl ServerList {
     /// The servers that accept new requests.
     pub(super) fn listed(&self) -> Vec<Server> {
@@ -152,12 +159,10 @@
         pool: &str,
         vms: &[&ListedVm],
     ) {
-        for vm in vms {
+        for vm in self.newest_entries(vms) {
             self.remove_replaced(scheduler, now, pool, vm);
             let name = name(vm);
-            let return_incarnation =
-                self.return_incarnations.get(&name).copied().unwrap_or_default();
-            let incarnation = vm.incarnation.max(return_incarnation);
+            let incarnation = self.incarnation(vm);
             let key = pass_entry(scheduler, pool, &name, incarnation, |scheduler, entry| match vm
                 .state
             {
@@ -168,6 +173,7 @@
             if vm.slots > 0 {
                 scheduler.set_slots(key, vm.slots);
             }
+            self.forget_earlier_addresses(vm, key, incarnation);
             let known = self.servers.entry(vm.addr).or_insert(KnownServer {
                 key,
                 incarnation,
@@ -194,6 +200,55 @@
         self.update_sole_version(now);
     }
 
+    /// Drops the other addresses of a server that has started again at a new one.
+    fn forget_earlier_addresses(&mut self, vm: &ListedVm, key: BackendKey, incarnation: u64) {
+        if !self.servers.contains_key(&vm.addr) {
+            self.servers.retain(|_, it| it.key != key || it.incarnation > incarnation);
+        }
+    }
+
+    /// One entry for each address: that of the newest server. A server that has crashed stays on the
+    /// list for a while beside the one that has started at its address.
+    fn newest_entries<'a>(&self, vms: &[&'a ListedVm]) -> Vec<&'a ListedVm> {
+        let mut newest: BTreeMap<SocketAddr, &ListedVm> = BTreeMap::new();
+        for vm in vms {
+            let kept = newest.entry(vm.addr).or_insert(vm);
+            if self.is_newer(vm, kept) {
+                *kept = vm;
+            }
+        }
+        newest.into_values().collect()
+    }
+
+    /// Whether one of two servers at the same address has started after the other, as far as the list
+    /// and the lists before it tell.
+    fn is_newer(&self, vm: &ListedVm, other: &ListedVm) -> bool {
+        let known = self.servers.get(&vm.addr).map(|it| &it.label);
+        let rank = |it: &ListedVm| {
+            let is_known = known.is_some_and(|label| **label == *it.label);
+            (it.incarnation, !self.replaced.contains(&it.label), !is_known)
+        };
+        rank(vm) > rank(other)
+    }
+
+    /// The incarnation of an entry, above those of the servers that have left under its name or from its
+    /// address: what other routers report of those holds no longer.
+    fn incarnation(&self, vm: &ListedVm) -> u64 {
+        let of = |name: &String| self.return_incarnations.get(name).copied().unwrap_or_default();
+        match vm.label.is_empty() {
+            // Reports of other routers name the address alone and say which incarnation they mean.
+            true => vm.incarnation,
+            false => vm.incarnation.max(of(&vm.label)).max(of(&vm.addr.to_string())),
+        }
+    }
+
+    fn prepare_return(&mut self, name: String, incarnation: u64) {
+        if self.return_incarnations.len() >= RETURNS_MAX {
+            self.return_incarnations.pop_first();
+        }
+        self.return_incarnations.insert(name, incarnation + 1);
+    }
+
     /// Removes the servers that are missing from the last [`MISSED_LISTS_MAX`] complete lists, of
     /// which `vms` is the latest.
     pub(super) fn remove_missing(
@@ -203,23 +258,43 @@
         pool: &str,
         vms: &[&ListedVm],
     ) {
-        let is_missing = |addr: &SocketAddr, known: &KnownServer| {
-            known.listing != Listing::Table
-                && !vms.iter().any(|it| it.addr == *addr && *it.label == *known.label)
+        self.replaced.retain(|label| vms.iter().any(|it| it.label == *label));
+        let is_listed = |addr: SocketAddr, known: &KnownServer| {
+            let is_same = |it: &&&ListedVm| it.addr == addr && *it.label == *known.label;
+            // A server with an earlier start is another one.
+            vms.iter().filter(is_same).any(|it| self.incarnation(it) >= known.incarnation)
         };
-        for (addr, known) in &mut self.servers {
-            if is_missing(addr, known) {
+        let may_miss = self.servers.iter().filter(|(_, it)| it.listing != Listing::Table);
+        let missing: Vec<_> =
+            may_miss.filter(|(addr, it)| !is_listed(**addr, it)).map(|(addr, _)| *addr).collect();
+        for addr in missing {
+            if let Some(known) = self.servers.get_mut(&addr) {
                 known.missed_lists += 1;
             }
         }
-        let gone = self.servers.extract_if(.., |_, it| it.missed_lists >= MISSED_LISTS_MAX);
+        let is_gone = |_: &SocketAddr, it: &mut KnownServer| it.missed_lists >= MISSED_LISTS_MAX;
+        let gone: Vec<_> = self.servers.extract_if(.., is_gone).collect();
         for (addr, known) in gone {
-            let name = remove_from_scheduler(scheduler, now, pool, addr, &known);
-            // A server that was listed as leaving has left for good.
-            if known.listing != Listing::Leaving {
-                self.return_incarnations.insert(name, known.incarnation + 1);
-            }
+            self.remove_gone(scheduler, now, pool, addr, &known);
+        }
+    }
+
+    /// Removes a server that has left its address from the scheduler, unless it serves at another
+    /// address by now.
+    fn remove_gone(
+        &mut self,
+        scheduler: &mut Scheduler,
+        now: Instant,
+        pool: &str,
+        addr: SocketAddr,
+        known: &KnownServer,
+    ) {
+        if self.servers.values().any(|it| it.key == known.key) {
+            return;
         }
+        let name = remove_from_scheduler(scheduler, now, pool, addr, known);
+        self.prepare_return(name, known.incarnation);
+        self.prepare_return(addr.to_string(), known.incarnation);
     }
 
     /// Removes a server whose address was taken over by another one.
@@ -234,7 +309,8 @@
         if self.servers.get(&vm.addr).is_some_and(is_replaced)
             && let Some(known) = self.servers.remove(&vm.addr)
         {
-            remove_from_scheduler(scheduler, now, pool, vm.addr, &known);
+            self.replaced.insert(known.label.to_string());
+            self.remove_gone(scheduler, now, pool, vm.addr, &known);
         }
     }
 
