Take a pool's only version from a fresh list alone

Cause: a router that knows nothing of a stream, and whose control VM does not answer, takes the version that all servers of its list have had for 30 s, however old that list is.

Change: the list counts as complete for 3 s; without a fresh one the take-up is refused as not run.

--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -26,6 +26,8 @@
     replaced: BTreeSet<String>,
     /// The only software version of the servers, and since when it has been that.
     sole_version: Option<(Rc<str>, Instant)>,
+    /// When the last complete list was applied.
+    listed_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -60,6 +62,9 @@
 /// The number of consecutive complete lists from which a server must be missing to count as gone.
 const MISSED_LISTS_MAX: u32 = 2;
 
+/// The age of the last complete list up to which its servers count as all there are.
+const SOLE_VERSION_LIST_AGE_MAX: Duration = Duration::from_secs(3);
+
 /// The number of names and addresses of a pool for which a return is prepared.
 const RETURNS_MAX: usize = 4_096;
 
@@ -87,9 +92,11 @@
         known.map(|it| Rc::clone(&it.software_version)).unwrap_or_default()
     }
 
-    /// The version of all servers, if they have had none else for `time`.
+    /// The version of all servers, if they have had none else for `time`; `None` without a fresh list,
+    /// as servers of another version may have joined since.
     pub(super) fn sole_version(&self, now: Instant, time: Duration) -> Option<Rc<str>> {
-        let (version, since) = self.sole_version.as_ref()?;
+        let is_fresh = self.listed_at.is_some_and(|it| now < it + SOLE_VERSION_LIST_AGE_MAX);
+        let (version, since) = self.sole_version.as_ref().filter(|_| is_fresh)?;
         (now >= *since + time).then(|| Rc::clone(version))
     }
 
@@ -258,6 +265,7 @@
         pool: &str,
         vms: &[&ListedVm],
     ) {
+        self.listed_at = Some(now);
         self.replaced.retain(|label| vms.iter().any(|it| it.label == *label));
         let is_listed = |addr: SocketAddr, known: &KnownServer| {
             let is_same = |it: &&&ListedVm| it.addr == addr && *it.label == *known.label;
--- a/crates/router/tests/sole_version.rs
+++ b/crates/router/tests/sole_version.rs
@@ -39,20 +39,25 @@
     }
 }
 
+fn dispatcher(clock: &ManualClock) -> Dispatcher {
+    let setup = Setup { services: vec![closed_port()], ..Setup::default() };
+    let mut tables = tables::check(Revision(1), &setup.tables()).expect("the tables are valid");
+    for pool in &mut tables.pools {
+        pool.servers.clear();
+    }
+    let settings = policy::Settings::default();
+    let dispatcher = Dispatcher::new(Rc::new(clock.clone()), Rc::new(NoProber), settings, "");
+    dispatcher.configure(&tables, &Workspaces::default());
+    dispatcher
+}
+
 /// Guards against a stream of an older version that goes on at a newer one, because the router that does
 /// not know the stream sees no older server any more.
 #[test]
 fn after_a_release() {
     run(async {
-        let setup = Setup { services: vec![closed_port()], ..Setup::default() };
-        let mut tables = tables::check(Revision(1), &setup.tables()).expect("the tables are valid");
-        for pool in &mut tables.pools {
-            pool.servers.clear();
-        }
         let clock = ManualClock::default();
-        let settings = policy::Settings::default();
-        let dispatcher = Dispatcher::new(Rc::new(clock.clone()), Rc::new(NoProber), settings, "");
-        dispatcher.configure(&tables, &Workspaces::default());
+        let dispatcher = dispatcher(&clock);
         let list = |vms: &[&ListedVm]| {
             dispatcher.replace_servers(POOL, vms);
             dispatcher.sole_version(POOL, StreamHash::TTL)
@@ -71,3 +76,26 @@
         assert_eq!(list(&[&new]), version("v2"));
     });
 }
+
+/// Guards against a stream that goes on at another version at a router that was stopped or cut off while
+/// servers of that version joined: it does not know the stream, and its list still has one version.
+#[test]
+fn out_of_date() {
+    run(async {
+        let clock = ManualClock::default();
+        let dispatcher = dispatcher(&clock);
+        let old = listed(1, "v1");
+        dispatcher.replace_servers(POOL, &[&old]);
+        clock.advance(StreamHash::TTL);
+        assert_eq!(dispatcher.sole_version(POOL, StreamHash::TTL), None);
+        dispatcher.replace_servers(POOL, &[&old]);
+        let version = Some(VersionHash::of(POOL, "v1"));
+        assert_eq!(dispatcher.sole_version(POOL, StreamHash::TTL), version);
+        // The router gets no list for some seconds.
+        clock.advance(Duration::from_secs(3));
+        assert_eq!(dispatcher.sole_version(POOL, StreamHash::TTL), None);
+        assert_eq!(dispatcher.sole_version(POOL, Duration::ZERO), None);
+        dispatcher.replace_servers(POOL, &[&old]);
+        assert_eq!(dispatcher.sole_version(POOL, StreamHash::TTL), version);
+    });
+}
