Keep the software versions of each pool on the control VMs' disks

Cause: which version began a stream, and that there is only one, was known in memory alone.

Ruled out: servers that forget the streams (they ran on and new streams began at once).

Change: each control VM keeps the versions that the list has shown in a file beside its log; where a pool has had one version for longer than streams last, the hub says so to routers that look up a stream which it does not know (extension 3 of the digest), and they go by it if their own list agrees.

--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 
 use anyhow::{bail, ensure};
+use clock::SystemClock;
 use consensus::{DiskId, Members, Peer, Snapshot, StorageError};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, dial};
 use std::time::Duration;
 use storage::LogFile;
 
-use crate::Settings;
+use crate::{Settings, version_history};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -72,6 +73,7 @@
     let voters = settings.seeds.iter().map(|node| Peer { node: *node, disk: BOOTSTRAP_DISK });
     let start = Snapshot::bootstrap(Members::of_voters(voters));
     storage::format_bootstrap_member(&settings.data_dir, &sizes, BOOTSTRAP_DISK, start)?;
+    version_history::save_beginning(&settings.data_dir, &SystemClock)?;
     tracing::info!(event = "disk_formatted", disk = %BOOTSTRAP_DISK, purpose = "found");
     Ok(())
 }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -36,6 +36,7 @@
     snapshot_pace::SnapshotPace,
     state_machine::StateMachine,
     tables_feed::TablesFeed,
+    version_history::VersionKeeper,
 };
 
 /// A voter that has not answered the leader for this many election timeouts has failed, so that a
@@ -196,7 +197,8 @@
     let admin = Rc::new(Admin::new(registry, health));
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
-    let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone()));
+    let versions = VersionKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
+    let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone(), versions));
     if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
         let reader = Reader::new(addr, platform.directory.clone(), parts.clock.clone());
         let period = Duration::from_millis(settings.platform_period_ms);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod state_machine;
 mod status;
 mod tables_feed;
+mod version_history;
 
 pub use address_book::{AddressBook, node_id_of};
 pub use bootstrap::{FormatMode, format, format_if_empty};
@@ -33,3 +34,4 @@
 pub use replica::pending::Pending;
 pub use settings::{Settings, TokenFiles};
 pub use state_machine::StateMachine;
+pub use version_history::VersionHistory;
--- a/crates/control/src/server_feed.rs
+++ b/crates/control/src/server_feed.rs
@@ -12,11 +12,11 @@
 use ::daemon::Watch;
 use clock::Clock;
 use consensus::NodeId;
-use directory::{OnRefusal, Reader, encode_list};
+use directory::{OnRefusal, Reader, decode_list, encode_list};
 use monoio::time;
 use rpc::ServerList;
 
-use crate::replica::Replica;
+use crate::{replica::Replica, version_history::VersionKeeper};
 
 /// The time that a read of the list may take before the leader's list counts as late.
 const READ_TIME: Duration = Duration::from_millis(100);
@@ -36,6 +36,7 @@
     state: RefCell<State>,
     changed: Watch,
     clock: Rc<dyn Clock>,
+    versions: VersionKeeper,
 }
 
 struct State {
@@ -49,9 +50,9 @@
 
 impl ServerFeed {
     /// Creates a feed without a list; `epoch` distinguishes its stamps from those of earlier runs.
-    pub(crate) fn new(epoch: u64, clock: Rc<dyn Clock>) -> ServerFeed {
+    pub(crate) fn new(epoch: u64, clock: Rc<dyn Clock>, versions: VersionKeeper) -> ServerFeed {
         let state = State { stamp: epoch, servers: Vec::new(), read_at: None, fetched: None };
-        ServerFeed { state: RefCell::new(state), changed: Watch::default(), clock }
+        ServerFeed { state: RefCell::new(state), changed: Watch::default(), clock, versions }
     }
 
     /// Keeps the list fresh for the lifetime of the process.
@@ -128,11 +129,18 @@
         let mut state = self.state.borrow_mut();
         let is_changed = state.read_at.is_none() || state.servers != servers;
         state.read_at = self.clock.now().checked_sub(age);
-        if is_changed {
-            state.stamp = state.stamp.wrapping_add(1).max(1);
-            state.servers = servers;
+        if !is_changed {
             drop(state);
-            self.changed.notify();
+            self.versions.list_read(None);
+            return;
         }
+        match decode_list(&servers) {
+            Ok(vms) => self.versions.list_read(Some(&vms)),
+            Err(error) => tracing::warn!(event = "shared_list_refused", %error),
+        }
+        state.stamp = state.stamp.wrapping_add(1).max(1);
+        state.servers = servers;
+        drop(state);
+        self.changed.notify();
     }
 }
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     BegunStreams, CrashRows, Digest, HubNews, Load, Peer, PoolHash, RouterIdx, Sender, ServerIdx,
-    ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, StreamHash, StreamLog,
-    Summary, Version,
+    ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState, SoleVersion, StreamHash,
+    StreamLog, Summary, Version,
     grants::{self, Allocation},
     limits::Limits,
     parts::Parts,
@@ -73,6 +73,7 @@
     limits: Limits,
     permits: HubPermits,
     streams: StreamLog,
+    sole_versions: Vec<SoleVersion>,
     /// The streams that began at this hub's routers and that the other hubs do not know yet.
     new_streams: Vec<BegunStreams>,
 }
@@ -119,6 +120,7 @@
             limits: Limits::default(),
             permits: HubPermits::default(),
             streams: StreamLog::default(),
+            sole_versions: Vec::new(),
             new_streams: Vec::new(),
         }
     }
@@ -169,7 +171,10 @@
         let found_streams = self.find_streams(now, &summary.stream_lookups);
         let down = self.down_servers(now);
         let pauses = self.exchange_pauses(now, router, &summary.pauses);
-        Digest { found_streams, down, pauses, ..self.digest(now, router, held) }
+        let found: usize = found_streams.iter().map(|it| it.streams.len()).sum();
+        let is_any_unknown = found < summary.stream_lookups.len();
+        let sole_versions = if is_any_unknown { self.sole_versions.clone() } else { Vec::new() };
+        Digest { found_streams, down, pauses, sole_versions, ..self.digest(now, router, held) }
     }
 
     /// The suspects and rate limits that have changed through this hub's routers since the last call,
@@ -245,6 +250,11 @@
         std::mem::take(&mut self.new_streams)
     }
 
+    /// Sets the pools that have had a single software version for longer than streams last.
+    pub fn set_sole_versions(&mut self, sole_versions: Vec<SoleVersion>) {
+        self.sole_versions = sole_versions;
+    }
+
     /// Records streams that began at routers of this or another hub.
     pub fn record_streams(&mut self, now: Instant, begun: &[BegunStreams]) {
         for group in begun {
@@ -418,6 +428,7 @@
             limits: self.limits.since(now, held),
             permits: self.permits.take(now, router),
             found_streams: Vec::new(),
+            sole_versions: Vec::new(),
             down: Vec::new(),
             pauses: Vec::new(),
         }
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -29,7 +29,7 @@
 pub use rows::{
     CrashRows, Demand, Digest, HubNews, Load, PartRow, PauseRow, PoolHash, QuarantineRow,
     RouterIdx, Sender, ServerIdx, ServerLoad, ServerObservation, ServerRef, ServerRow, ServerState,
-    Slots, Summary, Version,
+    Slots, SoleVersion, Summary, Version,
 };
 pub use streams::{BegunStreams, StreamHash, StreamLog};
 pub use wire::{decode_digest, decode_summary, encode_digest, encode_summary};
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     BegunStreams, CrashRows, Digest, Load, PauseRow, Peer, RouterIdx, Sender, ServerIdx, ServerRef,
-    ServerRow, ServerWork, Slots, Summary, Version,
+    ServerRow, ServerWork, Slots, SoleVersion, Summary, Version,
 };
 
 /// One backend server as the router knows it from the hub.
@@ -33,6 +33,7 @@
     new_limits: Vec<LimitEntry>,
     permits: Vec<PermitGrant>,
     found_streams: Vec<BegunStreams>,
+    sole_versions: Vec<SoleVersion>,
     down: Vec<ServerIdx>,
     pauses: Vec<PauseRow>,
     own_peer: Option<Peer>,
@@ -55,6 +56,7 @@
             new_limits: Vec::new(),
             permits: Vec::new(),
             found_streams: Vec::new(),
+            sole_versions: Vec::new(),
             down: Vec::new(),
             pauses: Vec::new(),
             own_peer: None,
@@ -131,6 +133,7 @@
         self.new_limits = digest.limits;
         self.permits = digest.permits;
         self.found_streams = digest.found_streams;
+        self.sole_versions = digest.sole_versions;
         self.down = digest.down;
         self.pauses = digest.pauses;
         CrashRows { requests: digest.quarantine, parts: digest.parts }
@@ -190,6 +193,12 @@
         &self.found_streams
     }
 
+    /// The pools that have had a single software version for longer than streams last, if a stream that
+    /// was looked up is not known.
+    pub fn sole_versions(&self) -> &[SoleVersion] {
+        &self.sole_versions
+    }
+
     /// The addresses of the servers that several routers have found down.
     pub fn down(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.down.iter().filter_map(|it| Some(self.servers.get(it)?.row.addr))
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use policy::{LimitEntry, MeasuredPauses, PartEntry, PermitGrant, PermitRequest, QuarantineEntry};
+use policy::{
+    LimitEntry, MeasuredPauses, PartEntry, PermitGrant, PermitRequest, QuarantineEntry, VersionHash,
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -148,6 +150,20 @@
     /// The pauses that all routers have measured; empty unless the summary has some.
     #[serde(skip)]
     pub pauses: Vec<PauseRow>,
+    /// The pools that have had a single software version for longer than streams last; empty unless the
+    /// hub does not know a stream that was looked up.
+    #[serde(skip)]
+    pub sole_versions: Vec<SoleVersion>,
+}
+
+/// The only software version that the servers of a pool have had for longer than streams last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct SoleVersion {
+    /// The pool.
+    pub pool: PoolHash,
+    /// The version.
+    pub version: VersionHash,
 }
 
 /// The pauses that routers have measured in a pool.
--- a/crates/dissemination/src/wire.rs
+++ b/crates/dissemination/src/wire.rs
@@ -16,6 +16,8 @@
 const DOWN: ExtensionId = ExtensionId(1);
 /// In a digest, the pauses that all routers have measured.
 const ALL_PAUSES: ExtensionId = ExtensionId(2);
+/// In a digest, the pools that have had a single software version for longer than streams last.
+const SOLE_VERSIONS: ExtensionId = ExtensionId(3);
 
 /// Encodes a summary; if that fails, the result is empty, which the hub rejects.
 pub fn encode_summary(summary: &Summary) -> Vec<u8> {
@@ -60,6 +62,9 @@
     if !digest.pauses.is_empty() {
         extensions.insert(ALL_PAUSES, &digest.pauses)?;
     }
+    if !digest.sole_versions.is_empty() {
+        extensions.insert(SOLE_VERSIONS, &digest.sole_versions)?;
+    }
     Ok(extensions)
 }
 
@@ -69,6 +74,8 @@
 /// Fails if the bytes do not decode to a digest.
 pub fn decode_digest(bytes: &[u8]) -> Result<Digest, FormError> {
     let (digest, extensions): (Digest, _) = wire_form::decode(bytes)?;
+    let down = extensions.get(DOWN)?.unwrap_or_default();
     let pauses = extensions.get(ALL_PAUSES)?.unwrap_or_default();
-    Ok(Digest { down: extensions.get(DOWN)?.unwrap_or_default(), pauses, ..digest })
+    let sole_versions = extensions.get(SOLE_VERSIONS)?.unwrap_or_default();
+    Ok(Digest { down, pauses, sole_versions, ..digest })
 }
--- a/crates/dissemination/tests/begun_streams.rs
+++ b/crates/dissemination/tests/begun_streams.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use dissemination::{
-    BegunStreams, Hub, HubSettings, MemberState, StreamHash, StreamLog, Summary, encode_summary,
+    BegunStreams, Hub, HubSettings, MemberState, PoolHash, SoleVersion, StreamHash, StreamLog,
+    Summary, decode_digest, encode_digest, encode_summary,
 };
 use policy::VersionHash;
 
@@ -32,6 +33,26 @@
     assert_eq!(found, BegunStreams::group([(stream(1), OLD), (stream(2), NEW)]));
 }
 
+/// Guards against streams that are refused after a kill of all processes: no hub knows them, but the hub
+/// knows that there has been one version only.
+#[test]
+fn sole_version_told() {
+    let now = Instant::now();
+    let mut hub = Hub::new(HubSettings::default());
+    let sole = vec![SoleVersion { pool: PoolHash::of("svc"), version: NEW }];
+    hub.set_sole_versions(sole.clone());
+    let begun_streams = BegunStreams::group([(stream(1), OLD)]);
+    hub.exchange(now, Summary { begun_streams, ..MemberState::new("router-1").empty_summary() });
+    let mut ask = |stream_lookups| {
+        let empty = MemberState::new("router-2").empty_summary();
+        let digest = hub.exchange(now, Summary { stream_lookups, ..empty });
+        decode_digest(&encode_digest(&digest)).expect("the digest is read").sole_versions
+    };
+    assert_eq!(ask(Vec::new()), []);
+    assert_eq!(ask(vec![stream(1)]), []);
+    assert_eq!(ask(vec![stream(1), stream(2)]), sole);
+}
+
 /// Guards against a log of streams that grows for good, and against a running stream that is forgotten
 /// although it was reported again.
 #[test]
--- a/crates/router/src/relay/origin.rs
+++ b/crates/router/src/relay/origin.rs
@@ -33,8 +33,12 @@
     // The record of a stream that is named may be lost. A caller that names none cannot be known, and
     // goes on where there is no choice.
     let alone_for = if resumed_request.is_some() { StreamHash::TTL } else { Duration::ZERO };
-    let sole = || dispatcher.sole_version(&routed.pool().name, alone_for);
-    let version = known.or_else(sole);
+    let pool = &routed.pool().name;
+    // A router that has just started does not know the versions of before; its hub may.
+    let now_sole = dispatcher.sole_version(pool, Duration::ZERO);
+    let at_hub = || services.streams.sole_version_at_hub(pool).filter(|it| now_sole == Some(*it));
+    let sole = dispatcher.sole_version(pool, alone_for);
+    let version = known.or(sole).or_else(at_hub);
     tracing::info!(
         event = "stream_taken_up",
         request_id = %routed.arrival.id,
@@ -42,7 +46,8 @@
         version_hash = version.map(|it| it.0),
         known_by = match (known, version) {
             (Some(_), _) => "record",
-            (None, Some(_)) => "sole-version",
+            (None, Some(_)) if sole.is_some() => "sole-version",
+            (None, Some(_)) => "sole-version-at-hub",
             (None, None) => "nobody",
         },
     );
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -101,5 +101,6 @@
         dispatcher.set_reported_down(&state.down().collect::<Vec<_>>());
         self.sent.import_limits(dispatcher, state);
         self.services.streams.record_found(state.found_streams());
+        self.services.streams.record_sole_versions(state.sole_versions());
     }
 }
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -2,7 +2,8 @@
 //!
 //! The router that passes on the first event of a stream tells the hub, and the hubs tell one another.
 //! Where nobody knows a stream, it goes on only if its pool has had one version for longer than streams
-//! last, or has one version and the caller does not name the stream; otherwise it is refused.
+//! last, as this router or its hub knows, or has one version and the caller does not name the stream;
+//! otherwise it is refused. The hub keeps the versions on its disk, so it knows them after a kill of all.
 
 use std::{
     cell::RefCell,
@@ -13,7 +14,7 @@
 
 use clock::Clock;
 use control_client::Domain;
-use dissemination::{BegunStreams, StreamHash, StreamLog};
+use dissemination::{BegunStreams, PoolHash, SoleVersion, StreamHash, StreamLog};
 use monoio::time;
 use policy::VersionHash;
 
@@ -22,6 +23,8 @@
 const LOOKUP_PAUSES: [Duration; 3] =
     [Duration::from_millis(100), Duration::from_millis(200), Duration::from_millis(300)];
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long what the hub tells of single versions holds; each lookup asks again.
+const SOLE_VERSION_TTL: Duration = Duration::from_secs(2);
 /// The time after which a stream that is still running is reported again.
 pub(crate) const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -33,12 +36,19 @@
     /// The streams that the hub has found.
     found: RefCell<StreamLog>,
     lookups: RefCell<BTreeSet<StreamHash>>,
+    /// The pools with a single version, as the hub has told last, and when.
+    sole_versions: RefCell<Option<(Instant, Vec<SoleVersion>)>>,
 }
 
 impl StreamOrigins {
     pub(crate) fn new(clock: Rc<dyn Clock>) -> StreamOrigins {
-        let (own, found, lookups) = (RefCell::default(), RefCell::default(), RefCell::default());
-        StreamOrigins { clock, own, found, lookups }
+        StreamOrigins {
+            clock,
+            own: RefCell::default(),
+            found: RefCell::default(),
+            lookups: RefCell::default(),
+            sole_versions: RefCell::default(),
+        }
     }
 
     /// Records that this router passes on events of a stream that a server of `version` began.
@@ -71,6 +81,22 @@
         }
     }
 
+    /// Records the pools with a single version, which the hub tells with streams that it does not know.
+    pub(crate) fn record_sole_versions(&self, rows: &[SoleVersion]) {
+        if !rows.is_empty() {
+            self.sole_versions.replace(Some((self.clock.now(), rows.to_vec())));
+        }
+    }
+
+    /// The only version that a pool has had for longer than streams last, if the hub has just told it.
+    pub(crate) fn sole_version_at_hub(&self, pool: &str) -> Option<VersionHash> {
+        let told = self.sole_versions.borrow();
+        let (told_at, rows) = told.as_ref()?;
+        let is_recent = self.clock.now() < *told_at + SOLE_VERSION_TTL;
+        let row = rows.iter().find(|it| it.pool == PoolHash::of(pool)).filter(|_| is_recent)?;
+        Some(row.version)
+    }
+
     /// The version that began the stream, looked up at the hub if it did not begin here.
     pub(crate) async fn find(
         &self,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -10,7 +10,9 @@
 mod log_file;
 mod record;
 mod settings;
+mod state_file;
 
 pub use folder::{format, format_bootstrap_member, is_formatted};
 pub use log_file::LogFile;
 pub use settings::{CommitPhases, Settings};
+pub use state_file::StateFile;
--- a/crates/wire-form/tests/own_extensions.rs
+++ b/crates/wire-form/tests/own_extensions.rs
@@ -8,10 +8,10 @@
 
 use control::Envelope;
 use dissemination::{
-    Digest, PauseRow, PoolHash, ServerIdx, ServerRef, Summary, decode_digest, decode_summary,
-    encode_digest, encode_summary,
+    Digest, PauseRow, PoolHash, ServerIdx, ServerRef, SoleVersion, Summary, decode_digest,
+    decode_summary, encode_digest, encode_summary,
 };
-use policy::MeasuredPauses;
+use policy::{MeasuredPauses, VersionHash};
 
 fn pauses() -> Vec<PauseRow> {
     let pauses = MeasuredPauses { routers: 40, ratios_permille: 41_200 };
@@ -27,10 +27,15 @@
         assert_eq!(decode_summary(&encode_summary(&summary)), Ok(summary), "{name}");
     }
     for (name, digest) in samples::digests() {
-        let digest = Digest { down: vec![ServerIdx(3)], pauses: pauses(), ..digest };
+        let sole_versions = vec![SoleVersion { pool: PoolHash(7), version: VersionHash(9) }];
+        let down = vec![ServerIdx(3)];
+        let digest = Digest { down, pauses: pauses(), sole_versions, ..digest };
         assert_eq!(decode_digest(&encode_digest(&digest)), Ok(digest), "{name}");
     }
-    for (name, envelope) in samples::envelopes() {
+    let member = samples::member(1);
+    let leaving =
+        [Envelope::Leave(member), Envelope::Left(member)].map(|it| ("leave".to_owned(), it));
+    for (name, envelope) in samples::envelopes().into_iter().chain(leaving) {
         let envelope = match envelope {
             Envelope::Work { hub, rows, begun_streams, .. } => {
                 let down = vec![(SocketAddr::from(([10, 0, 0, 1], 9_001)), 2)];
--- a/crates/wire-form/tests/support/samples.rs
+++ b/crates/wire-form/tests/support/samples.rs
@@ -168,6 +168,7 @@
         found_streams: vec![begun_streams()],
         down: Vec::new(),
         pauses: Vec::new(),
+        sole_versions: Vec::new(),
     };
     vec![("digest", full), ("digest-brief", Digest::default())]
 }
@@ -215,7 +216,7 @@
     log.chain(others.map(|(name, it)| (name.to_owned(), it))).collect()
 }
 
-fn member(number: u64) -> consensus::Peer {
+pub(crate) fn member(number: u64) -> consensus::Peer {
     consensus::Peer { node: NodeId(number), disk: DiskId(number << 32) }
 }
 
