Share the dispatcher of listed servers between two tests of the router

Cause: sole_version and restarted_servers each built the same dispatcher without servers.

Change: support/listed.rs builds it; the tests are unchanged.

--- a/crates/router/tests/restarted_servers.rs
+++ b/crates/router/tests/restarted_servers.rs
@@ -3,32 +3,18 @@
 
 mod support;
 
-use std::rc::Rc;
-
 use clock::ManualClock;
 use directory::{ListedVm, VmState};
-use futures::future::{FutureExt, LocalBoxFuture};
-use policy::ProbeResult;
-use router::{
-    dispatch::{Dispatcher, ProbeTarget, Prober},
-    identity::Workspaces,
+use router::dispatch::Dispatcher;
+use support::{
+    listed::{self, POOL},
+    run,
 };
-use support::{Setup, closed_port, run};
-use tables::Revision;
 
-const POOL: &str = "svc";
 /// When the first servers started, in milliseconds since the Unix epoch; zero in lists that do not
 /// tell it.
 const STARTS: [u64; 2] = [0, 1_790_000_000_000];
 
-struct NoProber;
-
-impl Prober for NoProber {
-    fn probe(&self, _: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
-        async { ProbeResult::Alive }.boxed_local()
-    }
-}
-
 fn entry(label: &str, port: u16, start: u64, state: VmState) -> ListedVm {
     ListedVm {
         addr: ([127, 0, 0, 1], port).into(),
@@ -43,15 +29,7 @@
 }
 
 fn dispatcher() -> Dispatcher {
-    let setup = Setup { services: vec![closed_port()], ..Setup::default() };
-    let mut tables = tables::check(Revision(1), &setup.tables()).expect("the tables are valid");
-    for pool in &mut tables.pools {
-        pool.servers.clear();
-    }
-    let (clock, settings) = (ManualClock::default(), policy::Settings::default());
-    let dispatcher = Dispatcher::new(Rc::new(clock), Rc::new(NoProber), settings, "");
-    dispatcher.configure(&tables, &Workspaces::default());
-    dispatcher
+    listed::dispatcher(&ManualClock::default())
 }
 
 /// Reads a complete list and returns the ports of the servers that get requests.
--- a/crates/router/tests/sole_version.rs
+++ b/crates/router/tests/sole_version.rs
@@ -2,29 +2,16 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use clock::ManualClock;
 use directory::{ListedVm, VmState};
 use dissemination::StreamHash;
-use futures::future::{FutureExt, LocalBoxFuture};
-use policy::{ProbeResult, VersionHash};
-use router::{
-    dispatch::{Dispatcher, ProbeTarget, Prober},
-    identity::Workspaces,
+use policy::VersionHash;
+use support::{
+    listed::{POOL, dispatcher},
+    run,
 };
-use support::{Setup, closed_port, run};
-use tables::Revision;
-
-const POOL: &str = "svc";
-
-struct NoProber;
-
-impl Prober for NoProber {
-    fn probe(&self, _: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
-        async { ProbeResult::Alive }.boxed_local()
-    }
-}
 
 fn listed(port: u16, version: &str) -> ListedVm {
     ListedVm {
@@ -39,18 +26,6 @@
     }
 }
 
-fn dispatcher(clock: &ManualClock) -> Dispatcher {
-    let setup = Setup { services: vec![closed_port()], ..Setup::default() };
-    let mut tables = tables::check(Revision(1), &setup.tables()).expect("the tables are valid");
-    for pool in &mut tables.pools {
-        pool.servers.clear();
-    }
-    let settings = policy::Settings::default();
-    let dispatcher = Dispatcher::new(Rc::new(clock.clone()), Rc::new(NoProber), settings, "");
-    dispatcher.configure(&tables, &Workspaces::default());
-    dispatcher
-}
-
 /// Guards against a stream of an older version that goes on at a newer one, because the router that does
 /// not know the stream sees no older server any more.
 #[test]
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -1,6 +1,9 @@
 //! A router and fake backend servers in one process, shared by the tests of this folder.
 #![allow(dead_code)]
 
+#[path = "support/listed.rs"]
+pub(crate) mod listed;
+
 use std::{
     cell::{Cell, RefCell},
     future::Future,
