Keep the incarnation of the list for a server that another router reported first

Callers could see, in our own interface with named servers: a server that another router had reported before the list named it was kept one incarnation above the list, so that its next start counted as none.

Ruled out: the users' platform, where routers do not report servers by address (WorkMember).

Change: an entry without a name that the list names now leaves no incarnation behind.

Evidence: router/restarted_servers reported_before_listed failed on the commit before and passes.

--- a/crates/router/src/dispatch/server_list.rs
+++ b/crates/router/src/dispatch/server_list.rs
@@ -317,6 +317,11 @@
         if self.servers.get(&vm.addr).is_some_and(is_replaced)
             && let Some(known) = self.servers.remove(&vm.addr)
         {
+            if known.label.is_empty() {
+                // Another router has reported the server that the list names now.
+                remove_from_scheduler(scheduler, now, pool, vm.addr, &known);
+                return;
+            }
             self.replaced.insert(known.label.to_string());
             self.remove_gone(scheduler, now, pool, vm.addr, &known);
         }
--- a/crates/router/tests/restarted_servers.rs
+++ b/crates/router/tests/restarted_servers.rs
@@ -149,3 +149,20 @@
         assert_eq!(usable(&dispatcher), [1, 2]);
     });
 }
+
+/// Another router has reported the server before the list names it. Guards against an incarnation above
+/// that of the list, under which the server's next start would be none.
+#[test]
+fn reported_before_listed() {
+    run(async {
+        let dispatcher = dispatcher();
+        let live = entry("i-1", 1, 3, VmState::Live);
+        let report = ListedVm { label: String::new(), ..live.clone() };
+        dispatcher.update_servers(POOL, &[&report]);
+        dispatcher.update_servers(POOL, &[&live]);
+        dispatcher.update_servers(POOL, &[&entry("i-1", 1, 3, VmState::Leaving)]);
+        assert!(usable(&dispatcher).is_empty());
+        dispatcher.update_servers(POOL, &[&entry("i-1", 1, 4, VmState::Live)]);
+        assert_eq!(usable(&dispatcher), [1]);
+    });
+}
