Claim orders at a time that no leader's clock passes in the tests without a majority

The claims of the test were made at 1 ms after 1970, and a leader puts its time into the log every 10 s, which makes claims that old expire: rightly, so the test was wrong, and failed whenever it took longer than that.

The claims have a time that is later than any leader's now.

--- a/crates/control/tests/no_majority.rs
+++ b/crates/control/tests/no_majority.rs
@@ -7,6 +7,10 @@
 use control_state::{ClaimAnswer, ClaimId, ClaimOrder, Command, OrderKey, Response, RouterId};
 use support::{Cluster, wait_until};
 
+/// The time of the claims, in milliseconds since 1970. It is after any time that a leader puts into the
+/// log, which makes older claims expire.
+const CLAIMED_AT_MS: u64 = 4_102_444_800_000;
+
 fn claim(id: u64) -> Command {
     Command::ClaimOrder(ClaimOrder {
         order: OrderKey {
@@ -17,7 +21,7 @@
         body_hash: 7,
         router: RouterId("router-1".to_owned()),
         claim: ClaimId(id),
-        at_ms: 1,
+        at_ms: CLAIMED_AT_MS,
         until_ms: u64::MAX,
     })
 }
@@ -29,14 +33,14 @@
     let first = wait_until("an answer", || cluster.submit(1, &claim(1)).ok());
     assert_eq!(first, granted);
     let resent = wait_until("an answer", || cluster.submit(2, &claim(2)).ok());
-    assert_eq!(resent, Response::Claim(ClaimAnswer::InProgress { since_ms: 1 }));
+    assert_eq!(resent, Response::Claim(ClaimAnswer::InProgress { since_ms: CLAIMED_AT_MS }));
 
     // The claim is kept after a change of leader.
     let leader = cluster.await_leader(&[1, 2, 3]);
     cluster.kill(leader);
     let left = if leader == 3 { 2 } else { 3 };
     let resent = wait_until("an answer", || cluster.submit(left, &claim(3)).ok());
-    assert_eq!(resent, Response::Claim(ClaimAnswer::InProgress { since_ms: 1 }));
+    assert_eq!(resent, Response::Claim(ClaimAnswer::InProgress { since_ms: CLAIMED_AT_MS }));
 }
 
 #[test]
