Start a router whose settings name no control VM yet

A router whose settings leave `control` empty ended at its start with exit code 1 ("no source of the tables is set"), and again at each restart until the settings changed. The settings of a deployment are filled in from a list of control VMs, which may name none at the moment at which the file is written: all of them down, removed or not listed yet.

Cause: an empty list was taken for a list that nobody set. The class is a temporary state that is taken for final.

A router that sets the key follows the control VMs, however many it names; without any it serves health and refuses requests as one without tables, says so (no_control_named), and takes the addresses of the next reload. A file without the key and without files of tables is a fault as before.

--- a/crates/ini-settings/src/reader.rs
+++ b/crates/ini-settings/src/reader.rs
@@ -36,6 +36,12 @@
         T::default()
     }
 
+    /// Whether the key is set, to an empty value too.
+    #[must_use]
+    pub fn is_set(&self, key: &str) -> bool {
+        self.entry(key).is_some()
+    }
+
     /// Reads an optional value; returns `None` if it is absent or does not parse.
     pub fn optional<T: FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
         self.known.insert(key.to_owned());
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -121,6 +121,9 @@
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
         let components = components(&settings)?;
+        if settings.control.as_ref().is_some_and(Vec::is_empty) {
+            tracing::warn!(event = "no_control_named", remedy = "name some and request a reload");
+        }
         if let Some(link) = components.link.clone() {
             monoio::spawn(reload_control_addrs(settings_file.to_owned(), link));
         }
@@ -144,8 +147,9 @@
         match read_settings(&path) {
             Ok(settings) => {
                 tracing::info!(event = "reloaded", control = ?settings.control);
-                if link.client().is_err() && !settings.control.is_empty() {
-                    link.set_addrs(settings.control);
+                let addrs = settings.control.unwrap_or_default();
+                if link.client().is_err() && !addrs.is_empty() {
+                    link.set_addrs(addrs);
                 }
             }
             Err(error) => tracing::error!(event = "reload_refused", %error),
--- a/crates/router/src/daemon/components.rs
+++ b/crates/router/src/daemon/components.rs
@@ -81,9 +81,9 @@
         (Trust::Tokens, Some(path)) => Some(Secret::read(path)?),
         (Trust::Tokens | Trust::Network, _) => None,
     };
-    let (tables, ledger, link) = match settings.control.is_empty() {
-        true => from_files(settings)?,
-        false => from_control(settings, &clock)?,
+    let (tables, ledger, link) = match &settings.control {
+        Some(addrs) => from_control(settings, addrs, &clock)?,
+        None => from_files(settings)?,
     };
     Ok(Components {
         tables,
@@ -102,7 +102,7 @@
 pub(super) fn platform_components(settings: &RouterSettings, platform: Platform) -> Components {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let sort_by_preference = control_order(&settings.vm);
-    let mut addrs = settings.control.clone();
+    let mut addrs = settings.control.clone().unwrap_or_default();
     sort_by_preference(&mut addrs);
     let link = Link::start(LinkSettings { addrs, ..LinkSettings::default() });
     let watch = WatchSettings { poll_ms: DOCUMENT_POLL_MS, ..WatchSettings::default() };
@@ -144,6 +144,7 @@
 
 fn from_control(
     settings: &RouterSettings,
+    addrs: &[SocketAddr],
     clock: &Rc<dyn Clock>,
 ) -> anyhow::Result<TablesAndLedger> {
     let token = settings
@@ -153,7 +154,7 @@
         .context("no command token: name command_token_file in the settings")?;
     let token = Secret::read(token)?;
     let watch = TablesWatch::start(WatchSettings {
-        link: LinkSettings { addrs: settings.control.clone(), ..LinkSettings::default() },
+        link: LinkSettings { addrs: addrs.to_vec(), ..LinkSettings::default() },
         ..WatchSettings::default()
     });
     let router_id = RouterId(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -39,9 +39,9 @@
     pub drain_delay_ms: u64,
     /// The files of the tables, the workspaces and the command token.
     pub files: Files,
-    /// The control VMs, those of the own failure domain first. Without any, the tables are read
-    /// from files.
-    pub control: Vec<SocketAddr>,
+    /// The control VMs, those of the own failure domain first; the list may be empty until a reload
+    /// names some. `None` if the tables are read from files.
+    pub control: Option<Vec<SocketAddr>>,
     /// How the router authenticates to the control VMs.
     pub trust: Trust,
     /// The admin listeners of the other routers of the failure domain.
@@ -114,7 +114,7 @@
             routers: 1,
             drain_delay_ms: 5_000,
             files: Files::default(),
-            control: Vec::new(),
+            control: None,
             trust: Trust::Tokens,
             peers: Vec::new(),
             peer_period_ms: 500,
@@ -165,7 +165,7 @@
     let default = RouterSettings::default();
     let section = doc.section_or_empty("router");
     let mut reader = doc.read(&section, faults);
-    let settings = RouterSettings {
+    let mut settings = RouterSettings {
         vm: reader.required("vm", "the name of the VM"),
         failure_domain: reader.required("failure_domain", "the name of the failure domain"),
         listen: reader.optional("listen", ADDRESS).unwrap_or(default.listen),
@@ -198,14 +198,17 @@
         ..default
     };
     let has_tables = settings.files.routes.is_some() && settings.files.pools.is_some();
-    if settings.control.is_empty() && !has_tables {
+    if has_tables {
+        settings.control = settings.control.filter(|it| !it.is_empty());
+    }
+    if settings.control.is_none() && !has_tables {
         reader.fault(
             "control",
             "no source of the tables is set",
             "name control VMs, or routes_file and pools_file",
         );
     }
-    let needs_token = !settings.control.is_empty() && settings.trust == Trust::Tokens;
+    let needs_token = settings.control.is_some() && settings.trust == Trust::Tokens;
     if needs_token && settings.files.command_token.is_none() {
         reader.fault(
             "command_token_file",
@@ -218,12 +221,12 @@
 }
 
 /// Reads the addresses of the control VMs; `control_port` replaces their ports if it is set.
-fn read_control(reader: &mut SectionReader<'_>) -> Vec<SocketAddr> {
+fn read_control(reader: &mut SectionReader<'_>) -> Option<Vec<SocketAddr>> {
     let control: Vec<SocketAddr> =
         reader.list("control", "addresses and ports separated by commas");
     let port: Option<u16> = reader.optional("control_port", "a port");
     let on_port = |it: SocketAddr| SocketAddr::new(it.ip(), port.unwrap_or(it.port()));
-    control.into_iter().map(on_port).collect()
+    reader.is_set("control").then(|| control.into_iter().map(on_port).collect())
 }
 
 fn read_callers(reader: &mut SectionReader<'_>, server: &mut CallerListener) {
