Install the signal handlers before anything else in a daemon

Cause: the handlers were installed after the settings were read, the disk was opened (which is retried for as long as it is full) and the runtime was built; the router installed that of SIGHUP only if a link to control VMs is configured.

Why the fix works: Signals::install is the first call of the mains, and queues requests until the daemon reads them. The log is set up before the settings are read, which then replace its filter. The steps that can block (settings, data folder with its retries) run on a thread of their own, while the main thread looks for a stop request; one ends the start with `event=stopped during_start=…` and exit code 0.

`gooseberry-control` installs the handlers after it has read its command line, so that `format` can still be interrupted.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -4,14 +4,15 @@
     cell::RefCell,
     io,
     path::{Path, PathBuf},
+    process::ExitCode,
     rc::Rc,
     time::Duration,
 };
 
-use ::daemon::Admin;
+use ::daemon::{Admin, RequestStream, Signals, Start};
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use consensus::{NodeId, Peer, Storage};
+use consensus::{NodeId, Peer, Storage, StorageError};
 use directory::{Directory, Reader};
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
@@ -20,7 +21,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
 use storage::LogFile;
-use telemetry::{LogSettings, Secret};
+use telemetry::Secret;
 
 use crate::{
     AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
@@ -103,13 +104,14 @@
     }
 }
 
-/// Reads the settings file and runs a control VM until it receives a stop signal.
+/// Reads the settings file and runs a control VM until it receives a stop signal. Returns the exit
+/// code.
 ///
 /// # Errors
 ///
 /// Errors in the files, addresses that cannot be bound, and disk failures.
-pub fn run(settings_file: &Path) -> anyhow::Result<()> {
-    run_with(settings_file, None)
+pub fn run(signals: io::Result<Signals>, settings_file: &Path) -> anyhow::Result<ExitCode> {
+    ::daemon::run_process(signals, |start| run_with(start, settings_file, None))
 }
 
 /// As [`run`], on a platform with its own API and notations.
@@ -117,20 +119,25 @@
 /// # Errors
 ///
 /// As for [`run`].
-pub fn run_on(settings_file: &Path, platform: Platform) -> anyhow::Result<()> {
-    run_with(settings_file, Some(platform))
+pub fn run_on(
+    signals: io::Result<Signals>,
+    settings_file: &Path,
+    platform: Platform,
+) -> anyhow::Result<ExitCode> {
+    ::daemon::run_process(signals, |start| run_with(start, settings_file, Some(platform)))
 }
 
-fn run_with(settings_file: &Path, platform: Option<Platform>) -> anyhow::Result<()> {
-    let settings = Settings::read(settings_file)?;
-    let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
-    let _logs = telemetry::init_logs(&logs)?;
+fn run_with(
+    start: Start<'_>,
+    settings_file: &Path,
+    platform: Option<Platform>,
+) -> anyhow::Result<()> {
+    let path = settings_file.to_owned();
+    let settings = start.run_step("read the settings", move || Settings::read(&path))??;
+    start.set_log_filter(&settings.log)?;
     ::daemon::log_unknown_settings(&settings.unknown);
-    if settings.peers.is_empty() {
-        retry_while_full(|| format_if_empty(&settings))?;
-    }
-    let open_log = || LogFile::open(&settings.data_dir, &storage::Settings::default());
-    let log_file = retry_while_full(open_log)?;
+    let of_disk = settings.clone();
+    let log_file = start.run_step("open the data folder", move || open_disk(&of_disk))??;
     let tokens = match &settings.token_files {
         Some(files) => Some(Tokens {
             command: Secret::read(&files.command)?,
@@ -149,12 +156,21 @@
     };
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
+        let (stop_requests, reloads) = start.signals.into_streams()?;
         let listeners = Listeners::new(&settings)?;
-        monoio::spawn(validate_reloads(settings_file.to_owned()));
-        serve(settings, parts, listeners, ::daemon::signals::stop_requests()?).await
+        monoio::spawn(validate_reloads(settings_file.to_owned(), reloads));
+        serve(settings, parts, listeners, stop_requests).await
     })
 }
 
+/// Opens the log in the data folder, which is formatted first if it is empty.
+fn open_disk(settings: &Settings) -> Result<LogFile, StorageError> {
+    if settings.peers.is_empty() {
+        retry_while_full(|| format_if_empty(settings))?;
+    }
+    retry_while_full(|| LogFile::open(&settings.data_dir, &storage::Settings::default()))
+}
+
 /// Serves until a stop is requested.
 ///
 /// # Errors
@@ -250,11 +266,7 @@
 /// Checks the settings file at each reload request and logs the result.
 ///
 /// No setting changes while the process runs; the members are known from the log.
-async fn validate_reloads(path: PathBuf) {
-    let mut reloads = match ::daemon::signals::reload_requests() {
-        Ok(reloads) => reloads,
-        Err(error) => return tracing::error!(event = "reload_unavailable", %error),
-    };
+async fn validate_reloads(path: PathBuf, mut reloads: RequestStream) {
     while reloads.next().await.is_some() {
         match Settings::read(&path) {
             Ok(settings) => tracing::info!(event = "reloaded", seeds = ?settings.seeds),
@@ -270,7 +282,7 @@
     Peers::start(settings.node, book, &initial, &token)
 }
 
-fn fail(fault: Option<consensus::StorageError>) -> anyhow::Result<()> {
+fn fail(fault: Option<StorageError>) -> anyhow::Result<()> {
     match fault {
         Some(fault) => Err(fault).context("a write to the disk failed"),
         None => bail!("the disk thread has ended: restart the process"),
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,16 +1,17 @@
 //! The command line of `gooseberry-control`; the library holds all of its logic.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, process::ExitCode};
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use control::{FormatMode, Settings};
+use daemon::Signals;
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let matches = command().get_matches();
     match matches.subcommand() {
-        Some(("format", args)) => format(args),
-        Some((_, args)) => control::daemon::run(config(args)?),
+        Some(("format", args)) => format(args).map(|()| ExitCode::SUCCESS),
+        Some((_, args)) => control::daemon::run(Signals::install(), config(args)?),
         None => unreachable!("clap requires a subcommand"),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,12 +1,18 @@
-//! Infrastructure that all daemons share: process signals, health checks and metrics.
+//! Infrastructure that all daemons share: the start and the end of the process, its signals, health
+//! checks and metrics.
 //!
 //! The crate contains no logic that is specific to one daemon.
 
 mod admin;
+mod process;
 mod settings_log;
-pub mod signals;
+mod signals;
+mod start;
 mod watch;
 
 pub use admin::{Admin, Health};
+pub use process::run_process;
 pub use settings_log::log_unknown_settings;
+pub use signals::{RequestStream, Signals};
+pub use start::{Start, StoppedEarly};
 pub use watch::Watch;
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,31 +1,70 @@
-//! Streams of the process signals that request a stop or a reload.
+//! The signals that request a stop or a reload of the process.
 
-use std::{io, os::unix::net::UnixStream as StdStream};
+use std::{
+    io,
+    os::unix::net::UnixStream as StdStream,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
-use futures::{Stream, channel::mpsc};
+use futures::channel::mpsc;
 use monoio::{io::AsyncReadRent, net::UnixStream};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
     low_level::pipe,
 };
 
-/// Yields once for each SIGTERM or SIGINT.
+const STOP_SIGNALS: [i32; 2] = [SIGTERM, SIGINT];
+
+/// The installed handlers of the process's signals.
 ///
-/// # Errors
-/// Errors of the operating system while the handlers are installed.
-pub fn stop_requests() -> io::Result<impl Stream<Item = ()> + Unpin> {
-    signal_stream(&[SIGTERM, SIGINT])
+/// A daemon installs them before anything else: a signal without a handler ends the process. Requests
+/// are kept until the daemon reads them.
+#[derive(Debug)]
+pub struct Signals {
+    stop_requested: Arc<AtomicBool>,
+    stops: StdStream,
+    reloads: StdStream,
 }
 
-/// Yields once for each SIGHUP, upon which a daemon reloads its settings file.
-///
-/// # Errors
-/// Errors of the operating system while the handler is installed.
-pub fn reload_requests() -> io::Result<impl Stream<Item = ()> + Unpin> {
-    signal_stream(&[SIGHUP])
+impl Signals {
+    /// Installs the handlers of SIGTERM, SIGINT and SIGHUP.
+    ///
+    /// # Errors
+    /// Errors of the operating system while the handlers are installed.
+    pub fn install() -> io::Result<Signals> {
+        let stop_requested = Arc::new(AtomicBool::new(false));
+        for signal in STOP_SIGNALS {
+            flag::register(signal, Arc::clone(&stop_requested))?;
+        }
+        let (stops, reloads) = (queue_signals(&STOP_SIGNALS)?, queue_signals(&[SIGHUP])?);
+        Ok(Signals { stop_requested, stops, reloads })
+    }
+
+    /// Whether a stop has been requested.
+    #[must_use]
+    pub fn is_stop_requested(&self) -> bool {
+        self.stop_requested.load(Ordering::SeqCst)
+    }
+
+    /// Yields once for each request since the handlers were installed: requests to stop, and requests
+    /// to reload the settings file.
+    ///
+    /// # Errors
+    /// Errors of the operating system. Needs a running runtime.
+    pub fn into_streams(self) -> io::Result<(RequestStream, RequestStream)> {
+        Ok((request_stream(self.stops)?, request_stream(self.reloads)?))
+    }
 }
 
-fn signal_stream(signals: &[i32]) -> io::Result<impl Stream<Item = ()> + Unpin + use<>> {
+/// Yields once for each request.
+pub type RequestStream = mpsc::UnboundedReceiver<()>;
+
+/// Installs handlers that write one byte a signal to the returned socket.
+fn queue_signals(signals: &[i32]) -> io::Result<StdStream> {
     // A signal handler may call async-signal-safe functions only, so it writes to a socket that the
     // event loop reads.
     let (read, write) = StdStream::pair()?;
@@ -33,6 +72,10 @@
     for signal in signals {
         pipe::register(*signal, write.try_clone()?)?;
     }
+    Ok(read)
+}
+
+fn request_stream(read: StdStream) -> io::Result<RequestStream> {
     let mut read = UnixStream::from_std(read)?;
     let (sender, receiver) = mpsc::unbounded();
     monoio::spawn(async move {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -8,13 +8,14 @@
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
+    process::ExitCode,
     rc::Rc,
     time::Duration,
 };
 
 use anyhow::{Context, bail};
 use control_client::{Domain, DomainMember};
-use daemon::Admin;
+use daemon::{Admin, RequestStream, Signals, Start};
 use directory::{OwnReads, Reader};
 use dissemination::MemberState;
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
@@ -30,7 +31,6 @@
 use rand_chacha::ChaCha8Rng;
 use rpc::Link;
 use tables::{CallerLimits, Tables};
-use telemetry::LogSettings;
 
 pub use self::components::{Components, Interface, Platform};
 use self::components::{native_components, platform_components};
@@ -94,42 +94,48 @@
     AtOnce,
 }
 
-/// Reads the settings file and runs a router until it is stopped.
+/// Reads the settings file and runs a router until it is stopped. Returns the exit code.
 ///
 /// # Errors
 /// If a file has faults, an address cannot be bound, or a stop cut off requests.
-pub fn run(settings_file: &Path) -> anyhow::Result<()> {
-    run_with(settings_file, native_components)
+pub fn run(signals: io::Result<Signals>, settings_file: &Path) -> anyhow::Result<ExitCode> {
+    daemon::run_process(signals, |start| run_with(start, settings_file, native_components))
 }
 
 /// Like [`run`], on a platform with its own formats and conventions.
 ///
 /// # Errors
 /// The same as those of [`run`].
-pub fn run_on_platform(settings_file: &Path, platform: Platform) -> anyhow::Result<()> {
-    run_with(settings_file, |settings| Ok(platform_components(settings, platform)))
+pub fn run_on_platform(
+    signals: io::Result<Signals>,
+    settings_file: &Path,
+    platform: Platform,
+) -> anyhow::Result<ExitCode> {
+    let components = |settings: &_| Ok(platform_components(settings, platform));
+    daemon::run_process(signals, |start| run_with(start, settings_file, components))
 }
 
 fn run_with(
+    start: Start<'_>,
     settings_file: &Path,
     components: impl FnOnce(&RouterSettings) -> anyhow::Result<Components>,
 ) -> anyhow::Result<()> {
-    let settings = read_settings(settings_file)?;
-    let logs = LogSettings { filter: settings.log.clone(), ..LogSettings::default() };
-    let _logs = telemetry::init_logs(&logs)?;
+    let path = settings_file.to_owned();
+    let settings = start.run_step("read the settings", move || read_settings(&path))??;
+    start.set_log_filter(&settings.log)?;
     daemon::log_unknown_settings(&settings.unknown);
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
+        let (stop_requests, reloads) = start.signals.into_streams()?;
         let components = components(&settings)?;
         if settings.control.as_ref().is_some_and(Vec::is_empty) {
             tracing::warn!(event = "no_control_named", remedy = "name some and request a reload");
         }
-        if let Some(link) = components.link.clone() {
-            monoio::spawn(reload_control_addrs(settings_file.to_owned(), link));
-        }
+        let link = components.link.clone();
+        monoio::spawn(reload_control_addrs(settings_file.to_owned(), reloads, link));
         let (callers, admin) = (settings.listen, settings.admin_listen);
         let listeners = Listeners::bind(callers, admin, settings.forward_listen)?;
-        match serve(settings, components, listeners, daemon::signals::stop_requests()?).await? {
+        match serve(settings, components, listeners, stop_requests).await? {
             Stopped::Gracefully => Ok(()),
             Stopped::AtOnce => bail!("stopped by a second signal; requests in flight were cut off"),
         }
@@ -138,17 +144,14 @@
 
 /// Updates the addresses of the control VMs from the settings file on each reload request, while
 /// no control VM is connected. All other settings need a restart.
-async fn reload_control_addrs(path: PathBuf, link: Link) {
-    let mut reloads = match daemon::signals::reload_requests() {
-        Ok(reloads) => reloads,
-        Err(error) => return tracing::error!(event = "reload_unavailable", %error),
-    };
+async fn reload_control_addrs(path: PathBuf, mut reloads: RequestStream, link: Option<Link>) {
     while reloads.next().await.is_some() {
         match read_settings(&path) {
             Ok(settings) => {
                 tracing::info!(event = "reloaded", control = ?settings.control);
                 let addrs = settings.control.unwrap_or_default();
-                if link.client().is_err() && !addrs.is_empty() {
+                let unconnected = link.as_ref().filter(|it| it.client().is_err());
+                if let Some(link) = unconnected.filter(|_| !addrs.is_empty()) {
                     link.set_addrs(addrs);
                 }
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,10 +1,13 @@
 //! The entry point of `gooseberry-router`; all logic is in the library.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
+use daemon::Signals;
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
+    // First, since a signal without a handler ends the process.
+    let signals = Signals::install();
     let config = Arg::new("config")
         .long("config")
         .value_name("FILE")
@@ -16,5 +19,5 @@
         .arg(config)
         .get_matches();
     let config = matches.get_one::<PathBuf>("config").expect("clap requires it");
-    router::daemon::run(config)
+    router::daemon::run(signals, config)
 }
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -8,7 +8,9 @@
 
 use anyhow::Context;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::{EnvFilter, Layer, fmt, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{
+    EnvFilter, Layer, Registry, fmt, layer::SubscriberExt, reload, util::SubscriberInitExt,
+};
 
 /// Settings of a daemon's log.
 #[derive(Debug, Clone)]
@@ -50,6 +52,7 @@
 #[derive(Debug)]
 pub struct LogGuard {
     dropped: ErrorCounter,
+    filter: reload::Handle<EnvFilter, Registry>,
     _writer: WorkerGuard,
 }
 
@@ -58,6 +61,15 @@
     pub fn dropped_lines(&self) -> usize {
         self.dropped.dropped_lines()
     }
+
+    /// Replaces the filter, for instance once the settings that name it have been read.
+    ///
+    /// # Errors
+    ///
+    /// If the filter does not parse.
+    pub fn set_filter(&self, filter: &str) -> anyhow::Result<()> {
+        self.filter.reload(parse_filter(filter)?).context("replace the filter of the log")
+    }
 }
 
 impl Drop for LogGuard {
@@ -75,8 +87,7 @@
 ///
 /// If the filter does not parse or a subscriber is already installed.
 pub fn init_logs(settings: &LogSettings) -> anyhow::Result<LogGuard> {
-    let filter = EnvFilter::try_new(&settings.filter)
-        .with_context(|| format!("log filter `{}`: write one such as info", settings.filter))?;
+    let (filter, filter_handle) = reload::Layer::new(parse_filter(&settings.filter)?);
     let builder =
         NonBlockingBuilder::default().lossy(true).buffered_lines_limit(BUFFERED_LINES_MAX);
     let (writer, guard) = match settings.output {
@@ -93,5 +104,10 @@
         .with(lines)
         .try_init()
         .context("logs are set up once a process")?;
-    Ok(LogGuard { dropped, _writer: guard })
+    Ok(LogGuard { dropped, filter: filter_handle, _writer: guard })
+}
+
+fn parse_filter(filter: &str) -> anyhow::Result<EnvFilter> {
+    EnvFilter::try_new(filter)
+        .with_context(|| format!("log filter `{filter}`: write one such as info"))
 }
