Contain a panic to the connection or call whose task it ends

Cause: all tasks share one thread, the release profile unwinds, and a panic unwinds from its task through the runtime's block_on.

Fix: telemetry::contain runs the task of one connection, call, stream, probe or read of a list, and turns a panic into a line event=task_panicked, a count (tasks_panicked) and the end of that task: its connection closes without an answer, by which a caller knows that the request may have run. Slots, permits and counts are released by destructors. What must not go on half changed is guarded by telemetry::FailStop, which makes contain pass the panic on: the replicated log and its state machine, also within the call of a peer.

Not shown by a test of their own: panics in the spawned streams, probes, announcements and reads of a list.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -23,6 +23,7 @@
 use control_state::Document;
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::{ControlClient, SubmitResult};
+use telemetry::FailStop;
 
 use self::{pending::Pending, stopping::Departure};
 use crate::{
@@ -215,6 +216,7 @@
     /// Proposes a command if this member leads, and waits until it is committed.
     pub(crate) async fn propose(&self, command: Vec<u8>) -> SubmitResult {
         let now = self.clock.now();
+        let change = FailStop::begin();
         let proposed = self.core.borrow_mut().node.propose(now, command);
         let proposal = match proposed {
             Ok(proposal) => proposal,
@@ -222,6 +224,7 @@
         };
         let outcome = self.core.borrow_mut().pending.wait_for(proposal);
         self.process_ready();
+        drop(change);
         match monoio::time::timeout(COMMIT_TIMEOUT, outcome).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => SubmitResult::InDoubt(
@@ -361,6 +364,8 @@
 
     /// Passes a message of another member to the consensus node.
     pub(crate) fn step(&self, message: Message) {
+        // The calls of other members end alone if they panic, but not amid a change of the log.
+        let _change = FailStop::begin();
         let now = self.clock.now();
         self.core.borrow_mut().node.step(now, message);
         self.process_ready();
@@ -379,6 +384,7 @@
 
     /// Processes the consensus node's output until it has none left.
     fn process_ready(&self) {
+        let _change = FailStop::begin();
         let mut has_applied = false;
         loop {
             let ready = self.core.borrow_mut().node.ready();
--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -9,6 +9,7 @@
 
 use consensus::{Peer, RepairInput, RepairStep, next_repair_step};
 use control_state::{Command, encode_command};
+use telemetry::FailStop;
 
 use super::{Replica, stopping::LEAVE_REQUEST_TIMEOUT};
 use crate::envelope::Envelope;
@@ -76,6 +77,7 @@
     pub(super) fn run_repair_step(&self) {
         let RepairStep::Change(change) = self.repair_step() else { return };
         let now = self.clock.now();
+        let _change = FailStop::begin();
         let result = self.core.borrow_mut().node.change_members(now, change);
         match result {
             Ok(_) => tracing::info!(event = "members_change", change = ?change),
--- a/crates/directory/src/reader.rs
+++ b/crates/directory/src/reader.rs
@@ -10,7 +10,7 @@
     client::{ClientError, Pool, PoolSettings, Request},
 };
 use monoio::time;
-use telemetry::Throttle;
+use telemetry::{TaskPanicked, Throttle};
 
 use crate::{Directory, ListPage, ListedVm, MalformedList};
 
@@ -52,6 +52,8 @@
     },
     /// A page could not be parsed.
     Page(MalformedList),
+    /// The read panicked.
+    Panicked(TaskPanicked),
     /// The list has more than `PAGES_MAX` pages.
     #[display("the list has more than {PAGES_MAX} pages")]
     TooManyPages,
@@ -100,6 +102,11 @@
     /// When a page cannot be read. The list is then discarded, because an incomplete list does not
     /// show which servers are missing.
     pub async fn read(&self, on_refusal: OnRefusal) -> Result<Vec<ListedVm>, ReadError> {
+        // The loops that read the list go on after a panic, as after any other failed read.
+        telemetry::contain("list_read", self.addr, self.read_pages(on_refusal)).await?
+    }
+
+    async fn read_pages(&self, on_refusal: OnRefusal) -> Result<Vec<ListedVm>, ReadError> {
         let (mut vms, mut token) = (Vec::new(), None);
         let mut refusals_left = match on_refusal {
             OnRefusal::Continue => REFUSALS_MAX,
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -34,7 +34,8 @@
 
 /// Handles the requests of all connections of a server.
 pub trait Handler {
-    /// Handles one request. The future runs to completion even when the caller disconnects.
+    /// Handles one request. The future runs to completion even when the caller disconnects. If it panics,
+    /// the connection is closed without a reply, since it is unknown what became of the request.
     fn call(&self, request: Request) -> LocalBoxFuture<'static, Reply>;
 
     /// Builds the reply to a request that could not be read. The connection is closed afterwards.
@@ -183,7 +184,8 @@
             Rc::clone(&self.handler),
         );
         monoio::spawn(async move {
-            connection.run().await;
+            // The slot is released and the connection closed whether or not the task panics.
+            let _ = telemetry::contain("connection", peer, connection.run()).await;
             drop(slot);
         });
     }
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -225,12 +225,13 @@
         };
         let request = Request { method: Method::DELETE, uri, ..Request::default() };
         let pool = self.probe_pool.clone();
-        monoio::spawn(async move {
+        let cancel = async move {
             // An engine that cannot be reached ends the stream when it finds the connection closed.
             if let Ok(response) = pool.send_on_new_connection(addr, request).await {
                 let _ = response.body.collect().await;
             }
-        });
+        };
+        monoio::spawn(telemetry::contain("stream_cancel", addr, cancel));
     }
 
     /// Closes the idle connections to a server.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -202,13 +202,14 @@
     pub(crate) fn send_stream_command(&self, command: &str) {
         let Some(uri) = self.stream_uri(command) else { return };
         let attempt = self.follow_up(Method::POST, uri, Bytes::new());
-        let backends = self.services.backends.clone();
-        monoio::spawn(async move {
+        let (server, backends) = (attempt.addr, self.services.backends.clone());
+        let command = async move {
             // If the engine does not support the command, the stream just continues.
             if let Ok(response) = backends.send(attempt).await {
                 let _ = response.body.collect().await;
             }
-        });
+        };
+        monoio::spawn(telemetry::contain("stream_command", server, command));
     }
 
     /// Fetches the engine's KV cache of the stream, to be stored while the stream is paused.
@@ -254,8 +255,9 @@
         let report = self.lease.report_failure(error.failure, error.execution).await;
         if report.has_crashed {
             let announced = quarantine_exchange::announce_crash(Rc::clone(&self.services));
+            let server = self.lease.server().addr;
             match report.is_retried() {
-                true => drop(monoio::spawn(announced)),
+                true => drop(monoio::spawn(telemetry::contain("announcement", server, announced))),
                 false => announced.await,
             }
         }
--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -81,7 +81,9 @@
         headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
         headers.insert(OUTCOME_HEADER, outcome_value(Outcome::Ran));
         let (sender, reply) = Reply::stream(StatusCode::OK, headers, BUFFERED_EVENTS_MAX);
-        monoio::spawn(self.pump(first, sender, disconnected));
+        let peer = self.engine.call.routed.arrival.request.peer;
+        let pump = self.pump(first, sender, disconnected);
+        monoio::spawn(telemetry::contain("chat_stream", peer, pump));
         Ok(reply)
     }
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -339,12 +339,9 @@
         self.dispatcher.unregister(self.ticket);
         match self.verifying.zip(self.server) {
             Some((execution, server)) => {
-                monoio::spawn(end_verified(
-                    Rc::clone(&self.dispatcher),
-                    self.ticket,
-                    server,
-                    execution,
-                ));
+                let dispatcher = Rc::clone(&self.dispatcher);
+                let ended = end_verified(dispatcher, self.ticket, server, execution);
+                monoio::spawn(telemetry::contain("crash_check", server.addr, ended));
             }
             None => {
                 self.dispatcher.apply_and_run(|scheduler, _| scheduler.cancelled(self.ticket));
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -376,9 +376,11 @@
             return probe.clone();
         }
         let probe = self.prober.probe(&self.probe_target(server));
+        let probe = telemetry::contain("probe", server.addr, probe);
         let dispatcher = Rc::downgrade(self);
         let probe = async move {
-            let result = probe.await;
+            // A probe that panics ends without an answer, as one of a dead server.
+            let result = probe.await.unwrap_or(ProbeResult::Dead);
             if let Some(dispatcher) = dispatcher.upgrade() {
                 dispatcher.state.borrow_mut().probing.remove(&server.key);
                 dispatcher.report_probe_result(server, result);
@@ -388,7 +390,7 @@
         let probe = probe.boxed_local().shared();
         self.state.borrow_mut().probing.insert(server.key, probe.clone());
         // The probe ends even if no request waits for it any more.
-        monoio::spawn(probe.clone());
+        monoio::spawn(telemetry::contain("probe", server.addr, probe.clone()));
         probe
     }
 
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -56,7 +56,9 @@
         if let Some(stream) = self.stream {
             // The connection can be reused once the end of the body is read.
             let timeout = self.call.services.timeouts.engine_call_timeout();
-            monoio::spawn(time::timeout(timeout, stream.drain()));
+            let drain = time::timeout(timeout, stream.drain());
+            let server = self.call.lease.server().addr;
+            monoio::spawn(telemetry::contain("engine_drain", server, drain));
         }
         self.call.finish(self.tokens);
     }
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -122,7 +122,7 @@
         }
         let disconnected = routed.arrival.request.disconnected.clone();
         let left = deadline.saturating_duration_since(self.clock.now());
-        reply(response, disconnected, left).await.map(Ok)
+        reply(response, peer, disconnected, left).await.map(Ok)
     }
 
     async fn exchange(
@@ -222,6 +222,7 @@
 /// Passes the peer's answer on: a stream as it arrives, anything else once it is complete.
 async fn reply(
     response: Response,
+    peer: SocketAddr,
     disconnected: Signal,
     left: Duration,
 ) -> Result<Reply, PeerError> {
@@ -231,10 +232,11 @@
         return Ok(Reply::whole(status, headers, response.body.collect().await?));
     }
     let (sender, reply) = Reply::stream(status, headers, BUFFERED_PIECES_MAX);
-    monoio::spawn(async move {
+    let relayed = async move {
         // Dropping the body closes the connection, by which the peer learns that the caller has gone.
         run_until_deadline(&disconnected, left, pass_on(response.body, sender)).await;
-    });
+    };
+    monoio::spawn(telemetry::contain("forwarded_stream", peer, relayed));
     Ok(reply)
 }
 
--- a/crates/router/src/load_reports.rs
+++ b/crates/router/src/load_reports.rs
@@ -66,7 +66,8 @@
             let servers = services.dispatcher.local_servers(&pool.name);
             for server in servers.into_iter().filter(|it| is_owned(it.addr)) {
                 let (services, readings) = (Rc::clone(&services), readings.clone());
-                monoio::spawn(read_report(services, pool.name.clone(), server, readings));
+                let read = read_report(services, pool.name.clone(), server, readings);
+                monoio::spawn(telemetry::contain("load_report", server.addr, read));
             }
         }
         time::sleep(POLL_PERIOD).await;
--- a/crates/router/src/order_call.rs
+++ b/crates/router/src/order_call.rs
@@ -1,7 +1,7 @@
 //! Orders, which run at most once: each makes a durable claim on the caller's idempotency key
 //! before the first byte is sent to a backend server.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use http::StatusCode;
 use httpio::server::Reply;
@@ -35,8 +35,12 @@
 ) -> Result<Reply, Failure> {
     let key = order_key(&routed)?;
     let body = body_hash(&routed);
-    let claim =
-        OrderClaim { services: Rc::clone(&services), key, id: ClaimId(services.ids.nonce()) };
+    let claim = OrderClaim {
+        services: Rc::clone(&services),
+        key,
+        id: ClaimId(services.ids.nonce()),
+        caller: routed.arrival.request.peer,
+    };
     // The claim's time to live counts from here, since the ledger may start counting at any later
     // moment.
     let send_before = services.clock.now() + services.ledger.claim_ttl();
@@ -57,6 +61,7 @@
     services: Rc<Services>,
     key: OrderKey,
     id: ClaimId,
+    caller: SocketAddr,
 }
 
 /// What is recorded about a finished claim.
@@ -114,8 +119,9 @@
     /// Retries the record until it succeeds or the attempts are exhausted.
     fn record_in_background(&self, record: ClaimRecord) {
         let (services, key, id) = (Rc::clone(&self.services), self.key.clone(), self.id);
-        let claim = OrderClaim { services, key, id };
-        monoio::spawn(async move {
+        let caller = self.caller;
+        let claim = OrderClaim { services, key, id, caller };
+        let record = async move {
             for _ in 0..RECORD_ATTEMPTS_MAX {
                 time::sleep(RECORD_INTERVAL).await;
                 if claim.record(&record).await {
@@ -123,7 +129,8 @@
                 }
             }
             tracing::warn!(event = "order_not_recorded", key = %claim.key, claim = %claim.id);
-        });
+        };
+        monoio::spawn(telemetry::contain("order_record", caller, record));
     }
 }
 
--- a/crates/router/src/quarantine_exchange.rs
+++ b/crates/router/src/quarantine_exchange.rs
@@ -100,10 +100,14 @@
 /// Polls the entries of one peer, for as long as the router runs.
 pub(crate) async fn poll_peer(peer: SocketAddr, period: Duration, services: Rc<Services>) {
     loop {
-        // If a peer is down, its earlier entries have already been imported.
-        if let Some(report) = fetch_report(peer, &services).await {
-            services.dispatcher.import_quarantine(&report);
-        }
+        let poll = async {
+            // If a peer is down, its earlier entries have already been imported.
+            if let Some(report) = fetch_report(peer, &services).await {
+                services.dispatcher.import_quarantine(&report);
+            }
+        };
+        // The loop keeps no state of its own, so it goes on after a panic, which has been logged.
+        let _ = telemetry::contain("quarantine_poll", peer, poll).await;
         time::sleep(period).await;
     }
 }
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -70,7 +70,9 @@
         Ok(Opened::Stream(stream)) => {
             let Stream { status, headers, first, source } = *stream;
             let (sender, reply) = Reply::stream(status, headers, BUFFERED_EVENTS_MAX);
-            monoio::spawn(pump(relayed, first, source, sender));
+            let peer = relayed.call.routed.arrival.request.peer;
+            let pump = pump(relayed, first, source, sender);
+            monoio::spawn(telemetry::contain("relayed_stream", peer, pump));
             Ok(reply)
         }
         Ok(Opened::Buffered(answer)) => {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -65,8 +65,10 @@
 pub async fn serve(listener: TcpListener, handler: Rc<dyn ControlHandler>, counters: ByteCounters) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                monoio::spawn(serve_connection(stream, handler.clone(), counters.clone()));
+            Ok((stream, peer)) => {
+                let connection = serve_connection(stream, handler.clone(), counters.clone());
+                // A panic in one of its calls closes the connection, by which the client learns of it.
+                monoio::spawn(telemetry::contain("rpc_connection", peer, connection));
             }
             Err(_) => monoio::time::sleep(ACCEPT_BACKOFF).await,
         }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,12 +4,14 @@
 //! serves [`render_metrics`] on its admin listener. Secrets are stored as [`Secret`], which is
 //! never printed.
 
+mod containment;
 mod logs;
 mod metrics;
 mod secret;
 mod throttle;
 mod trace_context;
 
+pub use containment::{FailStop, TaskPanicked, contain, contained_panics};
 pub use logs::{LogGuard, LogOutput, LogSettings, init_logs};
 pub use metrics::{register_process_metrics, render_metrics};
 pub use secret::Secret;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,7 +8,7 @@
     proto::MetricFamily,
 };
 
-use crate::logs::dropped_lines;
+use crate::{containment::contained_panics, logs::dropped_lines};
 
 /// The size of a memory page, the unit of `/proc/self/statm`.
 const PAGE_BYTES: i64 = 4096;
@@ -21,7 +21,8 @@
     TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default()
 }
 
-/// Registers gauges of the resident memory of the process and of the dropped lines of its log.
+/// Registers gauges of the resident memory of the process, of the dropped lines of its log and of the
+/// panics that ended one of its tasks.
 ///
 /// # Errors
 ///
@@ -30,7 +31,9 @@
     let resident = ("process_resident_memory_bytes", "Resident memory in bytes.");
     let dropped = ("log_lines_dropped", "Lines of the log that were dropped.");
     registry.register(Box::new(CallbackGauge::new(resident, || resident_bytes().unwrap_or(0))?))?;
-    registry.register(Box::new(CallbackGauge::new(dropped, || dropped_lines() as i64)?))
+    let panics = ("tasks_panicked", "Panics that ended the task of one connection or call.");
+    registry.register(Box::new(CallbackGauge::new(dropped, || dropped_lines() as i64)?))?;
+    registry.register(Box::new(CallbackGauge::new(panics, || contained_panics() as i64)?))
 }
 
 /// A gauge whose value is computed when it is scraped.
