--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -17,7 +17,7 @@
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::Limits;
-use httpio::server::{self, ServerSettings, StopSignals};
+use httpio::server::{self, BindError, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
 use storage::LogFile;
@@ -92,15 +92,16 @@
 }
 
 impl Listeners {
-    /// Binds the listeners.
+    /// Binds the listeners; that of the RPC calls last, so that none hangs while another address is in
+    /// use.
     ///
     /// # Errors
     ///
-    /// System errors, such as an address in use.
-    pub fn new(settings: &Settings) -> io::Result<Listeners> {
-        let rpc = server::bind(settings.listen)?;
+    /// System errors, such as an address in use. None is bound then.
+    pub fn new(settings: &Settings) -> Result<Listeners, BindError> {
+        let admin = server::bind(settings.admin_listen)?;
         let operators = settings.operators_listen.map(server::bind).transpose()?;
-        Ok(Listeners { rpc, admin: server::bind(settings.admin_listen)?, operators })
+        Ok(Listeners { rpc: server::bind(settings.listen)?, admin, operators })
     }
 }
 
@@ -156,8 +157,9 @@
     };
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
-        let (stop_requests, reloads) = start.signals.into_streams()?;
-        let listeners = Listeners::new(&settings)?;
+        let (mut stop_requests, reloads) = start.signals.into_streams()?;
+        let bind = || Listeners::new(&settings);
+        let listeners = ::daemon::bind_when_free(&mut stop_requests, bind).await?;
         monoio::spawn(validate_reloads(settings_file.to_owned(), reloads));
         serve(settings, parts, listeners, stop_requests).await
     })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate contains no logic that is specific to one daemon.
 
 mod admin;
+mod listen;
 mod process;
 mod settings_log;
 mod signals;
@@ -11,6 +12,7 @@
 mod watch;
 
 pub use admin::{Admin, Health};
+pub use listen::bind_when_free;
 pub use process::run_process;
 pub use settings_log::log_unknown_settings;
 pub use signals::{RequestStream, Signals};
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -10,6 +10,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
+use derive_more::{Display, Error};
 use futures::{
     FutureExt, StreamExt,
     channel::mpsc,
@@ -113,14 +114,32 @@
     }
 }
 
+/// A listener could not be bound.
+#[derive(Debug, Display, Error)]
+#[display("listen on {addr}")]
+pub struct BindError {
+    /// The address of the listener.
+    pub addr: SocketAddr,
+    /// The error of the operating system.
+    #[error(source)]
+    pub error: io::Error,
+}
+
+impl From<BindError> for io::Error {
+    fn from(error: BindError) -> io::Error {
+        io::Error::new(error.error.kind(), error)
+    }
+}
+
 /// Binds a listener whose port no other process can share.
 ///
 /// # Errors
 /// Errors of the operating system, for example when the address is in use.
-pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+pub fn bind(addr: SocketAddr) -> Result<TcpListener, BindError> {
     // With port reuse, monoio's default, two daemons started on the same port by mistake would
     // share its connections without an error.
     TcpListener::bind_with_config(addr, &ListenerOpts::new().reuse_port(false))
+        .map_err(|error| BindError { addr, error })
 }
 
 /// Serves until `stop.closing` is raised and all connections have ended.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -21,7 +21,7 @@
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
 use httpio::{
     Limits,
-    server::{self, Handler, LiveLimits, ServerSettings, StopSignals},
+    server::{self, BindError, Handler, LiveLimits, ServerSettings, StopSignals},
     signal,
 };
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener, time};
@@ -71,17 +71,19 @@
 }
 
 impl Listeners {
-    /// Binds the listeners; the last one only if it has an address.
+    /// Binds the listeners; the last one only if it has an address. Callers cannot connect before all
+    /// others are bound.
     ///
     /// # Errors
-    /// If an address cannot be bound, for instance because it is in use.
+    /// If an address cannot be bound, for instance because it is in use. None is bound then.
     pub fn bind(
         callers: SocketAddr,
         admin: SocketAddr,
         forwarded: Option<SocketAddr>,
-    ) -> io::Result<Listeners> {
+    ) -> Result<Listeners, BindError> {
+        let admin = server::bind(admin)?;
         let forwarded = forwarded.map(server::bind).transpose()?;
-        Ok(Listeners { callers: server::bind(callers)?, admin: server::bind(admin)?, forwarded })
+        Ok(Listeners { callers: server::bind(callers)?, admin, forwarded })
     }
 }
 
@@ -126,7 +128,7 @@
     daemon::log_unknown_settings(&settings.unknown);
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(async {
-        let (stop_requests, reloads) = start.signals.into_streams()?;
+        let (mut stop_requests, reloads) = start.signals.into_streams()?;
         let components = components(&settings)?;
         if settings.control.as_ref().is_some_and(Vec::is_empty) {
             tracing::warn!(event = "no_control_named", remedy = "name some and request a reload");
@@ -134,7 +136,8 @@
         let link = components.link.clone();
         monoio::spawn(reload_control_addrs(settings_file.to_owned(), reloads, link));
         let (callers, admin) = (settings.listen, settings.admin_listen);
-        let listeners = Listeners::bind(callers, admin, settings.forward_listen)?;
+        let bind = || Listeners::bind(callers, admin, settings.forward_listen);
+        let listeners = daemon::bind_when_free(&mut stop_requests, bind).await?;
         match serve(settings, components, listeners, stop_requests).await? {
             Stopped::Gracefully => Ok(()),
             Stopped::AtOnce => bail!("stopped by a second signal; requests in flight were cut off"),
