Answer or refuse every request before a stopping router is killed

Callers saw: in a planned stop, requests that were completed late in the grace were taken and passed on, and cut with no answer when the process was killed, orders like reads.

Cause: a stopping router did not know when it would be killed. It waited for requests in flight without a bound, for the rest of a head or body up to 30 s, and passed on whatever came, however little time was left.

Change: a setting stop_grace_s, from the platform's settings, 8 s without it. From it follow the steps of a stop: the deadline of every wait is cut to the time at which a margin is left before the kill (queue, attempts, retries, hops to other routers and the time that these are told, streams, calls to the ledger); a request that comes too late for an answer, and what has not arrived completely two margins before the kill, is refused as not run; the process ends half a margin before the kill in any case, with exit code 0, and logs how many connections were still open.

Why it works: every wait of a request passes run_until_deadline or before_stop, which end at the stop's deadline; what they do not cover, a caller that does not read, is bounded by the end of the process.

--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -2,9 +2,12 @@
 //!
 //! The server shuts down in two steps, so that a load balancer has time to choose other servers.
 //! While draining, every reply asks the caller to close its connection. On closing, the listener
-//! and the idle connections are closed and the requests in flight are completed.
+//! and the idle connections are closed and the requests in flight are completed. A request that has
+//! still not arrived completely can be refused later.
 
 mod connection;
+mod open_connections;
+mod receiving;
 mod reply;
 mod request;
 
@@ -25,6 +28,7 @@
 
 use self::connection::Connection;
 pub use self::{
+    open_connections::OpenConnections,
     reply::{CallerDisconnected, Reply, StreamSender},
     request::Request,
 };
@@ -54,18 +58,21 @@
     }
 }
 
-/// The two steps of a graceful shutdown.
+/// The steps of a graceful shutdown.
 #[derive(Debug, Clone)]
 pub struct StopSignals {
     /// Once raised, replies ask callers to close their connections.
     pub draining: Signal,
     /// Once raised, the server accepts no more connections and closes the idle ones.
     pub closing: Signal,
+    /// Once raised, the server refuses requests that have not arrived completely.
+    pub refusing: Signal,
 }
 
 impl Default for StopSignals {
     fn default() -> Self {
-        StopSignals { draining: Signal::never(), closing: Signal::never() }
+        let never = Signal::never;
+        StopSignals { draining: never(), closing: never(), refusing: never() }
     }
 }
 
@@ -76,6 +83,8 @@
     pub limits: LiveLimits,
     /// Maximum number of open connections.
     pub connections: ConnectionBound,
+    /// Counts the open connections.
+    pub open: OpenConnections,
 }
 
 /// Limits that may change while the server runs. A connection applies the limits in force when it
@@ -149,7 +158,7 @@
     stop: StopSignals,
     handler: Rc<dyn Handler>,
 ) {
-    let mut slots = Slots::new(settings.connections);
+    let mut slots = Slots::new(settings.connections, settings.open);
     let server = Server { limits: settings.limits, stop: stop.clone(), handler };
     let closing = stop.closing.raised().fuse();
     pin_mut!(closing);
@@ -216,21 +225,23 @@
     in_use: usize,
     released: mpsc::UnboundedReceiver<()>,
     release: mpsc::UnboundedSender<()>,
+    open: OpenConnections,
 }
 
 /// Held by a connection while it is open; dropping it releases the slot.
-struct Slot(mpsc::UnboundedSender<()>);
+struct Slot(mpsc::UnboundedSender<()>, OpenConnections);
 
 impl Slots {
-    fn new(bound: ConnectionBound) -> Slots {
+    fn new(bound: ConnectionBound, open: OpenConnections) -> Slots {
         // The channel holds at most one message for each open connection.
         let (release, released) = mpsc::unbounded();
-        Slots { limit: bound.0, in_use: 0, released, release }
+        Slots { limit: bound.0, in_use: 0, released, release, open }
     }
 
     fn acquire(&mut self) -> Slot {
         self.in_use += 1;
-        Slot(self.release.clone())
+        self.open.opened();
+        Slot(self.release.clone(), self.open.clone())
     }
 
     async fn wait_for_free(&mut self) {
@@ -253,6 +264,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        self.1.closed();
         // Sending fails only when the whole server, and with it the receiver, has been dropped.
         let _ = self.0.unbounded_send(());
     }
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Handler, LiveLimits, Reply, Request, StopSignals,
+    receiving::until_refusing,
     reply::{Part, ReplyBody},
 };
 use crate::{
@@ -25,7 +26,7 @@
 const LINGER_BYTES_MAX: usize = 1 << 20;
 
 /// Why a connection ends.
-enum End {
+pub(super) enum End {
     /// The connection is closed without a further reply.
     Close,
     /// The request is rejected with this status and remedy, and the connection is closed.
@@ -86,6 +87,11 @@
     async fn next_request(&mut self) -> Result<RequestHeadAndBody, End> {
         self.limits = self.live_limits.get();
         self.await_first_byte().await?;
+        let refusing = self.stop.refusing.clone();
+        until_refusing(&refusing, self.receive()).await
+    }
+
+    async fn receive(&mut self) -> Result<RequestHeadAndBody, End> {
         let head = self.read_head().await?;
         check_host(&head)?;
         let body = time::timeout(self.limits.body_timeout(), self.read_body(&head))
@@ -299,7 +305,7 @@
     headers.get(header::CONNECTION).is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-fn refusal(status: StatusCode, remedy: impl ToString) -> End {
+pub(super) fn refusal(status: StatusCode, remedy: impl ToString) -> End {
     End::Refuse(status, remedy.to_string())
 }
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -70,7 +70,7 @@
     /// Waits until the scheduler assigns a backend server.
     ///
     /// # Errors
-    /// If the scheduler refuses the request or the caller disconnects.
+    /// If the scheduler refuses the request, the caller disconnects or the router stops.
     pub(crate) async fn dispatch(
         services: Rc<Services>,
         routed: Routed,
@@ -96,13 +96,15 @@
         let lease = {
             let lease = services.dispatcher.dispatch(dispatch_request).fuse();
             let disconnected = request.disconnected.raised().fuse();
-            pin_mut!(lease, disconnected);
+            let stopped = services.stop.passed().fuse();
+            pin_mut!(lease, disconnected, stopped);
             select_biased! {
                 lease = lease => lease.map_err(|it| {
                     log_refusal(&services, &routed, fingerprint, &hints.prompt.shared_ids(), it);
                     refusals::from_refusal(it, Outcome::NotRun)
                 })?,
                 () = disconnected => return Err(caller_disconnected()),
+                () = stopped => return Err(refusals::deadline_passed(Outcome::NotRun)),
             }
         };
         let id = services.attempt_id(&routed.arrival.id);
@@ -153,6 +155,12 @@
         }
     }
 
+    /// The time until the request must be answered.
+    pub(crate) fn time_left(&self) -> Duration {
+        let left = self.routed.deadline().saturating_duration_since(self.services.clock.now());
+        self.services.stop.limit(left)
+    }
+
     /// Records the time to the first token.
     pub(crate) fn record_first_token(&mut self) {
         let arrived = self.routed.arrival.arrived;
--- a/crates/router/src/chat_call.rs
+++ b/crates/router/src/chat_call.rs
@@ -14,7 +14,7 @@
     backends::AttemptError,
     call::Call,
     chat::{ChatRequest, WholeAnswer},
-    deadline::{Completion, run_until_deadline},
+    deadline::{Completion, before_stop, run_until_deadline},
     engine_stream::EngineStream,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
     refusals,
@@ -93,9 +93,8 @@
         disconnected: &Signal,
         work: impl AsyncFnOnce(&mut Self) -> T,
     ) -> Result<T, Failure> {
-        let now = self.engine.call.services.clock.now();
-        let left = self.engine.call.routed.deadline().saturating_duration_since(now);
-        match run_until_deadline(disconnected, left, work(self)).await {
+        let (stop, left) = (self.engine.call.services.stop.clone(), self.engine.call.time_left());
+        match run_until_deadline(disconnected, &stop, left, work(self)).await {
             Completion::Done(done) => Ok(done),
             Completion::DeadlinePassed | Completion::CallerDisconnected => {
                 Err(refusals::deadline_passed(self.engine.call.outcome.worse(Outcome::MayHaveRun)))
@@ -135,12 +134,13 @@
     }
 
     async fn pump(mut self, first: Event, mut sender: StreamSender, disconnected: Signal) {
+        let stop = self.engine.call.services.stop.clone();
         let relayed = {
             let disconnected = disconnected.raised().fuse();
-            let relay = self.relay(first, &mut sender).fuse();
+            let relay = before_stop(&stop, self.relay(first, &mut sender)).fuse();
             pin_mut!(disconnected, relay);
             select_biased! {
-                relayed = relay => relayed,
+                relayed = relay => relayed.unwrap_or_else(stopped),
                 () = disconnected => RelayEnd::CallerDisconnected,
             }
         };
@@ -244,6 +244,11 @@
     }
 }
 
+/// The end of a stream that the router can relay no further.
+fn stopped() -> RelayEnd {
+    RelayEnd::Failed(AttemptError::in_doubt("the router is stopping"))
+}
+
 fn incomplete(error: &AttemptError) -> Failure {
     Failure {
         status: StatusCode::BAD_GATEWAY,
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Runs a router: its listeners, its background tasks and the graceful stop.
 
 mod components;
+mod stop_steps;
 
 use std::{
     cell::RefCell,
@@ -22,9 +23,8 @@
 use httpio::{
     Limits,
     server::{self, BindError, Handler, LiveLimits, ServerSettings, StopSignals},
-    signal,
 };
-use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener, time};
+use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use policy::{KeptConnectionSettings, OtherLoad, Pacing, PermitSource};
 use prometheus::Registry;
 use rand::SeedableRng;
@@ -33,7 +33,10 @@
 use tables::{CallerLimits, Tables};
 
 pub use self::components::{Components, Interface, Platform};
-use self::components::{native_components, platform_components};
+use self::{
+    components::{native_components, platform_components},
+    stop_steps::StopSteps,
+};
 use crate::{
     arrival::IdGenerator,
     backends::Backends,
@@ -42,6 +45,7 @@
     dispatch::Dispatcher,
     domain::RouterMember,
     engine_urgency::EngineUrgency,
+    fields::millis,
     forwarding::{self, ForwardListener, ForwardedHandler, Forwarder, PeerClient},
     identity::{Authenticator, Workspaces},
     load_reports::{self, LoadReadings, ServerFilter},
@@ -53,6 +57,7 @@
     services::Services,
     settings::RouterSettings,
     shared_work::WorkMember,
+    stop_deadline::{StopDeadline, StopSchedule},
     stream_origins::StreamOrigins,
     table_source::TableSource,
 };
@@ -92,6 +97,11 @@
 pub enum Stopped {
     /// All requests in flight were completed.
     Gracefully,
+    /// The time until the kill was over before that.
+    AtDeadline {
+        /// The connections on which a request had still not been answered completely.
+        requests_cut: usize,
+    },
     /// A second stop request came before that.
     AtOnce,
 }
@@ -139,7 +149,7 @@
         let bind = || Listeners::bind(callers, admin, settings.forward_listen);
         let listeners = daemon::bind_when_free(&mut stop_requests, bind).await?;
         match serve(settings, components, listeners, stop_requests).await? {
-            Stopped::Gracefully => Ok(()),
+            Stopped::Gracefully | Stopped::AtDeadline { .. } => Ok(()),
             Stopped::AtOnce => bail!("stopped by a second signal; requests in flight were cut off"),
         }
     })
@@ -170,7 +180,8 @@
     Ok(RouterSettings::parse(&name, &text)?)
 }
 
-/// Serves until a stop request, then drains and closes. A second stop request ends it at once.
+/// Serves until a stop request, then drains and closes, and returns before the process would be killed. A
+/// second stop request ends it at once.
 ///
 /// # Errors
 /// If the metrics cannot be registered.
@@ -218,37 +229,31 @@
         DirectoryWatch { source, services, tables, cached, own_reads }.start();
     }
 
-    let (drain, draining) = signal::signal();
-    let (close, closing) = signal::signal();
-    let stop = StopSignals { draining, closing };
+    let (steps, signals) = StopSteps::new();
+    let (stop, open) = (services.stop.clone(), server_settings.open.clone());
     let handlers = build_handlers(&components, services);
     let forwarded = listeners.forwarded.map(|listener| {
         let token = components.token.clone();
         let handler = Rc::new(ForwardListener { handler: handlers.forwarded, token });
-        server::serve(listener, server_settings.clone(), stop.clone(), handler)
+        server::serve(listener, server_settings.clone(), signals.clone(), handler)
     });
-    let callers = server::serve(listeners.callers, server_settings, stop, handlers.callers);
-    let callers = async { futures::join!(callers, OptionFuture::from(forwarded)) };
-    let mut callers = monoio::spawn(callers).fuse();
+    let callers = server::serve(listeners.callers, server_settings, signals, handlers.callers);
+    let served = async {
+        futures::join!(callers, OptionFuture::from(forwarded));
+    };
+    let served = monoio::spawn(served).fuse();
     tracing::info!(event = "serving", vm = %settings.vm, failure_domain = %settings.failure_domain);
 
     stop_requests.next().await;
-    tracing::info!(event = "draining", delay_ms = settings.drain_delay_ms);
+    let schedule = stop.schedule();
+    let (delay_ms, grace_ms) = (millis(schedule.close_after), millis(settings.stop_grace));
+    tracing::info!(event = "draining", delay_ms, grace_ms);
     readiness.set(Readiness::Draining);
-    drain.raise();
-    let delay = time::sleep(Duration::from_millis(settings.drain_delay_ms)).fuse();
-    pin_mut!(delay);
+    stop.begin();
+    let stopped = steps.take(schedule, open, served).fuse();
+    pin_mut!(stopped);
     select_biased! {
-        () = delay => {}
-        _ = stop_requests.next().fuse() => return Ok(Stopped::AtOnce),
-    }
-    tracing::info!(event = "closing");
-    close.raise();
-    select_biased! {
-        _ = callers => {
-            tracing::info!(event = "stopped");
-            Ok(Stopped::Gracefully)
-        }
+        stopped = stopped => Ok(stopped),
         _ = stop_requests.next().fuse() => Ok(Stopped::AtOnce),
     }
 }
@@ -359,6 +364,8 @@
     let prober = Rc::new(backends.clone());
     let clock = Rc::clone(&components.clock);
     let dispatcher = Dispatcher::new(clock, prober, policy, own_domain);
+    let drain_delay = Duration::from_millis(settings.drain_delay_ms);
+    let schedule = StopSchedule::new(drain_delay, settings.stop_grace);
     Ok(Services {
         clock: Rc::clone(&components.clock),
         backends,
@@ -367,6 +374,7 @@
         metrics: Metrics::register(registry)?,
         ids: IdGenerator::new(ChaCha8Rng::seed_from_u64(components.seed)),
         timeouts: settings.timeouts,
+        stop: StopDeadline::new(Rc::clone(&components.clock), schedule),
         urgency: EngineUrgency::default(),
         streams: StreamOrigins::new(Rc::clone(&components.clock)),
         peers: settings.peers.clone(),
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -150,11 +150,11 @@
     deadline: Instant,
     known: Outcome,
 ) -> Option<Result<Reply, Failure>> {
-    let left = deadline.saturating_duration_since(services.clock.now());
+    let left = time_left(services, deadline);
     let disconnected = routed.arrival.request.disconnected.clone();
     let outcome = Cell::new(known);
     let asking = ask_peers(services, routed, deadline, &outcome);
-    let result = match run_until_deadline(&disconnected, left, asking).await {
+    let result = match run_until_deadline(&disconnected, &services.stop, left, asking).await {
         Completion::Done(result) => result?,
         Completion::DeadlinePassed | Completion::CallerDisconnected => {
             Err(refusals::deadline_passed(outcome.get()))
@@ -163,6 +163,11 @@
     Some(result.map_err(|it| Failure { outcome: outcome.get().worse(it.outcome), ..it }))
 }
 
+/// The time in which the request can be answered.
+fn time_left(services: &Services, deadline: Instant) -> Duration {
+    services.stop.limit(deadline.saturating_duration_since(services.clock.now()))
+}
+
 /// As [`forward`]. `outcome` covers all attempts, also the one under way in case the deadline passes.
 async fn ask_peers(
     services: &Services,
@@ -175,12 +180,13 @@
     let mut unanswered = None;
     while let Some(peer) = next_peer(services, routed, &mut candidates).await {
         let started = services.clock.now();
-        let time_left = deadline.saturating_duration_since(started);
+        let time_left = time_left(services, deadline);
         if time_left < FORWARD_TIME_MIN {
             break;
         }
         let known = outcome.replace(Outcome::MayHaveRun);
-        let answer = forwarder.client.forward(peer, routed, time_left, deadline).await;
+        let answer =
+            forwarder.client.forward(peer, routed, time_left, deadline, &services.stop).await;
         let is_asked_next = is_next_asked(&answer, routed);
         log_forwarded(services, routed, peer, started, &answer);
         let seen = if is_asked_next { PeerAnswer::Refused } else { PeerAnswer::Served };
--- a/crates/router/src/forwarding/listener.rs
+++ b/crates/router/src/forwarding/listener.rs
@@ -11,7 +11,10 @@
 use telemetry::Secret;
 
 use super::hop::{self, Hop};
-use crate::outcome::{Code, Failure};
+use crate::{
+    outcome::{Code, Failure},
+    refusals,
+};
 
 /// The path by which a router asks whether another one still answers.
 pub(super) const PING_PATH: &str = "/forwarding/ping";
@@ -56,7 +59,7 @@
     }
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
-        failure_reply(&Failure::not_run(status, Code::BadRequest, remedy))
+        failure_reply(&refusals::unreadable(status, remedy))
     }
 }
 
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -25,6 +25,7 @@
     deadline::run_until_deadline,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     routing::Routed,
+    stop_deadline::StopDeadline,
 };
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -94,6 +95,7 @@
         routed: &Routed,
         time_left: Duration,
         deadline: Instant,
+        stop: &StopDeadline,
     ) -> Result<Result<Reply, Failure>, PeerError> {
         let silence_max = match routed.repeat() {
             Repeat::Idempotent => Duration::ZERO,
@@ -122,7 +124,7 @@
         }
         let disconnected = routed.arrival.request.disconnected.clone();
         let left = deadline.saturating_duration_since(self.clock.now());
-        reply(response, peer, disconnected, left).await.map(Ok)
+        reply(response, peer, disconnected, left, stop.clone()).await.map(Ok)
     }
 
     async fn exchange(
@@ -225,6 +227,7 @@
     peer: SocketAddr,
     disconnected: Signal,
     left: Duration,
+    stop: StopDeadline,
 ) -> Result<Reply, PeerError> {
     let (status, headers) = (response.head.status, httpio::end_to_end(&response.head.headers));
     let content_type = headers.get(header::CONTENT_TYPE);
@@ -234,7 +237,7 @@
     let (sender, reply) = Reply::stream(status, headers, BUFFERED_PIECES_MAX);
     let relayed = async move {
         // Dropping the body closes the connection, by which the peer learns that the caller has gone.
-        run_until_deadline(&disconnected, left, pass_on(response.body, sender)).await;
+        run_until_deadline(&disconnected, &stop, left, pass_on(response.body, sender)).await;
     };
     monoio::spawn(telemetry::contain("forwarded_stream", peer, relayed));
     Ok(reply)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 mod shared_work;
 mod silence;
+pub mod stop_deadline;
 mod stream_origins;
 pub mod table_source;
 mod token_stream;
--- a/crates/router/src/order_call.rs
+++ b/crates/router/src/order_call.rs
@@ -71,9 +71,14 @@
 }
 
 impl OrderClaim {
+    /// The timeout of a call to the ledger, within the time that a stopping router has.
+    fn ledger_timeout(&self) -> Duration {
+        self.services.stop.limit_record(self.services.timeouts.ledger_timeout())
+    }
+
     async fn acquire(&self, body: BodyHash) -> Result<ClaimResult, Failure> {
         let result = self.services.ledger.claim(self.key.clone(), self.id, body);
-        let result = time::timeout(self.services.timeouts.ledger_timeout(), result).await;
+        let result = time::timeout(self.ledger_timeout(), result).await;
         match result.unwrap_or(Err(LedgerError::InDoubt)) {
             Ok(result) => Ok(result),
             Err(error) => {
@@ -101,6 +106,10 @@
         // The answer is valid whether or not it is recorded. A claim without a record stays held,
         // so a resend receives the answer that the order may have run.
         if !self.record(&record).await {
+            if self.services.stop.has_begun() {
+                // The process may end before it can be recorded.
+                tracing::warn!(event = "order_not_recorded", key = %self.key, claim = %self.id);
+            }
             self.record_in_background(record);
         }
         served.map(Answer::into_reply)
@@ -112,7 +121,7 @@
             ClaimRecord::End(end) => ledger.complete(self.key.clone(), self.id, end.clone()),
             ClaimRecord::Release => ledger.release(self.key.clone(), self.id),
         };
-        let recorded = time::timeout(self.services.timeouts.ledger_timeout(), recorded).await;
+        let recorded = time::timeout(self.ledger_timeout(), recorded).await;
         matches!(recorded, Ok(Ok(())))
     }
 
--- a/crates/router/src/pipeline.rs
+++ b/crates/router/src/pipeline.rs
@@ -17,7 +17,8 @@
     forwarding::{self, ForwardedHandler, Hop, Origin},
     identity::Authenticator,
     order_call,
-    outcome::{Code, Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
+    outcome::{Failure, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER},
+    refusals,
     routing::{self, Routed},
     service_call,
     services::Services,
@@ -52,7 +53,7 @@
     }
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
-        Failure::not_run(status, Code::BadRequest, remedy).to_reply()
+        refusals::unreadable(status, remedy).to_reply()
     }
 }
 
@@ -101,6 +102,7 @@
         let tables: Rc<Tables> = self.tables.current();
         let routed = routing::resolve(identified, tables)?;
         let routed = Routed { attempts: origin.prior_attempts(), ..routed };
+        refusals::check_stop(&self.services, routed.route().deadline())?;
         let permit = self.limits.apply(&routed)?;
         Ok((routed, permit))
     }
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -8,6 +8,7 @@
 use crate::{
     backends::AttemptError,
     outcome::{Code, Failure, Outcome},
+    services::Services,
 };
 
 /// The failure of a request that the scheduler refused after attempts with `outcome`.
@@ -76,3 +77,31 @@
         retry_after: Some(DEADLINE_RETRY_AFTER),
     }
 }
+
+/// The time after which a caller may resend a request that a stopping router refused. Another router can
+/// serve it at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Checks that a request which may take the time `timeout` does not come too late in a stop.
+///
+/// # Errors
+/// If it cannot be expected to be answered before the process ends.
+pub(crate) fn check_stop(services: &Services, timeout: Duration) -> Result<(), Failure> {
+    if !services.stop.is_too_late(timeout) {
+        return Ok(());
+    }
+    let message = "the router is stopping; send the request to another one";
+    let failure = Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::NoRoute, message);
+    Err(failure.retry_after(STOP_RETRY_AFTER))
+}
+
+/// The failure of a request that did not arrive as a whole and readable one.
+#[must_use]
+pub(crate) fn unreadable(status: StatusCode, remedy: &str) -> Failure {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            Failure::not_run(status, Code::Overloaded, remedy).retry_after(STOP_RETRY_AFTER)
+        }
+        _ => Failure::not_run(status, Code::BadRequest, remedy),
+    }
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -25,6 +25,7 @@
     forwarding::{self, ForwardedHandler, Hop, Origin},
     identity::Caller,
     outcome::{Code, Failure, Outcome},
+    refusals,
     routing::{Routed, host_name},
     services::Services,
     table_source::TableSource,
@@ -59,7 +60,7 @@
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
         tracing::info!(event = "request_unreadable", status = status.as_u16(), remedy);
-        self.dialect.failure_reply(&Failure::not_run(status, Code::BadRequest, remedy), None)
+        self.dialect.failure_reply(&refusals::unreadable(status, remedy), None)
     }
 }
 
@@ -160,6 +161,7 @@
         origin: &Origin,
     ) -> Result<Reply, Failure> {
         let timeout = metadata.timeout.unwrap_or(Duration::MAX).min(routed.route().deadline());
+        refusals::check_stop(&self.services, timeout)?;
         let deadline = routed.arrival.arrived + timeout;
         let serve_here = self.serve_here(routed.clone(), permit, metadata).boxed_local();
         forwarding::serve_or_forward(&self.services, &routed, origin, deadline, serve_here).await
--- a/crates/router/src/relay/buffered.rs
+++ b/crates/router/src/relay/buffered.rs
@@ -24,10 +24,10 @@
 /// error. An order is answered with its first complete answer, even if that is a server error.
 pub(super) async fn serve(mut relayed: RelayedCall) -> Result<Reply, Failure> {
     let disconnected = relayed.call.routed.arrival.request.disconnected.clone();
+    let (stop, left) = (relayed.call.services.stop.clone(), relayed.time_left());
     let mut failed = None;
-    let completion =
-        run_until_deadline(&disconnected, relayed.time_left(), attempts(&mut relayed, &mut failed))
-            .await;
+    let attempts = attempts(&mut relayed, &mut failed);
+    let completion = run_until_deadline(&disconnected, &stop, left, attempts).await;
     let result = match completion {
         Completion::Done(Ok(answer)) => Ok(answer),
         Completion::Done(Err(failure)) => Err(failure),
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -58,8 +58,8 @@
 
 pub(super) async fn serve(mut relayed: RelayedCall) -> Result<Reply, Failure> {
     let disconnected = relayed.call.routed.arrival.request.disconnected.clone();
-    let completion =
-        run_until_deadline(&disconnected, relayed.time_left(), open(&mut relayed)).await;
+    let (stop, left) = (relayed.call.services.stop.clone(), relayed.time_left());
+    let completion = run_until_deadline(&disconnected, &stop, left, open(&mut relayed)).await;
     let opened = match completion {
         Completion::Done(opened) => opened,
         Completion::DeadlinePassed | Completion::CallerDisconnected => {
@@ -124,9 +124,9 @@
     mut sender: StreamSender,
 ) {
     let disconnected = relayed.call.routed.arrival.request.disconnected.clone();
-    let left = relayed.time_left();
+    let (stop, left) = (relayed.call.services.stop.clone(), relayed.time_left());
     let relay = relay(&mut relayed, first, &mut source, &mut sender);
-    match run_until_deadline(&disconnected, left, relay).await {
+    match run_until_deadline(&disconnected, &stop, left, relay).await {
         Completion::Done(RelayEnd::Complete) => {
             let tokens = relayed.events * relayed.tokens_per_event();
             relayed.call.finish(tokens);
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -66,6 +66,7 @@
         let timeout = caller_timeout.min(routed.route().deadline());
         let deadline = routed.arrival.arrived + timeout;
         let left = deadline.saturating_duration_since(services.clock.now());
+        let stop = services.stop.clone();
         let disconnected = routed.arrival.request.disconnected.clone();
         let hints = SchedulingHints {
             prefix_hash: metadata.prompt.shared_hash(),
@@ -74,7 +75,7 @@
             version,
         };
         let dispatched = Call::dispatch(services, routed, permit, hints);
-        let call = match run_until_deadline(&disconnected, left, dispatched).await {
+        let call = match run_until_deadline(&disconnected, &stop, left, dispatched).await {
             Completion::Done(call) => call?,
             Completion::DeadlinePassed | Completion::CallerDisconnected => {
                 return Err(refusals::deadline_passed(Outcome::NotRun));
@@ -93,7 +94,8 @@
     }
 
     pub(super) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(self.call.services.clock.now())
+        let services = &self.call.services;
+        services.stop.limit(self.deadline.saturating_duration_since(services.clock.now()))
     }
 
     /// Whether the request may be resent after an attempt that may have run.
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -13,7 +13,7 @@
 use crate::{
     backends::{Attempt, AttemptError, forwarded_headers},
     call::Call,
-    deadline::{Completion, run_until_deadline},
+    deadline::{Completion, before_stop, run_until_deadline},
     order_ledger::StoredAnswer,
     outcome::{Code, Failure, OUTCOME_HEADER, Outcome, outcome_value},
     refusals,
@@ -38,8 +38,9 @@
 /// Answers an idempotent call, with retries as the retry budget allows.
 pub(crate) async fn serve_idempotent(mut call: Call) -> Result<Reply, Failure> {
     let disconnected = call.routed.arrival.request.disconnected.clone();
-    let left = time_left(&call);
-    let completion = run_until_deadline(&disconnected, left, call_with_retries(&mut call)).await;
+    let (stop, left) = (call.services.stop.clone(), call.time_left());
+    let attempts = call_with_retries(&mut call);
+    let completion = run_until_deadline(&disconnected, &stop, left, attempts).await;
     let Completion::Done(answer) = completion else {
         let outcome = call.outcome.worse(Outcome::MayHaveRun);
         call.abandon();
@@ -55,29 +56,31 @@
 /// No attempt starts at or after `send_before`, because the claim on the key may have expired by
 /// then.
 pub(crate) async fn serve_order(mut call: Call, send_before: Instant) -> Result<Answer, Failure> {
+    let stop = call.services.stop.clone();
     loop {
         if call.services.clock.now() >= send_before {
             return Err(claim_expired());
         }
-        let left = time_left(&call);
+        let left = call.time_left();
         let attempt = attempt(&mut call);
         // An idle connection may be broken without notice, and an order sent on it could not be
         // resent.
         let exchange = call.services.backends.send_fresh(attempt);
-        let answer = time::timeout(left, collect_answer(exchange)).await;
+        let answer = before_stop(&stop, time::timeout(left, collect_answer(exchange))).await;
         let error = match answer {
-            Ok(Ok(answer)) => {
+            Some(Ok(Ok(answer))) => {
                 call.finish(0);
                 return Ok(answer);
             }
-            Ok(Err(error)) => error,
-            Err(_) => AttemptError {
+            Some(Ok(Err(error))) => error,
+            Some(Err(_)) | None => AttemptError {
                 failure: FailureKind::Timeout,
                 execution: Execution::MayHaveRun,
                 detail: "no answer came before the deadline".to_owned(),
             },
         };
-        call.retry(error).await?;
+        let retried = before_stop(&stop, call.retry(error)).await;
+        retried.unwrap_or_else(|| Err(refusals::deadline_passed(call.known_outcome())))?;
     }
 }
 
@@ -121,10 +124,6 @@
     Ok(Answer { status, headers, body })
 }
 
-fn time_left(call: &Call) -> Duration {
-    call.routed.deadline().saturating_duration_since(call.services.clock.now())
-}
-
 fn claim_expired() -> Failure {
     let message = "the claim on the key ran out before the order was sent; send the order again";
     Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, Code::OrderClaimExpired, message)
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -14,6 +14,7 @@
     forwarding::Forwarder,
     metrics::Metrics,
     order_ledger::OrderLedger,
+    stop_deadline::StopDeadline,
     stream_origins::StreamOrigins,
 };
 
@@ -80,6 +81,8 @@
     pub timeouts: Timeouts,
     /// The urgency of requests at model engines.
     pub urgency: EngineUrgency,
+    /// When requests in flight must be answered because the router is stopping.
+    pub(crate) stop: StopDeadline,
     /// The software versions that began streams.
     pub(crate) streams: StreamOrigins,
     /// The admin listeners of the other routers of the failure domain.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,6 +1,6 @@
 //! Parses the settings file of the daemon.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use httpio::{
     Limits,
@@ -13,6 +13,9 @@
 use crate::{backends::BackendSettings, services::Timeouts};
 
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 2000";
+const SECONDS: &str = "a number of seconds, such as 8 or 7.5";
+/// Less than the time after which supervisors usually kill a process.
+const STOP_GRACE: Duration = Duration::from_secs(8);
 const BYTES: &str = "a whole number of bytes, such as 65536";
 const COUNT: &str = "a whole number";
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
@@ -37,6 +40,8 @@
     pub routers: u32,
     /// How long the router keeps serving new requests after it reports itself as draining.
     pub drain_delay_ms: u64,
+    /// The time between a stop request and the kill of the process.
+    pub stop_grace: Duration,
     /// The files of the tables, the workspaces and the command token.
     pub files: Files,
     /// The control VMs, those of the own failure domain first; the list may be empty until a reload
@@ -97,7 +102,7 @@
     #[must_use]
     pub fn to_settings(&self) -> ServerSettings {
         let connections = ConnectionBound(self.connections_max);
-        ServerSettings { limits: self.limits.into(), connections }
+        ServerSettings { limits: self.limits.into(), connections, ..ServerSettings::default() }
     }
 }
 
@@ -113,6 +118,7 @@
             log: "info".to_owned(),
             routers: 1,
             drain_delay_ms: 5_000,
+            stop_grace: STOP_GRACE,
             files: Files::default(),
             control: None,
             trust: Trust::Tokens,
@@ -174,6 +180,7 @@
         log: reader.or_default("log", "a filter such as info", default.log),
         routers: reader.or_default("routers", COUNT, default.routers),
         drain_delay_ms: reader.or_default("drain_delay_ms", MILLISECONDS, default.drain_delay_ms),
+        stop_grace: read_stop_grace(&mut reader),
         files: Files {
             routes: reader.optional("routes_file", FILE),
             pools: reader.optional("pools_file", FILE),
@@ -220,6 +227,21 @@
     settings
 }
 
+/// Reads the time until a stopping process is killed. A template leaves the value empty where it is not
+/// known.
+fn read_stop_grace(reader: &mut SectionReader<'_>) -> Duration {
+    let seconds: Vec<f64> = reader.list("stop_grace_s", SECONDS);
+    let Some(seconds) = seconds.first() else { return STOP_GRACE };
+    Duration::try_from_secs_f64(*seconds).unwrap_or_else(|_| {
+        reader.fault(
+            "stop_grace_s",
+            &format!("`{seconds}` does not fit"),
+            &format!("write {SECONDS}"),
+        );
+        STOP_GRACE
+    })
+}
+
 /// Reads the addresses of the control VMs; `control_port` replaces their ports if it is set.
 fn read_control(reader: &mut SectionReader<'_>) -> Option<Vec<SocketAddr>> {
     let control: Vec<SocketAddr> =
--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -46,6 +46,30 @@
     assert_eq!(unknown, ["later", "router.mystery"]);
 }
 
+fn check_stop_grace(line: &str, expected: Expect) {
+    let text = format!(
+        "[router]\nvm = vm-1\nfailure_domain = fd-1\nroutes_file = a\npools_file = b\n{line}\n"
+    );
+    let shown = match RouterSettings::parse("router.ini", &text) {
+        Ok(settings) => format!("{:?}", settings.stop_grace),
+        Err(faults) => faults.to_string(),
+    };
+    expected.assert_eq(&shown);
+}
+
+/// Guards against a router that does not start because its template names no grace, or a fraction.
+#[test]
+fn stop_grace() {
+    check_stop_grace("", expect!["8s"]);
+    check_stop_grace("stop_grace_s =", expect!["8s"]);
+    check_stop_grace("stop_grace_s = 30", expect!["30s"]);
+    check_stop_grace("stop_grace_s = 7.5", expect!["7.5s"]);
+    let fault = expect![
+        "router.ini:6: router.stop_grace_s: `-1` does not fit; write a number of seconds, such as 8 or 7.5"
+    ];
+    check_stop_grace("stop_grace_s = -1", fault);
+}
+
 #[test]
 fn tokens_are_hidden() {
     let workspaces =
--- a/crates/router/tests/support.rs
+++ b/crates/router/tests/support.rs
@@ -253,6 +253,8 @@
     pub(crate) interface: Interface,
     /// The deadline of the order route.
     pub(crate) order_deadline_ms: u64,
+    /// The time between a stop request and the kill of the process.
+    pub(crate) stop_grace: Duration,
 }
 
 impl Default for Setup {
@@ -271,6 +273,7 @@
             platform: None,
             pool: "",
             order_deadline_ms: 20_000,
+            stop_grace: RouterSettings::default().stop_grace,
             interface: Interface::Native,
         }
     }
@@ -287,6 +290,7 @@
             vm: "vm-1".to_owned(),
             failure_domain: "fd-1".to_owned(),
             drain_delay_ms: 0,
+            stop_grace: self.stop_grace,
             server: router::settings::CallerListener {
                 limits: Limits { closing_grace_ms: 0, ..Limits::default() },
                 ..Default::default()
