Divide a route's requests by weights of any size

What callers saw: a configuration whose weights add up to more than 32 bits was accepted, and its requests were divided in other shares than it says. Where overflow is checked (not in a release build), each request of the route was a panic.

Cause: the product of the random number (32 bits) and the sum of the weights was computed in 64 bits.

Evidence: found by platform/tests/odd_bytes.rs (odd_configurations, weights of): "attempt to multiply with overflow" at route.rs:169. read_configurations::largest_weights failed the same way on the code before, 1 of 7 tests.

Fix: the product has 128 bits; the result is below the sum, so it fits 64 again.

After: read_configurations passes, 7 of 7.

--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -166,7 +166,8 @@
     /// The pool of a request by the weights of the split; `random` is uniform over all `u32`.
     pub fn pool_for(&self, random: u32) -> PoolIdx {
         let sum: u64 = self.split.iter().map(|it| u64::from(it.weight)).sum();
-        let mut offset = (u64::from(random) * sum) >> u32::BITS;
+        // The sum may take more than 32 bits, and so the product more than 64. The result is below the sum.
+        let mut offset = ((u128::from(random) * u128::from(sum)) >> u32::BITS) as u64;
         for share in &self.split {
             let Some(rest) = offset.checked_sub(u64::from(share.weight)) else { return share.pool };
             offset = rest;
