Log how a daemon starts and what ends it

Cause: the log began once the settings were read, errors went to the standard error only, in no key=value line, and panics too.

Why the fix works: the log is set up first, and writes `event=starting` before the settings are read; every error of a daemon passes through one function that writes `event=failed` with the exit code and all causes, and then one line to the standard error, whose failure is ignored. A hook writes `event=panic`.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -2,14 +2,13 @@
 
 use std::{
     cell::RefCell,
-    io,
     path::{Path, PathBuf},
     process::ExitCode,
     rc::Rc,
     time::Duration,
 };
 
-use ::daemon::{Admin, RequestStream, Signals, Start};
+use ::daemon::{Admin, Launch, RequestStream, Start};
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
 use consensus::{NodeId, Peer, Storage, StorageError};
@@ -54,6 +53,9 @@
 /// The maximum size of a request body on the operators' listener.
 const OPERATOR_BODY_BYTES_MAX: usize = 8 << 20;
 
+/// The role that the log names.
+const ROLE: &str = "control";
+
 /// The dependencies of a control VM, beside its settings.
 pub struct Parts {
     /// The storage of the log.
@@ -106,26 +108,18 @@
 }
 
 /// Reads the settings file and runs a control VM until it receives a stop signal. Returns the exit
-/// code.
-///
-/// # Errors
-///
-/// Errors in the files, addresses that cannot be bound, and disk failures.
-pub fn run(signals: io::Result<Signals>, settings_file: &Path) -> anyhow::Result<ExitCode> {
-    ::daemon::run_process(signals, |start| run_with(start, settings_file, None))
+/// code, which is an error after errors in the files, addresses that cannot be bound, and disk failures.
+#[must_use]
+pub fn run(launch: Launch<'_>) -> ExitCode {
+    let settings_file = launch.settings_file;
+    ::daemon::run_process(ROLE, launch, |start| run_with(start, settings_file, None))
 }
 
 /// As [`run`], on a platform with its own API and notations.
-///
-/// # Errors
-///
-/// As for [`run`].
-pub fn run_on(
-    signals: io::Result<Signals>,
-    settings_file: &Path,
-    platform: Platform,
-) -> anyhow::Result<ExitCode> {
-    ::daemon::run_process(signals, |start| run_with(start, settings_file, Some(platform)))
+#[must_use]
+pub fn run_on(launch: Launch<'_>, platform: Platform) -> ExitCode {
+    let settings_file = launch.settings_file;
+    ::daemon::run_process(ROLE, launch, |start| run_with(start, settings_file, Some(platform)))
 }
 
 fn run_with(
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -5,13 +5,18 @@
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use control::{FormatMode, Settings};
-use daemon::Signals;
+use daemon::{Launch, Signals};
 
 fn main() -> anyhow::Result<ExitCode> {
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("format", args)) => format(args).map(|()| ExitCode::SUCCESS),
-        Some((_, args)) => control::daemon::run(Signals::install(), config(args)?),
+        Some((_, args)) => Ok(control::daemon::run(Launch {
+            program: env!("CARGO_BIN_NAME"),
+            version: env!("CARGO_PKG_VERSION"),
+            settings_file: config(args)?,
+            signals: Signals::install(),
+        })),
         None => unreachable!("clap requires a subcommand"),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use admin::{Admin, Health};
 pub use listen::bind_when_free;
-pub use process::run_process;
+pub use process::{Launch, run_process};
 pub use settings_log::log_unknown_settings;
 pub use signals::{RequestStream, Signals};
 pub use start::{Start, StoppedEarly};
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -6,7 +6,6 @@
 use std::{
     cell::RefCell,
     cell::{Cell, OnceCell},
-    io,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
@@ -16,7 +15,7 @@
 
 use anyhow::{Context, bail};
 use control_client::{Domain, DomainMember};
-use daemon::{Admin, RequestStream, Signals, Start};
+use daemon::{Admin, Launch, RequestStream, Start};
 use directory::{OwnReads, Reader};
 use dissemination::MemberState;
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
@@ -65,6 +64,9 @@
 /// How long queued requests wait for a server of their pool to return before another router is asked.
 const FORWARDING_GRACE: Duration = Duration::from_millis(100);
 
+/// The role that the log names.
+const ROLE: &str = "router";
+
 /// The listeners of a router.
 pub struct Listeners {
     /// For callers.
@@ -106,25 +108,21 @@
     AtOnce,
 }
 
-/// Reads the settings file and runs a router until it is stopped. Returns the exit code.
-///
-/// # Errors
-/// If a file has faults, an address cannot be bound, or a stop cut off requests.
-pub fn run(signals: io::Result<Signals>, settings_file: &Path) -> anyhow::Result<ExitCode> {
-    daemon::run_process(signals, |start| run_with(start, settings_file, native_components))
+/// Reads the settings file and runs a router until it is stopped. Returns the exit code, which is an
+/// error if a file has faults, an address cannot be bound, or a stop cut off requests.
+#[must_use]
+pub fn run(launch: Launch<'_>) -> ExitCode {
+    let settings_file = launch.settings_file;
+    let run = |start: Start<'_>| run_with(start, settings_file, native_components);
+    daemon::run_process(ROLE, launch, run)
 }
 
 /// Like [`run`], on a platform with its own formats and conventions.
-///
-/// # Errors
-/// The same as those of [`run`].
-pub fn run_on_platform(
-    signals: io::Result<Signals>,
-    settings_file: &Path,
-    platform: Platform,
-) -> anyhow::Result<ExitCode> {
+#[must_use]
+pub fn run_on_platform(launch: Launch<'_>, platform: Platform) -> ExitCode {
+    let settings_file = launch.settings_file;
     let components = |settings: &_| Ok(platform_components(settings, platform));
-    daemon::run_process(signals, |start| run_with(start, settings_file, components))
+    daemon::run_process(ROLE, launch, |start| run_with(start, settings_file, components))
 }
 
 fn run_with(
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,9 +3,9 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
-use daemon::Signals;
+use daemon::{Launch, Signals};
 
-fn main() -> anyhow::Result<ExitCode> {
+fn main() -> ExitCode {
     // First, since a signal without a handler ends the process.
     let signals = Signals::install();
     let config = Arg::new("config")
@@ -19,5 +19,10 @@
         .arg(config)
         .get_matches();
     let config = matches.get_one::<PathBuf>("config").expect("clap requires it");
-    router::daemon::run(signals, config)
+    router::daemon::run(Launch {
+        program: env!("CARGO_BIN_NAME"),
+        version: env!("CARGO_PKG_VERSION"),
+        settings_file: config,
+        signals,
+    })
 }
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -15,6 +15,12 @@
     child: Child,
 }
 
+impl From<Child> for Process {
+    fn from(child: Child) -> Process {
+        Process { child }
+    }
+}
+
 impl Process {
     /// Starts the program at `path` and appends its output to the file `log`.
     ///
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod containment;
 mod logs;
 mod metrics;
+mod panics;
 mod secret;
 mod throttle;
 mod trace_context;
@@ -14,6 +15,7 @@
 pub use containment::{FailStop, TaskPanicked, contain, contained_panics};
 pub use logs::{LogGuard, LogOutput, LogSettings, init_logs};
 pub use metrics::{register_process_metrics, render_metrics};
+pub use panics::log_panics;
 pub use secret::Secret;
 pub use throttle::Throttle;
 pub use trace_context::{SpanId, TraceContext, TraceContextError, TraceId};
