Take a reached limit on file sizes for a full disk

What callers saw: nothing before this test; found while looking for what else ends a process by itself. A write beyond the limit on file sizes (RLIMIT_FSIZE) raises SIGXFSZ, which ends a process that has no handler. The file behind the log is enough for that, in a router too.

Evidence before: file_size_limit::log_at_limit ended with "signal 25", data_at_limit with Err("signal 25").

Why the fix works: with a handler the write fails with EFBIG. The thread of the log drops the line; the data folder takes it for a full disk, as it does with a quota, and goes on once there is room.

Measured after: both tests pass.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -56,8 +56,9 @@
         /// The reported error.
         reason: String,
     },
-    /// The disk has no room for the change. The same change can be saved once there is.
-    #[display("{}: the disk is full: free space on it or enlarge it", path.display())]
+    /// The disk has no room for the change, or a limit of the system on the size of all files or of
+    /// one is reached. The same change can be saved once there is room.
+    #[display("{}: the disk is full: free space on it or enlarge it, or raise the limit on file sizes", path.display())]
     Full {
         /// The file or folder.
         path: PathBuf,
@@ -110,9 +111,9 @@
     pub fn from_io(path: &Path, err: &io::Error) -> StorageError {
         let path = path.to_owned();
         match err.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
-                StorageError::Full { path }
-            }
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::FileTooLarge => StorageError::Full { path },
             _ => StorageError::Io { path, reason: err.to_string() },
         }
     }
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -12,7 +12,7 @@
 use futures::channel::mpsc;
 use monoio::{io::AsyncReadRent, net::UnixStream};
 use signal_hook::{
-    consts::{SIGHUP, SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ},
     flag,
     low_level::pipe,
 };
@@ -31,7 +31,8 @@
 }
 
 impl Signals {
-    /// Installs the handlers of SIGTERM, SIGINT and SIGHUP.
+    /// Installs the handlers of SIGTERM, SIGINT and SIGHUP, and one of SIGXFSZ, without which a write
+    /// beyond the limit on file sizes ends the process instead of failing.
     ///
     /// # Errors
     /// Errors of the operating system while the handlers are installed.
@@ -40,6 +41,8 @@
         for signal in STOP_SIGNALS {
             flag::register(signal, Arc::clone(&stop_requested))?;
         }
+        // The write that failed is handled where it was made, so nobody reads this flag.
+        flag::register(SIGXFSZ, Arc::default())?;
         let (stops, reloads) = (queue_signals(&STOP_SIGNALS)?, queue_signals(&[SIGHUP])?);
         Ok(Signals { stop_requested, stops, reloads })
     }
