Join anew after the log in the data folder was damaged

What callers saw: a control VM whose log is empty, cut off or no database, as a loss of power or a disk may leave it, ended with exit code 1 at each start.

Cause: damage was final and left to an operator, also where no operator formats folders; a log that is empty or cut off was not even told from a failing disk.

Why the fix works: a damaged log is a lost disk, which the design knows: the node formats a new disk with a random id and joins as a new member; its old identity is never admitted again. The new log takes the place of the damaged one in a single rename, so that no moment leaves a folder that seems empty, which a seed would format under the id that has voted. The damaged log is kept as log.redb.damaged. A record that is whole but unknown to this build is told from damage (UnknownRecord) and stays final, as do other errors of the disk, and damage where operators format the folders.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -92,6 +92,14 @@
         /// The number of the format.
         format: u32,
     },
+    /// A record is whole, but of a form that this build does not know. The file is unchanged.
+    #[display("{}: {detail}: run the build that wrote it on this folder", path.display())]
+    UnknownRecord {
+        /// The file.
+        path: PathBuf,
+        /// Which record it is.
+        detail: String,
+    },
     /// Saved data fails its checksum or is inconsistent.
     #[display(
         "{}: {detail}: move the folder away, format a new one and let the node join as a new member",
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{bail, ensure};
 use clock::SystemClock;
-use consensus::{DiskId, Members, Peer, Snapshot, StorageError};
+use consensus::{DiskId, Members, Peer, Snapshot, Storage, StorageError};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, dial};
 use std::time::Duration;
@@ -49,6 +49,38 @@
 /// The disk id of all bootstrap members, fixed so that each knows it before any of them runs.
 const BOOTSTRAP_DISK: DiskId = DiskId(1);
 
+/// Opens the log in the data folder. A folder that no operator formats is formatted first if it is
+/// empty.
+///
+/// A damaged log, as a loss of power may leave it, is lost: the state is incomplete, so the node must
+/// not vote by it. Where no operator formats folders, the node joins anew under a new disk id, as after
+/// a loss of its disk.
+///
+/// # Errors
+///
+/// If the folder cannot be read or written, or is damaged and formatted by operators.
+pub(crate) fn open_log(settings: &Settings) -> Result<LogFile, StorageError> {
+    if !settings.peers.is_empty() {
+        return LogFile::open(&settings.data_dir, &storage::Settings::default());
+    }
+    format_if_empty(settings)?;
+    match open_whole(settings) {
+        Err(error @ StorageError::Corrupt { .. }) => {
+            let disk = storage::replace_damaged(&settings.data_dir, &storage::Settings::default())?;
+            tracing::error!(event = "disk_damaged", %error, new_disk = %disk, purpose = "join");
+            open_whole(settings)
+        }
+        result => result,
+    }
+}
+
+/// Opens the log and checks that all of its records can be read.
+fn open_whole(settings: &Settings) -> Result<LogFile, StorageError> {
+    let log = LogFile::open(&settings.data_dir, &storage::Settings::default())?;
+    log.load()?;
+    Ok(log)
+}
+
 /// Formats the data folder if it is empty, without an operator.
 ///
 /// The seeds bootstrap the cluster together: each starts with the same list of members, so none has
@@ -58,7 +90,7 @@
 /// # Errors
 ///
 /// If the folder cannot be written.
-pub fn format_if_empty(settings: &Settings) -> Result<(), StorageError> {
+fn format_if_empty(settings: &Settings) -> Result<(), StorageError> {
     if storage::is_formatted(&settings.data_dir) {
         return Ok(());
     }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -19,12 +19,11 @@
 use httpio::server::{self, BindError, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
-use storage::LogFile;
 use telemetry::Secret;
 
 use crate::{
     AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
-    bootstrap::format_if_empty,
+    bootstrap::open_log,
     commands::CommandCheck,
     disk_writer::retry_while_full,
     handler::{Handler, Tokens, unreadable_throttle},
@@ -132,7 +131,8 @@
     start.set_log_filter(&settings.log)?;
     ::daemon::log_unknown_settings(&settings.unknown);
     let of_disk = settings.clone();
-    let log_file = start.run_step("open the data folder", move || open_disk(&of_disk))??;
+    let open_disk = move || retry_while_full(|| open_log(&of_disk));
+    let log_file = start.run_step("open the data folder", open_disk)??;
     let tokens = match &settings.token_files {
         Some(files) => Some(Tokens {
             command: Secret::read(&files.command)?,
@@ -159,14 +159,6 @@
     })
 }
 
-/// Opens the log in the data folder, which is formatted first if it is empty.
-fn open_disk(settings: &Settings) -> Result<LogFile, StorageError> {
-    if settings.peers.is_empty() {
-        retry_while_full(|| format_if_empty(settings))?;
-    }
-    retry_while_full(|| LogFile::open(&settings.data_dir, &storage::Settings::default()))
-}
-
 /// Serves until a stop is requested.
 ///
 /// # Errors
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,7 +25,7 @@
 mod version_history;
 
 pub use address_book::{AddressBook, node_id_of};
-pub use bootstrap::{FormatMode, format, format_if_empty};
+pub use bootstrap::{FormatMode, format};
 pub use commands::CommandCheck;
 pub use disk_writer::{DiskWriter, SaveResult};
 pub use documents::{Documents, OperatorApi, Unavailable};
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -150,6 +150,11 @@
         fs::remove_dir_all(self.data_dir(node)).expect("the test folder is writable");
     }
 
+    /// Leaves a node's log empty, as a loss of power may.
+    pub(crate) fn empty_log(&self, node: usize) {
+        fs::write(self.data_dir(node).join("log.redb"), []).expect("the test folder is writable");
+    }
+
     /// The size of all files in a node's data folder.
     pub(crate) fn disk_bytes(&self, node: usize) -> u64 {
         let files = fs::read_dir(self.data_dir(node)).expect("the data folder is readable");
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -12,6 +12,8 @@
 
 const LOG_FILE: &str = "log.redb";
 const TEMPORARY_FILE: &str = "log.redb.unfinished";
+/// The last log that was found damaged.
+const DAMAGED_FILE: &str = "log.redb.damaged";
 
 /// Whether `folder` is formatted.
 pub fn is_formatted(folder: &Path) -> bool {
@@ -44,18 +46,46 @@
     create_log(folder, settings, disk, Some(start))
 }
 
+/// Formats `folder` as a new disk in place of one whose log is damaged, and returns the random id of
+/// the new disk. The damaged log is kept beside the new one.
+///
+/// The new log takes the place of the old one in a single step, so a process that ends early never
+/// leaves a folder that seems to be empty, which a first member of a cluster would format under an id
+/// that has voted already.
+///
+/// # Errors
+/// Fails if the folder cannot be written.
+pub fn replace_damaged(folder: &Path, settings: &Settings) -> Result<DiskId, StorageError> {
+    let io_error = |err| StorageError::from_io(folder, &err);
+    let damaged = folder.join(DAMAGED_FILE);
+    remove_if_exists(&damaged).map_err(io_error)?;
+    fs::hard_link(folder.join(LOG_FILE), &damaged).map_err(io_error)?;
+    let disk = DiskId(rand::random());
+    put_log(folder, settings, disk, None)?;
+    Ok(disk)
+}
+
 fn create_log(
     folder: &Path,
     settings: &Settings,
     disk: DiskId,
     start: Option<Snapshot>,
 ) -> Result<(), StorageError> {
-    let path = folder.join(LOG_FILE);
-    if path.exists() {
+    if is_formatted(folder) {
         return Err(StorageError::AlreadyFormatted { path: folder.to_owned() });
     }
+    fs::create_dir_all(folder).map_err(|err| StorageError::from_io(folder, &err))?;
+    put_log(folder, settings, disk, start)
+}
+
+/// Writes a new log to a file of its own, and moves that to its place once it is saved.
+fn put_log(
+    folder: &Path,
+    settings: &Settings,
+    disk: DiskId,
+    start: Option<Snapshot>,
+) -> Result<(), StorageError> {
     let io_error = |err| StorageError::from_io(folder, &err);
-    fs::create_dir_all(folder).map_err(io_error)?;
     let temporary = folder.join(TEMPORARY_FILE);
     remove_if_exists(&temporary).map_err(io_error)?;
     let mut log = LogFile::create(&temporary, settings, disk)?;
@@ -63,7 +93,7 @@
         log.bootstrap(start)?;
     }
     drop(log);
-    fs::rename(&temporary, &path).map_err(io_error)?;
+    fs::rename(&temporary, folder.join(LOG_FILE)).map_err(io_error)?;
     File::open(folder).and_then(|it| it.sync_all()).map_err(io_error)
 }
 
--- a/crates/storage/src/log_file.rs
+++ b/crates/storage/src/log_file.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt,
+    io::ErrorKind,
     path::{Path, PathBuf},
 };
 
@@ -13,7 +14,10 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{CommitPhases, Settings, folder, record};
+use crate::{
+    CommitPhases, Settings, folder,
+    record::{self, RecordError},
+};
 
 /// The values that exist once: the disk id, the hard state, the snapshot and the number of the format.
 const SINGLES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("singles");
@@ -128,7 +132,7 @@
             Ok(table.get(key)?.map(|it| it.value().to_vec()))
         };
         let bytes = read().map_err(|err| self.error(err))?;
-        bytes.map(|it| record::decode(key, &it).map_err(|detail| self.corrupt(detail))).transpose()
+        bytes.map(|it| record::decode(key, &it).map_err(|err| err.of_file(&self.path))).transpose()
     }
 
     fn read_entries(&self) -> Result<Vec<Entry>, StorageError> {
@@ -143,7 +147,7 @@
         };
         let records = read().map_err(|err| self.error(err))?;
         let entries = records.into_iter().map(|(key, bytes)| record::decode::<Entry>(key, &bytes));
-        entries.collect::<Result<_, _>>().map_err(|detail| self.corrupt(detail))
+        entries.collect::<Result<_, _>>().map_err(|err: RecordError| err.of_file(&self.path))
     }
 
     /// Checks that no entry is missing after the snapshot.
@@ -281,6 +285,12 @@
     match err {
         redb::Error::Corrupted(detail) => StorageError::Corrupt { path, detail },
         redb::Error::DatabaseAlreadyOpen => StorageError::InUse { path },
+        // The file is no database, or is cut off.
+        redb::Error::Io(err)
+            if matches!(err.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof) =>
+        {
+            StorageError::Corrupt { path, detail: err.to_string() }
+        }
         redb::Error::Io(err) => StorageError::from_io(&path, &err),
         err => StorageError::Io { path, reason: err.to_string() },
     }
--- a/crates/storage/src/state_file.rs
+++ b/crates/storage/src/state_file.rs
@@ -43,7 +43,9 @@
             return Err(corrupt("the file has no format".to_owned()));
         };
         match u32::from_le_bytes(*format) {
-            FORMAT => record::decode(u64::from(FORMAT), record).map(Some).map_err(corrupt),
+            FORMAT => record::decode(u64::from(FORMAT), record)
+                .map(Some)
+                .map_err(|err| err.of_file(&self.path)),
             format => Err(StorageError::LaterFormat { path: self.path.clone(), format }),
         }
     }
--- a/crates/storage/tests/data_folder.rs
+++ b/crates/storage/tests/data_folder.rs
@@ -10,7 +10,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use redb::{Database, ReadableTable, TableDefinition};
 use sample::{append, truncate};
-use storage::{LogFile, Settings, format};
+use storage::{LogFile, Settings, format, replace_damaged};
 use tempfile::TempDir;
 
 const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
@@ -115,6 +115,44 @@
     assert!(open_error(&folder).starts_with("/log.redb: entries after 4 are missing"));
 }
 
+/// Guards against a log that was cut off and is taken for whole, or for an error that is no damage.
+#[test]
+fn cut_off_log() {
+    let (folder, mut log) = formatted();
+    log.save(&append(1, 1..=200)).unwrap();
+    let saved = log.load().unwrap();
+    drop(log);
+    let path = folder.path().join("log.redb");
+    let whole = fs::read(&path).unwrap();
+    let lengths = [0, 1, 9, 100, 4_095].into_iter().chain((4_096..whole.len()).step_by(64 << 10));
+    for length in lengths {
+        fs::write(&path, &whole[..length]).unwrap();
+        match open(&folder).and_then(|it| it.load()) {
+            Ok(recovered) => assert_eq!(recovered, saved, "cut off after {length} bytes"),
+            Err(StorageError::Corrupt { .. }) => {}
+            Err(err) => panic!("cut off after {length} bytes: {err}"),
+        }
+    }
+}
+
+/// Guards against a new disk in place of a damaged one that has the old id, or that cannot be made a
+/// second time.
+#[test]
+fn damaged_log_replaced() {
+    let (folder, log) = formatted();
+    let mut disks = vec![log.disk()];
+    drop(log);
+    for _ in 0..2 {
+        fs::write(folder.path().join("log.redb"), "damaged").unwrap();
+        let disk = replace_damaged(folder.path(), &Settings::default()).unwrap();
+        let log = open(&folder).unwrap();
+        assert_eq!((log.disk(), log.load().unwrap()), (disk, Recovered::default()));
+        assert!(!disks.contains(&disk));
+        disks.push(disk);
+        assert_eq!(fs::read(folder.path().join("log.redb.damaged")).unwrap(), b"damaged");
+    }
+}
+
 /// Edits the record of entry 5 directly in the database; a record that is then empty is removed.
 fn edit_entry_5(folder: &TempDir, change: impl FnOnce(&mut Vec<u8>)) {
     let database = Database::open(folder.path().join("log.redb")).unwrap();
