Answer operators' calls before a stopping control VM ends

Operators saw: in a planned stop of a control VM, calls in flight were cut, so that it was unknown whether a change was in force.

Cause: the stop only handed over leadership and vote, and then ended the process with whatever calls were open; its listener accepted calls until then. During the stop the member also no longer processed the results of its own disk, on which a commit may wait.

Change: with the stop request the operators' listener closes, what has not arrived completely after 1 s is refused, and the process ends once calls in flight are answered, at the latest 5 s after the request. The hand-over runs at the same time, and the member goes on with its disk.

Why it works: a call waits for a commit for 3 s at most and is then answered as in doubt, which fits into the 5 s.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -11,7 +11,7 @@
 use ::daemon::{Admin, Launch, RequestStream, Start};
 use anyhow::{Context, bail};
 use clock::{Clock, SystemClock};
-use consensus::{NodeId, Peer, Storage, StorageError};
+use consensus::{Peer, Storage, StorageError};
 use directory::{Directory, Reader};
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
@@ -26,6 +26,7 @@
     bootstrap::open_log,
     commands::CommandCheck,
     disk_writer::retry_while_full,
+    graceful_stop::{self, OperatorServer},
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
     hub_broadcast::HubBroadcast,
@@ -42,13 +43,6 @@
 /// synced learner takes its vote.
 const VOTER_TIMEOUT_ELECTIONS: u32 = 2;
 
-/// How long a graceful stop waits until a learner has this member's vote.
-const GIVE_UP_VOTE_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// How long a graceful stop waits until another member leads.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
-const TRANSFER_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The maximum size of a request body on the operators' listener.
 const OPERATOR_BODY_BYTES_MAX: usize = 8 << 20;
 
@@ -209,12 +203,12 @@
         let source = ListSource { reader, period, replica: replica.clone() };
         monoio::spawn(servers.clone().keep_fresh(source));
     }
-    if let (Some(listener), Some(platform)) = (listeners.operators, parts.platform) {
+    let operators = listeners.operators.zip(parts.platform).map(|(listener, platform)| {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
         let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
         let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
-        monoio::spawn(server::serve(listener, settings, StopSignals::default(), handler));
-    }
+        OperatorServer::start(listener, settings, handler)
+    });
     let broadcast = HubBroadcast {
         replica: replica.clone(),
         hub: hub.clone(),
@@ -239,15 +233,16 @@
     tracing::info!(event = "serving", member = %me, failure_domain = %settings.failure_domain);
 
     let disk_fault = replica.clone().handle_save_results(saved).fuse();
-    pin_mut!(disk_fault);
+    let stopped = async {
+        stop_requests.next().await;
+        graceful_stop::run(&replica, operators).await;
+    }
+    .fuse();
+    pin_mut!(disk_fault, stopped);
+    // The member must go on with its disk during the stop, so that changes in flight can be committed.
     select_biased! {
         fault = disk_fault => fail(fault),
-        _ = stop_requests.next().fuse() => {
-            transfer_leadership(&replica).await;
-            give_up_vote(&replica).await;
-            tracing::info!(event = "stopped");
-            Ok(())
-        }
+        () = stopped => Ok(()),
     }
 }
 
@@ -276,25 +271,3 @@
         None => bail!("the disk thread has ended: restart the process"),
     }
 }
-
-/// Moves this member's vote to a synced learner, if there is one, so that another VM may fail as soon
-/// as this one is gone.
-async fn give_up_vote(replica: &Replica) {
-    if monoio::time::timeout(GIVE_UP_VOTE_TIMEOUT, replica.give_up_vote()).await.is_err() {
-        tracing::warn!(event = "vote_kept", reason = "no learner took it in time");
-    }
-}
-
-/// Transfers the leadership to another member, so that commands do not wait for an election.
-async fn transfer_leadership(replica: &Replica) {
-    let Some(target) = replica.start_transfer() else { return };
-    tracing::info!(event = "handing_over", target = %target.node);
-    let transferred = async {
-        while replica.leads() {
-            monoio::time::sleep(TRANSFER_POLL_INTERVAL).await;
-        }
-    };
-    if monoio::time::timeout(TRANSFER_TIMEOUT, transferred).await.is_err() {
-        tracing::warn!(event = "handover_timed_out", node = %NodeId(target.node.0));
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod disk_writer;
 mod documents;
 mod envelope;
+mod graceful_stop;
 mod handler;
 mod health;
 mod hub_broadcast;
