Check hops and streams of a stopping router

Callers could see: a request that a stopping router hands to another router is given more time there than the stopping one has; a request that another router hands to it late; a stream in flight.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -21,6 +21,7 @@
     access_log::{AccessRecord, AnswerSummary},
     arrival::Arrival,
     class_limits::{ClassLimits, Permit},
+    deadline::before_stop,
     dialect::{Dialect, RequestMetadata},
     forwarding::{self, ForwardedHandler, Hop, Origin},
     identity::Caller,
@@ -118,6 +119,7 @@
         let current = self.tables.current();
         if current.routes.is_empty() {
             let wait = metadata.timeout.unwrap_or(STARTUP_TIME).min(STARTUP_TIME) / 2;
+            let wait = self.services.stop.limit(wait);
             // If there are still no tables, the later stages refuse the request.
             let _ = time::timeout(wait, self.tables.newer_than(current.revision)).await;
         }
@@ -177,14 +179,12 @@
         let mut routed = routed;
         let is_taken_up = exchange == Exchange::ResumableEvents && metadata.last_event.is_some();
         let version = match is_taken_up {
-            true => Some(
-                restrict_to_origin(
-                    &self.services,
-                    &mut routed,
-                    metadata.resumed_request.as_deref(),
-                )
-                .await?,
-            ),
+            true => {
+                let begun_by = metadata.resumed_request.as_deref();
+                let found = restrict_to_origin(&self.services, &mut routed, begun_by);
+                let found = before_stop(&self.services.stop, found).await;
+                Some(found.unwrap_or_else(|| Err(refusals::deadline_passed(Outcome::NotRun)))?)
+            }
             false => None,
         };
         let services = Rc::clone(&self.services);
