Replace a damaged log where the file system has no links

Keeping the damaged log is a service to operators, no condition: if it fails, the log says so (damaged_log_not_kept) and the node joins anew.

--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -11,7 +11,7 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use rpc::{ByteCounters, dial};
 use std::time::Duration;
-use storage::LogFile;
+use storage::{LogFile, ReplacedDisk};
 
 use crate::{Settings, version_history};
 
@@ -66,8 +66,12 @@
     format_if_empty(settings)?;
     match open_whole(settings) {
         Err(error @ StorageError::Corrupt { .. }) => {
-            let disk = storage::replace_damaged(&settings.data_dir, &storage::Settings::default())?;
+            let ReplacedDisk { disk, not_kept } =
+                storage::replace_damaged(&settings.data_dir, &storage::Settings::default())?;
             tracing::error!(event = "disk_damaged", %error, new_disk = %disk, purpose = "join");
+            if let Some(error) = not_kept {
+                tracing::warn!(event = "damaged_log_not_kept", %error);
+            }
             open_whole(settings)
         }
         result => result,
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -46,8 +46,17 @@
     create_log(folder, settings, disk, Some(start))
 }
 
-/// Formats `folder` as a new disk in place of one whose log is damaged, and returns the random id of
-/// the new disk. The damaged log is kept beside the new one.
+/// A new disk in place of one whose log was damaged.
+#[derive(Debug)]
+pub struct ReplacedDisk {
+    /// The random id of the new disk.
+    pub disk: DiskId,
+    /// Why the damaged log is not kept beside the new one, if it is not.
+    pub not_kept: Option<StorageError>,
+}
+
+/// Formats `folder` as a new disk in place of one whose log is damaged. The damaged log is kept beside
+/// the new one, if the file system has links.
 ///
 /// The new log takes the place of the old one in a single step, so a process that ends early never
 /// leaves a folder that seems to be empty, which a first member of a cluster would format under an id
@@ -55,14 +64,17 @@
 ///
 /// # Errors
 /// Fails if the folder cannot be written.
-pub fn replace_damaged(folder: &Path, settings: &Settings) -> Result<DiskId, StorageError> {
-    let io_error = |err| StorageError::from_io(folder, &err);
-    let damaged = folder.join(DAMAGED_FILE);
-    remove_if_exists(&damaged).map_err(io_error)?;
-    fs::hard_link(folder.join(LOG_FILE), &damaged).map_err(io_error)?;
+pub fn replace_damaged(folder: &Path, settings: &Settings) -> Result<ReplacedDisk, StorageError> {
+    let not_kept = keep_damaged(folder).err().map(|err| StorageError::from_io(folder, &err));
     let disk = DiskId(rand::random());
     put_log(folder, settings, disk, None)?;
-    Ok(disk)
+    Ok(ReplacedDisk { disk, not_kept })
+}
+
+fn keep_damaged(folder: &Path) -> io::Result<()> {
+    let damaged = folder.join(DAMAGED_FILE);
+    remove_if_exists(&damaged)?;
+    fs::hard_link(folder.join(LOG_FILE), damaged)
 }
 
 fn create_log(
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -12,7 +12,7 @@
 mod settings;
 mod state_file;
 
-pub use folder::{format, format_bootstrap_member, is_formatted, replace_damaged};
+pub use folder::{ReplacedDisk, format, format_bootstrap_member, is_formatted, replace_damaged};
 pub use log_file::LogFile;
 pub use settings::{CommitPhases, Settings};
 pub use state_file::StateFile;
--- a/crates/storage/tests/data_folder.rs
+++ b/crates/storage/tests/data_folder.rs
@@ -144,7 +144,9 @@
     drop(log);
     for _ in 0..2 {
         fs::write(folder.path().join("log.redb"), "damaged").unwrap();
-        let disk = replace_damaged(folder.path(), &Settings::default()).unwrap();
+        let replaced = replace_damaged(folder.path(), &Settings::default()).unwrap();
+        assert!(replaced.not_kept.is_none(), "{replaced:?}");
+        let disk = replaced.disk;
         let log = open(&folder).unwrap();
         assert_eq!((log.disk(), log.load().unwrap()), (disk, Recovered::default()));
         assert!(!disks.contains(&disk));
@@ -153,6 +155,19 @@
     }
 }
 
+/// Guards against a damaged log that is not replaced because it cannot be kept, as on a file system
+/// without links.
+#[test]
+fn damaged_log_not_kept() {
+    let (folder, log) = formatted();
+    drop(log);
+    fs::write(folder.path().join("log.redb"), "damaged").unwrap();
+    fs::create_dir(folder.path().join("log.redb.damaged")).unwrap();
+    let replaced = replace_damaged(folder.path(), &Settings::default()).unwrap();
+    assert!(replaced.not_kept.is_some());
+    assert_eq!(open(&folder).unwrap().disk(), replaced.disk);
+}
+
 /// Edits the record of entry 5 directly in the database; a record that is then empty is removed.
 fn edit_entry_5(folder: &TempDir, change: impl FnOnce(&mut Vec<u8>)) {
     let database = Database::open(folder.path().join("log.redb")).unwrap();
