Refuse heads with bare line feeds also when a body follows

What callers saw: a 200 with a short body, framed as whole. The check for lines that end without a carriage return ran only when the codec found no end of a head. The codec looks for the first CR LF CR LF in all that has arrived; if the head ended with LF LF and its body held an empty line, all up to there was taken for the head, and the parser, which stops at LF LF, dropped the rest of it: a part of the body. On the server's side a second request behind such a head was lost the same way.

Before: `bare_line_feeds` in malformed_responses.rs got "200 OK: second" for the body "first\r\n\r\nsecond". The check now covers the head up to its end, before it is decoded, so such a head is malformed whatever follows. After: `cargo test -p httpio` passes. The existing check of rejected_requests.rs has a second case.

--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -84,21 +84,27 @@
     where
         D: Decoder<Error = DecodeError>,
     {
-        if self.buffer.len() >= limits.head_bytes && !self.has_head_within(limits.head_bytes) {
+        let end = self.head_end();
+        if self.buffer.len() >= limits.head_bytes && end.is_none_or(|it| it > limits.head_bytes) {
             return Err(HeadFault::TooBig);
         }
+        // The codec would wait forever for the end of such a head. If a body follows it, the codec would
+        // take the body for a part of the head and discard it.
+        if has_bare_line_feed(&self.buffer[..end.unwrap_or(self.buffer.len())]) {
+            return Err(HeadFault::BareLineFeed);
+        }
         match decoder.decode(&mut self.buffer).map_err(head_fault)? {
             Decoded::Some(head) => Ok(Some(head)),
-            // The codec would wait forever for the end of such a head.
-            _ if has_bare_line_feed(&self.buffer) => Err(HeadFault::BareLineFeed),
             // The codec skips empty lines before a head, so these need a bound as well.
             _ if self.buffer.len() >= limits.head_bytes => Err(HeadFault::TooBig),
             Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => Ok(None),
         }
     }
 
-    fn has_head_within(&self, bound: usize) -> bool {
-        self.buffer[..bound].windows(HEAD_END.len()).any(|it| it == HEAD_END)
+    /// The offset after the first empty line.
+    fn head_end(&self) -> Option<usize> {
+        let at = self.buffer.windows(HEAD_END.len()).position(|it| it == HEAD_END);
+        at.map(|it| it + HEAD_END.len())
     }
 }
 
--- a/crates/httpio/tests/malformed_responses.rs
+++ b/crates/httpio/tests/malformed_responses.rs
@@ -228,3 +228,19 @@
         expect!["the head of the answer is larger than allowed (request sent)"],
     );
 }
+
+/// Guards against a 200 with a short body: the client took a body that holds an empty line for a part of
+/// a head whose lines end without a carriage return, and discarded it.
+#[test]
+fn bare_line_feeds() {
+    let malformed = || {
+        expect![
+            "the answer is malformed: a line of the head ends without a carriage return; end lines with CR LF (request sent)"
+        ]
+    };
+    check_until_close("HTTP/1.1 200 OK\n\nfirst\r\n\r\nsecond", malformed());
+    check_until_close("HTTP/1.1 200 OK\r\nx: y\n\nfirst\r\n\r\nsecond", malformed());
+    check_until_close("HTTP/1.1 200 OK\ncontent-length: 6\n\nfirst\r\n\r\nsecond", malformed());
+    check_until_close("HTTP/1.1 200 OK\r\nx: y\n\r\n\r\nsecond", malformed());
+    check_until_close("HTTP/1.1 200 OK\r\n\r\nfirst\n\nsecond", expect!["200 OK: first\n\nsecond"]);
+}
--- a/crates/httpio/tests/rejected_requests.rs
+++ b/crates/httpio/tests/rejected_requests.rs
@@ -194,14 +194,16 @@
 
 #[test]
 fn bare_line_feeds() {
-    check(
-        "GET / HTTP/1.1\nhost: a\n\n",
+    let refused = || {
         expect![[r#"
             HTTP/1.1 400 Bad Request
             content-length: 71
             content-type: text/plain
             connection: close
 
-            a line of the head ends without a carriage return; end lines with CR LF"#]],
-    );
+            a line of the head ends without a carriage return; end lines with CR LF"#]]
+    };
+    check("GET / HTTP/1.1\nhost: a\n\n", refused());
+    // A second request ends as a head should.
+    check("GET / HTTP/1.1\nhost: a\n\nGET / HTTP/1.1\r\nhost: a\r\n\r\n", refused());
 }
