Take no unnamed answer on a kept connection

What callers saw: the answer, or the error, of another request. An answer that names no request was taken for the answer to the request under way. On a connection that carried an earlier request it may be a late copy of that one's answer, so it proves nothing, as a refusal without an ID already proved nothing. The router cannot tell; servers echo the ID that they receive.

Before: `never_passed_on` in left_over_bytes.rs got 200 "other" behind a late answer without an ID (second request of the connection, read; the order and the stream go the same way). Such an answer is now in doubt, if the request has an ID: what may be repeated goes on elsewhere, the caller of an order gets 502. On a new connection an answer need not name its request, as before. After: it passes for six kinds of left-over bytes, each on reads, orders and streams.

--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -42,6 +42,12 @@
 }
 
 impl Response {
+    /// Whether its connection carried an earlier exchange, of which a late answer may come.
+    #[must_use]
+    pub fn is_on_kept_connection(&self) -> bool {
+        self.body.is_on_kept_connection()
+    }
+
     /// Discards this response and reads the next one on the same connection, for example when this
     /// one belongs to an earlier request.
     ///
--- a/crates/httpio/src/client/body.rs
+++ b/crates/httpio/src/client/body.rs
@@ -34,6 +34,10 @@
         self.pool = pool;
     }
 
+    pub(super) fn is_on_kept_connection(&self) -> bool {
+        self.reading.as_ref().is_some_and(|it| it.connection.reused)
+    }
+
     /// Reads the next piece, or returns `None` after the end. Dropping the future loses no data.
     ///
     /// # Errors
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -138,9 +138,11 @@
         let backends = self.call.services.backends.clone();
         let addr = self.call.lease.server().addr;
         let id = self.id.clone();
+        // A server echoes the ID that it received.
+        let is_named = outgoing.headers.contains_key(REQUEST_ID_HEADER);
         let exchange = async move {
             let response = backends.exchange(addr, outgoing).await?;
-            matching_answer(response, &id).await
+            matching_answer(response, &id, is_named).await
         };
         if !self.is_repeatable() {
             let response = exchange.await?;
@@ -236,16 +238,25 @@
     }
 }
 
-/// Skips answers that belong to earlier requests of the connection.
+/// Skips answers that belong to earlier requests of the connection. If the request is named, an answer that
+/// names none may belong to any request of a connection that carried others.
 async fn matching_answer(
     mut response: Response,
     id: &HeaderValue,
+    is_named: bool,
 ) -> Result<Response, AttemptError> {
+    let mut carried_others = response.is_on_kept_connection() && is_named;
     for _ in 0..MISMATCHED_ANSWERS_MAX {
-        let echo = response.head.headers.get(REQUEST_ID_HEADER);
-        if echo.is_none_or(|it| it == id) {
-            return Ok(response);
+        match response.head.headers.get(REQUEST_ID_HEADER) {
+            Some(echo) if echo == id => return Ok(response),
+            None if !carried_others => return Ok(response),
+            None => {
+                let detail = "an answer on a kept connection names no request";
+                return Err(AttemptError::in_doubt(detail));
+            }
+            Some(_) => {}
         }
+        carried_others = true;
         response = response.next_response().await?;
     }
     Err(AttemptError::in_doubt("the answers belong to other requests"))
