Break streams that hold bytes which are no event

What callers saw: the head or the text of a server's error in the middle of their stream. A stream without a length or chunks is whatever the server writes until it closes. The splitter takes all up to an empty line for an event, and the head of an HTTP message ends with one, so it was relayed; then the stream went on elsewhere.

Now a block is an event only if it has a field of the format or a comment and no line of a message's head; anything else breaks the stream off, which goes on elsewhere if it may. Fields that are unknown are let pass beside known ones. A text that is cut off within a data line and is followed by no such line can't be told.

--- a/crates/httpio/src/sse.rs
+++ b/crates/httpio/src/sse.rs
@@ -9,6 +9,15 @@
 /// The media type of an event stream.
 pub const CONTENT_TYPE: &str = "text/event-stream";
 
+/// The fields of the format.
+const EVENT_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+/// Fields that are in the head of nearly every HTTP message, and in no event.
+const MESSAGE_FIELDS: [&[u8]; 4] =
+    [b"connection", b"content-length", b"content-type", b"transfer-encoding"];
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+/// May precede the first event.
+const BYTE_ORDER_MARK: &[u8] = b"\xEF\xBB\xBF";
+
 /// An incomplete event exceeds the size limit of its splitter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("an event is larger than {limit_bytes} bytes; send smaller events")]
@@ -62,6 +71,31 @@
     }
 }
 
+/// Whether a block that ends with an empty line is an event: it has a field of the format, a comment, or
+/// nothing at all, and no line of an HTTP message's head. A server that fails within a stream may write
+/// the text or the head of its error there, and without this check callers would receive them.
+#[must_use]
+pub fn is_event(block: &[u8]) -> bool {
+    let lines = || lines(block).filter(|it| !it.is_empty());
+    let has_event_field = lines().any(|it| it[0] == b':' || EVENT_FIELDS.contains(&name(it)));
+    (has_event_field || lines().next().is_none()) && !lines().any(is_of_message_head)
+}
+
+fn is_of_message_head(line: &[u8]) -> bool {
+    let is_message_field = |it: &&[u8]| it.eq_ignore_ascii_case(name(line));
+    line.starts_with(STATUS_LINE_START) || MESSAGE_FIELDS.iter().any(is_message_field)
+}
+
+fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let block = block.strip_prefix(BYTE_ORDER_MARK).unwrap_or(block);
+    block.split(|it| *it == b'\n').map(|it| it.strip_suffix(b"\r").unwrap_or(it))
+}
+
+/// The name of a line's field.
+fn name(line: &[u8]) -> &[u8] {
+    line.split(|it| *it == b':').next().unwrap_or_default()
+}
+
 /// The value of the first field called `name`, for example `data` or `event`.
 #[must_use]
 pub fn field<'a>(event: &'a [u8], name: &str) -> Option<&'a [u8]> {
--- a/crates/httpio/tests/event_splitter.rs
+++ b/crates/httpio/tests/event_splitter.rs
@@ -61,3 +61,29 @@
         prop_assert_eq!(events(&chunks, 1_000), expected);
     }
 }
+
+/// Guards against texts and heads of errors that are taken for events, and against events that are not.
+#[test]
+fn foreign_blocks() {
+    let events = [
+        "id: 4\ndata: piece 4\n\n",
+        "x-version: 3\r\nid: 4\r\ndata: HTTP/1.1 500 as a text\r\n\r\n",
+        "data\n\n",
+        ": comment\n\n",
+        "\n\n",
+        "\u{feff}data: first\n\n",
+    ];
+    for event in events {
+        assert!(sse::is_event(event.as_bytes()), "{event:?}");
+    }
+    let others = [
+        "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\n",
+        "id: 4\ndata: pieHTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\n",
+        "data: piece\nHTTP/1.1 502 Bad Gateway\r\n\r\n",
+        "upstream error\n\n",
+        "Error: no upstream\n\n",
+    ];
+    for other in others {
+        assert!(!sse::is_event(other.as_bytes()), "{other:?}");
+    }
+}
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -263,7 +263,8 @@
     async fn next(&mut self) -> Result<Option<Bytes>, AttemptError> {
         loop {
             match self.splitter.next_event() {
-                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(Some(event)) if sse::is_event(&event) => return Ok(Some(event)),
+                Ok(Some(_)) => return Err(not_an_event()),
                 Ok(None) => {}
                 Err(error) => return Err(AttemptError::in_doubt(error.to_string())),
             }
@@ -281,3 +282,7 @@
     let detail = "the answer ended within an event".to_owned();
     AttemptError { failure: FailureKind::Reset, execution: Execution::MayHaveRun, detail }
 }
+
+fn not_an_event() -> AttemptError {
+    AttemptError::in_doubt("the stream holds bytes that are no event, such as the text of an error")
+}
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -100,6 +100,10 @@
                 return None;
             }
             match self.splitter.next_event() {
+                Ok(Some(raw)) if !sse::is_event(&raw) => {
+                    let detail = "the engine's stream holds bytes that are no event";
+                    return Some(Err(AttemptError::in_doubt(detail)));
+                }
                 Ok(Some(raw)) => match self.read(raw) {
                     Ok(Some(event)) => return Some(Ok(event)),
                     Ok(None) => continue,
