Treat a stream without a length that ends before its first event as broken

What callers saw: a 200 with an empty stream, framed as whole; or a stream that ended as if complete because the server that went on with it closed its connection at once. Where neither a length nor chunks say where the events end, the end of the connection does, and a server that dies after the head ends it too.

The end of the connection now ends a stream only behind an event.

A continuation that declares a length of zero, or ends its chunks, is still believed: the stream may have broken off behind its last event, and no event marks the end.

--- a/crates/httpio/src/client/body.rs
+++ b/crates/httpio/src/client/body.rs
@@ -34,6 +34,12 @@
         self.pool = pool;
     }
 
+    /// Whether the end of the connection is the only sign of the body's end.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.reading.as_ref().is_some_and(|it| it.decoder.ends_at_eof())
+    }
+
     pub(super) fn is_on_kept_connection(&self) -> bool {
         self.reading.as_ref().is_some_and(|it| it.connection.reused)
     }
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -46,6 +46,9 @@
 struct EventSource {
     body: Body,
     splitter: Splitter,
+    /// Whether only the end of the connection marks the end of the events.
+    is_unsized: bool,
+    has_event: bool,
 }
 
 /// How the relay of a stream ended.
@@ -257,13 +260,21 @@
 
 impl EventSource {
     fn new(response: Response) -> EventSource {
-        EventSource { body: response.body, splitter: Splitter::new(EVENT_BYTES_MAX) }
+        EventSource {
+            is_unsized: response.body.ends_with_connection(),
+            body: response.body,
+            splitter: Splitter::new(EVENT_BYTES_MAX),
+            has_event: false,
+        }
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, AttemptError> {
         loop {
             match self.splitter.next_event() {
-                Ok(Some(event)) if sse::is_event(&event) => return Ok(Some(event)),
+                Ok(Some(event)) if sse::is_event(&event) => {
+                    self.has_event |= sse::field(&event, "data").is_some();
+                    return Ok(Some(event));
+                }
                 Ok(Some(_)) => return Err(not_an_event()),
                 Ok(None) => {}
                 Err(error) => return Err(AttemptError::in_doubt(error.to_string())),
@@ -271,15 +282,20 @@
             match self.body.next().await {
                 Some(Ok(data)) => self.splitter.push(&data),
                 Some(Err(error)) => return Err(error.into()),
-                None if self.splitter.has_partial_event() => return Err(truncated()),
+                None if self.splitter.has_partial_event() => {
+                    return Err(truncated("the answer ended within an event"));
+                }
+                None if self.is_unsized && !self.has_event => {
+                    return Err(truncated("the connection ended before the first event"));
+                }
                 None => return Ok(None),
             }
         }
     }
 }
 
-fn truncated() -> AttemptError {
-    let detail = "the answer ended within an event".to_owned();
+fn truncated(detail: &str) -> AttemptError {
+    let detail = detail.to_owned();
     AttemptError { failure: FailureKind::Reset, execution: Execution::MayHaveRun, detail }
 }
 
