Refuse answers of other routers that declare no length

What callers would see: a short answer, framed as whole. Answers of other routers were read like those of backend servers, whose connection may end an answer. A router always declares a length or chunks, so an answer without either comes from something else at that address or from a peer that is out of order.

Before: `dying_peer` in broken_hops.rs got 200 "cut", whole, for an order, and three events, whole, for a stream, from a peer that declares nothing and closes. After: ten broken answers of a peer (in the head, in the body, without a length, in the failure that it states) reach no caller as whole, and none as "not run".

--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -10,7 +10,7 @@
 use futures::{FutureExt, StreamExt, pin_mut, select_biased, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Uri, header};
 use httpio::{
-    Limits,
+    Limits, UnsizedBody,
     client::{Body, ClientError, Pool, PoolSettings, Request, Response, Stage},
     server::{Reply, StreamSender},
     signal::Signal,
@@ -72,14 +72,19 @@
 }
 
 impl PeerClient {
-    /// Creates a client without connections. Its answers are limited like those of backend servers.
+    /// Creates a client without connections. Its answers are limited like those of backend servers, but a
+    /// router always declares where its answer ends: one without that comes from a peer that died.
     pub(crate) fn new(
         vm: &str,
         token: Option<Secret>,
         limits: Limits,
         clock: Rc<dyn Clock>,
     ) -> PeerClient {
-        let limits = Limits { connect_timeout_ms: CONNECT_TIMEOUT_MS, ..limits };
+        let limits = Limits {
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            unsized_body: UnsizedBody::Refused,
+            ..limits
+        };
         let pool = |idle_age_ms| {
             let settings = PoolSettings { limits, idle_per_server: IDLE_PER_PEER, idle_age_ms };
             Pool::new(settings, Rc::clone(&clock))
