Read and write no body where a reply has none

The server wrote the chunks of a streamed reply also to HEAD requests and with status 204 or 304, and the client waited for the body that the head of an answer to HEAD declares, or would read what came next on the connection as that body.

Whether a reply has a body now follows from the method of its request and from its status, on both sides.

--- a/crates/httpio/src/client/connection.rs
+++ b/crates/httpio/src/client/connection.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use futures::FutureExt;
-use http::{HeaderValue, StatusCode, Version, header};
+use http::{HeaderValue, Method, StatusCode, Version, header};
 use monoio::{io::Splitable, net::TcpStream, time};
 use monoio_http::{common::response::ResponseHead, h1::codec::decoder::ResponseHeadDecoder};
 
@@ -22,6 +22,8 @@
     pub(super) limits: Limits,
     addr: SocketAddr,
     pub(super) reused: bool,
+    /// The method of the request under way.
+    method: Method,
     /// How long the server keeps an idle connection, from the `Keep-Alive` field of its response.
     pub(super) server_idle_timeout: Option<Duration>,
 }
@@ -44,7 +46,15 @@
         let (read, write) = stream.into_split();
         let inbound = Inbound::new(read);
         let outbound = Outbound::new(write, limits.write_timeout());
-        Ok(Connection { inbound, outbound, limits, addr, reused: false, server_idle_timeout: None })
+        Ok(Connection {
+            inbound,
+            outbound,
+            limits,
+            addr,
+            reused: false,
+            method: Method::default(),
+            server_idle_timeout: None,
+        })
     }
 
     /// The address of the server.
@@ -64,7 +74,8 @@
 
     pub(super) async fn read_response(mut self) -> Result<Response, ClientError> {
         let head = self.read_head().await?;
-        let framing = framing::of_response(head.status, &head.headers, self.limits.unsized_body)
+        let unsized_body = self.limits.unsized_body;
+        let framing = framing::of_response(&self.method, head.status, &head.headers, unsized_body)
             .map_err(|fault| self.fail(Stage::HeadReceived, FailureKind::Framing(fault)))?;
         let decoder = BodyDecoder::new(framing, &self.limits)
             .map_err(|fault| self.fail(Stage::HeadReceived, fault.into()))?;
@@ -81,6 +92,7 @@
                 .expect("a socket address is made of visible characters");
             headers.insert(header::HOST, host);
         }
+        self.method = method.clone();
         let result = self.outbound.write_request(method, uri, headers, body).await;
         result.map_err(|error| {
             let sent = self.outbound.sent_bytes > 0;
--- a/crates/httpio/src/framing.rs
+++ b/crates/httpio/src/framing.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, Method, StatusCode, header};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
@@ -60,15 +60,16 @@
     Ok(declared_framing(headers)?.unwrap_or(Framing::Empty))
 }
 
-/// Determines the framing of a response. A response that declares no length is handled according
-/// to `unsized_body`.
+/// Determines the framing of the response to a request of `method`. A response that declares no length
+/// is handled according to `unsized_body`.
 pub(crate) fn of_response(
+    method: &Method,
     status: StatusCode,
     headers: &HeaderMap,
     unsized_body: UnsizedBody,
 ) -> Result<Framing, FramingFault> {
     let declared = declared_framing(headers)?;
-    if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+    if is_always_empty(method, status) {
         return Ok(Framing::Empty);
     }
     match (declared, unsized_body) {
@@ -78,6 +79,11 @@
     }
 }
 
+/// Whether a response has no body, whatever its head declares.
+pub(crate) fn is_always_empty(method: &Method, status: StatusCode) -> bool {
+    method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, FramingFault> {
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -213,7 +213,10 @@
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         match body {
-            ReplyBody::Whole(_) if method == Method::HEAD => {
+            // The caller would take the bytes of a body for the next reply.
+            ReplyBody::Whole(_) | ReplyBody::Stream(_)
+                if framing::is_always_empty(method, status) =>
+            {
                 self.outbound.write_response(status, headers, Bytes::new()).await
             }
             ReplyBody::Whole(body) => self.outbound.write_response(status, headers, body).await,
--- a/crates/httpio/tests/support.rs
+++ b/crates/httpio/tests/support.rs
@@ -63,6 +63,24 @@
     (addr, count)
 }
 
+/// Writes one of `replies` verbatim after each read of a connection, and closes the connection behind the
+/// last one. Returns the count of accepted connections as well.
+pub(crate) fn raw_server_of(replies: Vec<&'static str>) -> (SocketAddr, Rc<Cell<usize>>) {
+    let (listener, addr) = listen();
+    let count = Rc::new(Cell::new(0));
+    let accepted = Rc::clone(&count);
+    monoio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.set(accepted.get() + 1);
+            for reply in &replies {
+                let _ = stream.read(Vec::with_capacity(4096)).await;
+                let _ = stream.write_all(reply.as_bytes()).await;
+            }
+        }
+    });
+    (addr, count)
+}
+
 /// Sends `bytes` and reads until the server closes the connection.
 pub(crate) async fn raw_exchange(addr: SocketAddr, bytes: impl Into<Vec<u8>>) -> String {
     let mut stream = TcpStream::connect_addr(addr).await.expect("the server listens");
