Tell the routers of the system tests that they are not killed

Cause: a router now ends its stop within the grace that it is told, 8 s without one. The sites of the system tests tell none and kill no router that they stop, so on a busy machine the streams of graceful_stop could take longer than that, and the result would depend on timing.

Change: these routers are told a grace of 600 s. What the tests check is unchanged. The comment on the errors of a run names the second stop request, which alone still ends with one.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -109,7 +109,7 @@
 }
 
 /// Reads the settings file and runs a router until it is stopped. Returns the exit code, which is an
-/// error if a file has faults, an address cannot be bound, or a stop cut off requests.
+/// error if a file has faults, an address cannot be bound, or a second stop request cut off requests.
 #[must_use]
 pub fn run(launch: Launch<'_>) -> ExitCode {
     let settings_file = launch.settings_file;
--- a/crates/system-tests/src/site_files.rs
+++ b/crates/system-tests/src/site_files.rs
@@ -12,6 +12,8 @@
 const PORT: u16 = 7100;
 const SITES_MAX: u8 = 5;
 const ADDRESSES_PER_SITE: u8 = 50;
+/// No test kills a router that it has stopped, so a stop may take as long as a busy machine needs.
+const STOP_GRACE_S: u64 = 600;
 
 pub(crate) const COMMAND_TOKEN: &str = "command-token";
 pub(crate) const CALLER_TOKEN: &str = "caller-token";
@@ -92,7 +94,8 @@
     let dir = dir.display();
     format!(
         "[router]\nvm = {name}\nfailure_domain = fd-1\nlisten = {listen}\nadmin_listen = {admin}\n\
-         routers = 2\ndrain_delay_ms = 300\nworkspaces_file = {dir}/workspaces.ini\n\
+         routers = 2\ndrain_delay_ms = 300\nstop_grace_s = {STOP_GRACE_S}\n\
+         workspaces_file = {dir}/workspaces.ini\n\
          control = {control}\ncommand_token_file = {dir}/command.token\npeers = {peer}\n\
          [waits]\nledger_timeout_ms = 2000\n"
     )
