Bound the memory that a router takes for bodies

Routers were killed for their memory: callers saw their connections reset, requests in flight were lost, and the platform counted a process that ended by itself.

Cause: bodies of requests and answers are held whole, up to 4 MiB each, and nothing bounded their sum over all connections.

Change: a router has a budget for bodies of requests, which the listeners of callers and of other routers share, and one for answers, each a quarter of the new setting memory_mb. What is allocated is charged, as the bytes arrive, and the charge is part of the bytes, so it ends exactly when their last user drops them. Buffers double up to the declared length instead of being reserved, since the allocator keeps what was touched once. A request without room is answered 503, not run, with Retry-After, and the rest of its body is read and discarded for 2 s at most, because a caller that writes everything before it reads would otherwise find its connection reset. Answers have run, so they wait for room without being read; one at a time may exceed the budget, so that they never wait for one another for ever. An eighth of each budget is for messages of up to 64 KiB.

--- a/crates/httpio/src/client/body.rs
+++ b/crates/httpio/src/client/body.rs
@@ -7,7 +7,9 @@
 
 use super::{ClientError, Connection, FailureKind, Response, Stage, pool::Idle};
 use crate::{
+    budget::ByteBudget,
     framing::{BodyDecoder, BodyFault, Step},
+    held::HeldBody,
     inbound::Received,
 };
 
@@ -15,6 +17,7 @@
 #[derive(Debug)]
 pub struct Body {
     reading: Option<Reading>,
+    declared_bytes: Option<usize>,
     pool: Weak<Idle>,
 }
 
@@ -25,9 +28,14 @@
 }
 
 impl Body {
-    pub(super) fn new(connection: Connection, decoder: BodyDecoder, keeps_alive: bool) -> Body {
+    pub(super) fn new(
+        connection: Connection,
+        decoder: BodyDecoder,
+        declared_bytes: Option<usize>,
+        keeps_alive: bool,
+    ) -> Body {
         let reading = Some(Reading { connection, decoder, keeps_alive });
-        Body { reading, pool: Weak::new() }
+        Body { reading, declared_bytes, pool: Weak::new() }
     }
 
     pub(super) fn attach_pool(&mut self, pool: Weak<Idle>) {
@@ -76,6 +84,20 @@
         Ok(whole.freeze())
     }
 
+    /// Reads the body to its end within `memory`. While there is no room, nothing is read, so that the
+    /// server has to wait. The memory is free again once the last user of the bytes has dropped them.
+    ///
+    /// # Errors
+    /// As for [`Body::next`].
+    pub async fn collect_within(mut self, memory: &ByteBudget) -> Result<Bytes, ClientError> {
+        let mut whole = HeldBody::new(memory, self.declared_bytes);
+        whole.reserve_declared().await;
+        while let Some(data) = self.next().await {
+            whole.extend(&data?).await;
+        }
+        Ok(whole.freeze())
+    }
+
     pub(super) async fn next_response(mut self) -> Result<Response, ClientError> {
         let pool = std::mem::take(&mut self.pool);
         let Some(mut reading) = self.reading.take() else {
--- a/crates/httpio/src/client/connection.rs
+++ b/crates/httpio/src/client/connection.rs
@@ -81,7 +81,7 @@
             .map_err(|fault| self.fail(Stage::HeadReceived, fault.into()))?;
         self.server_idle_timeout = keep_alive_timeout(&head);
         let keeps_alive = keeps_alive(&head) && !decoder.ends_at_eof();
-        let body = Body::new(self, decoder, keeps_alive);
+        let body = Body::new(self, decoder, framing.declared_bytes(), keeps_alive);
         Ok(Response { head, body })
     }
 
--- a/crates/httpio/src/framing.rs
+++ b/crates/httpio/src/framing.rs
@@ -40,6 +40,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// The length of the body, if the head declares one.
+    pub(crate) fn declared_bytes(self) -> Option<usize> {
+        match self {
+            Framing::Empty => Some(0),
+            Framing::Fixed(length) => Some(length),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+}
+
 /// Why decoding a body failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyFault {
--- /dev/null
+++ b/crates/httpio/src/held.rs
@@ -0,0 +1,87 @@
+//! The body of one message, held whole within a budget.
+
+use bytes::Bytes;
+
+use crate::budget::{ByteBudget, Charge, NoRoom};
+
+/// The memory that a body takes at first. It doubles as the body grows, up to the declared length, so that
+/// a sender is charged for at most twice what it has sent.
+const FIRST_BYTES: usize = 4 << 10;
+
+/// The part of a body that has arrived. What is allocated is charged, not only what is filled, because
+/// memory that was used once stays with the process until its allocator returns it.
+pub(crate) struct HeldBody {
+    data: Vec<u8>,
+    charge: Charge,
+    declared_bytes: Option<usize>,
+}
+
+impl HeldBody {
+    pub(crate) fn new(budget: &ByteBudget, declared_bytes: Option<usize>) -> HeldBody {
+        HeldBody { data: Vec::new(), charge: budget.charge(declared_bytes), declared_bytes }
+    }
+
+    /// Refuses a body that would not fit if all of it came now.
+    pub(crate) fn check_declared(&self) -> Result<(), NoRoom> {
+        self.charge.check_declared()
+    }
+
+    /// Charges `beside` bytes that are buffered in front of the body.
+    pub(crate) fn charge_beside(&mut self, beside: usize) -> Result<(), NoRoom> {
+        self.charge.try_resize(self.data.capacity() + beside)
+    }
+
+    /// Appends a piece if there is room for it.
+    pub(crate) fn try_extend(&mut self, piece: &[u8]) -> Result<(), NoRoom> {
+        if let Some(capacity) = self.new_capacity(piece.len()) {
+            self.charge.try_resize(capacity)?;
+            self.data.reserve_exact(capacity - self.data.len());
+        }
+        self.data.extend_from_slice(piece);
+        Ok(())
+    }
+
+    /// Waits until there is room for all of the declared length.
+    pub(crate) async fn reserve_declared(&mut self) {
+        let Some(declared) = self.declared_bytes else { return };
+        self.charge.resize(declared).await;
+        self.data.reserve_exact(declared);
+    }
+
+    /// Appends a piece, and waits until there is room for it.
+    pub(crate) async fn extend(&mut self, piece: &[u8]) {
+        if let Some(capacity) = self.new_capacity(piece.len()) {
+            self.charge.resize(capacity).await;
+            self.data.reserve_exact(capacity - self.data.len());
+        }
+        self.data.extend_from_slice(piece);
+    }
+
+    /// The body; its charge ends when the last user of these bytes drops them.
+    pub(crate) fn freeze(self) -> Bytes {
+        match self.data.is_empty() {
+            true => Bytes::new(),
+            false => Bytes::from_owner(Charged { data: self.data, _charge: self.charge }),
+        }
+    }
+
+    /// The capacity that a further piece takes, if it is more than there is.
+    fn new_capacity(&self, piece_bytes: usize) -> Option<usize> {
+        let (needed, capacity) = (self.data.len() + piece_bytes, self.data.capacity());
+        let doubled = (2 * capacity).max(FIRST_BYTES);
+        let wanted = doubled.min(self.declared_bytes.unwrap_or(usize::MAX)).max(needed);
+        (needed > capacity).then_some(wanted)
+    }
+}
+
+/// Bytes with their charge.
+struct Charged {
+    data: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Charged {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -4,9 +4,11 @@
 //! whose length is ambiguous, and reports at which stage an exchange failed. It has no knowledge of
 //! routing, pools of backend servers or request outcomes.
 
+pub mod budget;
 pub mod client;
 mod fields;
 mod framing;
+mod held;
 mod inbound;
 mod limits;
 mod outbound;
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -32,7 +32,7 @@
     reply::{CallerDisconnected, Reply, StreamSender},
     request::Request,
 };
-use crate::{Limits, signal::Signal};
+use crate::{Limits, budget::ByteBudget, signal::Signal};
 
 /// The pause between a failed accept and the next one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -85,6 +85,8 @@
     pub connections: ConnectionBound,
     /// Counts the open connections.
     pub open: OpenConnections,
+    /// The memory for what callers send, which several servers may share.
+    pub memory: ByteBudget,
 }
 
 /// Limits that may change while the server runs. A connection applies the limits in force when it
@@ -159,7 +161,8 @@
     handler: Rc<dyn Handler>,
 ) {
     let mut slots = Slots::new(settings.connections, settings.open);
-    let server = Server { limits: settings.limits, stop: stop.clone(), handler };
+    let ServerSettings { limits, memory, .. } = settings;
+    let server = Server { limits, memory, stop: stop.clone(), handler };
     let closing = stop.closing.raised().fuse();
     pin_mut!(closing);
     while let Some(accepted) = accept(&mut slots, &listener, &mut closing).await {
@@ -198,6 +201,7 @@
 
 struct Server {
     limits: LiveLimits,
+    memory: ByteBudget,
     stop: StopSignals,
     handler: Rc<dyn Handler>,
 }
@@ -208,6 +212,7 @@
             stream,
             peer,
             self.limits.clone(),
+            self.memory.clone(),
             self.stop.clone(),
             Rc::clone(&self.handler),
         );
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -16,7 +16,9 @@
 };
 use crate::{
     Limits,
+    budget::{ByteBudget, NoRoom},
     framing::{self, BodyDecoder, BodyFault, Step},
+    held::HeldBody,
     inbound::{HeadFault, Inbound, Received},
     outbound::Outbound,
     signal::{Signal, signal},
@@ -24,6 +26,9 @@
 
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_BYTES_MAX: usize = 1 << 20;
+/// The time for the rest of a body for which there is no memory. Its sender may read no answer before it
+/// has sent everything.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a connection ends.
 pub(super) enum End {
@@ -39,6 +44,7 @@
     peer: SocketAddr,
     live_limits: LiveLimits,
     limits: Limits,
+    memory: ByteBudget,
     stop: StopSignals,
     handler: Rc<dyn Handler>,
 }
@@ -48,6 +54,7 @@
         stream: TcpStream,
         peer: SocketAddr,
         live_limits: LiveLimits,
+        memory: ByteBudget,
         stop: StopSignals,
         handler: Rc<dyn Handler>,
     ) -> Connection {
@@ -62,6 +69,7 @@
             peer,
             live_limits,
             limits,
+            memory,
             stop,
             handler,
         }
@@ -149,13 +157,15 @@
         let framing = framing::of_request(&head.headers)
             .map_err(|fault| refusal(StatusCode::BAD_REQUEST, fault))?;
         let mut decoder = BodyDecoder::new(framing, &self.limits).map_err(body_refusal)?;
+        let mut body = HeldBody::new(&self.memory, framing.declared_bytes());
+        body.check_declared().map_err(memory_refusal)?;
         if expects_continue(&head.headers) && self.inbound.buffer.is_empty() {
             self.outbound.write_continue().await.map_err(|_| End::Close)?;
         }
-        let mut body = BytesMut::new();
         loop {
+            body.charge_beside(self.inbound.buffer.len()).map_err(memory_refusal)?;
             match decoder.decode(&mut self.inbound.buffer).map_err(body_refusal)? {
-                Step::Data(data) => body.extend_from_slice(&data),
+                Step::Data(data) => body.try_extend(&data).map_err(memory_refusal)?,
                 Step::End => return Ok(body.freeze()),
                 Step::NeedsData => match self.inbound.fill().await {
                     Ok(Received::Data) => {}
@@ -252,16 +262,24 @@
 
     async fn refuse(&mut self, status: StatusCode, remedy: String) {
         let reply = self.handler.refuse(status, &remedy);
+        // What has been read is not needed any more, and may be as large as a chunk.
+        self.inbound.buffer = BytesMut::new();
+        let (timeout, bytes) = match status {
+            StatusCode::SERVICE_UNAVAILABLE => {
+                (DISCARD_TIMEOUT, LINGER_BYTES_MAX.max(self.limits.body_bytes))
+            }
+            _ => (LINGER_TIMEOUT, LINGER_BYTES_MAX),
+        };
         // The connection is closed in any case.
         if self.write(reply, &Method::GET, true).await.is_ok() {
-            let _ = time::timeout(LINGER_TIMEOUT, self.linger()).await;
+            let _ = time::timeout(timeout, self.linger(bytes)).await;
         }
     }
 
     /// Reads and discards further data for a limited time. Closing a connection with unread bytes
     /// resets it, and the caller might then lose the reply.
-    async fn linger(&mut self) {
-        let mut left_bytes = LINGER_BYTES_MAX;
+    async fn linger(&mut self, bytes: usize) {
+        let mut left_bytes = bytes;
         if self.outbound.shutdown().await.is_err() {
             return;
         }
@@ -320,6 +338,11 @@
     refusal(status, fault)
 }
 
+/// The request has not been handled, so the caller may come back.
+fn memory_refusal(reason: NoRoom) -> End {
+    refusal(StatusCode::SERVICE_UNAVAILABLE, reason)
+}
+
 fn body_refusal(fault: BodyFault) -> End {
     match fault {
         BodyFault::TooBig => refusal(StatusCode::PAYLOAD_TOO_LARGE, "send a smaller body"),
--- a/crates/httpio/tests/graceful_shutdown.rs
+++ b/crates/httpio/tests/graceful_shutdown.rs
@@ -131,11 +131,9 @@
 fn connection_limit() {
     support::run(async {
         let (listener, addr) = support::listen();
-        let settings = ServerSettings {
-            limits: LIMITS.into(),
-            connections: server::ConnectionBound(1),
-            ..ServerSettings::default()
-        };
+        let connections = server::ConnectionBound(1);
+        let settings =
+            ServerSettings { limits: LIMITS.into(), connections, ..ServerSettings::default() };
         let handler =
             |_: Request| -> LocalBoxFuture<'static, Reply> { async { ok() }.boxed_local() };
         monoio::spawn(server::serve(listener, settings, StopSignals::default(), Rc::new(handler)));
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -48,6 +48,7 @@
     forwarding::{self, ForwardListener, ForwardedHandler, Forwarder, PeerClient},
     identity::{Authenticator, Workspaces},
     load_reports::{self, LoadReadings, ServerFilter},
+    memory::{LargestBodies, Memory},
     metrics::Metrics,
     pipeline::Pipeline,
     quarantine_exchange::{self, RouterAdmin},
@@ -198,7 +199,9 @@
     let admin = Rc::new(RouterAdmin { admin, services: Rc::clone(&services) });
     let admin_settings = ServerSettings::default();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
-    let server_settings = settings.server.to_settings();
+    monoio::spawn(services.memory.clone().log_refusals());
+    let memory = services.memory.requests.clone();
+    let server_settings = ServerSettings { memory, ..settings.server.to_settings() };
     let follower = TablesFollower {
         services: Rc::clone(&services),
         tables: Rc::clone(&components.tables),
@@ -352,10 +355,17 @@
             (backends.with_dialect(Rc::clone(dialect)), policy, "")
         }
     };
+    let largest = LargestBodies {
+        request_bytes: settings.server.limits.body_bytes,
+        answer_bytes: settings.backends.pool.limits.body_bytes,
+    };
+    let memory = Memory::divide(settings.memory_mb, largest);
+    memory.register(registry)?;
     let client = PeerClient::new(
         &settings.vm,
         components.token.clone(),
         settings.backends.pool.limits,
+        memory.answers.clone(),
         Rc::clone(&components.clock),
     );
     let forwarder = Forwarder::new(&settings.failure_domain, client, seed);
@@ -375,6 +385,7 @@
         stop: StopDeadline::new(Rc::clone(&components.clock), schedule),
         urgency: EngineUrgency::default(),
         streams: StreamOrigins::new(Rc::clone(&components.clock)),
+        memory,
         peers: settings.peers.clone(),
         forwarder,
         domain: OnceCell::new(),
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderValue, Uri, header};
 use httpio::{
     Limits, UnsizedBody,
+    budget::ByteBudget,
     client::{Body, ClientError, Pool, PoolSettings, Request, Response, Stage},
     server::{Reply, StreamSender},
     signal::Signal,
@@ -51,6 +52,8 @@
     pool: Pool,
     /// Connections on which a peer has just answered a question, for requests that must not run twice.
     pinged: Pool,
+    /// The memory for peers' answers.
+    memory: ByteBudget,
     clock: Rc<dyn Clock>,
 }
 
@@ -78,6 +81,7 @@
         vm: &str,
         token: Option<Secret>,
         limits: Limits,
+        memory: ByteBudget,
         clock: Rc<dyn Clock>,
     ) -> PeerClient {
         let limits = Limits {
@@ -90,7 +94,7 @@
             Pool::new(settings, Rc::clone(&clock))
         };
         let (pool, pinged) = (pool(IDLE_AGE_MS), pool(PINGED_AGE_MS));
-        PeerClient { vm: vm.into(), token, pool, pinged, clock }
+        PeerClient { vm: vm.into(), token, pool, pinged, memory, clock }
     }
 
     /// Sends a request to a peer; returns its reply, or the failure that it states.
@@ -129,7 +133,7 @@
         }
         let disconnected = routed.arrival.request.disconnected.clone();
         let left = deadline.saturating_duration_since(self.clock.now());
-        reply(response, peer, disconnected, left, stop.clone()).await.map(Ok)
+        self.reply(response, peer, disconnected, left, stop.clone()).await.map(Ok)
     }
 
     async fn exchange(
@@ -159,6 +163,30 @@
         }
     }
 
+    /// Passes the peer's answer on: a stream as it arrives, anything else once it is complete.
+    async fn reply(
+        &self,
+        response: Response,
+        peer: SocketAddr,
+        disconnected: Signal,
+        left: Duration,
+        stop: StopDeadline,
+    ) -> Result<Reply, PeerError> {
+        let (status, headers) = (response.head.status, httpio::end_to_end(&response.head.headers));
+        let content_type = headers.get(header::CONTENT_TYPE);
+        if !content_type.is_some_and(|it| it.as_bytes().starts_with(sse::CONTENT_TYPE.as_bytes())) {
+            let body = response.body.collect_within(&self.memory).await?;
+            return Ok(Reply::whole(status, headers, body));
+        }
+        let (sender, reply) = Reply::stream(status, headers, BUFFERED_PIECES_MAX);
+        let relayed = async move {
+            // Dropping the body closes the connection, by which the peer learns that the caller has gone.
+            run_until_deadline(&disconnected, &stop, left, pass_on(response.body, sender)).await;
+        };
+        monoio::spawn(telemetry::contain("forwarded_stream", peer, relayed));
+        Ok(reply)
+    }
+
     /// Finds a peer that answers, so that a request which must not run twice is not handed to one that
     /// stands still.
     pub(super) async fn find_present(&self, peers: &[SocketAddr]) -> PresentPeer {
@@ -226,28 +254,6 @@
     })
 }
 
-/// Passes the peer's answer on: a stream as it arrives, anything else once it is complete.
-async fn reply(
-    response: Response,
-    peer: SocketAddr,
-    disconnected: Signal,
-    left: Duration,
-    stop: StopDeadline,
-) -> Result<Reply, PeerError> {
-    let (status, headers) = (response.head.status, httpio::end_to_end(&response.head.headers));
-    let content_type = headers.get(header::CONTENT_TYPE);
-    if !content_type.is_some_and(|it| it.as_bytes().starts_with(sse::CONTENT_TYPE.as_bytes())) {
-        return Ok(Reply::whole(status, headers, response.body.collect().await?));
-    }
-    let (sender, reply) = Reply::stream(status, headers, BUFFERED_PIECES_MAX);
-    let relayed = async move {
-        // Dropping the body closes the connection, by which the peer learns that the caller has gone.
-        run_until_deadline(&disconnected, &stop, left, pass_on(response.body, sender)).await;
-    };
-    monoio::spawn(telemetry::contain("forwarded_stream", peer, relayed));
-    Ok(reply)
-}
-
 /// Passes a stream on. If it breaks, the caller's connection is closed without the end of the stream.
 async fn pass_on(mut body: Body, mut sender: StreamSender) {
     while let Some(piece) = body.next().await {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 mod forwarding;
 pub mod identity;
 pub mod load_reports;
+mod memory;
 pub mod metrics;
 mod order_call;
 pub mod order_ledger;
--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -95,12 +95,16 @@
     Err(failure.retry_after(STOP_RETRY_AFTER))
 }
 
-/// The failure of a request that did not arrive as a whole and readable one.
+/// The time after which a caller may resend a request that the router did not read.
+const UNREAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The failure of a request that did not arrive as a whole and readable one. With the status 503 that is the
+/// router's fault, and temporary: it is stopping, or has no memory for the request.
 #[must_use]
 pub(crate) fn unreadable(status: StatusCode, remedy: &str) -> Failure {
     match status {
         StatusCode::SERVICE_UNAVAILABLE => {
-            Failure::not_run(status, Code::Overloaded, remedy).retry_after(STOP_RETRY_AFTER)
+            Failure::not_run(status, Code::Overloaded, remedy).retry_after(UNREAD_RETRY_AFTER)
         }
         _ => Failure::not_run(status, Code::BadRequest, remedy),
     }
--- a/crates/router/src/relay/buffered.rs
+++ b/crates/router/src/relay/buffered.rs
@@ -82,7 +82,8 @@
     ) -> Result<Answer, AttemptError> {
         let status = response.head.status;
         let headers = relayed.dialect.answer_headers(&response.head.headers);
-        let body = response.body.collect().await?;
+        let memory = &relayed.call.services.memory.answers;
+        let body = response.body.collect_within(memory).await?;
         Ok(Answer { status, headers, body })
     }
 
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -6,7 +6,7 @@
 };
 
 use http::{HeaderMap, StatusCode, header};
-use httpio::{Bytes, client::Response, server::Reply};
+use httpio::{Bytes, budget::ByteBudget, client::Response, server::Reply};
 use monoio::time;
 use policy::{Execution, Failure as FailureKind};
 
@@ -66,7 +66,9 @@
         // An idle connection may be broken without notice, and an order sent on it could not be
         // resent.
         let exchange = call.services.backends.send_fresh(attempt);
-        let answer = before_stop(&stop, time::timeout(left, collect_answer(exchange))).await;
+        let memory = call.services.memory.answers.clone();
+        let collected = time::timeout(left, collect_answer(exchange, memory));
+        let answer = before_stop(&stop, collected).await;
         let error = match answer {
             Some(Ok(Ok(answer))) => {
                 call.finish(0);
@@ -87,7 +89,8 @@
 async fn call_with_retries(call: &mut Call) -> Result<Answer, Failure> {
     loop {
         let attempt = attempt(call);
-        let exchange = collect_answer(call.services.backends.send(attempt));
+        let memory = call.services.memory.answers.clone();
+        let exchange = collect_answer(call.services.backends.send(attempt), memory);
         let silence = call.services.timeouts.first_silence();
         let error = match probe_on_silence(exchange, silence, &call.lease, Remedy::Retry).await {
             Ok(Ok(answer)) => return Ok(answer),
@@ -117,10 +120,11 @@
 
 async fn collect_answer(
     exchange: impl Future<Output = Result<Response, AttemptError>>,
+    memory: ByteBudget,
 ) -> Result<Answer, AttemptError> {
     let response = exchange.await?;
     let (status, headers) = (response.head.status, forwarded_headers(&response.head.headers));
-    let body = response.body.collect().await?;
+    let body = response.body.collect_within(&memory).await?;
     Ok(Answer { status, headers, body })
 }
 
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -12,6 +12,7 @@
     dispatch::Dispatcher,
     engine_urgency::EngineUrgency,
     forwarding::Forwarder,
+    memory::Memory,
     metrics::Metrics,
     order_ledger::OrderLedger,
     stop_deadline::StopDeadline,
@@ -87,6 +88,8 @@
     pub(crate) streams: StreamOrigins,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
+    /// The memory for requests and answers.
+    pub(crate) memory: Memory,
     /// Forwards requests to other routers.
     pub(crate) forwarder: Forwarder,
     /// The exchange with the hub, once it has started.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -17,6 +17,7 @@
 /// Less than the time after which supervisors usually kill a process.
 const STOP_GRACE: Duration = Duration::from_secs(8);
 const BYTES: &str = "a whole number of bytes, such as 65536";
+const MEBIBYTES: &str = "a whole number of MiB, such as 256";
 const COUNT: &str = "a whole number";
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
 const FILE: &str = "the path of a file";
@@ -36,6 +37,8 @@
     pub forward_listen: Option<SocketAddr>,
     /// The log filter.
     pub log: String,
+    /// The memory of the VM, in MiB. The bodies that the router holds are bounded by it.
+    pub memory_mb: usize,
     /// The number of routers that share the workspaces' limits, including this one.
     pub routers: u32,
     /// How long the router keeps serving new requests after it reports itself as draining.
@@ -116,6 +119,7 @@
             admin_listen: loopback,
             forward_listen: None,
             log: "info".to_owned(),
+            memory_mb: 1_024,
             routers: 1,
             drain_delay_ms: 5_000,
             stop_grace: STOP_GRACE,
@@ -178,6 +182,7 @@
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(default.admin_listen),
         forward_listen: reader.optional("forward_listen", ADDRESS),
         log: reader.or_default("log", "a filter such as info", default.log),
+        memory_mb: reader.or_default("memory_mb", MEBIBYTES, default.memory_mb),
         routers: reader.or_default("routers", COUNT, default.routers),
         drain_delay_ms: reader.or_default("drain_delay_ms", MILLISECONDS, default.drain_delay_ms),
         stop_grace: read_stop_grace(&mut reader),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use containment::{FailStop, TaskPanicked, contain, contained_panics};
 pub use logs::{LogGuard, LogOutput, LogSettings, init_logs};
-pub use metrics::{register_process_metrics, render_metrics};
+pub use metrics::{register_gauge, register_process_metrics, render_metrics};
 pub use panics::log_panics;
 pub use secret::Secret;
 pub use throttle::Throttle;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -30,25 +30,33 @@
 pub fn register_process_metrics(registry: &Registry) -> prometheus::Result<()> {
     let resident = ("process_resident_memory_bytes", "Resident memory in bytes.");
     let dropped = ("log_lines_dropped", "Lines of the log that were dropped.");
-    registry.register(Box::new(CallbackGauge::new(resident, || resident_bytes().unwrap_or(0))?))?;
+    register_gauge(registry, resident, || resident_bytes().unwrap_or(0))?;
     let panics = ("tasks_panicked", "Panics that ended the task of one connection or call.");
-    registry.register(Box::new(CallbackGauge::new(dropped, || dropped_lines() as i64)?))?;
-    registry.register(Box::new(CallbackGauge::new(panics, || contained_panics() as i64)?))
+    register_gauge(registry, dropped, || dropped_lines() as i64)?;
+    register_gauge(registry, panics, || contained_panics() as i64)
 }
 
-/// A gauge whose value is computed when it is scraped.
-struct CallbackGauge {
-    gauge: IntGauge,
-    read: fn() -> i64,
+/// Registers a gauge with a name and a help text, whose value is read when it is scraped.
+///
+/// # Errors
+///
+/// If `registry` already contains it.
+pub fn register_gauge(
+    registry: &Registry,
+    (name, help): (&str, &str),
+    read: impl Fn() -> i64 + Send + Sync + 'static,
+) -> prometheus::Result<()> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(CallbackGauge { gauge, read }))
 }
 
-impl CallbackGauge {
-    fn new((name, help): (&str, &str), read: fn() -> i64) -> prometheus::Result<Self> {
-        Ok(CallbackGauge { gauge: IntGauge::new(name, help)?, read })
-    }
+/// A gauge whose value is computed when it is scraped.
+struct CallbackGauge<F> {
+    gauge: IntGauge,
+    read: F,
 }
 
-impl Collector for CallbackGauge {
+impl<F: Fn() -> i64 + Send + Sync> Collector for CallbackGauge<F> {
     fn desc(&self) -> Vec<&Desc> {
         self.gauge.desc()
     }
