Let callers resend at once what a stopping router refused

Callers saw Retry-After 1 s with a request that another router could serve at once.

Change: 0.1 s, which the users' platform is told as a fraction and other callers as 1 s.

--- a/crates/router/src/refusals.rs
+++ b/crates/router/src/refusals.rs
@@ -79,8 +79,8 @@
 }
 
 /// The time after which a caller may resend a request that a stopping router refused. Another router can
-/// serve it at once.
-const STOP_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// serve it at once, so a caller that honours fractions of a second hardly waits.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Checks that a request which may take the time `timeout` does not come too late in a stop.
 ///
