Wait for a data folder that is in use or cannot be opened for now

Cause: every error of the data folder but a full disk was final.

The beginning of the history of versions is saved before the log, so that it is saved again after an interrupted start, and a start without it goes on with a line in the log: the versions are then taken for unknown.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -45,6 +45,10 @@
     pub entries: Vec<Entry>,
 }
 
+/// The numbers that Linux gives to the errors of too many open files, of the process and of the system.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
 /// Why the state on disk cannot be read or written.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum StorageError {
@@ -63,6 +67,13 @@
         /// The file or folder.
         path: PathBuf,
     },
+    /// The file cannot be opened, because the process or the system has too many files open. It can be
+    /// once some are closed.
+    #[display("{}: too many files are open: raise the limit of open files", path.display())]
+    NoDescriptors {
+        /// The file or folder.
+        path: PathBuf,
+    },
     /// The folder was never formatted, or its disk was lost.
     #[display("{}: no formatted data: format it; the node then joins as a new member", path.display())]
     NotFormatted {
@@ -118,6 +129,9 @@
     #[must_use]
     pub fn from_io(path: &Path, err: &io::Error) -> StorageError {
         let path = path.to_owned();
+        if matches!(err.raw_os_error(), Some(EMFILE | ENFILE)) {
+            return StorageError::NoDescriptors { path };
+        }
         match err.kind() {
             io::ErrorKind::StorageFull
             | io::ErrorKind::QuotaExceeded
--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -3,7 +3,7 @@
 //! A folder is formatted once. A node whose disk was lost formats a new one and joins under a new
 //! disk id: its old identity is never admitted again, and the leader adds the new one as a member.
 
-use std::net::SocketAddr;
+use std::{fs, net::SocketAddr};
 
 use anyhow::{bail, ensure};
 use clock::SystemClock;
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use storage::{LogFile, ReplacedDisk};
 
-use crate::{Settings, version_history};
+use crate::{Settings, disk_writer::passing_reason, version_history};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -108,12 +108,27 @@
     }
     let voters = settings.seeds.iter().map(|node| Peer { node: *node, disk: BOOTSTRAP_DISK });
     let start = Snapshot::bootstrap(Members::of_voters(voters));
+    // Before the log, whose presence tells that this was done.
+    save_beginning(settings)?;
     storage::format_bootstrap_member(&settings.data_dir, &sizes, BOOTSTRAP_DISK, start)?;
-    version_history::save_beginning(&settings.data_dir, &SystemClock)?;
     tracing::info!(event = "disk_formatted", disk = %BOOTSTRAP_DISK, purpose = "found");
     Ok(())
 }
 
+/// Saves that the software versions are known from the beginning on. Without that, a control VM serves
+/// all the same, and takes the versions before its first read of the list for unknown.
+fn save_beginning(settings: &Settings) -> Result<(), StorageError> {
+    let folder = &settings.data_dir;
+    fs::create_dir_all(folder).map_err(|err| StorageError::from_io(folder, &err))?;
+    match version_history::save_beginning(folder, &SystemClock) {
+        Err(error) if passing_reason(&error).is_none() => {
+            tracing::warn!(event = "versions_saved", is_saved = false, %error);
+            Ok(())
+        }
+        result => result,
+    }
+}
+
 fn ensure_no_cluster(settings: &Settings) -> anyhow::Result<()> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
     let others = settings.peers.iter().filter(|(node, _)| **node != settings.node);
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -25,7 +25,7 @@
     AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
     bootstrap::open_log,
     commands::CommandCheck,
-    disk_writer::retry_while_full,
+    disk_writer::retry_while_unavailable,
     graceful_stop::{self, OperatorServer},
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
@@ -125,7 +125,7 @@
     start.set_log_filter(&settings.log)?;
     ::daemon::log_unknown_settings(&settings.unknown);
     let of_disk = settings.clone();
-    let open_disk = move || retry_while_full(|| open_log(&of_disk));
+    let open_disk = move || retry_while_unavailable(|| open_log(&of_disk));
     let log_file = start.run_step("open the data folder", open_disk)??;
     let tokens = match &settings.token_files {
         Some(files) => Some(Tokens {
--- a/crates/control/src/disk_writer.rs
+++ b/crates/control/src/disk_writer.rs
@@ -1,6 +1,7 @@
 //! Writes to the disk on a separate thread, since file I/O would block the async runtime.
 
 use std::{
+    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -13,8 +14,11 @@
 use consensus::{Storage, StorageError, WriteId, Writes};
 use futures::channel::mpsc as async_mpsc;
 
-/// The pause between two attempts to write to a full disk.
-const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause between two attempts to open the data folder, or to write to a full disk.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The event of a full disk.
+const FULL: &str = "disk_full";
 
 /// The result of one write.
 pub type SaveResult = Result<WriteId, StorageError>;
@@ -41,7 +45,7 @@
         let full_disk = Arc::clone(&is_full);
         thread::spawn(move || {
             for writes in incoming {
-                let result = retry_while_full(|| {
+                let result = retry_while_unavailable(|| {
                     if full_disk.load(Ordering::Relaxed) {
                         storage.reopen()?;
                     }
@@ -71,28 +75,40 @@
     }
 }
 
-/// Repeats an attempt while the disk is full.
-pub(crate) fn retry_while_full<T>(
+/// Repeats an attempt while it fails for a reason that passes.
+pub(crate) fn retry_while_unavailable<T>(
     mut attempt: impl FnMut() -> Result<T, StorageError>,
 ) -> Result<T, StorageError> {
     let mut attempts: u64 = 0;
+    let mut last_event = "";
     loop {
         let result = attempt();
-        match &result {
-            Err(StorageError::Full { path }) => {
-                // One line at the first attempt, then fewer and fewer.
-                if attempts.is_power_of_two() || attempts == 0 {
-                    tracing::error!(event = "disk_full", path = %path.display(), attempts);
-                }
-                attempts += 1;
-                thread::sleep(FULL_DISK_RETRY_INTERVAL);
-            }
-            _ => {
-                if attempts > 0 {
-                    tracing::info!(event = "disk_has_room", attempts);
-                }
-                return result;
+        let Some((event, path)) = result.as_ref().err().and_then(passing_reason) else {
+            if attempts > 0 {
+                let event = if last_event == FULL { "disk_has_room" } else { "disk_available" };
+                tracing::info!(event, attempts);
             }
+            return result;
+        };
+        // One line at the first attempt, then fewer and fewer.
+        if attempts.is_power_of_two() || attempts == 0 || event != last_event {
+            tracing::error!(event, path = %path.display(), attempts);
         }
+        last_event = event;
+        attempts += 1;
+        thread::sleep(RETRY_INTERVAL);
+    }
+}
+
+/// The event to log and the path of an error whose reason passes; `None` if the error is final.
+///
+/// An error of the disk itself is final, as is one of a sync, after which the disk may hold less than
+/// the process knows.
+pub(crate) fn passing_reason(error: &StorageError) -> Option<(&'static str, &Path)> {
+    match error {
+        StorageError::Full { path } => Some((FULL, path)),
+        StorageError::InUse { path } => Some(("disk_in_use", path)),
+        StorageError::NoDescriptors { path } => Some(("no_descriptors", path)),
+        _ => None,
     }
 }
