--- a/crates/system-tests/src/lib.rs
+++ b/crates/system-tests/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use crate::{
     http::{Reply, get, post},
-    process::Process,
+    process::{Process, binary},
     relay::SilentRelay,
     site::{Setup, Site, chat, order},
 };
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -75,7 +75,11 @@
 }
 
 /// The path of a program that cargo built: the parent of the folder with the test programs.
-pub(crate) fn binary(program: &str) -> PathBuf {
+///
+/// # Panics
+/// When the program is not built.
+#[must_use]
+pub fn binary(program: &str) -> PathBuf {
     let test = env::current_exe().expect("the path of the test program");
     let path = test.parent().and_then(Path::parent).expect("target/PROFILE").join(program);
     let remedy = "run `cargo build --workspace --all-targets` first";
