Bound what operators' configurations take of a control VM's memory

Cause: the operators' listener took 4,096 connections, each with a body of up to 8 MiB held whole. A PUT copied its body, kept the text while it waited for the commit, and a member that does not lead kept the command beside the message that forwards it.

Fix: the bodies of all changes under way share a budget of 40 MiB, in which each counts until it is answered; a change without room is answered 503 at once. The text is dropped once it is encoded and the command once it is in the message. Readers of the configuration share one text. At most 256 connections (operator_connections_max).

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -16,7 +16,8 @@
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::Limits;
-use httpio::server::{self, BindError, ServerSettings, StopSignals};
+use httpio::budget::{BudgetSize, ByteBudget};
+use httpio::server::{self, BindError, ConnectionBound, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
 use telemetry::Secret;
@@ -46,6 +47,10 @@
 /// The maximum size of a request body on the operators' listener.
 const OPERATOR_BODY_BYTES_MAX: usize = 8 << 20;
 
+/// The maximum size of all request bodies on the operators' listener together. Until a change is answered,
+/// its command and the message that replicates it take about as much again each.
+const OPERATOR_BODIES: BudgetSize = BudgetSize { bytes_max: 40 << 20, small_bytes: 4 << 20 };
+
 /// The role that the log names.
 const ROLE: &str = "control";
 
@@ -205,8 +210,7 @@
     }
     let operators = listeners.operators.zip(parts.platform).map(|(listener, platform)| {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
-        let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
-        let settings = ServerSettings { limits: limits.into(), ..ServerSettings::default() };
+        let settings = operator_server(settings.operator_connections_max);
         OperatorServer::start(listener, settings, handler)
     });
     let broadcast = HubBroadcast {
@@ -246,6 +250,16 @@
     }
 }
 
+fn operator_server(connections_max: usize) -> ServerSettings {
+    let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
+    ServerSettings {
+        limits: limits.into(),
+        connections: ConnectionBound(connections_max),
+        memory: ByteBudget::new(OPERATOR_BODIES),
+        ..ServerSettings::default()
+    }
+}
+
 /// Checks the settings file at each reload request and logs the result.
 ///
 /// No setting changes while the process runs; the members are known from the log.
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -1,9 +1,10 @@
 //! Access to the operator's document for the operators' API of this control VM.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use control_state::{Command, Document, DocumentAnswer, Response, decode_response, encode_command};
 use derive_more::{Display, Error};
+use httpio::Bytes;
 use rpc::SubmitResult;
 
 use crate::replica::Replica;
@@ -25,15 +26,26 @@
     pub reason: String,
 }
 
-/// Reads and replaces the operator's document.
+/// The operator's document as all its readers share it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SharedDocument {
+    /// The operator's version; 0 means that there is no document.
+    pub version: u64,
+    /// The text; clones share it.
+    pub text: Bytes,
+}
+
+/// Reads and replaces the operator's document; clones share all state.
 #[derive(Clone)]
 pub struct Documents {
     replica: Rc<Replica>,
+    /// The document that was read last. A slow reader holds its text for long.
+    read: Rc<RefCell<SharedDocument>>,
 }
 
 impl Documents {
     pub(crate) fn new(replica: Rc<Replica>) -> Documents {
-        Documents { replica }
+        Documents { replica, read: Rc::default() }
     }
 
     /// Puts a document in force, unless one of the same or a higher version already is.
@@ -43,7 +55,8 @@
     /// If the document is not known to be committed on a majority of synced disks.
     pub async fn put(&self, document: Document) -> Result<DocumentAnswer, Unavailable> {
         let version = document.version;
-        let result = self.replica.submit(encode_command(&Command::PutDocument(document))).await;
+        let command = encode_command(&Command::PutDocument(document));
+        let result = self.replica.submit(command).await;
         let answer = match result {
             SubmitResult::Response(bytes) => match decode_response(&bytes) {
                 Ok(Response::Document(answer)) => Ok(answer),
@@ -60,9 +73,9 @@
     /// # Errors
     ///
     /// If no leader confirms within `READ_TIMEOUT` that the document is the newest.
-    pub async fn newest(&self) -> Result<Rc<Document>, Unavailable> {
+    pub async fn newest(&self) -> Result<SharedDocument, Unavailable> {
         match self.replica.confirm(READ_TIMEOUT).await {
-            true => Ok(self.replica.document()),
+            true => Ok(self.shared()),
             false => {
                 tracing::info!(
                     event = "document_unconfirmed",
@@ -72,4 +85,16 @@
             }
         }
     }
+
+    /// The document as of the last entry applied here, copied once for all its readers.
+    fn shared(&self) -> SharedDocument {
+        let newest = self.replica.document();
+        let mut read = self.read.borrow_mut();
+        // The log keeps the first document of each version.
+        if read.version != newest.version {
+            let text = Bytes::copy_from_slice(&newest.text);
+            *read = SharedDocument { version: newest.version, text };
+        }
+        read.clone()
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,7 @@
 pub use bootstrap::{FormatMode, format};
 pub use commands::CommandCheck;
 pub use disk_writer::{DiskWriter, SaveResult};
-pub use documents::{Documents, OperatorApi, Unavailable};
+pub use documents::{Documents, OperatorApi, SharedDocument, Unavailable};
 pub use envelope::Envelope;
 pub use log_state::{LogRules, LogState};
 pub use replica::pending::Pending;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -332,7 +332,7 @@
             Ok(client) => client,
             Err(err) => return SubmitResult::Refused(err.to_string()),
         };
-        match client.forward(&command, COMMIT_TIMEOUT).await {
+        match client.forward(command, COMMIT_TIMEOUT).await {
             Ok(result) => result,
             Err(err) => SubmitResult::InDoubt(err.to_string()),
         }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -36,6 +36,8 @@
     pub data_dir: PathBuf,
     /// The address of the operators' API, if the daemon is built with one.
     pub operators_listen: Option<SocketAddr>,
+    /// The maximum number of connections to the operators' API.
+    pub operator_connections_max: usize,
     /// The address from which the platform's server list is read, if there is one.
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
@@ -86,6 +88,7 @@
             admin_listen: unset,
             data_dir: PathBuf::new(),
             operators_listen: None,
+            operator_connections_max: 256,
             platform: None,
             platform_period_ms: 1_000,
             token_files: None,
@@ -156,6 +159,11 @@
         listen,
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(defaults.admin_listen),
         operators_listen: reader.optional("operators_listen", ADDRESS),
+        operator_connections_max: reader.or_default(
+            "operator_connections_max",
+            "a whole number, such as 256",
+            defaults.operator_connections_max,
+        ),
         platform: reader.optional("platform", ADDRESS),
         platform_period_ms: reader.or_default(
             "platform_period_ms",
--- a/crates/rpc/src/calls.rs
+++ b/crates/rpc/src/calls.rs
@@ -201,11 +201,13 @@
     /// committed then.
     pub async fn forward(
         &self,
-        command: &[u8],
+        command: Vec<u8>,
         timeout: Duration,
     ) -> Result<SubmitResult, RpcError> {
         let mut request = self.inner.forward_request();
-        request.get().set_command(command);
+        request.get().set_command(&command);
+        // The request has a copy; a large command is not held twice while the answer is awaited.
+        drop(command);
         let reply = self.transport.call(timeout, request.send().promise).await?;
         Ok(read_result(reply.get()?.get_result()?)?)
     }
