Bound the connections of routers and others to a control VM

What callers saw: nothing yet. Nothing bounded the connections of the calls to a control VM, and one whose other end has gone without closing it, as a VM that lost power, stayed open for good if no answer was due on it.

Cause: rpc::serve accepted every connection, and the system was not asked to probe idle ones.

Fix: at most 1,024 connections at a time (29 MB at the 28 KB a router of docs/CAPACITY.md); further ones wait, with a line event=rpc_connections_full at most once a minute, and their clients try another control VM. Accepted connections are probed by TCP keepalive after 60 s of silence.

That keepalive closes such a connection was not tried.

--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -8,6 +8,7 @@
 mod control_capnp;
 
 mod calls;
+mod connections;
 mod counting_stream;
 mod dial;
 mod error;
@@ -22,7 +23,7 @@
 pub use dial::{Connection, dial};
 pub use error::RpcError;
 pub use link::{Link, LinkSettings};
-pub use server::{ControlHandler, PeerHandler, serve};
+pub use server::{CONNECTIONS_MAX, ControlHandler, PeerHandler, serve, serve_at_most};
 pub use trust::Trust;
 
 /// The response to a request for tables newer than the client's.
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -4,12 +4,17 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::{AsyncReadExt, future::LocalBoxFuture};
-use monoio::net::{TcpListener, TcpStream};
+use monoio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
 use monoio_compat::TcpStreamCompat;
+use telemetry::Throttle;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::{
     ByteCounters, DocumentUpdate, ServerList, SubmitResult, TablesUpdate,
+    connections::Connections,
     control_capnp::{control, document_update, peer, submit_result, tables_update},
     counting_stream::CountingStream,
 };
@@ -18,6 +23,15 @@
 /// of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// The time between two log lines about connections that wait.
+const FULL_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
+/// The system probes a connection on which nothing came for so long, and closes it if the other end has gone
+/// without closing it, as a VM that has lost power.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(60);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEPALIVE_PROBES: u32 = 3;
+
 /// Handles the calls of routers and operators to a control VM.
 pub trait ControlHandler {
     /// Waits up to `wait` for tables newer than those of the client, which have the revision `held`
@@ -61,16 +75,43 @@
     fn read_index(&self) -> Option<u64>;
 }
 
-/// Accepts connections until the future is dropped.
+/// The maximum number of open connections of [`serve`]: routers, other control VMs and operators. At 28 KB a
+/// router, they take 29 MB.
+pub const CONNECTIONS_MAX: usize = 1_024;
+
+/// Accepts connections until the future is dropped, at most [`CONNECTIONS_MAX`] at a time.
 pub async fn serve(listener: TcpListener, handler: Rc<dyn ControlHandler>, counters: ByteCounters) {
+    serve_at_most(CONNECTIONS_MAX, listener, handler, counters).await;
+}
+
+/// Accepts connections until the future is dropped. While `connections_max` are open, further ones wait until
+/// one closes; their clients try another control VM meanwhile.
+pub async fn serve_at_most(
+    connections_max: usize,
+    listener: TcpListener,
+    handler: Rc<dyn ControlHandler>,
+    counters: ByteCounters,
+) {
+    let connections = Connections::new(connections_max);
+    let full = Throttle::new(FULL_LOG_INTERVAL);
     loop {
+        if !connections.have_room()
+            && let Some(suppressed) = full.record(time::Instant::now().into_std())
+        {
+            tracing::warn!(event = "rpc_connections_full", connections_max, suppressed);
+        }
+        connections.wait_for_room().await;
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let connection = serve_connection(stream, handler.clone(), counters.clone());
-                // A panic in one of its calls closes the connection, by which the client learns of it.
-                monoio::spawn(telemetry::contain("rpc_connection", peer, connection));
+                let open = connections.open();
+                monoio::spawn(async move {
+                    // A panic in one of its calls closes the connection, by which the client learns of it.
+                    let _ = telemetry::contain("rpc_connection", peer, connection).await;
+                    drop(open);
+                });
             }
-            Err(_) => monoio::time::sleep(ACCEPT_BACKOFF).await,
+            Err(_) => time::sleep(ACCEPT_BACKOFF).await,
         }
     }
 }
@@ -80,7 +121,12 @@
     handler: Rc<dyn ControlHandler>,
     counters: ByteCounters,
 ) {
-    if stream.set_nodelay(true).is_err() {
+    let keepalive = stream.set_tcp_keepalive(
+        Some(KEEPALIVE_IDLE),
+        Some(KEEPALIVE_INTERVAL),
+        Some(KEEPALIVE_PROBES),
+    );
+    if stream.set_nodelay(true).and(keepalive).is_err() {
         return;
     }
     let stream = CountingStream::new(TcpStreamCompat::new(stream).compat(), counters);
--- a/crates/rpc/tests/support/fixed_control.rs
+++ b/crates/rpc/tests/support/fixed_control.rs
@@ -1,4 +1,5 @@
 //! A control VM with fixed answers, and waiting for a link to it.
+#![allow(dead_code)]
 
 use std::{rc::Rc, time::Duration};
 
