Wait for settings that are being replaced while a daemon starts

Supervisors write the file at each start and whenever it changes, and not all in one step.

A start reads the file again for 5 s before the error counts; the log says so at once (settings_unreadable). The wait is a step that a stop request ends.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -126,7 +126,7 @@
     platform: Option<Platform>,
 ) -> anyhow::Result<()> {
     let path = settings_file.to_owned();
-    let settings = start.run_step("read the settings", move || Settings::read(&path))??;
+    let settings = start.read_settings(move || Settings::read(&path))?;
     start.set_log_filter(&settings.log)?;
     ::daemon::log_unknown_settings(&settings.unknown);
     let of_disk = settings.clone();
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -4,7 +4,7 @@
     panic,
     sync::mpsc::{self, RecvTimeoutError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use anyhow::Context;
@@ -16,6 +16,11 @@
 /// The interval at which a step of the start looks for a stop request.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a start waits for settings that can be read. A file that is being replaced may be missing, empty or
+/// half written for a moment.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A stop was requested before the daemon served, which is no failure.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 #[display("stopped during the start: {step}")]
@@ -40,6 +45,17 @@
         Start { signals, logs }
     }
 
+    /// Reads the settings by `read`, again for some seconds while they cannot be read.
+    ///
+    /// # Errors
+    /// The last error of `read`, and [`StoppedEarly`] after a stop request.
+    pub fn read_settings<T: Send + 'static>(
+        &self,
+        read: impl Fn() -> anyhow::Result<T> + Send + 'static,
+    ) -> anyhow::Result<T> {
+        self.run_step("read the settings", move || read_when_whole(read))?
+    }
+
     /// Applies the log filter of the settings.
     ///
     /// # Errors
@@ -79,3 +95,19 @@
         }
     }
 }
+
+fn read_when_whole<T>(read: impl Fn() -> anyhow::Result<T>) -> anyhow::Result<T> {
+    let begun = Instant::now();
+    let mut is_logged = false;
+    loop {
+        let error = match read() {
+            Err(error) if begun.elapsed() < SETTINGS_TIMEOUT => error,
+            result => return result,
+        };
+        if !is_logged {
+            tracing::warn!(event = "settings_unreadable", error = format!("{error:#}"));
+            is_logged = true;
+        }
+        thread::sleep(SETTINGS_RETRY_INTERVAL);
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -132,7 +132,7 @@
     components: impl FnOnce(&RouterSettings) -> anyhow::Result<Components>,
 ) -> anyhow::Result<()> {
     let path = settings_file.to_owned();
-    let settings = start.run_step("read the settings", move || read_settings(&path))??;
+    let settings = start.read_settings(move || read_settings(&path))?;
     start.set_log_filter(&settings.log)?;
     daemon::log_unknown_settings(&settings.unknown);
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
