Keep no connection whose answers name no request

What callers saw: at the interface of plain services, the answer to another request, as on relayed routes. A service may leave the ID out of its answers, so such an answer can't be refused as such; but on a connection that is used again nothing tells it from a late copy of the one before.

Before, in unnamed_answers.rs: `late_answer` (a service that names its answers) and `unnamed_service` (one that never does) got 200 "other" on the second request of a connection. A connection is now kept only behind an answer that names its request, on relayed routes too; an unnamed answer on a kept one is in doubt and the call goes on elsewhere. A service that never names its answers gets a new connection for each call and is served whole. After: both pass; `cargo test -p router` passes, and ten of the platform's tests that relay.

Engines' answers and commands are left as they were: each event of an answer names its request, and the answers to commands need no name.

--- a/crates/httpio/src/client.rs
+++ b/crates/httpio/src/client.rs
@@ -48,6 +48,11 @@
         self.body.is_on_kept_connection()
     }
 
+    /// Closes the connection behind this response instead of keeping it for a later exchange.
+    pub fn close_afterwards(&mut self) {
+        self.body.close_afterwards();
+    }
+
     /// Discards this response and reads the next one on the same connection, for example when this
     /// one belongs to an earlier request.
     ///
--- a/crates/httpio/src/client/body.rs
+++ b/crates/httpio/src/client/body.rs
@@ -52,6 +52,12 @@
         self.reading.as_ref().is_some_and(|it| it.connection.reused)
     }
 
+    pub(super) fn close_afterwards(&mut self) {
+        if let Some(reading) = &mut self.reading {
+            reading.keeps_alive = false;
+        }
+    }
+
     /// Reads the next piece, or returns `None` after the end. Dropping the future loses no data.
     ///
     /// # Errors
--- a/crates/router/src/backends.rs
+++ b/crates/router/src/backends.rs
@@ -285,6 +285,25 @@
     Request { method, uri, headers, body }
 }
 
+/// The error of an answer that names no request on a connection that carried other answers: it may be a
+/// late one to an earlier request.
+pub(crate) fn unnamed_answer() -> AttemptError {
+    AttemptError::in_doubt("an answer on a kept connection names no request")
+}
+
+/// Refuses an answer that may be a late one to an earlier request. If the answer names no request, the
+/// connection is not kept, as nothing would tell a late copy of this answer from the next one.
+pub(crate) fn refuse_late_answer(mut response: Response) -> Result<Response, AttemptError> {
+    if response.head.headers.contains_key(REQUEST_ID_HEADER) {
+        return Ok(response);
+    }
+    if response.is_on_kept_connection() {
+        return Err(unnamed_answer());
+    }
+    response.close_afterwards();
+    Ok(response)
+}
+
 fn check_response(response: Response, id: &HeaderValue) -> Result<Response, AttemptError> {
     let head = &response.head;
     let echo = head.headers.get(REQUEST_ID_HEADER);
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -11,7 +11,7 @@
 use tables::Exchange;
 
 use crate::{
-    backends::AttemptError,
+    backends::{AttemptError, unnamed_answer},
     call::{Call, SchedulingHints},
     class_limits::Permit,
     deadline::{Completion, run_until_deadline},
@@ -249,10 +249,11 @@
     for _ in 0..MISMATCHED_ANSWERS_MAX {
         match response.head.headers.get(REQUEST_ID_HEADER) {
             Some(echo) if echo == id => return Ok(response),
-            None if !carried_others => return Ok(response),
+            None if carried_others => return Err(unnamed_answer()),
             None => {
-                let detail = "an answer on a kept connection names no request";
-                return Err(AttemptError::in_doubt(detail));
+                // Nothing would tell a late copy of this answer from the next one.
+                response.close_afterwards();
+                return Ok(response);
             }
             Some(_) => {}
         }
--- a/crates/router/src/service_call.rs
+++ b/crates/router/src/service_call.rs
@@ -11,7 +11,7 @@
 use policy::{Execution, Failure as FailureKind};
 
 use crate::{
-    backends::{Attempt, AttemptError, forwarded_headers},
+    backends::{Attempt, AttemptError, forwarded_headers, refuse_late_answer},
     call::Call,
     deadline::{Completion, before_stop, run_until_deadline},
     order_ledger::StoredAnswer,
@@ -122,7 +122,7 @@
     exchange: impl Future<Output = Result<Response, AttemptError>>,
     memory: ByteBudget,
 ) -> Result<Answer, AttemptError> {
-    let response = exchange.await?;
+    let response = refuse_late_answer(exchange.await?)?;
     let (status, headers) = (response.head.status, forwarded_headers(&response.head.headers));
     let body = response.body.collect_within(&memory).await?;
     Ok(Answer { status, headers, body })
