Bound the memory that a router takes for large events

A router before callers that read their streams slowly could be killed for its memory, and all its requests were lost with it.

Cause: for each stream up to eight events are buffered for its caller, each of up to 256 KiB, and nothing bounded their sum.

Change: an event, or a piece of another router's stream, of more than 4 KiB is charged to the budget of answers, and waits for room there. The stream is not read meanwhile, so the server has to wait.

What a stream has in hand before that, a chunk, a partial event and the event that waits, is not charged: up to 768 KiB a stream by the limits of chunks and events.

--- a/crates/httpio/src/held.rs
+++ b/crates/httpio/src/held.rs
@@ -1,4 +1,4 @@
-//! The body of one message, held whole within a budget.
+//! The body of one message, held whole within a budget, or a piece of a stream.
 
 use bytes::Bytes;
 
@@ -8,6 +8,9 @@
 /// a sender is charged for at most twice what it has sent.
 const FIRST_BYTES: usize = 4 << 10;
 
+/// A piece of a stream up to this size is not charged; few of them are buffered for a connection.
+pub const UNCHARGED_PIECE_BYTES: usize = 4 << 10;
+
 /// The part of a body that has arrived. What is allocated is charged, not only what is filled, because
 /// memory that was used once stays with the process until its allocator returns it.
 pub(crate) struct HeldBody {
@@ -74,14 +77,25 @@
     }
 }
 
+/// Charges a piece of a stream, and waits until there is room for it. The charge ends when the last user of
+/// the returned bytes drops them. A piece of up to [`UNCHARGED_PIECE_BYTES`] is returned as it is.
+pub async fn hold_piece(budget: &ByteBudget, piece: Bytes) -> Bytes {
+    if piece.len() <= UNCHARGED_PIECE_BYTES {
+        return piece;
+    }
+    let mut charge = budget.charge(Some(piece.len()));
+    charge.resize(piece.len()).await;
+    Bytes::from_owner(Charged { data: piece, _charge: charge })
+}
+
 /// Bytes with their charge.
-struct Charged {
-    data: Vec<u8>,
+struct Charged<T> {
+    data: T,
     _charge: Charge,
 }
 
-impl AsRef<[u8]> for Charged {
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Charged<T> {
     fn as_ref(&self) -> &[u8] {
-        &self.data
+        self.data.as_ref()
     }
 }
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -22,5 +22,6 @@
 pub use crate::{
     fields::end_to_end,
     framing::FramingFault,
+    held::{UNCHARGED_PIECE_BYTES, hold_piece},
     limits::{Limits, UnsizedBody},
 };
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -13,6 +13,7 @@
     Limits, UnsizedBody,
     budget::ByteBudget,
     client::{Body, ClientError, Pool, PoolSettings, Request, Response, Stage},
+    hold_piece,
     server::{Reply, StreamSender},
     signal::Signal,
     sse,
@@ -179,9 +180,11 @@
             return Ok(Reply::whole(status, headers, body));
         }
         let (sender, reply) = Reply::stream(status, headers, BUFFERED_PIECES_MAX);
+        let memory = self.memory.clone();
         let relayed = async move {
             // Dropping the body closes the connection, by which the peer learns that the caller has gone.
-            run_until_deadline(&disconnected, &stop, left, pass_on(response.body, sender)).await;
+            let passed_on = pass_on(response.body, sender, memory);
+            run_until_deadline(&disconnected, &stop, left, passed_on).await;
         };
         monoio::spawn(telemetry::contain("forwarded_stream", peer, relayed));
         Ok(reply)
@@ -255,10 +258,11 @@
 }
 
 /// Passes a stream on. If it breaks, the caller's connection is closed without the end of the stream.
-async fn pass_on(mut body: Body, mut sender: StreamSender) {
+async fn pass_on(mut body: Body, mut sender: StreamSender, memory: ByteBudget) {
     while let Some(piece) = body.next().await {
         match piece {
             Ok(data) => {
+                let data = hold_piece(&memory, data).await;
                 if sender.send(data).await.is_err() {
                     return;
                 }
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -7,6 +7,7 @@
 use httpio::{
     Bytes,
     client::{Body, Response},
+    hold_piece,
     server::{Reply, StreamSender},
     sse::{self, Splitter},
 };
@@ -157,6 +158,7 @@
     loop {
         match next {
             Ok(Some(event)) => {
+                let event = hold_piece(&relayed.call.services.memory.answers, event).await;
                 if sender.send(event).await.is_err() {
                     return RelayEnd::CallerDisconnected;
                 }
