Charge large heads to the memory for bodies

Cause: a head of up to 16 KiB is buffered for each connection, and nothing bounded the sum over all connections.

Change: what a head takes beyond 4 KiB is charged to the budget of requests until the request has been answered. Without room the request is refused like one with a body; smaller heads need no room.

--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -16,9 +16,9 @@
 };
 use crate::{
     Limits,
-    budget::{ByteBudget, NoRoom},
+    budget::{ByteBudget, Charge, NoRoom},
     framing::{self, BodyDecoder, BodyFault, Step},
-    held::HeldBody,
+    held::{HeldBody, UNCHARGED_PIECE_BYTES},
     inbound::{HeadFault, Inbound, Received},
     outbound::Outbound,
     signal::{Signal, signal},
@@ -100,12 +100,12 @@
     }
 
     async fn receive(&mut self) -> Result<RequestHeadAndBody, End> {
-        let head = self.read_head().await?;
+        let (head, head_charge) = self.read_head().await?;
         check_host(&head)?;
         let body = time::timeout(self.limits.body_timeout(), self.read_body(&head))
             .await
             .map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "send the whole body faster"))??;
-        Ok(RequestHeadAndBody { head, body })
+        Ok(RequestHeadAndBody { head, head_charge, body })
     }
 
     /// Waits for a request on an idle connection. A shutdown or the keep-alive timeout closes it.
@@ -128,9 +128,11 @@
         Ok(())
     }
 
-    async fn read_head(&mut self) -> Result<RequestHead, End> {
+    /// Reads a head. The memory of a large one is charged until the request has been answered.
+    async fn read_head(&mut self) -> Result<(RequestHead, Charge), End> {
         let limits = self.limits;
         let inbound = &mut self.inbound;
+        let mut charge = self.memory.charge(None);
         let head = async {
             loop {
                 if let Some(head) =
@@ -142,15 +144,17 @@
                     Ok(Received::Data) => {}
                     Ok(Received::Eof) | Err(_) => return Err(End::Close),
                 }
+                let large = inbound.buffer.len().saturating_sub(UNCHARGED_PIECE_BYTES);
+                charge.try_resize(large).map_err(memory_refusal)?;
             }
         };
-        let head = time::timeout(limits.head_timeout(), head)
+        let head: RequestHead = time::timeout(limits.head_timeout(), head)
             .await
             .map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "send the whole head faster"))??;
         if head.headers.len() > limits.header_count {
             return Err(head_refusal(HeadFault::TooBig));
         }
-        Ok(head)
+        Ok((head, charge))
     }
 
     async fn read_body(&mut self, head: &RequestHead) -> Result<Bytes, End> {
@@ -176,7 +180,7 @@
     }
 
     async fn handle(&mut self, request: RequestHeadAndBody) -> Result<(), End> {
-        let RequestHeadAndBody { head, body } = request;
+        let RequestHeadAndBody { head, head_charge: _charge, body } = request;
         let close_requested = requests_close(&head.headers);
         let (trigger, disconnected) = signal();
         let request = Request {
@@ -299,6 +303,7 @@
 
 struct RequestHeadAndBody {
     head: RequestHead,
+    head_charge: Charge,
     body: Bytes,
 }
 
--- a/crates/httpio/tests/memory_budget.rs
+++ b/crates/httpio/tests/memory_budget.rs
@@ -64,9 +64,13 @@
     }
 
     async fn wait_until(&self, is_reached: impl Fn(usize) -> bool) {
-        while !is_reached(self.held()) {
-            time::sleep(POLL_INTERVAL).await;
-        }
+        let wait = async {
+            while !is_reached(self.held()) {
+                time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let waited = time::timeout(WAIT_TIMEOUT, wait).await;
+        assert!(waited.is_ok(), "{} bytes are charged", self.held());
     }
 }
 
@@ -240,3 +244,30 @@
         check_waiting_answers(addr).await;
     });
 }
+
+/// Guards against large heads that are buffered without a charge, and keep it when their caller goes away.
+#[test]
+fn heads_charged() {
+    support::run(async {
+        let server = KeepingServer::start(Limits::default());
+        let head = format!("GET / HTTP/1.1\r\nhost: a\r\nx-a: {}", "a".repeat(14 * KIB));
+        let count = 2 * SIZE.bytes_max / head.len();
+        let mut streams = Vec::new();
+        for _ in 0..count {
+            streams.push(server.send_part(head.clone().into_bytes()).await);
+        }
+        server.wait_until(|held| held >= SIZE.bytes_max - head.len()).await;
+        while server.memory.usage().refused == 0 {
+            time::sleep(POLL_INTERVAL).await;
+        }
+        assert!(server.held() <= SIZE.bytes_max);
+        assert_eq!(server.post(0).await, "200 OK: kept", "a small head needs no room");
+        drop(streams);
+        server.wait_until(|held| held == 0).await;
+        let answer =
+            support::raw_exchange(server.addr, format!("{head}\r\nconnection: close\r\n\r\n"))
+                .await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        server.wait_until(|held| held == 0).await;
+    });
+}
