--- a/crates/control/tests/settings_faults.rs
+++ b/crates/control/tests/settings_faults.rs
@@ -21,3 +21,15 @@
     let named: Vec<_> = faults.iter().map(|it| it.name.as_str()).collect();
     assert_eq!(named, ["control.heartbeat", "control.heartbeat_ms"]);
 }
+
+/// Guards against a control VM that formats its disk by a default, because a template left the value empty: a
+/// seed that joins instead of founding its cluster can't be told otherwise later.
+#[test]
+fn empty_values_refused() {
+    for key in ["found", "operators_listen", "platform", "losses_max"] {
+        let text = format!("{TEXT}{key} =\n");
+        let faults = Settings::parse("control.ini", &text).expect_err("an empty value");
+        let named: Vec<_> = faults.iter().map(|it| it.name.clone()).collect();
+        assert_eq!(named, [format!("control.{key}")]);
+    }
+}
--- a/crates/ini-settings/src/document.rs
+++ b/crates/ini-settings/src/document.rs
@@ -35,14 +35,6 @@
     pub line: usize,
 }
 
-impl Entry {
-    /// Whether the value is empty.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.value.trim().is_empty()
-    }
-}
-
 impl Document {
     /// Parses `text`; `source_name` names the file in faults.
     ///
--- a/crates/ini-settings/src/fault.rs
+++ b/crates/ini-settings/src/fault.rs
@@ -23,7 +23,7 @@
 #[display("{}", self.lines())]
 pub struct Faults {
     list: Vec<Fault>,
-    /// Names that this build does not know, which another build may, and values that were left empty.
+    /// Names that this build does not know, which another build may, and advisory values that do not fit.
     unknown: Vec<Fault>,
 }
 
@@ -33,12 +33,13 @@
         self.list.push(fault);
     }
 
-    /// Adds a name that is not known or a value that is empty, which alone does not make a file invalid.
+    /// Adds a name that is not known or an advisory value that does not fit, which alone does not make a file
+    /// invalid.
     pub(crate) fn push_unknown(&mut self, unknown: Fault) {
         self.unknown.push(unknown);
     }
 
-    /// The names that are not known and the values that are empty, but that do not make a file invalid.
+    /// The names that are not known and the advisory values that do not fit, but do not make a file invalid.
     pub fn unknown(&self) -> &[Fault] {
         &self.unknown
     }
--- a/crates/ini-settings/src/reader.rs
+++ b/crates/ini-settings/src/reader.rs
@@ -30,12 +30,8 @@
         if let Some(value) = self.optional(key, expected) {
             return value;
         }
-        match self.entry(key) {
-            None => self.fault(key, "is missing", &format!("write {expected}")),
-            Some(entry) if entry.is_empty() => {
-                self.fault(key, "is empty", &format!("write {expected}"));
-            }
-            Some(_) => {}
+        if self.entry(key).is_none() {
+            self.fault_at(self.section.line, key, "is missing", &format!("write {expected}"));
         }
         T::default()
     }
@@ -47,24 +43,31 @@
     }
 
     /// Reads an optional value; returns `None` if it is absent or does not parse.
-    ///
-    /// An empty value that does not parse counts as absent, and is noted: a template leaves a value empty
-    /// where there is none.
     pub fn optional<T: FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
         self.known.insert(key.to_owned());
         let entry = self.entry(key)?;
         let parsed = entry.value.trim().parse().ok();
-        if parsed.is_none() && entry.is_empty() {
-            let remedy = format!("write {expected}, or leave it out");
-            let fault = self.to_fault(entry.line, key, "is empty", &remedy);
-            self.faults.push_unknown(fault);
-        } else if parsed.is_none() {
+        if parsed.is_none() {
             let problem = format!("`{}` does not fit", entry.value);
             self.fault_at(entry.line, key, &problem, &format!("write {expected}"));
         }
         parsed
     }
 
+    /// Reads an advisory value, whose default is safe: returns `default` if it is absent. One that does not
+    /// parse, or is empty because a template had no value for it, is noted and counts as absent.
+    pub fn advisory<T: FromStr>(&mut self, key: &str, expected: &str, default: T) -> T {
+        self.known.insert(key.to_owned());
+        let Some(entry) = self.entry(key) else { return default };
+        if let Ok(value) = entry.value.trim().parse() {
+            return value;
+        }
+        let problem = format!("`{}` does not fit, so the default is used", entry.value);
+        let noted = self.to_fault(entry.line, key, &problem, &format!("write {expected}"));
+        self.faults.push_unknown(noted);
+        default
+    }
+
     /// Reads an optional value; returns `default` if it is absent or does not parse.
     pub fn or_default<T: FromStr>(&mut self, key: &str, expected: &str, default: T) -> T {
         self.optional(key, expected).unwrap_or(default)
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -182,7 +182,7 @@
         admin_listen: reader.optional("admin_listen", ADDRESS).unwrap_or(default.admin_listen),
         forward_listen: reader.optional("forward_listen", ADDRESS),
         log: reader.or_default("log", "a filter such as info", default.log),
-        memory_mb: reader.or_default("memory_mb", MEBIBYTES, default.memory_mb),
+        memory_mb: reader.advisory("memory_mb", MEBIBYTES, default.memory_mb),
         routers: reader.or_default("routers", COUNT, default.routers),
         drain_delay_ms: reader.or_default("drain_delay_ms", MILLISECONDS, default.drain_delay_ms),
         stop_grace: read_stop_grace(&mut reader),
@@ -232,17 +232,12 @@
     settings
 }
 
-/// Reads the time until a stopping process is killed. A template leaves the value empty where it is not
-/// known.
+/// Reads the time until a stopping process is killed.
 fn read_stop_grace(reader: &mut SectionReader<'_>) -> Duration {
-    let seconds: Vec<f64> = reader.list("stop_grace_s", SECONDS);
-    let Some(seconds) = seconds.first() else { return STOP_GRACE };
-    Duration::try_from_secs_f64(*seconds).unwrap_or_else(|_| {
-        reader.fault(
-            "stop_grace_s",
-            &format!("`{seconds}` does not fit"),
-            &format!("write {SECONDS}"),
-        );
+    let seconds = reader.advisory("stop_grace_s", SECONDS, STOP_GRACE.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).unwrap_or_else(|_| {
+        let problem = format!("`{seconds}` does not fit");
+        reader.fault("stop_grace_s", &problem, &format!("write {SECONDS}"));
         STOP_GRACE
     })
 }
--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -70,6 +70,21 @@
     check_stop_grace("stop_grace_s = -1", fault);
 }
 
+/// Guards against a router that does not start because an advisory value does not fit.
+#[test]
+fn advisory_values() {
+    for value in ["", "110.5", "much"] {
+        let text = format!(
+            "[router]\nvm = vm-1\nfailure_domain = fd-1\nroutes_file = a\npools_file = b\n\
+             memory_mb = {value}\n"
+        );
+        let settings = RouterSettings::parse("router.ini", &text).expect("only advisory values");
+        assert_eq!(settings.memory_mb, RouterSettings::default().memory_mb);
+        let noted: Vec<_> = settings.unknown.iter().map(|it| it.name.as_str()).collect();
+        assert_eq!(noted, ["router.memory_mb"]);
+    }
+}
+
 #[test]
 fn tokens_are_hidden() {
     let workspaces =
