Format no folder of which the system cannot tell what it holds

Found by the review: is_formatted took every error of the file system (EIO, EACCES) for an empty folder, and a seed would then have formatted it anew under an id that has voted, over its log. Now the error ends the start.

--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -95,7 +95,7 @@
 ///
 /// If the folder cannot be written.
 fn format_if_empty(settings: &Settings) -> Result<(), StorageError> {
-    if storage::is_formatted(&settings.data_dir) {
+    if storage::is_formatted(&settings.data_dir)? {
         return Ok(());
     }
     let sizes = storage::Settings::default();
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -16,8 +16,11 @@
 const DAMAGED_FILE: &str = "log.redb.damaged";
 
 /// Whether `folder` is formatted.
-pub fn is_formatted(folder: &Path) -> bool {
-    folder.join(LOG_FILE).exists()
+///
+/// # Errors
+/// If that cannot be told: a folder that seems empty would be formatted under an id that may have voted.
+pub fn is_formatted(folder: &Path) -> Result<bool, StorageError> {
+    folder.join(LOG_FILE).try_exists().map_err(|err| StorageError::from_io(folder, &err))
 }
 
 /// Formats `folder` as a new disk and returns the random id of that disk.
@@ -83,7 +86,7 @@
     disk: DiskId,
     start: Option<Snapshot>,
 ) -> Result<(), StorageError> {
-    if is_formatted(folder) {
+    if is_formatted(folder)? {
         return Err(StorageError::AlreadyFormatted { path: folder.to_owned() });
     }
     fs::create_dir_all(folder).map_err(|err| StorageError::from_io(folder, &err))?;
--- a/crates/storage/tests/data_folder.rs
+++ b/crates/storage/tests/data_folder.rs
@@ -155,6 +155,20 @@
     }
 }
 
+/// Guards against a folder that is formatted anew, under an id that has voted, because the system could not tell
+/// whether it holds a log.
+#[test]
+fn unknown_contents() {
+    let (folder, log) = formatted();
+    drop(log);
+    // A name that leads to itself cannot be followed.
+    let looped = folder.path().join("looped");
+    std::os::unix::fs::symlink(&looped, &looped).unwrap();
+    assert!(matches!(format(&looped, &Settings::default()), Err(StorageError::Io { .. })));
+    assert!(storage::is_formatted(&looped).is_err());
+    assert!(storage::is_formatted(folder.path()).unwrap());
+}
+
 /// Guards against a damaged log that is not replaced because it cannot be kept, as on a file system
 /// without links.
 #[test]
