Keep no large failed answer while the next attempt waits for memory

Found by the review, by reading: a repeatable request kept a server's 5xx answer, with its charge, while it collected the next one. If the first held the right to exceed the budget, the request waited for itself until its deadline. Not shown by a test.

--- a/crates/router/src/relay/buffered.rs
+++ b/crates/router/src/relay/buffered.rs
@@ -1,7 +1,7 @@
 //! Relays an answer after it has arrived completely.
 
 use http::{HeaderMap, StatusCode};
-use httpio::{Bytes, client::Response, server::Reply};
+use httpio::{Bytes, budget::SMALL_MESSAGE_BYTES, client::Response, server::Reply};
 use policy::{Execution, Failure as FailureKind};
 
 use super::relayed_call::RelayedCall;
@@ -59,7 +59,8 @@
         let error = match attempt(relayed).await {
             Ok(answer) if answer.status.is_server_error() && relayed.is_repeatable() => {
                 let detail = format!("the backend server answered {}", answer.status);
-                *failed = Some(answer);
+                // A large one would keep the memory that the next attempt may wait for.
+                *failed = Some(answer).filter(|it| it.body.len() <= SMALL_MESSAGE_BYTES);
                 let (failure, execution) = (FailureKind::Other, Execution::MayHaveRun);
                 AttemptError { failure, execution, detail }
             }
