--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -198,7 +198,7 @@
     let registry = Registry::new();
     let health = Rc::new(ControlHealth::register(replica.clone(), feed.clone(), &registry)?);
     let admin = Rc::new(Admin::new(registry, health));
-    let admin_settings = ServerSettings::default();
+    let admin_settings = ::daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     let versions = VersionKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
     let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone(), versions));
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,12 +5,22 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use httpio::{
     Method, StatusCode,
-    server::{Handler, Reply, Request},
+    budget::{BudgetSize, ByteBudget},
+    server::{Handler, Reply, Request, ServerSettings},
 };
 use prometheus::Registry;
 
 const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
 
+/// The memory for the bodies of all requests to an admin listener, most of which have none.
+const BODIES: BudgetSize = BudgetSize { bytes_max: 4 << 20, small_bytes: 2 << 20 };
+
+/// The settings of an admin listener.
+#[must_use]
+pub fn admin_server() -> ServerSettings {
+    ServerSettings { memory: ByteBudget::new(BODIES), ..ServerSettings::default() }
+}
+
 /// Reports the state of a daemon.
 pub trait Health {
     /// Whether the daemon accepts requests. The text becomes the body of the readiness response.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,7 @@
 mod start;
 mod watch;
 
-pub use admin::{Admin, Health};
+pub use admin::{Admin, Health, admin_server};
 pub use listen::bind_when_free;
 pub use process::{Launch, run_process};
 pub use settings_log::log_unknown_settings;
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -197,7 +197,7 @@
     let health = RouterHealth { readiness: Rc::clone(&readiness) };
     let admin = Admin::new(registry, Rc::new(health));
     let admin = Rc::new(RouterAdmin { admin, services: Rc::clone(&services) });
-    let admin_settings = ServerSettings::default();
+    let admin_settings = daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     monoio::spawn(services.memory.clone().log_refusals());
     let memory = services.memory.requests.clone();
