Tell a stop that cut nothing from one that did

The outcome was taken from the clock alone, and the tests left 125 ms between the last answers and the end.

--- a/crates/router/src/daemon/stop_steps.rs
+++ b/crates/router/src/daemon/stop_steps.rs
@@ -46,7 +46,10 @@
         if is_served_by(requested + schedule.end_after, &mut served).await {
             return stopped(Stopped::Gracefully);
         }
-        stopped(Stopped::AtDeadline { requests_cut: open.count() })
+        match open.count() {
+            0 => stopped(Stopped::Gracefully),
+            requests_cut => stopped(Stopped::AtDeadline { requests_cut }),
+        }
     }
 }
 
