Compute the time that a request has left in one place

Found on reading the change once more: the rule that a stop of the router shortens a request's time was written three times, for calls, relayed calls and requests that are forwarded, and left out once beside them. Services::time_left serves all.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -157,8 +157,7 @@
 
     /// The time until the request must be answered.
     pub(crate) fn time_left(&self) -> Duration {
-        let left = self.routed.deadline().saturating_duration_since(self.services.clock.now());
-        self.services.stop.limit(left)
+        self.services.time_left(self.routed.deadline())
     }
 
     /// Records the time to the first token.
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -150,7 +150,7 @@
     deadline: Instant,
     known: Outcome,
 ) -> Option<Result<Reply, Failure>> {
-    let left = time_left(services, deadline);
+    let left = services.time_left(deadline);
     let disconnected = routed.arrival.request.disconnected.clone();
     let outcome = Cell::new(known);
     let asking = ask_peers(services, routed, deadline, &outcome);
@@ -163,11 +163,6 @@
     Some(result.map_err(|it| Failure { outcome: outcome.get().worse(it.outcome), ..it }))
 }
 
-/// The time in which the request can be answered.
-fn time_left(services: &Services, deadline: Instant) -> Duration {
-    services.stop.limit(deadline.saturating_duration_since(services.clock.now()))
-}
-
 /// As [`forward`]. `outcome` covers all attempts, also the one under way in case the deadline passes.
 async fn ask_peers(
     services: &Services,
@@ -180,7 +175,7 @@
     let mut unanswered = None;
     while let Some(peer) = next_peer(services, routed, &mut candidates).await {
         let started = services.clock.now();
-        let time_left = time_left(services, deadline);
+        let time_left = services.time_left(deadline);
         if time_left < FORWARD_TIME_MIN {
             break;
         }
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -65,8 +65,7 @@
         let caller_timeout = metadata.timeout.unwrap_or(Duration::MAX);
         let timeout = caller_timeout.min(routed.route().deadline());
         let deadline = routed.arrival.arrived + timeout;
-        let left = deadline.saturating_duration_since(services.clock.now());
-        let stop = services.stop.clone();
+        let (stop, left) = (services.stop.clone(), services.time_left(deadline));
         let disconnected = routed.arrival.request.disconnected.clone();
         let hints = SchedulingHints {
             prefix_hash: metadata.prompt.shared_hash(),
@@ -94,8 +93,7 @@
     }
 
     pub(super) fn time_left(&self) -> Duration {
-        let services = &self.call.services;
-        services.stop.limit(self.deadline.saturating_duration_since(services.clock.now()))
+        self.call.services.time_left(self.deadline)
     }
 
     /// Whether the request may be resent after an attempt that may have run.
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -1,6 +1,11 @@
 //! The services that the stages of a request share, and their timeouts.
 
-use std::{cell::OnceCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::OnceCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use clock::Clock;
 use control_client::Domain;
@@ -102,4 +107,9 @@
         let text = format!("{id}.{:016x}", self.ids.nonce());
         HeaderValue::try_from(text).expect("a request ID is a valid header value")
     }
+
+    /// The time until a request with this deadline must be answered, which a stop of the router shortens.
+    pub(crate) fn time_left(&self, deadline: Instant) -> Duration {
+        self.stop.limit(deadline.saturating_duration_since(self.clock.now()))
+    }
 }
