Derive how a router stopped from its open connections

The count of open connections decides alone. The lines of the log and the results are the same; router late_in_grace and graceful_stop pass.

--- a/crates/router/src/daemon/stop_steps.rs
+++ b/crates/router/src/daemon/stop_steps.rs
@@ -38,17 +38,16 @@
         time::sleep_until(requested + schedule.close_after).await;
         tracing::info!(event = "closing");
         self.close.raise();
-        if is_served_by(requested + schedule.receive_until, &mut served).await {
-            return stopped(Stopped::Gracefully);
+        if !is_served_by(requested + schedule.receive_until, &mut served).await {
+            tracing::info!(event = "refusing", open_connections = open.count());
+            self.refuse.raise();
+            is_served_by(requested + schedule.end_after, &mut served).await;
         }
-        tracing::info!(event = "refusing", open_connections = open.count());
-        self.refuse.raise();
-        if is_served_by(requested + schedule.end_after, &mut served).await {
-            return stopped(Stopped::Gracefully);
-        }
-        match open.count() {
-            0 => stopped(Stopped::Gracefully),
-            requests_cut => stopped(Stopped::AtDeadline { requests_cut }),
+        let requests_cut = open.count();
+        tracing::info!(event = "stopped", requests_cut);
+        match requests_cut {
+            0 => Stopped::Gracefully,
+            _ => Stopped::AtDeadline { requests_cut },
         }
     }
 }
@@ -65,12 +64,3 @@
         () = end => false,
     }
 }
-
-fn stopped(how: Stopped) -> Stopped {
-    let requests_cut = match how {
-        Stopped::AtDeadline { requests_cut } => requests_cut,
-        Stopped::Gracefully | Stopped::AtOnce => 0,
-    };
-    tracing::info!(event = "stopped", requests_cut);
-    how
-}
