--- a/crates/router/src/order_call.rs
+++ b/crates/router/src/order_call.rs
@@ -57,6 +57,7 @@
 }
 
 /// The claim of one request on the key of its order.
+#[derive(Clone)]
 struct OrderClaim {
     services: Rc<Services>,
     key: OrderKey,
@@ -127,9 +128,7 @@
 
     /// Retries the record until it succeeds or the attempts are exhausted.
     fn record_in_background(&self, record: ClaimRecord) {
-        let (services, key, id) = (Rc::clone(&self.services), self.key.clone(), self.id);
-        let caller = self.caller;
-        let claim = OrderClaim { services, key, id, caller };
+        let claim = self.clone();
         let record = async move {
             for _ in 0..RECORD_ATTEMPTS_MAX {
                 time::sleep(RECORD_INTERVAL).await;
@@ -139,7 +138,7 @@
             }
             tracing::warn!(event = "order_not_recorded", key = %claim.key, claim = %claim.id);
         };
-        monoio::spawn(telemetry::contain("order_record", caller, record));
+        monoio::spawn(telemetry::contain("order_record", self.caller, record));
     }
 }
 
