Wake what waits for memory in one place

Found on reading the change once more: resizing and dropping a charge each repeated how waiting messages are woken after the lock is released, and a held body kept the declared length that its charge has.

--- a/crates/httpio/src/budget.rs
+++ b/crates/httpio/src/budget.rs
@@ -128,12 +128,15 @@
             state.usage.refused += 1;
             return Err(NoRoom);
         }
-        let waiting = self.apply(&mut state, bytes);
-        drop(state);
-        waiting.into_iter().for_each(Waker::wake);
+        self.apply(state, bytes);
         Ok(())
     }
 
+    /// The size that the message states in advance.
+    pub(crate) fn declared_bytes(&self) -> Option<usize> {
+        self.declared_bytes
+    }
+
     /// Whether the declared size would fit if all of it came now.
     ///
     /// # Errors
@@ -163,9 +166,7 @@
                 }
                 state.exceeding = Some(self.number);
             }
-            let waiting = self.apply(&mut state, bytes);
-            drop(state);
-            waiting.into_iter().for_each(Waker::wake);
+            self.apply(state, bytes);
             Poll::Ready(())
         })
         .await;
@@ -179,15 +180,21 @@
         bytes <= self.bytes || others.saturating_add(bytes) <= room
     }
 
-    /// Applies the new size; returns what waits for room that this has freed.
-    fn apply(&mut self, state: &mut State, bytes: usize) -> Vec<Waker> {
+    /// Applies the new size, and wakes what waits for room if some is freed.
+    fn apply(&mut self, mut state: MutexGuard<'_, State>, bytes: usize) {
         state.usage.held_bytes = state.usage.held_bytes - self.bytes + bytes;
         let frees = bytes < self.bytes;
         self.bytes = bytes;
-        if frees && state.usage.held_bytes <= self.budget.shared.size.large_bytes_max() {
+        if !frees {
+            return;
+        }
+        if state.usage.held_bytes <= self.budget.shared.size.large_bytes_max() {
             state.exceeding = None;
         }
-        if frees { std::mem::take(&mut state.waiting) } else { Vec::new() }
+        let waiting = std::mem::take(&mut state.waiting);
+        // What wakes may use the budget at once.
+        drop(state);
+        waiting.into_iter().for_each(Waker::wake);
     }
 }
 
@@ -198,8 +205,6 @@
         if state.exceeding == Some(self.number) {
             state.exceeding = None;
         }
-        let waiting = self.apply(&mut state, 0);
-        drop(state);
-        waiting.into_iter().for_each(Waker::wake);
+        self.apply(state, 0);
     }
 }
--- a/crates/httpio/src/held.rs
+++ b/crates/httpio/src/held.rs
@@ -16,12 +16,11 @@
 pub(crate) struct HeldBody {
     data: Vec<u8>,
     charge: Charge,
-    declared_bytes: Option<usize>,
 }
 
 impl HeldBody {
     pub(crate) fn new(budget: &ByteBudget, declared_bytes: Option<usize>) -> HeldBody {
-        HeldBody { data: Vec::new(), charge: budget.charge(declared_bytes), declared_bytes }
+        HeldBody { data: Vec::new(), charge: budget.charge(declared_bytes) }
     }
 
     /// Refuses a body that would not fit if all of it came now.
@@ -38,7 +37,7 @@
     pub(crate) fn try_extend(&mut self, piece: &[u8]) -> Result<(), NoRoom> {
         if let Some(capacity) = self.new_capacity(piece.len()) {
             self.charge.try_resize(capacity)?;
-            self.data.reserve_exact(capacity - self.data.len());
+            self.grow(capacity);
         }
         self.data.extend_from_slice(piece);
         Ok(())
@@ -46,16 +45,16 @@
 
     /// Waits until there is room for all of the declared length.
     pub(crate) async fn reserve_declared(&mut self) {
-        let Some(declared) = self.declared_bytes else { return };
+        let Some(declared) = self.charge.declared_bytes() else { return };
         self.charge.resize(declared).await;
-        self.data.reserve_exact(declared);
+        self.grow(declared);
     }
 
     /// Appends a piece, and waits until there is room for it.
     pub(crate) async fn extend(&mut self, piece: &[u8]) {
         if let Some(capacity) = self.new_capacity(piece.len()) {
             self.charge.resize(capacity).await;
-            self.data.reserve_exact(capacity - self.data.len());
+            self.grow(capacity);
         }
         self.data.extend_from_slice(piece);
     }
@@ -68,11 +67,15 @@
         }
     }
 
+    fn grow(&mut self, capacity: usize) {
+        self.data.reserve_exact(capacity - self.data.len());
+    }
+
     /// The capacity that a further piece takes, if it is more than there is.
     fn new_capacity(&self, piece_bytes: usize) -> Option<usize> {
         let (needed, capacity) = (self.data.len() + piece_bytes, self.data.capacity());
         let doubled = (2 * capacity).max(FIRST_BYTES);
-        let wanted = doubled.min(self.declared_bytes.unwrap_or(usize::MAX)).max(needed);
+        let wanted = doubled.min(self.charge.declared_bytes().unwrap_or(usize::MAX)).max(needed);
         (needed > capacity).then_some(wanted)
     }
 }
