Share the rule by which repeated attempts are logged

Found on reading the change once more: binding addresses repeated the rule of the disk's retries, a line at the first attempt and then fewer and fewer. It stands beside the throttle of the log now.

--- a/crates/control/src/disk_writer.rs
+++ b/crates/control/src/disk_writer.rs
@@ -90,8 +90,7 @@
             }
             return result;
         };
-        // One line at the first attempt, then fewer and fewer.
-        if attempts.is_power_of_two() || attempts == 0 || event != last_event {
+        if telemetry::is_logged_attempt(attempts) || event != last_event {
             tracing::error!(event, path = %path.display(), attempts);
         }
         last_event = event;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -33,8 +33,7 @@
                 return Ok(listeners);
             }
             Err(error) if is_temporary(&error) => {
-                // One line at the first attempt, then fewer and fewer.
-                if attempts.is_power_of_two() || attempts == 0 {
+                if telemetry::is_logged_attempt(attempts) {
                     let BindError { addr, error } = error;
                     tracing::warn!(event = "address_in_use", %addr, %error, attempts);
                 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -17,5 +17,5 @@
 pub use metrics::{register_gauge, register_process_metrics, render_metrics};
 pub use panics::log_panics;
 pub use secret::Secret;
-pub use throttle::Throttle;
+pub use throttle::{Throttle, is_logged_attempt};
 pub use trace_context::{SpanId, TraceContext, TraceContextError, TraceId};
--- a/crates/telemetry/src/throttle.rs
+++ b/crates/telemetry/src/throttle.rs
@@ -32,3 +32,10 @@
         Some(self.suppressed.take())
     }
 }
+
+/// Whether the failure of an attempt is to be logged, of which there were `attempts` before: that of the first, and
+/// then of fewer and fewer.
+#[must_use]
+pub fn is_logged_attempt(attempts: u64) -> bool {
+    attempts == 0 || attempts.is_power_of_two()
+}
