Add the groundwork of the duties that one VM holds at a time

Cause: the platform takes usage reports and orders of servers from one holder at a time, and nothing in the product makes these calls.

--- a/crates/control-state/src/codec.rs
+++ b/crates/control-state/src/codec.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Display, Error};
 use serde::{Serialize, de::DeserializeOwned};
+use wire_form::FormError;
 
 use crate::{Command, Response};
 
@@ -39,6 +40,12 @@
     decode(bytes)
 }
 
+impl From<FormError> for CodecError {
+    fn from(error: FormError) -> Self {
+        CodecError { reason: error.reason }
+    }
+}
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     postcard::to_stdvec(value).expect("the state's maps, strings and numbers always serialize")
 }
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -1,6 +1,7 @@
 //! The commands of the replicated log.
 
 use derive_more::{Display, From};
+use duties::{UsageReport, WindowId};
 use serde::{Deserialize, Serialize};
 use tables::{Revision, TablesText};
 
@@ -70,6 +71,13 @@
         /// The node id.
         node: u64,
     },
+    /// Settles the usage of a window, unless it is settled already.
+    SettleUsage(UsageReport),
+    /// Records that the usage of a window has been accepted or given up.
+    CloseUsage {
+        /// The window.
+        window: WindowId,
+    },
 }
 
 /// A compare-and-set of the tables.
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,5 +1,5 @@
 //! The replicated state of the control plane: tables changed by compare-and-set, claims on orders,
-//! fencing tokens.
+//! fencing tokens, settled usage.
 //!
 //! An order is a request that runs at most once, identified by its idempotency key.
 //!
@@ -17,6 +17,7 @@
 mod response;
 mod state;
 mod table_store;
+mod usage_windows;
 
 pub use check::{CommandFault, TablesCheck, TablesRules, check};
 pub use codec::{CodecError, decode_command, decode_response, encode_command, encode_response};
@@ -30,6 +31,8 @@
 };
 pub use response::{
     ClaimAnswer, DocumentAnswer, PlanAnswer, Response, SettleAnswer, StoredAnswer, TablesAnswer,
+    UsageAnswer,
 };
 pub use state::State;
 pub use table_store::CHANGE_IDS_MAX;
+pub use usage_windows::USAGE_WINDOWS_MAX;
--- a/crates/control-state/src/response.rs
+++ b/crates/control-state/src/response.rs
@@ -1,6 +1,7 @@
 //! The responses to commands.
 
 use derive_more::From;
+use duties::UsageReport;
 use serde::{Deserialize, Serialize};
 use tables::Revision;
 
@@ -29,6 +30,18 @@
     /// The bytes do not decode to a command of this version.
     #[from(ignore)]
     Unreadable,
+    /// The result of settling the usage of a window.
+    Usage(UsageAnswer),
+}
+
+/// The result of settling the usage of a window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UsageAnswer {
+    /// The report in force, which may have been settled earlier with other counts.
+    Settled(UsageReport),
+    /// The window is older than those that are kept.
+    TooOld,
 }
 
 /// The result of a proposal of tables.
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -2,21 +2,27 @@
 
 use std::rc::Rc;
 
+use duties::{UsageReport, WindowId};
 use serde::{Deserialize, Serialize};
 use tables::{Revision, TablesText};
+use wire_form::{ExtensionId, Extensions};
 
 use crate::{
     CodecError, Command, ControlNode, Document, FencingToken, Plan, Response,
     check::CommandFault,
-    codec, decode_command,
+    decode_command,
     document_store::DocumentStore,
     encode_response,
     engines::Engines,
     orders::{KEYS_MAX_BYTES, Orders},
     registry::Registry,
     table_store::TableStore,
+    usage_windows::UsageWindows,
 };
 
+/// In a snapshot, the settled usage; left out while there is none.
+const USAGE: ExtensionId = ExtensionId(1);
+
 /// The replicated state: the result of applying all committed commands.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -26,6 +32,9 @@
     orders: Orders,
     engines: Engines,
     registry: Registry,
+    /// An extension of the snapshot, which earlier builds do not know.
+    #[serde(skip)]
+    usage: UsageWindows,
 }
 
 impl State {
@@ -60,6 +69,11 @@
                 self.registry.deregister(node);
                 Response::Applied
             }
+            Command::SettleUsage(report) => self.usage.settle(report).into(),
+            Command::CloseUsage { window } => {
+                self.usage.close(window);
+                Response::Applied
+            }
         }
     }
 
@@ -88,7 +102,13 @@
 
     /// Encodes the state; the bytes are the same on all nodes after the same commands.
     pub fn snapshot(&self) -> Vec<u8> {
-        codec::encode(self)
+        let mut extensions = Extensions::default();
+        if !self.usage.is_empty() {
+            extensions
+                .insert(USAGE, &self.usage)
+                .expect("maps, texts and numbers always serialize");
+        }
+        wire_form::encode(self, &extensions).expect("maps, texts and numbers always serialize")
     }
 
     /// Decodes a snapshot; empty bytes stand for the initial state.
@@ -99,7 +119,8 @@
         if data.is_empty() {
             return Ok(State::default());
         }
-        let mut state: State = codec::decode(data)?;
+        let (mut state, extensions): (State, _) = wire_form::decode(data)?;
+        state.usage = extensions.get(USAGE)?.unwrap_or_default();
         state.orders.count_key_bytes();
         Ok(state)
     }
@@ -129,6 +150,16 @@
         self.engines.holder()
     }
 
+    /// Whether the usage of a window can no longer be settled.
+    pub fn is_usage_settled(&self, window: WindowId) -> bool {
+        self.usage.is_settled(window)
+    }
+
+    /// The settled usage that has not been reported, from the oldest window to the newest.
+    pub fn open_usage(&self) -> Vec<UsageReport> {
+        self.usage.open().collect()
+    }
+
     /// The plan for the engines.
     pub fn plan(&self) -> &Plan {
         self.engines.plan()
--- a/crates/control-state/tests/support/script.rs
+++ b/crates/control-state/tests/support/script.rs
@@ -232,6 +232,7 @@
         Response::Settle(it) => show(it),
         Response::Fencing(it) => show(it),
         Response::Plan(it) => show(it),
+        Response::Usage(it) => show(it),
         Response::Applied | Response::Unreadable => show(response),
     }
 }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -23,10 +23,11 @@
 use telemetry::Secret;
 
 use crate::{
-    AddressBook, Documents, LogRules, LogState, OperatorApi, Settings,
+    AddressBook, Documents, DutyApi, LogRules, LogState, OperatorApi, Settings,
     bootstrap::open_log,
     commands::CommandCheck,
     disk_writer::retry_while_unavailable,
+    duties::{self, DutyParts, SharedUsage},
     graceful_stop::{self, OperatorServer},
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
@@ -77,6 +78,8 @@
 pub struct Platform {
     /// The API served on the operators' listener.
     pub operator_api: Rc<dyn OperatorApi>,
+    /// The notation of the calls that are a duty of one VM at a time.
+    pub duty_api: Rc<dyn DutyApi>,
     /// The notation of the platform's server list.
     pub directory: Rc<dyn Directory>,
 }
@@ -201,12 +204,21 @@
     let admin_settings = ::daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     let versions = VersionKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
+    let usage = Rc::new(SharedUsage::default());
     let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone(), versions));
     if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
         let reader = Reader::new(addr, platform.directory.clone(), parts.clock.clone());
         let period = Duration::from_millis(settings.platform_period_ms);
         let source = ListSource { reader, period, replica: replica.clone() };
         monoio::spawn(servers.clone().keep_fresh(source));
+        duties::start(DutyParts {
+            settings: settings.duties.clone(),
+            replica: replica.clone(),
+            api: Rc::clone(&platform.duty_api),
+            platform: addr,
+            usage: Rc::clone(&usage),
+            clock: parts.clock.clone(),
+        });
     }
     let operators = listeners.operators.zip(parts.platform).map(|(listener, platform)| {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
@@ -227,6 +239,7 @@
         feed: feed.clone(),
         servers,
         hub,
+        usage,
         broadcast,
         check: parts.check,
         tokens: parts.tokens,
--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -4,6 +4,7 @@
 
 use consensus::{Message, Peer};
 use dissemination::{BegunStreams, HubNews, HubPermitRequest, PauseRow, Peer as RouterPeer};
+use duties::UsageRows;
 use policy::{PendingWork, PermitGrant};
 use serde::{Deserialize, Serialize};
 use wire_form::{ExtensionId, Extensions, FormError};
@@ -58,6 +59,11 @@
     Leave(Peer),
     /// The leader tells a member that is about to stop that it no longer votes.
     Left(Peer),
+    /// The counts of begun requests that routers have reported.
+    Usage {
+        /// The counts, by router.
+        rows: Vec<UsageRows>,
+    },
 }
 
 impl Envelope {
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     commands::CommandCheck,
+    duties::SharedUsage,
     envelope::Envelope,
     hub_broadcast::{self, HubBroadcast},
     replica::Replica,
@@ -50,6 +51,7 @@
     pub(crate) feed: Rc<TablesFeed>,
     pub(crate) servers: Rc<ServerFeed>,
     pub(crate) hub: Rc<RefCell<Hub>>,
+    pub(crate) usage: Rc<SharedUsage>,
     pub(crate) broadcast: HubBroadcast,
     pub(crate) check: Rc<dyn CommandCheck>,
     /// `None` on a network on which every process is trusted.
@@ -147,7 +149,10 @@
 
     fn exchange(&self, summary: Vec<u8>) -> Vec<u8> {
         match decode_summary(&summary) {
-            Ok(summary) => {
+            Ok(mut summary) => {
+                if let Some(rows) = summary.usage.take() {
+                    self.usage.merge_from_router(rows);
+                }
                 let now = self.clock.now();
                 let digest = self.hub.borrow_mut().exchange(now, summary);
                 let news = self.hub.borrow_mut().take_news(now);
@@ -168,8 +173,10 @@
         is_known.then(|| {
             let (replica, hub) = (self.replica.clone(), self.hub.clone());
             let (broadcast, clock) = (self.broadcast.clone(), self.clock.clone());
+            let usage = Rc::clone(&self.usage);
             let unreadable = unreadable_throttle();
-            Rc::new(PeerCalls { replica, hub, broadcast, clock, unreadable }) as Rc<dyn PeerHandler>
+            Rc::new(PeerCalls { replica, hub, usage, broadcast, clock, unreadable })
+                as Rc<dyn PeerHandler>
         })
     }
 }
@@ -194,6 +201,7 @@
 struct PeerCalls {
     replica: Rc<Replica>,
     hub: Rc<RefCell<Hub>>,
+    usage: Rc<SharedUsage>,
     broadcast: HubBroadcast,
     clock: Rc<dyn Clock>,
     unreadable: Throttle,
@@ -226,6 +234,7 @@
             Ok(Envelope::Permits(grants)) => {
                 self.hub.borrow_mut().permits_granted(self.clock.now(), &grants);
             }
+            Ok(Envelope::Usage { rows }) => self.usage.merge_from_hub(&rows),
             Err(err) => {
                 if let Some(suppressed) = self.unreadable.record(self.clock.now()) {
                     tracing::warn!(event = "delivery_refused", from, %err, suppressed);
--- a/crates/control/src/log_state.rs
+++ b/crates/control/src/log_state.rs
@@ -4,6 +4,7 @@
 
 use consensus::LogIndex;
 use control_state::{Document, State, TablesRules};
+use duties::{UsageReport, WindowId};
 use tables::{Revision, TablesText};
 
 use crate::{CommandCheck, StateMachine};
@@ -45,6 +46,18 @@
         Rc::clone(self.state.document())
     }
 
+    fn fencing_holder(&self) -> String {
+        self.state.fencing_holder().to_owned()
+    }
+
+    fn is_usage_settled(&self, window: WindowId) -> bool {
+        self.state.is_usage_settled(window)
+    }
+
+    fn open_usage(&self) -> Vec<UsageReport> {
+        self.state.open_usage()
+    }
+
     fn has_timed_entries(&self) -> bool {
         self.state.order_key_count() > 0
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,6 +5,7 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 use anyhow::Context;
@@ -12,7 +13,7 @@
 use ini_settings::{Document, Fault, Faults, SectionReader};
 use rpc::Trust;
 
-use crate::{FormatMode, address_book::node_id_of};
+use crate::{Duty, DutySettings, FormatMode, address_book::node_id_of};
 
 const SECTIONS: [&str; 2] = ["control", "peers"];
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 250";
@@ -42,6 +43,8 @@
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
     pub platform_period_ms: u64,
+    /// The duties of the deployment.
+    pub duties: DutySettings,
     /// The token files; `None` on a network on which every process is trusted.
     pub token_files: Option<TokenFiles>,
     /// The maximum number of voters; further members stay learners.
@@ -91,6 +94,7 @@
             operator_connections_max: 256,
             platform: None,
             platform_period_ms: 1_000,
+            duties: DutySettings::default(),
             token_files: None,
             voters_max: 5,
             snapshot_every_entries: 1000,
@@ -171,6 +175,7 @@
             defaults.platform_period_ms,
         ),
         data_dir: path(reader.required("data_dir", "the folder for all state")),
+        duties: read_duties(&mut reader),
         token_files: read_token_files(&mut reader),
         voters_max: reader.or_default("voters_max", "an odd number", voters_default),
         snapshot_every_entries: reader.or_default(
@@ -238,6 +243,24 @@
     seeds.iter().filter_map(on_port).collect()
 }
 
+fn read_duties(reader: &mut SectionReader<'_>) -> DutySettings {
+    let defaults = DutySettings::default();
+    let seconds = "a number of seconds, such as 5";
+    let usage_window_s: f64 =
+        reader.or_default("usage_window_s", seconds, defaults.usage_window.as_secs_f64());
+    let usage_late_s: f64 =
+        reader.or_default("usage_late_s", seconds, defaults.usage_late.as_secs_f64());
+    let lease_ms =
+        reader.or_default("duty_lease_ms", MILLISECONDS, defaults.lease.as_millis() as u64);
+    DutySettings {
+        vm: reader.or_default("vm", "the name of this VM", String::new()),
+        duties: reader.list::<Duty>("duties", "metering or autoscale, separated by commas"),
+        lease: Duration::from_millis(lease_ms),
+        usage_window: Duration::try_from_secs_f64(usage_window_s).unwrap_or(defaults.usage_window),
+        usage_late: Duration::try_from_secs_f64(usage_late_s).unwrap_or(defaults.usage_late),
+    }
+}
+
 fn read_token_files(reader: &mut SectionReader<'_>) -> Option<TokenFiles> {
     if reader.or_default("trust", "tokens or network", Trust::Tokens) == Trust::Network {
         return None;
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -4,6 +4,7 @@
 
 use consensus::LogIndex;
 use control_state::Document;
+use duties::{UsageReport, WindowId};
 use tables::{Revision, TablesText};
 
 /// A deterministic state machine that applies the entries of the log in order.
@@ -38,6 +39,15 @@
     /// The operator's document in force.
     fn document(&self) -> Rc<Document>;
 
+    /// The VM that acquired the newest fencing token; empty before the first one.
+    fn fencing_holder(&self) -> String;
+
+    /// Whether the usage of a window can no longer be settled.
+    fn is_usage_settled(&self, window: WindowId) -> bool;
+
+    /// The settled usage that has not been reported, from the oldest window to the newest.
+    fn open_usage(&self) -> Vec<UsageReport>;
+
     /// Whether the state holds entries that expire, so that the replicated clock must advance.
     fn has_timed_entries(&self) -> bool;
 }
--- a/crates/control/tests/panicking_machine.rs
+++ b/crates/control/tests/panicking_machine.rs
@@ -16,6 +16,7 @@
     format,
 };
 use control_state::{Command, Document, encode_command};
+use duties::{UsageReport, WindowId};
 use futures::stream;
 use monoio::{LegacyDriver, RuntimeBuilder, time};
 use rpc::{ByteCounters, dial};
@@ -62,6 +63,18 @@
         self.0.document()
     }
 
+    fn fencing_holder(&self) -> String {
+        self.0.fencing_holder()
+    }
+
+    fn is_usage_settled(&self, window: WindowId) -> bool {
+        self.0.is_usage_settled(window)
+    }
+
+    fn open_usage(&self) -> Vec<UsageReport> {
+        self.0.open_usage()
+    }
+
     fn has_timed_entries(&self) -> bool {
         self.0.has_timed_entries()
     }
--- a/crates/dissemination/src/member.rs
+++ b/crates/dissemination/src/member.rs
@@ -97,6 +97,7 @@
             level: self.own_idx.is_none().then_some(wire_form::LEVEL),
             down: Vec::new(),
             pauses: Vec::new(),
+            usage: None,
         }
     }
 
--- a/crates/dissemination/src/rows.rs
+++ b/crates/dissemination/src/rows.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
+use duties::UsageRows;
 use policy::{
     LimitEntry, MeasuredPauses, PartEntry, PermitGrant, PermitRequest, QuarantineEntry, VersionHash,
 };
@@ -108,6 +109,9 @@
     /// The pauses that the router has measured.
     #[serde(skip)]
     pub pauses: Vec<PauseRow>,
+    /// The counts of begun requests that have changed, where usage is metered.
+    #[serde(skip)]
+    pub usage: Option<UsageRows>,
 }
 
 /// The hub's reply to a summary: everything that has changed since the version held.
--- a/crates/dissemination/src/wire.rs
+++ b/crates/dissemination/src/wire.rs
@@ -12,6 +12,8 @@
 const OWN_DOWN: ExtensionId = ExtensionId(2);
 /// In a summary, the pauses that the router has measured.
 const OWN_PAUSES: ExtensionId = ExtensionId(3);
+/// In a summary, the counts of begun requests.
+const OWN_USAGE: ExtensionId = ExtensionId(4);
 /// In a digest, the servers that several routers have found down.
 const DOWN: ExtensionId = ExtensionId(1);
 /// In a digest, the pauses that all routers have measured.
@@ -35,6 +37,9 @@
     if !summary.pauses.is_empty() {
         extensions.insert(OWN_PAUSES, &summary.pauses)?;
     }
+    if let Some(usage) = &summary.usage {
+        extensions.insert(OWN_USAGE, usage)?;
+    }
     Ok(extensions)
 }
 
@@ -46,7 +51,8 @@
     let (summary, extensions): (Summary, _) = wire_form::decode(bytes)?;
     let down = extensions.get(OWN_DOWN)?.unwrap_or_default();
     let pauses = extensions.get(OWN_PAUSES)?.unwrap_or_default();
-    Ok(Summary { level: extensions.get(LEVEL)?, down, pauses, ..summary })
+    let usage = extensions.get(OWN_USAGE)?;
+    Ok(Summary { level: extensions.get(LEVEL)?, down, pauses, usage, ..summary })
 }
 
 /// Encodes a digest; if that fails, the result is empty, which the router rejects.
--- /dev/null
+++ b/crates/duties/src/true_time.rs
@@ -0,0 +1,46 @@
+//! An estimate of the true time that follows no short step of the wall clock.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The time for which a step of the wall clock must last before it is followed: it may be set back.
+const STEP_TIME_MIN: Duration = Duration::from_secs(20);
+/// Differences up to this are no step.
+const STEP_MIN: Duration = Duration::from_millis(250);
+
+/// The wall clock of a VM, carried on by its monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub struct TrueTime {
+    /// The same moment on both clocks.
+    anchor: (Instant, Duration),
+    /// Since when the wall clock has differed from the estimate.
+    differs_since: Option<Instant>,
+}
+
+impl TrueTime {
+    /// Starts with the wall clock as it is.
+    #[must_use]
+    pub fn new(now: Instant, wall: SystemTime) -> TrueTime {
+        TrueTime { anchor: (now, since_epoch(wall)), differs_since: None }
+    }
+
+    /// The time since the Unix epoch; `wall` is what the wall clock shows.
+    pub fn update(&mut self, now: Instant, wall: SystemTime) -> Duration {
+        let wall = since_epoch(wall);
+        let estimate = self.anchor.1 + now.saturating_duration_since(self.anchor.0);
+        if estimate.abs_diff(wall) < STEP_MIN {
+            self.differs_since = None;
+            return estimate;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < STEP_TIME_MIN {
+            return estimate;
+        }
+        self.anchor = (now, wall);
+        self.differs_since = None;
+        wall
+    }
+}
+
+fn since_epoch(wall: SystemTime) -> Duration {
+    wall.duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -19,6 +19,7 @@
     dispatch::{DispatchRequest, Lease, RetryResult},
     fields::millis,
     fingerprint::Fingerprint,
+    identity::Caller,
     metrics::{InFlightGuard, Labels},
     outcome::{Code, Failure, Outcome},
     quarantine_exchange, refusals,
@@ -50,6 +51,8 @@
     /// The longest time between two arrivals of tokens.
     longest_gap: Duration,
     is_attempt_in_flight: bool,
+    /// Whether the request has been counted as begun by a server.
+    is_metered: bool,
     span: TraceContext,
     started: Instant,
     _permit: Permit,
@@ -123,6 +126,7 @@
             last_tokens: None,
             longest_gap: Duration::ZERO,
             is_attempt_in_flight: false,
+            is_metered: false,
             span,
             started,
             _permit: permit,
@@ -168,9 +172,18 @@
         self.services.metrics.record_first_token(self.labels(), waited);
         self.first_token = Some(waited);
         self.last_tokens = Some(now);
+        self.meter(now);
         self.lease.first_token();
     }
 
+    /// Counts the request as begun by a server; further attempts do not count again.
+    fn meter(&mut self, began: Instant) {
+        let is_metered = std::mem::replace(&mut self.is_metered, true);
+        if let (false, Caller::Workspace(name)) = (is_metered, &self.routed.caller) {
+            self.services.usage.record(name, began);
+        }
+    }
+
     /// Records that `count` further tokens arrived.
     pub(crate) fn record_tokens(&mut self, count: u32) {
         let now = self.services.clock.now();
@@ -251,6 +264,9 @@
     /// If the request is not retried; the error is the answer to the caller.
     pub(crate) async fn retry(&mut self, error: AttemptError) -> Result<(), Failure> {
         self.log_attempt("failed", Some(&error));
+        if error.execution == Execution::Ran {
+            self.meter(self.started);
+        }
         self.outcome = self.outcome.worse(error.outcome());
         if error.execution != Execution::NotRun {
             self.routed.attempts.set(self.routed.attempts.get() + 1);
@@ -286,7 +302,8 @@
     }
 
     /// Ends the call after the complete answer arrived.
-    pub(crate) fn finish(self, tokens: u32) {
+    pub(crate) fn finish(mut self, tokens: u32) {
+        self.meter(self.started);
         self.log_attempt("whole", None);
         self.services.metrics.add_tokens(self.labels(), tokens);
         self.lease.finished(tokens);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -18,6 +18,7 @@
 use daemon::{Admin, Launch, RequestStream, Start};
 use directory::{OwnReads, Reader};
 use dissemination::MemberState;
+use duties::{CounterId, WindowLength};
 use futures::{FutureExt, Stream, StreamExt, future::OptionFuture, pin_mut, select_biased};
 use httpio::{
     Limits,
@@ -60,6 +61,7 @@
     stop_deadline::{StopDeadline, StopSchedule},
     stream_origins::StreamOrigins,
     table_source::TableSource,
+    usage::Usage,
 };
 
 /// How long queued requests wait for a server of their pool to return before another router is asked.
@@ -385,6 +387,11 @@
         stop: StopDeadline::new(Rc::clone(&components.clock), schedule),
         urgency: EngineUrgency::default(),
         streams: StreamOrigins::new(Rc::clone(&components.clock)),
+        usage: Usage::new(
+            settings.usage_window.map(WindowLength),
+            CounterId(components.seed),
+            &components.clock,
+        ),
         memory,
         peers: settings.peers.clone(),
         forwarder,
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -97,6 +97,7 @@
             observations: self.new_observations(&tables),
             quarantine: self.sent.new_suspects(&self.services.dispatcher),
             parts: self.sent.changed_parts(&self.services.dispatcher),
+            usage: self.sent.changed_usage(&self.services.usage),
             limits: self.sent.changed_limits(&self.services.dispatcher),
             permit_requests: self.services.dispatcher.permit_requests(),
             demand: tables.pools.iter().zip(claims()).filter_map(demand).collect(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -51,3 +51,4 @@
 mod stream_origins;
 pub mod table_source;
 mod token_stream;
+mod usage;
--- a/crates/router/src/sent_state.rs
+++ b/crates/router/src/sent_state.rs
@@ -10,10 +10,11 @@
     BegunStreams, CrashRows, MemberState, PartRow, PoolHash, QuarantineRow, Sender,
     ServerObservation, Summary,
 };
+use duties::UsageRows;
 use policy::{CrashSite, LimitEntry, PartEntry, QuarantineEntry, RequestRate, ServerHash};
 use tables::Tables;
 
-use crate::{dispatch::Dispatcher, stream_origins::StreamOrigins};
+use crate::{dispatch::Dispatcher, stream_origins::StreamOrigins, usage::Usage};
 
 /// The state that was sent to the hub since it started.
 #[derive(Debug, Clone, Default)]
@@ -28,6 +29,8 @@
     limits: BTreeMap<ServerHash, Option<RequestRate>>,
     /// The last record of a stream that began here.
     last_stream: u64,
+    /// The last change of the usage.
+    last_usage_change: u64,
 }
 
 /// The state that the hub has acknowledged by its answers.
@@ -107,6 +110,13 @@
         streams.begun_since(known)
     }
 
+    /// The usage that has changed since the hub acknowledged a summary.
+    pub(crate) fn changed_usage(&self, usage: &Usage) -> Option<UsageRows> {
+        let last = &mut self.pending.borrow_mut().last_usage_change;
+        let known = std::mem::replace(last, usage.last_change());
+        usage.changes_since(known)
+    }
+
     /// Applies the hub's news of rate limits and the permits that it grants. What this router knows
     /// better is sent again.
     pub(crate) fn import_limits(&self, dispatcher: &Dispatcher, state: &MemberState) {
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -22,6 +22,7 @@
     order_ledger::OrderLedger,
     stop_deadline::StopDeadline,
     stream_origins::StreamOrigins,
+    usage::Usage,
 };
 
 /// Timeouts within a request, and the limit of resumes after them.
@@ -91,6 +92,8 @@
     pub(crate) stop: StopDeadline,
     /// The software versions that began streams.
     pub(crate) streams: StreamOrigins,
+    /// The requests that backend servers have begun.
+    pub(crate) usage: Usage,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
     /// The memory for requests and answers.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -20,6 +20,8 @@
 const MEBIBYTES: &str = "a whole number of MiB, such as 256";
 const COUNT: &str = "a whole number";
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+/// The duty of reporting usage.
+const METERING: &str = "metering";
 const FILE: &str = "the path of a file";
 
 /// Settings of a router.
@@ -62,6 +64,8 @@
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
     pub platform_period_ms: u64,
+    /// The length of the windows by which usage is counted; `None` where it is not metered.
+    pub usage_window: Option<Duration>,
     /// Limits of callers' connections.
     pub server: CallerListener,
     /// Settings of the connections to backend servers.
@@ -131,6 +135,7 @@
             exchange_period_ms: 1_000,
             platform: None,
             platform_period_ms: 1_000,
+            usage_window: None,
             server: CallerListener::default(),
             backends: BackendSettings::default(),
             timeouts: Timeouts::default(),
@@ -205,6 +210,7 @@
             MILLISECONDS,
             default.platform_period_ms,
         ),
+        usage_window: read_usage_window(&mut reader),
         control: read_control(&mut reader),
         trust: reader.or_default("trust", "tokens or network", default.trust),
         ..default
@@ -232,6 +238,18 @@
     settings
 }
 
+/// Reads the length of the windows of usage, if metering is among the duties of the deployment.
+fn read_usage_window(reader: &mut SectionReader<'_>) -> Option<Duration> {
+    let duties: Vec<String> = reader.list("duties", "metering or autoscale, separated by commas");
+    let seconds = reader.optional("usage_window_s", SECONDS).map(Duration::try_from_secs_f64);
+    let is_metered = duties.iter().any(|it| it == METERING);
+    let window = seconds.and_then(Result::ok).filter(|it| !it.is_zero());
+    if is_metered && window.is_none() {
+        reader.fault("usage_window_s", "is missing although usage is metered", "write seconds");
+    }
+    window.filter(|_| is_metered)
+}
+
 /// Reads the time until a stopping process is killed.
 fn read_stop_grace(reader: &mut SectionReader<'_>) -> Duration {
     let seconds = reader.advisory("stop_grace_s", SECONDS, STOP_GRACE.as_secs_f64());
--- a/crates/router/src/shared_work.rs
+++ b/crates/router/src/shared_work.rs
@@ -79,6 +79,7 @@
             stream_lookups,
             down,
             pauses: self.pauses(&tables),
+            usage: self.sent.changed_usage(&self.services.usage),
             ..empty
         }
     }
--- a/crates/wire-form/src/lib.rs
+++ b/crates/wire-form/src/lib.rs
@@ -14,7 +14,7 @@
 
 /// The number of this build's set of forms, by which operators see how far an upgrade has come. It
 /// increases with each extension and each form that is added; builds that send none have level 0.
-pub const LEVEL: u16 = 3;
+pub const LEVEL: u16 = 4;
 
 /// The bytes are not a message of the expected form.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
--- a/crates/wire-form/tests/support/samples.rs
+++ b/crates/wire-form/tests/support/samples.rs
@@ -117,6 +117,7 @@
         level: None,
         down: Vec::new(),
         pauses: Vec::new(),
+        usage: None,
     };
     let brief = Summary {
         from: Sender::Idx(RouterIdx(3)),
@@ -137,6 +138,7 @@
         level: None,
         down: Vec::new(),
         pauses: Vec::new(),
+        usage: None,
     };
     vec![("summary", full), ("summary-brief", brief)]
 }
