--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -247,11 +247,11 @@
     let defaults = DutySettings::default();
     let seconds = "a number of seconds, such as 5";
     let usage_window_s: f64 =
-        reader.or_default("usage_window_s", seconds, defaults.usage_window.as_secs_f64());
+        reader.advisory("usage_window_s", seconds, defaults.usage_window.as_secs_f64());
     let usage_late_s: f64 =
-        reader.or_default("usage_late_s", seconds, defaults.usage_late.as_secs_f64());
+        reader.advisory("usage_late_s", seconds, defaults.usage_late.as_secs_f64());
     let lease_ms =
-        reader.or_default("duty_lease_ms", MILLISECONDS, defaults.lease.as_millis() as u64);
+        reader.advisory("duty_lease_ms", MILLISECONDS, defaults.lease.as_millis() as u64);
     DutySettings {
         vm: reader.or_default("vm", "the name of this VM", String::new()),
         duties: reader.list::<Duty>("duties", "metering or autoscale, separated by commas"),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -241,9 +241,9 @@
 /// Reads the length of the windows of usage, if metering is among the duties of the deployment.
 fn read_usage_window(reader: &mut SectionReader<'_>) -> Option<Duration> {
     let duties: Vec<String> = reader.list("duties", "metering or autoscale, separated by commas");
-    let seconds = reader.optional("usage_window_s", SECONDS).map(Duration::try_from_secs_f64);
+    let seconds = reader.advisory("usage_window_s", SECONDS, 0.0);
     let is_metered = duties.iter().any(|it| it == METERING);
-    let window = seconds.and_then(Result::ok).filter(|it| !it.is_zero());
+    let window = Duration::try_from_secs_f64(seconds).ok().filter(|it| !it.is_zero());
     if is_metered && window.is_none() {
         reader.fault("usage_window_s", "is missing although usage is metered", "write seconds");
     }
