Read the scaling of pools and the spot servers of the list

The orders of servers need the limits and prices of a pool, the kind of each listed server, and the work of all routers at each server. The shared list carries spot servers as an extension, which older builds skip.

--- a/crates/directory/src/list.rs
+++ b/crates/directory/src/list.rs
@@ -5,9 +5,13 @@
 use derive_more::{Display, Error};
 use http::Uri;
 use serde::{Deserialize, Serialize};
+use wire_form::{ExtensionId, Extensions, FormError};
 
 use crate::parse_array;
 
+/// In an encoded list, the entries of spot servers.
+const SPOT: ExtensionId = ExtensionId(1);
+
 /// One backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -33,6 +37,22 @@
     pub slots: u32,
     /// Whether it may receive new requests.
     pub state: VmState,
+    /// Whether the platform may take it back at short notice.
+    #[serde(skip)]
+    pub is_spot: bool,
+    /// The time until it is taken back, in milliseconds from when the list was read; `None` if the list does
+    /// not announce it.
+    #[serde(skip)]
+    pub leaves_in_ms: Option<u64>,
+}
+
+/// The fields of a spot server that the base of the encoded list does not have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+struct SpotRow {
+    /// The position of its entry in the list.
+    position: u32,
+    leaves_in_ms: Option<u64>,
 }
 
 /// The state of a VM according to the platform.
@@ -112,7 +132,14 @@
 /// Encodes a list for other processes of the system.
 #[must_use]
 pub fn encode_list(vms: &[ListedVm]) -> Vec<u8> {
-    postcard::to_stdvec(vms).expect("addresses, names and numbers in memory can be written")
+    let positions = vms.iter().zip(0..).filter(|(it, _)| it.is_spot);
+    let spot = positions.map(|(it, position)| SpotRow { position, leaves_in_ms: it.leaves_in_ms });
+    let spot: Vec<_> = spot.collect();
+    let mut extensions = Extensions::default();
+    let added = if spot.is_empty() { Ok(()) } else { extensions.insert(SPOT, &spot) };
+    added
+        .and_then(|()| wire_form::encode(&vms, &extensions))
+        .expect("addresses, names and numbers in memory can be written")
 }
 
 /// Decodes a list received from another process of the system.
@@ -120,5 +147,13 @@
 /// # Errors
 /// When the bytes are not a list in the encoding of this version.
 pub fn decode_list(bytes: &[u8]) -> Result<Vec<ListedVm>, MalformedList> {
-    postcard::from_bytes(bytes).map_err(|error| MalformedList { reason: error.to_string() })
+    let malformed = |error: FormError| MalformedList { reason: error.to_string() };
+    let (mut vms, extensions): (Vec<ListedVm>, _) = wire_form::decode(bytes).map_err(malformed)?;
+    let spot: Option<Vec<SpotRow>> = extensions.get(SPOT).map_err(malformed)?;
+    for row in spot.unwrap_or_default() {
+        if let Some(vm) = vms.get_mut(row.position as usize) {
+            (vm.is_spot, vm.leaves_in_ms) = (true, row.leaves_in_ms);
+        }
+    }
+    Ok(vms)
 }
--- a/crates/dissemination/src/hub/sums.rs
+++ b/crates/dissemination/src/hub/sums.rs
@@ -69,6 +69,15 @@
         sums.map(|(idx, work)| (self.servers[idx.0 as usize].row.addr, work)).collect()
     }
 
+    /// The pending work of all routers by server, including those of other hubs.
+    pub fn all_work(&mut self, now: Instant) -> BTreeMap<SocketAddr, PendingWork> {
+        let mut all: BTreeMap<_, _> = self.own_work(now).into_iter().collect();
+        for (addr, work) in self.work_of_hubs.sums(now, None) {
+            *all.entry(addr).or_default() += work;
+        }
+        all
+    }
+
     /// Replaces the pending work reported by another hub.
     pub fn update_hub_work(
         &mut self,
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -152,6 +152,8 @@
         software_version,
         slots,
         state,
+        is_spot: false,
+        leaves_in_ms: None,
     })
 }
 
--- a/crates/router/tests/restarted_servers.rs
+++ b/crates/router/tests/restarted_servers.rs
@@ -25,6 +25,8 @@
         software_version: "v1".to_owned(),
         slots: 4,
         state,
+        is_spot: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/router/tests/sole_version.rs
+++ b/crates/router/tests/sole_version.rs
@@ -23,6 +23,8 @@
         software_version: version.to_owned(),
         slots: 4,
         state: VmState::Live,
+        is_spot: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -67,6 +67,7 @@
         fencing: reader.or_default("fencing", "enforced or ignored", Fencing::default()),
         discovery: reader.or_default("discovery", "table or platform", Discovery::default()),
         servers: reader.list("servers", "ADDRESS:PORT@FAILURE_DOMAIN, separated by commas"),
+        scaling: None,
     };
     if pool.kind == PoolKind::Engine && pool.model.is_empty() {
         reader.fault("model", "is missing for a pool of engines", "write the name of the model");
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -18,7 +18,7 @@
 pub use check::check;
 pub use delta::{Delta, DeltaError, RowChange, TableKind};
 pub use ids::{PoolIdx, Revision, RouteIdx};
-pub use pool::{Discovery, Fencing, Pool, PoolKind, ServerAddr};
+pub use pool::{Discovery, Fencing, Pool, PoolKind, Scaling, ServerAddr};
 pub use route::{Access, Exchange, Idempotency, PoolShare, Priority, Route, Targets};
 pub use rows::{Row, Rows};
 pub use text::TablesText;
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -1,6 +1,6 @@
 //! A row of the table of pools: the engines of a model version, or the servers of a service.
 
-use std::{net::SocketAddr, str::FromStr};
+use std::{collections::BTreeMap, net::SocketAddr, str::FromStr};
 
 use derive_more::{Display, Error, FromStr};
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,25 @@
     pub discovery: Discovery,
     /// The backend servers listed in the table, which are always part of the pool.
     pub servers: Vec<ServerAddr>,
+    /// How the number of servers may be changed; `None` if it is fixed.
+    #[serde(default)]
+    pub scaling: Option<Scaling>,
+}
+
+/// The limits and prices of a pool whose number of servers may be changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Scaling {
+    /// The minimum number of servers in each failure domain, of both kinds together.
+    pub servers_min: u32,
+    /// The maximum number of servers in each failure domain, of both kinds together.
+    pub servers_max: u32,
+    /// The time from an order until the new server serves.
+    pub boot_ms: u64,
+    /// The price of a spot server relative to a firm one; `None` if there are no spot servers.
+    pub spot_price_permille: Option<u32>,
+    /// The price of a server in each failure domain.
+    pub domain_prices_permille: BTreeMap<String, u32>,
 }
 
 /// The kind of the backend servers of a pool.
--- a/crates/wire-form/tests/support/samples.rs
+++ b/crates/wire-form/tests/support/samples.rs
@@ -393,6 +393,8 @@
         software_version: "v1".to_owned(),
         slots: 64,
         state: VmState::Leaving,
+        is_spot: false,
+        leaves_in_ms: None,
     }]
 }
 
