Decide how many servers of each kind a pool needs

The planner keeps the listed number and exchanges firm servers for spot servers until there is demand, then follows its peak with a reserve for the loss of one failure domain's spot servers.

--- /dev/null
+++ b/crates/scaling/src/planner.rs
@@ -0,0 +1,266 @@
+//! Decides how many servers of each kind a pool needs in each failure domain.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    Observation, ScalingSpec, Target,
+    demand::DemandHistory,
+    domain::Domain,
+    spread::{self, Place},
+};
+
+/// The number of servers is reduced only after it has been too high for this long.
+const SHRINK_AFTER: Duration = Duration::from_secs(30);
+/// The time between two reductions.
+const SHRINK_STEP: Duration = Duration::from_secs(5);
+/// The part of the servers by which the number is reduced at a time.
+const SHRINK_DIVISOR: u32 = 20;
+/// A number that is too high by less than this part is kept.
+const KEPT_DIVISOR: u32 = 10;
+/// The time beyond the boot time after which the list names all servers that an earlier holder has ordered.
+const LIST_DELAY: Duration = Duration::from_millis(500);
+
+/// The figures that led to the last targets.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// The servers that the demand needs.
+    pub needed: u32,
+    /// The servers that are wanted in all failure domains, with the reserve.
+    pub wanted: u32,
+    /// The failure domains in which spot servers are expected to be available.
+    pub domains_available: u32,
+}
+
+/// Decides how many servers one pool needs.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    spec: ScalingSpec,
+    demand: DemandHistory,
+    /// When this VM began to plan; `None` while another one does.
+    planning_since: Option<Instant>,
+    /// The failure domains, from when all servers that an earlier holder has ordered are known.
+    domains: BTreeMap<String, Domain>,
+    /// Since when fewer servers would have been enough, and when the last were given up.
+    lower_since: Option<Instant>,
+    shrunk_at: Option<Instant>,
+    figures: Figures,
+}
+
+impl Planner {
+    /// Creates the planner of a pool.
+    #[must_use]
+    pub fn new(spec: ScalingSpec) -> Planner {
+        Planner {
+            spec,
+            demand: DemandHistory::default(),
+            planning_since: None,
+            domains: BTreeMap::new(),
+            lower_since: None,
+            shrunk_at: None,
+            figures: Figures::default(),
+        }
+    }
+
+    /// Replaces the limits and prices.
+    pub fn set_spec(&mut self, spec: ScalingSpec) {
+        self.spec = spec;
+    }
+
+    /// Records the demand while another VM orders the servers.
+    pub fn observe(&mut self, now: Instant, observation: &Observation) {
+        self.record_demand(now, observation);
+        self.planning_since = None;
+        self.domains.clear();
+        (self.lower_since, self.shrunk_at) = (None, None);
+    }
+
+    /// The numbers to order in each known failure domain. There are none until the list names all servers
+    /// that an earlier holder may have ordered.
+    pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
+        self.record_demand(now, observation);
+        let since = *self.planning_since.get_or_insert(now);
+        if now < since + self.spec.boot + LIST_DELAY {
+            return Vec::new();
+        }
+        self.record_servers(now, observation);
+        self.resize(now);
+        self.choose_kinds(now);
+        let target = |(name, it): (&String, &Domain)| Target {
+            failure_domain: name.clone(),
+            firm: it.firm,
+            spot: it.spot,
+        };
+        self.domains.iter().map(target).collect()
+    }
+
+    /// Records that no spot servers are available in a failure domain.
+    pub fn spot_refused(&mut self, now: Instant, failure_domain: &str) {
+        if let Some(domain) = self.domains.get_mut(failure_domain) {
+            domain.refused(now);
+        }
+    }
+
+    /// The figures that led to the last targets.
+    #[must_use]
+    pub fn figures(&self) -> Figures {
+        self.figures
+    }
+
+    fn record_demand(&mut self, now: Instant, observation: &Observation) {
+        let Some(demand) = observation.demand else { return };
+        let serving = observation.servers.values().map(|it| it.serving()).sum();
+        self.demand.record(now, demand, serving, self.spec.slots, self.spec.boot);
+    }
+
+    fn record_servers(&mut self, now: Instant, observation: &Observation) {
+        for (name, listed) in &observation.servers {
+            if !self.domains.contains_key(name) {
+                self.domains.insert(name.clone(), Domain::new(now, listed.clone()));
+            }
+        }
+        for (name, domain) in &mut self.domains {
+            domain.observe(now, observation.servers.get(name));
+        }
+    }
+
+    /// Whether the pool's servers are spot servers where available.
+    fn uses_spot(&self) -> bool {
+        self.spec.is_spot_cheaper(self.domains.len())
+    }
+
+    /// Changes the total number of servers: raises it at once, and lowers it slowly.
+    fn resize(&mut self, now: Instant) {
+        let needed = self.demand.need();
+        let total: u32 = self.domains.values().map(|it| it.share).sum();
+        let domains = self.domains.len() as u32;
+        let wanted = match self.uses_spot() {
+            true => with_reserve(needed, domains),
+            false => needed,
+        };
+        let bounds = (self.spec.servers_min, self.spec.servers_max);
+        let [least, most] = [bounds.0, bounds.1].map(|it| it.saturating_mul(domains));
+        let wanted = wanted.max(least).min(most);
+        let mut places = self.places(|it| (it.share, bounds.0, bounds.1));
+        let is_disturbed = self.available(now) < self.domains.len();
+        if wanted >= total {
+            spread::add(&mut places, wanted - total);
+            self.lower_since = None;
+        } else if needed == 0 || is_disturbed || total - wanted <= total / KEPT_DIVISOR {
+            self.lower_since = None;
+        } else if self.may_shrink(now) {
+            spread::remove(&mut places, (total / SHRINK_DIVISOR).clamp(1, total - wanted));
+        }
+        for (domain, place) in self.domains.values_mut().zip(places) {
+            domain.share = place.count;
+        }
+        let wanted = self.domains.values().map(|it| it.share).sum();
+        let domains_available = self.available(now) as u32;
+        self.figures = Figures { needed, wanted, domains_available };
+    }
+
+    fn may_shrink(&mut self, now: Instant) -> bool {
+        let since = *self.lower_since.get_or_insert(now);
+        let may =
+            now >= since + SHRINK_AFTER && self.shrunk_at.is_none_or(|it| now >= it + SHRINK_STEP);
+        if may {
+            self.shrunk_at = Some(now);
+        }
+        may
+    }
+
+    fn available(&self, now: Instant) -> usize {
+        self.domains.values().filter(|it| it.is_available(now, self.spec.boot)).count()
+    }
+
+    /// A place for each failure domain, in their order.
+    fn places(&self, bounds: impl Fn(&Domain) -> (u32, u32, u32)) -> Vec<Place> {
+        let place = |(name, it): (&String, &Domain)| {
+            let (count, min, max) = bounds(it);
+            Place { count, min, max, price_permille: self.spec.price_permille(name) }
+        };
+        self.domains.iter().map(place).collect()
+    }
+
+    /// Divides the servers of each failure domain into the two kinds.
+    fn choose_kinds(&mut self, now: Instant) {
+        if !self.uses_spot() {
+            for domain in self.domains.values_mut().filter(|it| it.is_listed) {
+                domain.firm = domain.share.saturating_sub(domain.listed.spot);
+            }
+            return;
+        }
+        self.choose_spot(now);
+        self.choose_firm(now);
+        for domain in self.domains.values_mut() {
+            domain.spot = domain.spot.min(domain.room(self.spec.servers_max));
+        }
+    }
+
+    /// Orders spot servers for each share, and in the available failure domains also for those that are
+    /// missing elsewhere.
+    fn choose_spot(&mut self, now: Instant) {
+        let (boot, servers_max) = (self.spec.boot, self.spec.servers_max);
+        let is_available = |it: &Domain| it.is_available(now, boot);
+        let lost = || self.domains.values().filter(|it| !is_available(it));
+        let missing: u32 = lost().map(|it| it.share.saturating_sub(it.listed.serving())).sum();
+        let serving_there: u32 = lost().map(|it| it.listed.serving()).sum();
+        let available = self.available(now) as u32;
+        let shares: u32 =
+            self.domains.values().filter(|it| is_available(it)).map(|it| it.share).sum();
+        let needed_here = self.figures.needed.saturating_sub(serving_there);
+        let reserve = with_reserve(needed_here, available).saturating_sub(shares);
+        let mut places = self.places(|it| {
+            let max = if is_available(it) { it.room(servers_max).max(it.share) } else { it.share };
+            (it.share, it.share, max)
+        });
+        if missing > 0 {
+            spread::add(&mut places, missing.max(reserve));
+        }
+        for (domain, place) in self.domains.values_mut().zip(places) {
+            let room = domain.room(servers_max);
+            domain.set_spot(now, place.count, room);
+        }
+    }
+
+    /// Gives up firm servers as spot servers serve, and orders them where spot servers do not suffice.
+    fn choose_firm(&mut self, now: Instant) {
+        let Figures { needed, wanted, .. } = self.figures;
+        let listed = || self.domains.values().filter(|it| it.is_listed);
+        let firm: u32 = listed().map(|it| it.firm).sum();
+        let spot: u32 = listed().map(|it| it.listed.spot).sum();
+        let booting: u32 = listed().map(|it| it.booting(now, self.spec.boot)).sum();
+        let kept = firm.min(wanted.saturating_sub(spot));
+        let total = kept.max(needed.saturating_sub(spot + booting));
+        let servers_max = self.spec.servers_max;
+        // The places count both kinds, so that the sums become even.
+        let mut places = self.places(|it| {
+            let spot = it.listed.spot;
+            match it.is_listed {
+                true => (it.firm + spot, spot, servers_max.max(it.firm + spot)),
+                false => (it.firm, it.firm, it.firm),
+            }
+        });
+        if total >= firm {
+            spread::add(&mut places, total - firm);
+        } else {
+            spread::remove(&mut places, firm - total);
+        }
+        for (domain, place) in self.domains.values_mut().zip(places) {
+            if domain.is_listed {
+                domain.firm = place.count.saturating_sub(domain.listed.spot);
+            }
+        }
+    }
+}
+
+/// The total of which so many servers remain when the servers of one failure domain are lost.
+fn with_reserve(needed: u32, domains: u32) -> u32 {
+    match domains {
+        0 => 0,
+        1 => needed,
+        _ => (needed * domains).div_ceil(domains - 1),
+    }
+}
--- /dev/null
+++ b/crates/scaling/tests/exchanged_kinds.rs
@@ -0,0 +1,25 @@
+//! Before any demand, firm servers are exchanged for spot servers without a change of their number.
+
+#[path = "support/platform.rs"]
+#[allow(dead_code)]
+mod platform;
+
+use std::time::Duration;
+
+use platform::Platform;
+
+/// Guards against caches that are lost because fewer servers than before serve for a moment.
+#[test]
+fn number_kept() {
+    let mut platform = Platform::new(&["a", "b", "c"], 47, 94);
+    platform.run(Duration::from_secs(20), |it| assert!(it.serving() >= 3 * 47));
+    assert_eq!(platform.counts(), (0, 3 * 47));
+}
+
+/// Guards against orders above the limit of a failure domain, which counts both kinds.
+#[test]
+fn tight_limit() {
+    let mut platform = Platform::new(&["a", "b", "c"], 47, 50);
+    platform.run(Duration::from_secs(200), |it| assert!(it.serving() >= 3 * 47));
+    assert_eq!(platform.counts(), (0, 3 * 47));
+}
