Order servers while this VM leads

Every control VM records the demand by pool, so that a new holder knows it. The leader sends the targets that differ from what the platform accepted last, at most ten a second.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -20,6 +20,7 @@
 use httpio::server::{self, BindError, ConnectionBound, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
+use tables::TablesParser;
 use telemetry::Secret;
 
 use crate::{
@@ -27,7 +28,7 @@
     bootstrap::open_log,
     commands::CommandCheck,
     disk_writer::retry_while_unavailable,
-    duties::{self, DutyParts, SharedUsage},
+    duties::{self, DutyParts, ScalingGauges, SharedUsage},
     graceful_stop::{self, OperatorServer},
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
@@ -82,6 +83,8 @@
     pub duty_api: Rc<dyn DutyApi>,
     /// The notation of the platform's server list.
     pub directory: Rc<dyn Directory>,
+    /// The notation of the operator's document.
+    pub tables_parser: Rc<dyn TablesParser>,
 }
 
 /// The listeners of a control VM.
@@ -200,6 +203,7 @@
     })?;
     let registry = Registry::new();
     let health = Rc::new(ControlHealth::register(replica.clone(), feed.clone(), &registry)?);
+    let scaling_gauges = ScalingGauges::register(&registry)?;
     let admin = Rc::new(Admin::new(registry, health));
     let admin_settings = ::daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
@@ -217,6 +221,10 @@
             api: Rc::clone(&platform.duty_api),
             platform: addr,
             usage: Rc::clone(&usage),
+            servers: Rc::clone(&servers),
+            hub: Rc::clone(&hub),
+            tables_parser: Rc::clone(&platform.tables_parser),
+            gauges: scaling_gauges,
             clock: parts.clock.clone(),
         });
     }
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -5,19 +5,26 @@
 
 mod caller;
 mod metering;
+mod ordering;
+mod pool_demand;
+mod scaling_gauges;
 mod shared_usage;
 
-use std::{net::SocketAddr, rc::Rc, str::FromStr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, str::FromStr, time::Duration};
 
 use ::duties::{CallResult, ScaleOrder, UsageReport, WindowLength};
 use clock::Clock;
 use derive_more::{Display, Error};
+use dissemination::Hub;
 use httpio::{StatusCode, client::Request};
+use tables::TablesParser;
 
-use crate::replica::Replica;
+use crate::{replica::Replica, server_feed::ServerFeed};
 
 pub(crate) use caller::DutyCaller;
 pub(crate) use metering::Metering;
+pub(crate) use ordering::Ordering;
+pub(crate) use scaling_gauges::ScalingGauges;
 pub(crate) use shared_usage::SharedUsage;
 
 /// The holder of a duty and its token, which each call carries.
@@ -116,6 +123,10 @@
     /// The address of the platform.
     pub(crate) platform: SocketAddr,
     pub(crate) usage: Rc<SharedUsage>,
+    pub(crate) servers: Rc<ServerFeed>,
+    pub(crate) hub: Rc<RefCell<Hub>>,
+    pub(crate) tables_parser: Rc<dyn TablesParser>,
+    pub(crate) gauges: ScalingGauges,
     pub(crate) clock: Rc<dyn Clock>,
 }
 
@@ -125,4 +136,7 @@
     if parts.settings.includes(Duty::Metering) {
         monoio::spawn(Metering::new(&parts, Rc::clone(&caller)).run());
     }
+    if parts.settings.includes(Duty::Autoscaling) {
+        monoio::spawn(Ordering::new(&parts, caller).run());
+    }
 }
--- a/crates/control/src/server_feed.rs
+++ b/crates/control/src/server_feed.rs
@@ -12,7 +12,7 @@
 use ::daemon::Watch;
 use clock::Clock;
 use consensus::NodeId;
-use directory::{OnRefusal, Reader, decode_list, encode_list};
+use directory::{ListedVm, OnRefusal, Reader, decode_list, encode_list};
 use monoio::time;
 use rpc::ServerList;
 
@@ -39,9 +39,20 @@
     versions: VersionKeeper,
 }
 
+/// The newest list.
+pub(crate) struct CurrentList {
+    /// Differs from that of any other list of this process.
+    pub(crate) stamp: u64,
+    pub(crate) servers: Rc<[ListedVm]>,
+    /// The time since it was read from the platform.
+    pub(crate) age: Duration,
+}
+
 struct State {
     stamp: u64,
     servers: Vec<u8>,
+    /// The same list, decoded; the last one if the newest cannot be decoded.
+    decoded: Rc<[ListedVm]>,
     /// When the list was read from the platform, by this or by another control VM.
     read_at: Option<Instant>,
     /// The control VM from which a list was last fetched, and the stamp of that list.
@@ -51,7 +62,13 @@
 impl ServerFeed {
     /// Creates a feed without a list; `epoch` distinguishes its stamps from those of earlier runs.
     pub(crate) fn new(epoch: u64, clock: Rc<dyn Clock>, versions: VersionKeeper) -> ServerFeed {
-        let state = State { stamp: epoch, servers: Vec::new(), read_at: None, fetched: None };
+        let state = State {
+            stamp: epoch,
+            servers: Vec::new(),
+            decoded: Rc::default(),
+            read_at: None,
+            fetched: None,
+        };
         ServerFeed { state: RefCell::new(state), changed: Watch::default(), clock, versions }
     }
 
@@ -105,6 +122,13 @@
         Some(self.clock.now().saturating_duration_since(read_at))
     }
 
+    /// The list with its stamp and its age; `None` before the first one.
+    pub(crate) fn current(&self) -> Option<CurrentList> {
+        let age = self.age()?;
+        let state = self.state.borrow();
+        Some(CurrentList { stamp: state.stamp, servers: Rc::clone(&state.decoded), age })
+    }
+
     /// Waits up to `wait` for a list with another stamp than `held`.
     ///
     /// The servers are left out of the answer if the stamp still equals `held`.
@@ -135,7 +159,10 @@
             return;
         }
         match decode_list(&servers) {
-            Ok(vms) => self.versions.list_read(Some(&vms)),
+            Ok(vms) => {
+                self.versions.list_read(Some(&vms));
+                state.decoded = vms.into();
+            }
             Err(error) => tracing::warn!(event = "shared_list_refused", %error),
         }
         state.stamp = state.stamp.wrapping_add(1).max(1);
