--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -97,6 +97,7 @@
             observations: self.new_observations(&tables),
             quarantine: self.sent.new_suspects(&self.services.dispatcher),
             parts: self.sent.changed_parts(&self.services.dispatcher),
+            usage: self.sent.changed_usage(&self.services.usage),
             limits: self.sent.changed_limits(&self.services.dispatcher),
             permit_requests: self.services.dispatcher.permit_requests(),
             demand: tables.pools.iter().zip(claims()).filter_map(demand).collect(),
@@ -151,6 +152,8 @@
         software_version,
         slots,
         state,
+        is_spot: false,
+        leaves_in_ms: None,
     })
 }
 
--- a/crates/wire-form/tests/support/samples.rs
+++ b/crates/wire-form/tests/support/samples.rs
@@ -117,6 +117,7 @@
         level: None,
         down: Vec::new(),
         pauses: Vec::new(),
+        usage: None,
     };
     let brief = Summary {
         from: Sender::Idx(RouterIdx(3)),
@@ -137,6 +138,7 @@
         level: None,
         down: Vec::new(),
         pauses: Vec::new(),
+        usage: None,
     };
     vec![("summary", full), ("summary-brief", brief)]
 }
@@ -391,6 +393,8 @@
         software_version: "v1".to_owned(),
         slots: 64,
         state: VmState::Leaving,
+        is_spot: false,
+        leaves_in_ms: None,
     }]
 }
 
