--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -160,6 +160,12 @@
         self.usage.open().collect()
     }
 
+    /// The settled usage that is kept, from the oldest window to the newest, and whether each window needs no
+    /// further report.
+    pub fn settled_usage(&self) -> impl DoubleEndedIterator<Item = (UsageReport, bool)> {
+        self.usage.all()
+    }
+
     /// The plan for the engines.
     pub fn plan(&self) -> &Plan {
         self.engines.plan()
--- a/crates/control-state/src/usage_windows.rs
+++ b/crates/control-state/src/usage_windows.rs
@@ -58,7 +58,13 @@
 
     /// The settled windows that have not been reported, from the oldest to the newest.
     pub(crate) fn open(&self) -> impl Iterator<Item = UsageReport> {
-        let open = self.windows.iter().filter(|(_, it)| !it.is_closed);
-        open.map(|(window, it)| UsageReport { window: *window, counts: it.counts.clone() })
+        self.all().filter(|(_, is_closed)| !is_closed).map(|it| it.0)
+    }
+
+    /// The settled windows that are kept, from the oldest to the newest, and whether they are closed.
+    pub(crate) fn all(&self) -> impl DoubleEndedIterator<Item = (UsageReport, bool)> {
+        self.windows.iter().map(|(window, it)| {
+            (UsageReport { window: *window, counts: it.counts.clone() }, it.is_closed)
+        })
     }
 }
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -78,13 +78,26 @@
         }
     }
 
+    /// Whether this VM has held the duties without interruption since it got `token`, and has no newer one.
+    #[must_use]
+    pub fn holds(&self, token: u64) -> bool {
+        self.token == Some(token)
+    }
+
+    /// The newest token, while this VM leads.
+    #[must_use]
+    pub fn token(&self) -> Option<u64> {
+        self.token
+    }
+
     /// Records how a call under `token` ended.
     ///
     /// A refused token is never used again for that subject. An unanswered call may be carried out
     /// after newer ones, unless those have a higher token.
     pub fn ended(&mut self, subject: &Subject, token: u64, result: CallResult) {
         if matches!(result, CallResult::Conflict | CallResult::Unanswered) {
-            self.spent.insert(subject.clone(), token);
+            let spent = self.spent.entry(subject.clone()).or_default();
+            *spent = token.max(*spent);
         }
     }
 }
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod calls;
 mod holder;
+mod retry;
 mod true_time;
 mod usage;
 
 pub use calls::{CallResult, ScaleOrder, ServerKind, Subject, UsageReport};
 pub use holder::{Holder, HolderAction, HolderSettings};
+pub use retry::RetryPause;
 pub use true_time::TrueTime;
 pub use usage::{
     CounterId, UsageCounter, UsageLedger, UsageRows, WindowCounts, WindowId, WindowLength,
--- a/crates/duties/src/true_time.rs
+++ b/crates/duties/src/true_time.rs
@@ -12,15 +12,21 @@
 pub struct TrueTime {
     /// The same moment on both clocks.
     anchor: (Instant, Duration),
-    /// Since when the wall clock has differed from the estimate.
-    differs_since: Option<Instant>,
+    /// Since when the wall clock has differed from the estimate, and what both showed then.
+    step: Option<Step>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    since: Instant,
+    wall: Duration,
 }
 
 impl TrueTime {
     /// Starts with the wall clock as it is.
     #[must_use]
     pub fn new(now: Instant, wall: SystemTime) -> TrueTime {
-        TrueTime { anchor: (now, since_epoch(wall)), differs_since: None }
+        TrueTime { anchor: (now, since_epoch(wall)), step: None }
     }
 
     /// The time since the Unix epoch; `wall` is what the wall clock shows.
@@ -28,19 +34,28 @@
         let wall = since_epoch(wall);
         let estimate = self.anchor.1 + now.saturating_duration_since(self.anchor.0);
         if estimate.abs_diff(wall) < STEP_MIN {
-            self.differs_since = None;
+            self.step = None;
             return estimate;
         }
-        let since = *self.differs_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < STEP_TIME_MIN {
+        let step = self.step.filter(|it| it.explains(now, wall));
+        let step = *self.step.insert(step.unwrap_or(Step { since: now, wall }));
+        if now.saturating_duration_since(step.since) < STEP_TIME_MIN {
             return estimate;
         }
         self.anchor = (now, wall);
-        self.differs_since = None;
+        self.step = None;
         wall
     }
 }
 
+impl Step {
+    /// Whether the wall clock has gone on from the step without another one.
+    fn explains(&self, now: Instant, wall: Duration) -> bool {
+        let expected = self.wall + now.saturating_duration_since(self.since);
+        expected.abs_diff(wall) < STEP_MIN
+    }
+}
+
 fn since_epoch(wall: SystemTime) -> Duration {
     wall.duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -5,6 +5,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::UsageReport;
+
 /// The number of a window; window 0 begins with the Unix epoch.
 #[derive(
     Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -153,6 +155,16 @@
         rows.collect()
     }
 
+    /// How many requests of a settled report's window it lacks.
+    #[must_use]
+    pub fn missing_from(&self, report: &UsageReport) -> u64 {
+        let totals = self.totals(report.window).into_iter();
+        let missing = totals.map(|(workspace, count)| {
+            count.saturating_sub(report.counts.get(&workspace).copied().unwrap_or_default())
+        });
+        missing.sum()
+    }
+
     /// The windows with counts, from the oldest to the newest.
     pub fn windows(&self) -> impl Iterator<Item = WindowId> {
         self.windows.keys().copied()
--- a/crates/ini-settings/src/reader.rs
+++ b/crates/ini-settings/src/reader.rs
@@ -54,6 +54,13 @@
         parsed
     }
 
+    /// Reads an optional value that a template leaves empty where there is none, which counts as absent.
+    pub fn optional_if_filled<T: FromStr>(&mut self, key: &str, expected: &str) -> Option<T> {
+        self.known.insert(key.to_owned());
+        let is_filled = self.entry(key).is_some_and(|it| !it.value.trim().is_empty());
+        is_filled.then(|| self.optional(key, expected)).flatten()
+    }
+
     /// Reads an advisory value, whose default is safe: returns `default` if it is absent. One that does not
     /// parse, or is empty because a template had no value for it, is noted and counts as absent.
     pub fn advisory<T: FromStr>(&mut self, key: &str, expected: &str, default: T) -> T {
