Pause between failed duty calls, and tell operators about the duties

Cause: a close that failed led to a call each 250 ms; a new leader got its token only with the first settled window, so that its report came late; counts behind a silent control VM came after the settlement; empty values of a template kept a daemon from starting; operators saw nothing.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -200,7 +200,7 @@
     })?;
     let registry = Registry::new();
     let health = Rc::new(ControlHealth::register(replica.clone(), feed.clone(), &registry)?);
-    let admin = Rc::new(Admin::new(registry, health));
+    let admin = Rc::new(Admin::new(registry.clone(), health));
     let admin_settings = ::daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     let versions = VersionKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
@@ -211,14 +211,15 @@
         let period = Duration::from_millis(settings.platform_period_ms);
         let source = ListSource { reader, period, replica: replica.clone() };
         monoio::spawn(servers.clone().keep_fresh(source));
-        duties::start(DutyParts {
+        let duty_parts = DutyParts {
             settings: settings.duties.clone(),
             replica: replica.clone(),
             api: Rc::clone(&platform.duty_api),
             platform: addr,
             usage: Rc::clone(&usage),
             clock: parts.clock.clone(),
-        });
+        };
+        duties::start(duty_parts, &registry)?;
     }
     let operators = listeners.operators.zip(parts.platform).map(|(listener, platform)| {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -5,6 +5,8 @@
 
 mod caller;
 mod metering;
+mod metrics;
+mod report;
 mod shared_usage;
 
 use std::{net::SocketAddr, rc::Rc, str::FromStr, time::Duration};
@@ -13,11 +15,14 @@
 use clock::Clock;
 use derive_more::{Display, Error};
 use httpio::{StatusCode, client::Request};
+use prometheus::Registry;
 
 use crate::replica::Replica;
 
 pub(crate) use caller::DutyCaller;
-pub(crate) use metering::Metering;
+pub(crate) use metering::{Metering, Sharing};
+pub(crate) use metrics::DutyMetrics;
+pub(crate) use report::DutyReport;
 pub(crate) use shared_usage::SharedUsage;
 
 /// The holder of a duty and its token, which each call carries.
@@ -119,10 +124,15 @@
     pub(crate) clock: Rc<dyn Clock>,
 }
 
-/// Starts the tasks of the duties that the settings name.
-pub(crate) fn start(parts: DutyParts) {
-    let caller = Rc::new(DutyCaller::new(&parts));
+/// Starts the tasks of the duties that the settings name, and adds their metrics to `registry`.
+pub(crate) fn start(parts: DutyParts, registry: &Registry) -> anyhow::Result<()> {
+    if parts.settings.duties.is_empty() {
+        return Ok(());
+    }
+    let caller = Rc::new(DutyCaller::new(&parts, DutyMetrics::register(registry)?));
     if parts.settings.includes(Duty::Metering) {
+        monoio::spawn(Sharing::new(&parts).run());
         monoio::spawn(Metering::new(&parts, Rc::clone(&caller)).run());
     }
+    Ok(())
 }
--- a/crates/control/src/duties/caller.rs
+++ b/crates/control/src/duties/caller.rs
@@ -9,6 +9,7 @@
 
 use ::duties::{CallResult, Holder, HolderAction, HolderSettings, Subject};
 use clock::Clock;
+use consensus::Term;
 use control_state::{Command, Response, decode_response, encode_command};
 use httpio::{
     Limits,
@@ -17,7 +18,7 @@
 use monoio::time;
 use rpc::SubmitResult;
 
-use super::{DutyApi, DutyCredentials, DutyParts};
+use super::{DutyApi, DutyCredentials, DutyMetrics, DutyParts};
 use crate::replica::Replica;
 
 /// The time that the platform has for an answer. It may be slow, and a call without an answer costs a new token.
@@ -34,11 +35,14 @@
     pool: Pool,
     holder: RefCell<Holder>,
     is_acquiring: Cell<bool>,
+    /// The term in which this VM was last seen to lead.
+    led_term: Cell<Option<Term>>,
+    metrics: DutyMetrics,
     clock: Rc<dyn Clock>,
 }
 
 impl DutyCaller {
-    pub(crate) fn new(parts: &DutyParts) -> DutyCaller {
+    pub(crate) fn new(parts: &DutyParts, metrics: DutyMetrics) -> DutyCaller {
         let answer_ms = ANSWER_TIMEOUT.as_millis() as u64;
         let limits = Limits {
             connect_timeout_ms: answer_ms,
@@ -55,17 +59,42 @@
             pool: Pool::new(settings, Rc::clone(&parts.clock)),
             holder: RefCell::new(Holder::new(HolderSettings { lease: parts.settings.lease })),
             is_acquiring: Cell::new(false),
+            led_term: Cell::new(None),
+            metrics,
             clock: Rc::clone(&parts.clock),
         }
     }
 
-    /// Whether this VM leads the log; if it does not, it gives up its token.
-    pub(crate) fn leads(&self) -> bool {
-        let leads = self.replica.leads();
-        if !leads {
-            self.holder.borrow_mut().lost();
+    /// The metrics of the duties.
+    pub(crate) fn metrics(&self) -> &DutyMetrics {
+        &self.metrics
+    }
+
+    /// The term in which this VM leads the log. If it does not, or another one may have led since its last
+    /// call, it gives up its token.
+    pub(crate) fn led_term(&self) -> Option<Term> {
+        let status = self.replica.status();
+        let term = (!status.lease_left.is_zero()).then_some(status.term);
+        let mut holder = self.holder.borrow_mut();
+        if self.led_term.replace(term) != term || term.is_none() {
+            holder.lost();
+        }
+        self.metrics.is_holder.set(i64::from(holder.token().is_some()));
+        term
+    }
+
+    fn leads(&self) -> bool {
+        self.led_term().is_some()
+    }
+
+    /// Acquires a token if this VM leads and has none, so that the wait after another holder begins early;
+    /// returns whether it may call the platform now.
+    pub(crate) async fn is_ready(&self, subject: &Subject) -> bool {
+        if self.holder.borrow().token().is_none() && self.acquire().await.is_none() {
+            return false;
         }
-        leads
+        let action = self.holder.borrow().next(self.clock.now(), subject);
+        !matches!(action, HolderAction::Wait(_))
     }
 
     /// Makes a call if this VM may make it now.
@@ -77,10 +106,11 @@
         let token = self.token(subject).await?;
         let request = request(&*self.api, DutyCredentials { holder: &self.vm, token });
         // The token was awaited, and the lease may have ended meanwhile.
-        if !self.leads() {
+        if !self.leads() || !self.holder.borrow().holds(token) {
             return None;
         }
         let result = self.send(request).await;
+        self.metrics.record_call(result);
         self.holder.borrow_mut().ended(subject, token, result);
         tracing::info!(event = "duty_call", ?subject, token, ?result);
         Some(result)
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     commands::CommandCheck,
-    duties::SharedUsage,
+    duties::{DutyReport, SharedUsage},
     envelope::Envelope,
     hub_broadcast::{self, HubBroadcast},
     replica::Replica,
@@ -143,6 +143,7 @@
             self.replica.repair_step(),
             self.feed.revision().0,
             RouterReport::new(&self.hub.borrow()),
+            DutyReport::new(&self.replica),
         );
         serde_json::to_string(&report).unwrap_or_default()
     }
--- a/crates/control/src/log_state.rs
+++ b/crates/control/src/log_state.rs
@@ -50,6 +50,10 @@
         self.state.fencing_holder().to_owned()
     }
 
+    fn fencing_token(&self) -> u64 {
+        self.state.fencing().0
+    }
+
     fn is_usage_settled(&self, window: WindowId) -> bool {
         self.state.is_usage_settled(window)
     }
@@ -58,6 +62,10 @@
         self.state.open_usage()
     }
 
+    fn settled_usage(&self) -> Vec<(UsageReport, bool)> {
+        self.state.settled_usage().rev().collect()
+    }
+
     fn has_timed_entries(&self) -> bool {
         self.state.order_key_count() > 0
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -3,6 +3,7 @@
 //! Ticks, messages and the results of disk writes go into the consensus node. The messages, writes
 //! and committed entries that it returns are sent, saved and applied here.
 
+mod duty_state;
 pub(crate) mod pending;
 mod repair;
 mod stopping;
@@ -21,7 +22,6 @@
     Entry, Message, Node, NodeId, Payload, Peer, Ready, RoleChange, Status, Storage, StorageError,
 };
 use control_state::Document;
-use duties::{UsageReport, WindowId};
 use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
 use rpc::{ControlClient, SubmitResult};
 use telemetry::FailStop;
@@ -267,21 +267,6 @@
         self.core.borrow().machine.borrow().document()
     }
 
-    /// The VM that acquired the newest fencing token, as of the last entry applied here.
-    pub(crate) fn fencing_holder(&self) -> String {
-        self.core.borrow().machine.borrow().fencing_holder()
-    }
-
-    /// Whether the usage of a window can no longer be settled.
-    pub(crate) fn is_usage_settled(&self, window: WindowId) -> bool {
-        self.core.borrow().machine.borrow().is_usage_settled(window)
-    }
-
-    /// The settled usage that has not been reported, as of the last entry applied here.
-    pub(crate) fn open_usage(&self) -> Vec<UsageReport> {
-        self.core.borrow().machine.borrow().open_usage()
-    }
-
     /// Where the members of the log listen.
     pub(crate) fn control_addrs(&self) -> Vec<SocketAddr> {
         let status = self.status();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -16,6 +16,7 @@
 use crate::{Duty, DutySettings, FormatMode, address_book::node_id_of};
 
 const SECTIONS: [&str; 2] = ["control", "peers"];
+const SECONDS: &str = "a number of seconds, such as 5 or 2.5";
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 250";
 /// The minimum number of heartbeat intervals in an election timeout, so that the loss of one or two
 /// heartbeats does not cause an election.
@@ -245,19 +246,36 @@
 
 fn read_duties(reader: &mut SectionReader<'_>) -> DutySettings {
     let defaults = DutySettings::default();
-    let seconds = "a number of seconds, such as 5";
-    let usage_window_s: f64 =
-        reader.or_default("usage_window_s", seconds, defaults.usage_window.as_secs_f64());
-    let usage_late_s: f64 =
-        reader.or_default("usage_late_s", seconds, defaults.usage_late.as_secs_f64());
-    let lease_ms =
-        reader.or_default("duty_lease_ms", MILLISECONDS, defaults.lease.as_millis() as u64);
-    DutySettings {
+    let lease_ms = reader.optional_if_filled("duty_lease_ms", MILLISECONDS);
+    let settings = DutySettings {
         vm: reader.or_default("vm", "the name of this VM", String::new()),
         duties: reader.list::<Duty>("duties", "metering or autoscale, separated by commas"),
-        lease: Duration::from_millis(lease_ms),
-        usage_window: Duration::try_from_secs_f64(usage_window_s).unwrap_or(defaults.usage_window),
-        usage_late: Duration::try_from_secs_f64(usage_late_s).unwrap_or(defaults.usage_late),
+        lease: lease_ms.map_or(defaults.lease, Duration::from_millis),
+        usage_window: read_seconds(reader, "usage_window_s", defaults.usage_window),
+        usage_late: read_seconds(reader, "usage_late_s", defaults.usage_late),
+    };
+    // The name is sent in a header field.
+    let is_fit = !settings.vm.is_empty() && settings.vm.bytes().all(|it| it.is_ascii_graphic());
+    if !settings.duties.is_empty() && !is_fit {
+        let remedy = "write the name of this VM in ASCII, by which the platform knows the holder";
+        reader.fault("vm", "does not name this VM, although `duties` names duties", remedy);
+    }
+    if !settings.duties.is_empty() && !reader.is_set("platform") {
+        let remedy = "write the address of the platform, or leave `duties` out";
+        reader.fault("platform", "is missing, although `duties` names duties", remedy);
+    }
+    settings
+}
+
+/// Reads a time above zero, in seconds.
+fn read_seconds(reader: &mut SectionReader<'_>, key: &str, default: Duration) -> Duration {
+    let Some(seconds) = reader.optional_if_filled(key, SECONDS) else { return default };
+    match Duration::try_from_secs_f64(seconds) {
+        Ok(time) if time >= Duration::from_millis(1) => time,
+        _ => {
+            reader.fault(key, "is no time of a millisecond or more", &format!("write {SECONDS}"));
+            default
+        }
     }
 }
 
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -42,12 +42,19 @@
     /// The VM that acquired the newest fencing token; empty before the first one.
     fn fencing_holder(&self) -> String;
 
+    /// The newest fencing token; 0 before the first one.
+    fn fencing_token(&self) -> u64;
+
     /// Whether the usage of a window can no longer be settled.
     fn is_usage_settled(&self, window: WindowId) -> bool;
 
     /// The settled usage that has not been reported, from the oldest window to the newest.
     fn open_usage(&self) -> Vec<UsageReport>;
 
+    /// The settled usage that is kept, from the newest window to the oldest, and whether each window needs no
+    /// further report.
+    fn settled_usage(&self) -> Vec<(UsageReport, bool)>;
+
     /// Whether the state holds entries that expire, so that the replicated clock must advance.
     fn has_timed_entries(&self) -> bool;
 }
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -6,6 +6,8 @@
 use dissemination::Hub;
 use serde::Serialize;
 
+use crate::duties::DutyReport;
+
 /// The state of a control VM.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -27,6 +29,8 @@
     level: u16,
     #[serde(flatten)]
     routers: RouterReport,
+    #[serde(flatten)]
+    duties: DutyReport,
 }
 
 /// The routers that exchange with this VM.
@@ -63,6 +67,7 @@
         next_step: RepairStep,
         revision: u64,
         routers: RouterReport,
+        duties: DutyReport,
     ) -> StatusReport {
         StatusReport {
             member: status.me.to_string(),
@@ -80,6 +85,7 @@
             revision,
             level: wire_form::LEVEL,
             routers,
+            duties,
         }
     }
 }
--- a/crates/control/tests/panicking_machine.rs
+++ b/crates/control/tests/panicking_machine.rs
@@ -67,6 +67,10 @@
         self.0.fencing_holder()
     }
 
+    fn fencing_token(&self) -> u64 {
+        self.0.fencing_token()
+    }
+
     fn is_usage_settled(&self, window: WindowId) -> bool {
         self.0.is_usage_settled(window)
     }
@@ -75,6 +79,10 @@
         self.0.open_usage()
     }
 
+    fn settled_usage(&self) -> Vec<(UsageReport, bool)> {
+        self.0.settled_usage()
+    }
+
     fn has_timed_entries(&self) -> bool {
         self.0.has_timed_entries()
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -22,6 +22,8 @@
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
 /// The duty of reporting usage.
 const METERING: &str = "metering";
+/// The length of the windows of usage, which the control VMs use too where the settings name none.
+const USAGE_WINDOW: Duration = Duration::from_secs(5);
 const FILE: &str = "the path of a file";
 
 /// Settings of a router.
@@ -241,13 +243,14 @@
 /// Reads the length of the windows of usage, if metering is among the duties of the deployment.
 fn read_usage_window(reader: &mut SectionReader<'_>) -> Option<Duration> {
     let duties: Vec<String> = reader.list("duties", "metering or autoscale, separated by commas");
-    let seconds = reader.optional("usage_window_s", SECONDS).map(Duration::try_from_secs_f64);
-    let is_metered = duties.iter().any(|it| it == METERING);
-    let window = seconds.and_then(Result::ok).filter(|it| !it.is_zero());
-    if is_metered && window.is_none() {
-        reader.fault("usage_window_s", "is missing although usage is metered", "write seconds");
+    let seconds = reader.optional_if_filled("usage_window_s", SECONDS);
+    let window = seconds.map_or(Ok(USAGE_WINDOW), Duration::try_from_secs_f64);
+    let window = window.ok().filter(|it| *it >= Duration::from_millis(1));
+    if window.is_none() {
+        let problem = "is no time of a millisecond or more";
+        reader.fault("usage_window_s", problem, &format!("write {SECONDS}"));
     }
-    window.filter(|_| is_metered)
+    window.filter(|_| duties.iter().any(|it| it == METERING))
 }
 
 /// Reads the time until a stopping process is killed.
--- a/crates/wire-form/tests/own_extensions.rs
+++ b/crates/wire-form/tests/own_extensions.rs
@@ -11,6 +11,7 @@
     Digest, PauseRow, PoolHash, ServerIdx, ServerRef, SoleVersion, Summary, decode_digest,
     decode_summary, encode_digest, encode_summary,
 };
+use duties::{CounterId, UsageRows, WindowCounts, WindowId};
 use policy::{MeasuredPauses, VersionHash};
 
 fn pauses() -> Vec<PauseRow> {
@@ -18,12 +19,19 @@
     vec![PauseRow { pool: PoolHash(7), pauses }]
 }
 
+fn usage() -> UsageRows {
+    let counts = vec![("hule930".to_owned(), 412), ("fida11".to_owned(), 1)];
+    let windows = vec![WindowCounts { window: WindowId(353_445_120), counts }];
+    UsageRows { counter: CounterId(u64::MAX), windows }
+}
+
 /// Guards against an extension that is not written or not read.
 #[test]
 fn all_kept() {
     for (name, summary) in samples::summaries() {
         let down = vec![ServerRef::Idx(ServerIdx(3))];
-        let summary = Summary { level: Some(2), down, pauses: pauses(), ..summary };
+        let usage = Some(usage());
+        let summary = Summary { level: Some(2), down, pauses: pauses(), usage, ..summary };
         assert_eq!(decode_summary(&encode_summary(&summary)), Ok(summary), "{name}");
     }
     for (name, digest) in samples::digests() {
@@ -33,9 +41,13 @@
         assert_eq!(decode_digest(&encode_digest(&digest)), Ok(digest), "{name}");
     }
     let member = samples::member(1);
-    let leaving =
-        [Envelope::Leave(member), Envelope::Left(member)].map(|it| ("leave".to_owned(), it));
-    for (name, envelope) in samples::envelopes().into_iter().chain(leaving) {
+    let later = [
+        Envelope::Leave(member),
+        Envelope::Left(member),
+        Envelope::Usage { rows: vec![usage(), usage()] },
+    ];
+    let later = later.map(|it| ("later".to_owned(), it));
+    for (name, envelope) in samples::envelopes().into_iter().chain(later) {
         let envelope = match envelope {
             Envelope::Work { hub, rows, begun_streams, .. } => {
                 let down = vec![(SocketAddr::from(([10, 0, 0, 1], 9_001)), 2)];
