--- a/crates/control/src/duties/metering.rs
+++ b/crates/control/src/duties/metering.rs
@@ -222,6 +222,7 @@
             metrics.windows_missed.inc();
             return true;
         }
+        let began = self.clock.now();
         let called = self
             .caller
             .call(&Subject::Usage, |api, credentials| api.usage_request(credentials, report))
@@ -229,6 +230,7 @@
         if called != Some(CallResult::Accepted) {
             return false;
         }
+        let age = age + self.clock.now().saturating_duration_since(began);
         let is_late = age > self.usage_late;
         metrics.windows_reported.inc();
         metrics.windows_late.inc_by(u64::from(is_late));
--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -1,5 +1,7 @@
 //! Guards against settings errors that are reported one at a time, and secrets in error texts.
 
+use std::time::Duration;
+
 use expect_test::{Expect, expect};
 use router::{identity::Workspaces, settings::RouterSettings};
 
@@ -98,3 +100,23 @@
         workspaces:5: south.colour: unknown key; use one of: in_flight_max, token, weight"#]]
     .assert_eq(&faults.to_string());
 }
+
+/// Guards against a router that does not start where a template has no values for the duties, that counts
+/// although nobody asks for it, or that counts by other windows than the control VMs.
+#[test]
+fn metered_windows() {
+    let parse = |duties: &str, window: &str| {
+        let text = format!(
+            "[router]\nvm = vm-1\nfailure_domain = fd-1\ntrust = network\n\
+             control = 127.0.0.1:7000\nduties ={duties}\nusage_window_s ={window}\n"
+        );
+        RouterSettings::parse("router.ini", &text).map(|it| it.usage_window)
+    };
+    assert_eq!(parse("", ""), Ok(None));
+    assert_eq!(parse(" autoscale", " 5"), Ok(None));
+    assert_eq!(parse(" metering", ""), Ok(Some(Duration::from_secs(5))));
+    assert_eq!(parse(" metering,autoscale", " 2.5"), Ok(Some(Duration::from_millis(2_500))));
+    for window in [" 0", " -1", " soon"] {
+        assert!(parse(" metering", window).is_err(), "{window}");
+    }
+}
