Keep firm servers that boot where the list names none, and exchange them where the limit is full

A failure domain without a listed server was left out of the sums, so each reclaimed one had firm servers ordered anew elsewhere. A full limit never let the exchange begin.

--- a/crates/directory/src/list.rs
+++ b/crates/directory/src/list.rs
@@ -12,6 +12,10 @@
 /// In an encoded list, the entries of spot servers.
 const SPOT: ExtensionId = ExtensionId(1);
 
+/// The precision of the remaining times in an encoded list: each list that differs from the one before is sent
+/// to all routers.
+const LEAVES_STEP_MS: u64 = 1_000;
+
 /// One backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -133,7 +137,10 @@
 #[must_use]
 pub fn encode_list(vms: &[ListedVm]) -> Vec<u8> {
     let positions = vms.iter().zip(0..).filter(|(it, _)| it.is_spot);
-    let spot = positions.map(|(it, position)| SpotRow { position, leaves_in_ms: it.leaves_in_ms });
+    let spot = positions.map(|(it, position)| SpotRow {
+        position,
+        leaves_in_ms: it.leaves_in_ms.map(|it| it - it % LEAVES_STEP_MS),
+    });
     let spot: Vec<_> = spot.collect();
     let mut extensions = Extensions::default();
     let added = if spot.is_empty() { Ok(()) } else { extensions.insert(SPOT, &spot) };
--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -8,6 +8,8 @@
 const REFUSAL_TTL: Duration = Duration::from_millis(2_500);
 /// The time after spot servers have left in which none are expected to be available.
 const LEFT_TTL: Duration = Duration::from_secs(2);
+/// The time without a refusal or servers that leave after which spot servers are likely to be available.
+const UNDISTURBED_TIME: Duration = Duration::from_secs(10);
 /// The time beyond the boot time that a server may take until the list names it.
 const LIST_DELAY: Duration = Duration::from_secs(2);
 /// The time for which a lower number must have been enough before it is ordered.
@@ -30,6 +32,8 @@
     leaving_at: Option<Instant>,
     /// Since when the spot servers that do not serve yet have been expected.
     expected_since: Instant,
+    /// When firm servers were last added.
+    firm_added_at: Option<Instant>,
     /// Since when fewer spot servers than are ordered would be enough.
     lower_since: Option<Instant>,
 }
@@ -46,6 +50,7 @@
             refused_at: None,
             leaving_at: None,
             expected_since: now,
+            firm_added_at: None,
             lower_since: None,
         }
     }
@@ -74,10 +79,16 @@
     pub(crate) fn is_available(&self, now: Instant, boot: Duration) -> bool {
         let is_recent = |at: Option<Instant>, ttl| at.is_some_and(|it| now < it + ttl);
         let is_late = now >= self.expected_since + boot + LIST_DELAY;
-        self.is_listed
-            && !is_recent(self.refused_at, REFUSAL_TTL)
-            && !is_recent(self.leaving_at, LEFT_TTL)
-            && !(is_late && self.is_short())
+        let is_refused = is_recent(self.refused_at, REFUSAL_TTL);
+        let is_leaving = is_recent(self.leaving_at, LEFT_TTL);
+        let is_missing = is_late && self.is_short();
+        self.is_listed && !is_refused && !is_leaving && !is_missing
+    }
+
+    /// Whether spot servers have neither been refused nor left for a while.
+    pub(crate) fn is_undisturbed(&self, now: Instant) -> bool {
+        let last = self.refused_at.max(self.leaving_at);
+        last.is_none_or(|it| now >= it + UNDISTURBED_TIME)
     }
 
     /// Whether so many spot servers are missing that crashes alone are no likely reason.
@@ -99,6 +110,19 @@
         servers_max.saturating_sub(self.firm.max(self.listed.firm))
     }
 
+    /// Whether the firm servers that are ordered here serve or will do so.
+    pub(crate) fn has_firm(&self, now: Instant, boot: Duration) -> bool {
+        self.is_listed || self.firm_added_at.is_some_and(|it| now < it + boot + LIST_DELAY)
+    }
+
+    /// Orders firm servers.
+    pub(crate) fn set_firm(&mut self, now: Instant, count: u32) {
+        if count > self.firm {
+            self.firm_added_at = Some(now);
+        }
+        self.firm = count;
+    }
+
     /// Orders spot servers: more at once, fewer only after a time.
     pub(crate) fn set_spot(&mut self, now: Instant, count: u32, count_max: u32) {
         let count = count.min(count_max);
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -18,8 +18,11 @@
 const SHRINK_STEP: Duration = Duration::from_secs(5);
 /// The part of the servers by which the number is reduced at a time.
 const SHRINK_DIVISOR: u32 = 20;
-/// A number that is too high by less than this part is kept.
-const KEPT_DIVISOR: u32 = 10;
+/// A number that is too high by less than this part is kept. An uneven demand of constant height varies
+/// by more than a tenth.
+const KEPT_DIVISOR: u32 = 5;
+/// The part of the limit of a failure domain that is given up at a time to make room for spot servers.
+const ROOM_DIVISOR: u32 = 10;
 /// The time beyond the boot time after which the list names all servers that an earlier holder has ordered.
 const LIST_DELAY: Duration = Duration::from_millis(500);
 
@@ -46,6 +49,8 @@
     /// Since when fewer servers would have been enough, and when the last were given up.
     lower_since: Option<Instant>,
     shrunk_at: Option<Instant>,
+    /// Whether servers may be given up: not while the demand is unknown.
+    may_lower: bool,
     figures: Figures,
 }
 
@@ -60,6 +65,7 @@
             domains: BTreeMap::new(),
             lower_since: None,
             shrunk_at: None,
+            may_lower: false,
             figures: Figures::default(),
         }
     }
@@ -86,6 +92,7 @@
             return Vec::new();
         }
         self.record_servers(now, observation);
+        self.may_lower = observation.demand.is_some() || self.demand.need() == 0;
         self.resize(now);
         self.choose_kinds(now);
         let target = |(name, it): (&String, &Domain)| Target {
@@ -148,7 +155,11 @@
         if wanted >= total {
             spread::add(&mut places, wanted - total);
             self.lower_since = None;
-        } else if needed == 0 || is_disturbed || total - wanted <= total / KEPT_DIVISOR {
+        } else if needed == 0
+            || !self.may_lower
+            || is_disturbed
+            || total - wanted <= total / KEPT_DIVISOR
+        {
             self.lower_since = None;
         } else if self.may_shrink(now) {
             spread::remove(&mut places, (total / SHRINK_DIVISOR).clamp(1, total - wanted));
@@ -188,7 +199,7 @@
     fn choose_kinds(&mut self, now: Instant) {
         if !self.uses_spot() {
             for domain in self.domains.values_mut().filter(|it| it.is_listed) {
-                domain.firm = domain.share.saturating_sub(domain.listed.spot);
+                domain.set_firm(now, domain.share.saturating_sub(domain.listed.spot));
             }
             return;
         }
@@ -221,26 +232,29 @@
         }
         for (domain, place) in self.domains.values_mut().zip(places) {
             let room = domain.room(servers_max);
-            domain.set_spot(now, place.count, room);
+            let count = if self.may_lower { place.count } else { place.count.max(domain.spot) };
+            domain.set_spot(now, count, room);
         }
     }
 
     /// Gives up firm servers as spot servers serve, and orders them where spot servers do not suffice.
     fn choose_firm(&mut self, now: Instant) {
         let Figures { needed, wanted, .. } = self.figures;
-        let listed = || self.domains.values().filter(|it| it.is_listed);
-        let firm: u32 = listed().map(|it| it.firm).sum();
-        let spot: u32 = listed().map(|it| it.listed.spot).sum();
-        let booting: u32 = listed().map(|it| it.booting(now, self.spec.boot)).sum();
-        let kept = firm.min(wanted.saturating_sub(spot));
+        let (boot, servers_max) = (self.spec.boot, self.spec.servers_max);
+        let used = || self.domains.values().filter(|it| it.has_firm(now, boot));
+        let firm: u32 = used().map(|it| it.firm).sum();
+        let spot: u32 = used().map(|it| it.listed.spot).sum();
+        let booting: u32 = used().map(|it| it.booting(now, boot)).sum();
+        let replaced = if self.may_lower { spot } else { 0 };
+        let kept = firm.min(wanted.saturating_sub(replaced));
         let total = kept.max(needed.saturating_sub(spot + booting));
-        let servers_max = self.spec.servers_max;
         // The places count both kinds, so that the sums become even.
         let mut places = self.places(|it| {
-            let spot = it.listed.spot;
-            match it.is_listed {
-                true => (it.firm + spot, spot, servers_max.max(it.firm + spot)),
-                false => (it.firm, it.firm, it.firm),
+            let spot = it.listed.spot + it.booting(now, boot);
+            let both = it.firm + spot;
+            match it.has_firm(now, boot) {
+                true => (both, spot, servers_max.max(both)),
+                false => (both, both, both),
             }
         });
         if total >= firm {
@@ -249,8 +263,24 @@
             spread::remove(&mut places, firm - total);
         }
         for (domain, place) in self.domains.values_mut().zip(places) {
-            if domain.is_listed {
-                domain.firm = place.count.saturating_sub(domain.listed.spot);
+            let spot = domain.listed.spot + domain.booting(now, boot);
+            domain.set_firm(now, place.count.saturating_sub(spot));
+        }
+        self.make_room(now);
+    }
+
+    /// Gives up a few firm servers where the limit leaves no room for the spot servers that replace them.
+    fn make_room(&mut self, now: Instant) {
+        let servers_max = self.spec.servers_max;
+        let step = (servers_max / ROOM_DIVISOR).max(1);
+        if !self.may_lower || self.available(now) < self.domains.len() {
+            return;
+        }
+        for domain in self.domains.values_mut().filter(|it| it.firm > 0) {
+            let is_full = domain.firm + domain.listed.spot >= servers_max;
+            let is_settled = domain.firm == domain.listed.firm && domain.is_undisturbed(now);
+            if is_full && is_settled {
+                domain.set_firm(now, domain.firm - step.min(domain.firm));
             }
         }
     }
--- a/crates/scaling/tests/exchanged_kinds.rs
+++ b/crates/scaling/tests/exchanged_kinds.rs
@@ -23,3 +23,18 @@
     platform.run(Duration::from_secs(200), |it| assert!(it.serving() >= 3 * 47));
     assert_eq!(platform.counts(), (0, 3 * 47));
 }
+
+/// The firm servers fill the limit. Guards against an exchange that never begins.
+#[test]
+fn no_room() {
+    let mut platform = Platform::new(&["a", "b", "c"], 40, 40);
+    platform.run(Duration::from_secs(200), |it| assert!(it.serving() >= 3 * 36));
+    assert_eq!(platform.counts(), (0, 3 * 40));
+}
+
+/// With a single failure domain, the loss of its spot servers would leave none.
+#[test]
+fn single_domain() {
+    let mut platform = Platform::new(&["a"], 10, 40);
+    platform.run(Duration::from_secs(60), |it| assert_eq!(it.counts(), (10, 0)));
+}
--- /dev/null
+++ b/crates/scaling/tests/new_holder.rs
@@ -0,0 +1,38 @@
+//! Another VM becomes the holder of the duty.
+
+#[path = "support/platform.rs"]
+#[allow(dead_code)]
+mod platform;
+
+use std::time::Duration;
+
+use platform::{Platform, SLOTS};
+
+/// Guards against a new holder that gives up servers which the list does not name yet.
+#[test]
+fn booting_kept() {
+    let mut platform = Platform::exchanged(20, 94);
+    platform.requests = Some(20 * SLOTS);
+    platform.run(Duration::from_secs(10), |_| {});
+    platform.requests = Some(60 * SLOTS);
+    platform.run(Duration::from_secs(2), |_| {});
+    let before = platform.targeted().1;
+    platform.replace_holder(true);
+    platform.run(Duration::from_secs(30), |_| {});
+    assert!(platform.targeted().1 >= before, "{:?} after {before}", platform.targeted());
+}
+
+/// Guards against a new holder that changes what it finds, or leaves what it does not know to be in force.
+#[test]
+fn targets_sent_once() {
+    for has_observed in [true, false] {
+        let mut platform = Platform::exchanged(30, 94);
+        platform.requests = Some(30 * SLOTS);
+        platform.run(Duration::from_secs(10), |_| {});
+        platform.orders.clear();
+        platform.replace_holder(has_observed);
+        platform.run(Duration::from_secs(30), |_| {});
+        assert_eq!(platform.counts(), (0, 90));
+        assert_eq!(platform.orders.len(), 6, "{:?}", platform.orders);
+    }
+}
--- a/crates/wire-form/tests/landed_forms.rs
+++ b/crates/wire-form/tests/landed_forms.rs
@@ -93,6 +93,17 @@
     check("list", &samples::list(), |it: &Vec<ListedVm>| encode_list(it), decode_list);
 }
 
+/// Guards against spot servers that change what an older build reads of the list.
+#[test]
+fn spot_servers_last() {
+    let mut list = samples::list();
+    (list[0].is_spot, list[0].leaves_in_ms) = (true, Some(2_000));
+    let bytes = encode_list(&list);
+    assert!(bytes.starts_with(&landed("list")), "the base of `list` has changed");
+    let base: Vec<ListedVm> = postcard::from_bytes(&bytes).expect("a base");
+    assert_eq!(base, samples::list());
+}
+
 #[test]
 fn deltas_unchanged() {
     let encode = |it: &tables::Delta| postcard::to_stdvec(it).expect("an encoding");
--- a/crates/wire-form/tests/own_extensions.rs
+++ b/crates/wire-form/tests/own_extensions.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use control::Envelope;
+use directory::{ListedVm, decode_list, encode_list};
 use dissemination::{
     Digest, PauseRow, PoolHash, ServerIdx, ServerRef, SoleVersion, Summary, decode_digest,
     decode_summary, encode_digest, encode_summary,
@@ -18,6 +19,16 @@
     vec![PauseRow { pool: PoolHash(7), pauses }]
 }
 
+/// Guards against spot servers that are taken for others, or a time that is lost.
+#[test]
+fn spot_servers_kept() {
+    let [first] = samples::list().try_into().expect("one server");
+    let leaving = ListedVm { is_spot: true, leaves_in_ms: Some(2_000), ..first.clone() };
+    let staying = ListedVm { is_spot: true, ..first.clone() };
+    let list = vec![first.clone(), leaving, first, staying];
+    assert_eq!(decode_list(&encode_list(&list)), Ok(list));
+}
+
 /// Guards against an extension that is not written or not read.
 #[test]
 fn all_kept() {
