Order spot servers at once where no VM has ordered before

A holder waits for the boot time before its first order, because an earlier holder may have ordered servers that the list does not name.

--- a/crates/control/src/duties/ordering.rs
+++ b/crates/control/src/duties/ordering.rs
@@ -25,6 +25,8 @@
 const PERIOD: Duration = Duration::from_millis(250);
 /// Nothing is ordered by an older list.
 const LIST_AGE_MAX: Duration = Duration::from_secs(3);
+/// The timeout of the confirmation that the state here is the newest.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The task that orders servers while this VM leads.
 pub(crate) struct Ordering {
@@ -40,6 +42,7 @@
 
 #[derive(Default)]
 struct State {
+    lead: Option<Lead>,
     /// The version of the document that the pools are from.
     document: u64,
     pools: BTreeMap<String, PoolPlan>,
@@ -47,11 +50,21 @@
     book: OrderBook,
 }
 
+/// The time in which this VM leads.
+#[derive(Debug, Clone, Copy)]
+struct Lead {
+    since: Instant,
+    /// Whether no VM has held a duty before.
+    is_first: bool,
+}
+
 struct PoolPlan {
     scaling: Scaling,
     /// The slots of a server, unless the list tells them.
     slots: u32,
     planner: Planner,
+    /// Whether the planner knows that this VM leads.
+    has_taken_over: bool,
     /// The last targets, by failure domain.
     targets: BTreeMap<String, Target>,
 }
@@ -75,6 +88,7 @@
         let this = Rc::new(self);
         loop {
             time::sleep(PERIOD).await;
+            this.update_lead().await;
             this.update_pools();
             for due in this.due_orders() {
                 monoio::spawn(Rc::clone(&this).send(due));
@@ -82,6 +96,23 @@
         }
     }
 
+    /// Learns whether this VM leads, and whether another one has before.
+    async fn update_lead(&self) {
+        if !self.caller.leads() {
+            let mut state = self.state.borrow_mut();
+            state.lead = None;
+            state.book.clear();
+            self.gauges.clear();
+            return;
+        }
+        let is_known = self.state.borrow().lead.is_some();
+        // The holder before is known once all committed entries are applied.
+        if !is_known && self.replica.confirm(CONFIRM_TIMEOUT).await {
+            let is_first = self.replica.fencing_holder().is_empty();
+            self.state.borrow_mut().lead = Some(Lead { since: self.clock.now(), is_first });
+        }
+    }
+
     /// Reads the pools from the newest document.
     fn update_pools(&self) {
         let document = self.replica.document();
@@ -99,12 +130,7 @@
     /// Decides how many servers each pool needs; returns the orders to send now.
     fn due_orders(&self) -> Vec<DueOrder> {
         let now = self.clock.now();
-        let leads = self.caller.leads();
         let mut state = self.state.borrow_mut();
-        if !leads {
-            state.book.clear();
-            self.gauges.clear();
-        }
         let Some(list) = self.servers.current().filter(|it| it.age <= LIST_AGE_MAX) else {
             return Vec::new();
         };
@@ -113,10 +139,10 @@
         }
         let work = self.work(now);
         state.listed.update(list.stamp, &list.servers, work.as_ref());
-        state.plan(now, work.as_ref(), leads, &self.gauges);
-        match leads {
-            true => state.book.take_due(now),
-            false => Vec::new(),
+        state.plan(now, work.as_ref(), &self.gauges);
+        match state.lead {
+            Some(_) => state.book.take_due(now),
+            None => Vec::new(),
         }
     }
 
@@ -150,6 +176,7 @@
                 Some(plan) => PoolPlan { scaling: scaling.clone(), slots, ..plan },
                 None => PoolPlan {
                     planner: Planner::new(to_spec(scaling, slots)),
+                    has_taken_over: false,
                     scaling: scaling.clone(),
                     slots,
                     targets: BTreeMap::new(),
@@ -163,7 +190,6 @@
         &mut self,
         now: Instant,
         work: Option<&BTreeMap<SocketAddr, PendingWork>>,
-        leads: bool,
         gauges: &ScalingGauges,
     ) {
         for (name, plan) in &mut self.pools {
@@ -172,10 +198,14 @@
             let observation = Observation { servers, demand };
             let slots = self.listed.slots(name).unwrap_or(plan.slots);
             plan.planner.set_spec(to_spec(&plan.scaling, slots));
-            if !leads {
+            let Some(lead) = self.lead else {
                 plan.planner.observe(now, &observation);
+                plan.has_taken_over = false;
                 plan.targets.clear();
                 continue;
+            };
+            if !std::mem::replace(&mut plan.has_taken_over, true) {
+                plan.planner.took_over(lead.since, lead.is_first);
             }
             let boot = Duration::from_millis(plan.scaling.boot_ms);
             for target in plan.planner.plan(now, &observation) {
--- a/crates/control/src/duties/scaling_gauges.rs
+++ b/crates/control/src/duties/scaling_gauges.rs
@@ -43,8 +43,10 @@
     ) {
         let domain = target.failure_domain.as_str();
         let [firm, spot] = accepted;
-        let kinds =
-            [("firm", target.firm, firm, listed.firm), ("spot", target.spot, spot, listed.spot)];
+        let kinds = [
+            ("firm", target.firm.unwrap_or(listed.firm), firm, listed.firm),
+            ("spot", target.spot, spot, listed.spot),
+        ];
         for (kind, wanted, accepted, serving) in kinds {
             let labels = [pool, domain, kind];
             self.wanted.with_label_values(&labels).set(wanted.into());
--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -110,6 +110,13 @@
         servers_max.saturating_sub(self.firm.max(self.listed.firm))
     }
 
+    /// Keeps firm servers that the list has not named before.
+    pub(crate) fn adopt_firm(&mut self) {
+        let more = self.listed.firm.saturating_sub(self.firm);
+        self.firm += more;
+        self.share += more;
+    }
+
     /// Whether the firm servers that are ordered here serve or will do so.
     pub(crate) fn has_firm(&self, now: Instant, boot: Duration) -> bool {
         self.is_listed || self.firm_added_at.is_some_and(|it| now < it + boot + LIST_DELAY)
--- a/crates/scaling/src/order_book.rs
+++ b/crates/scaling/src/order_book.rs
@@ -82,7 +82,7 @@
         let key = (pool.to_owned(), target.failure_domain.clone());
         let domain = self.domains.entry(key).or_default();
         domain.spot.target = Some(target.spot);
-        domain.firm.target = Some(target.firm);
+        domain.firm.target = target.firm;
         let was_leaving = std::mem::replace(&mut domain.spot_leaving, listed.spot_leaving) > 0;
         if was_leaving != (listed.spot_leaving > 0) {
             // The platform may take the number as it was before the servers left.
@@ -119,6 +119,9 @@
         let key = (order.pool.clone(), order.failure_domain.clone());
         let Some(domain) = self.domains.get_mut(&key) else { return };
         domain.is_sending = false;
+        if result.is_none() {
+            self.sent.pop_back();
+        }
         if std::mem::take(&mut domain.is_cleared) {
             return;
         }
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -42,8 +42,10 @@
 pub struct Planner {
     spec: ScalingSpec,
     demand: DemandHistory,
-    /// When this VM began to plan; `None` while another one does.
-    planning_since: Option<Instant>,
+    /// When the list names all servers that an earlier holder has ordered.
+    known_at: Option<Instant>,
+    /// Whether no VM has ordered servers before, so that no spot servers are on their way.
+    is_first: bool,
     /// The failure domains, from when all servers that an earlier holder has ordered are known.
     domains: BTreeMap<String, Domain>,
     /// Since when fewer servers would have been enough, and when the last were given up.
@@ -61,7 +63,8 @@
         Planner {
             spec,
             demand: DemandHistory::default(),
-            planning_since: None,
+            known_at: None,
+            is_first: false,
             domains: BTreeMap::new(),
             lower_since: None,
             shrunk_at: None,
@@ -78,26 +81,38 @@
     /// Records the demand while another VM orders the servers.
     pub fn observe(&mut self, now: Instant, observation: &Observation) {
         self.record_demand(now, observation);
-        self.planning_since = None;
+        self.known_at = None;
         self.domains.clear();
         (self.lower_since, self.shrunk_at) = (None, None);
     }
 
+    /// Records that this VM began to order at `since`, and whether no VM has ordered before.
+    pub fn took_over(&mut self, since: Instant, is_first: bool) {
+        self.known_at = Some(since + self.spec.boot + LIST_DELAY);
+        self.is_first = is_first;
+    }
+
     /// The numbers to order in each known failure domain. There are none until the list names all servers
     /// that an earlier holder may have ordered.
     pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
         self.record_demand(now, observation);
-        let since = *self.planning_since.get_or_insert(now);
-        if now < since + self.spec.boot + LIST_DELAY {
+        let known_at = *self.known_at.get_or_insert(now + self.spec.boot + LIST_DELAY);
+        let is_known = now >= known_at;
+        if !is_known && !self.is_first {
             return Vec::new();
         }
         self.record_servers(now, observation);
         self.may_lower = observation.demand.is_some() || self.demand.need() == 0;
-        self.resize(now);
-        self.choose_kinds(now);
+        match is_known {
+            true => {
+                self.resize(now);
+                self.choose_kinds(now);
+            }
+            false => self.choose_first_spot(now),
+        }
         let target = |(name, it): (&String, &Domain)| Target {
             failure_domain: name.clone(),
-            firm: it.firm,
+            firm: is_known.then_some(it.firm),
             spot: it.spot,
         };
         self.domains.iter().map(target).collect()
@@ -210,6 +225,14 @@
         }
     }
 
+    /// Orders spot servers while the list may not name all firm servers yet.
+    fn choose_first_spot(&mut self, now: Instant) {
+        self.domains.values_mut().for_each(Domain::adopt_firm);
+        if self.uses_spot() {
+            self.choose_spot(now);
+        }
+    }
+
     /// Orders spot servers for each share, and in the available failure domains also for those that are
     /// missing elsewhere.
     fn choose_spot(&mut self, now: Instant) {
--- a/crates/scaling/src/types.rs
+++ b/crates/scaling/src/types.rs
@@ -76,8 +76,8 @@
 pub struct Target {
     /// The failure domain.
     pub failure_domain: String,
-    /// Firm servers.
-    pub firm: u32,
+    /// Firm servers; `None` until the list is known to name all of them.
+    pub firm: Option<u32>,
     /// Spot servers.
     pub spot: u32,
 }
--- a/crates/scaling/tests/cut_off_domain.rs
+++ b/crates/scaling/tests/cut_off_domain.rs
@@ -17,7 +17,7 @@
     platform.cut_off("c", true);
     platform.run(Duration::from_secs(60), |it| {
         let target = it.targets.iter().find(|it| it.failure_domain == "c");
-        assert_eq!(target.map(|it| (it.firm, it.spot)), Some((0, 40)));
+        assert_eq!(target.map(|it| (it.firm, it.spot)), Some((Some(0), 40)));
     });
     assert!(platform.counts().1 >= 2 * 60, "{:?}", platform.counts());
     platform.cut_off("c", false);
--- a/crates/scaling/tests/new_holder.rs
+++ b/crates/scaling/tests/new_holder.rs
@@ -36,3 +36,16 @@
         assert_eq!(platform.orders.len(), 6, "{:?}", platform.orders);
     }
 }
+
+/// Guards against a first holder that waits for servers which nobody has ordered, and against firm servers
+/// that are given up because they start at the same time.
+#[test]
+fn first_holder() {
+    let mut platform = Platform::new(&["a", "b", "c"], 30, 94);
+    platform.start_firm("b", 20, Duration::from_secs(3));
+    platform.planner.took_over(platform.now, true);
+    platform.run(Duration::from_secs(6), |_| {});
+    assert!(platform.counts().1 >= 60, "{:?}", platform.counts());
+    platform.run(Duration::from_secs(6), |_| {});
+    assert_eq!(platform.counts(), (0, 90));
+}
--- a/crates/scaling/tests/support/platform.rs
+++ b/crates/scaling/tests/support/platform.rs
@@ -125,7 +125,10 @@
 
     /// The servers of the last targets, of both kinds.
     pub(crate) fn targeted(&self) -> (u32, u32) {
-        (self.targets.iter().map(|it| it.firm).sum(), self.targets.iter().map(|it| it.spot).sum())
+        (
+            self.targets.iter().filter_map(|it| it.firm).sum(),
+            self.targets.iter().map(|it| it.spot).sum(),
+        )
     }
 
     /// Takes back all spot servers of a failure domain; there are none there for so long.
@@ -150,6 +153,13 @@
         domain.spot.serving_at.iter_mut().take(count).for_each(|it| *it = until);
     }
 
+    /// Some firm servers of a failure domain serve only after a time.
+    pub(crate) fn start_firm(&mut self, name: &str, count: usize, time: Duration) {
+        let until = self.now + time;
+        let domain = self.domains.get_mut(name).expect("a failure domain");
+        domain.firm.serving_at.iter_mut().take(count).for_each(|it| *it = until);
+    }
+
     /// Cuts a failure domain off from the platform, so that the list does not name its servers.
     pub(crate) fn cut_off(&mut self, name: &str, is_cut_off: bool) {
         self.domains.get_mut(name).expect("a failure domain").is_cut_off = is_cut_off;
