--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -40,9 +40,9 @@
 
 impl Domain {
     /// A failure domain whose servers are kept as they are.
-    pub(crate) fn new(now: Instant, listed: DomainServers) -> Domain {
+    pub(crate) fn new(now: Instant, listed: DomainServers, share: u32) -> Domain {
         Domain {
-            share: listed.serving() + listed.spot_leaving,
+            share,
             firm: listed.firm,
             spot: listed.spot + listed.spot_leaving,
             listed,
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    Observation, ScalingSpec, Target,
+    DomainServers, Observation, ScalingSpec, Target,
     demand::DemandHistory,
     domain::Domain,
     spread::{self, Place},
@@ -48,6 +48,8 @@
     is_first: bool,
     /// The failure domains, from when all servers that an earlier holder has ordered are known.
     domains: BTreeMap<String, Domain>,
+    /// The firm servers that each failure domain had before any spot server.
+    firm_before: BTreeMap<String, u32>,
     /// Since when fewer servers would have been enough, and when the last were given up.
     lower_since: Option<Instant>,
     shrunk_at: Option<Instant>,
@@ -66,6 +68,7 @@
             known_at: None,
             is_first: false,
             domains: BTreeMap::new(),
+            firm_before: BTreeMap::new(),
             lower_since: None,
             shrunk_at: None,
             may_lower: false,
@@ -81,6 +84,7 @@
     /// Records the demand while another VM orders the servers.
     pub fn observe(&mut self, now: Instant, observation: &Observation) {
         self.record_demand(now, observation);
+        self.record_firm(observation);
         self.known_at = None;
         self.domains.clear();
         (self.lower_since, self.shrunk_at) = (None, None);
@@ -96,6 +100,7 @@
     /// that an earlier holder may have ordered.
     pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
         self.record_demand(now, observation);
+        self.record_firm(observation);
         let known_at = *self.known_at.get_or_insert(now + self.spec.boot + LIST_DELAY);
         let is_known = now >= known_at;
         if !is_known && !self.is_first {
@@ -140,7 +145,8 @@
     fn record_servers(&mut self, now: Instant, observation: &Observation) {
         for (name, listed) in &observation.servers {
             if !self.domains.contains_key(name) {
-                self.domains.insert(name.clone(), Domain::new(now, listed.clone()));
+                let share = self.share_of(name, listed);
+                self.domains.insert(name.clone(), Domain::new(now, listed.clone(), share));
             }
         }
         for (name, domain) in &mut self.domains {
@@ -148,6 +154,26 @@
         }
     }
 
+    fn record_firm(&mut self, observation: &Observation) {
+        for (name, listed) in &observation.servers {
+            if listed.spot + listed.spot_leaving == 0 {
+                let firm = self.firm_before.entry(name.clone()).or_default();
+                *firm = listed.firm.max(*firm);
+            }
+        }
+    }
+
+    /// The servers that a failure domain is to keep. While one kind is exchanged for the other, it has more
+    /// servers than that.
+    fn share_of(&self, name: &str, listed: &DomainServers) -> u32 {
+        let spot = listed.spot + listed.spot_leaving;
+        let both = listed.firm + spot;
+        match self.firm_before.get(name) {
+            Some(firm) if listed.firm > 0 && spot > 0 => both.min(spot.max(*firm)),
+            _ => both,
+        }
+    }
+
     /// Whether the pool's servers are spot servers where available.
     fn uses_spot(&self) -> bool {
         self.spec.is_spot_cheaper(self.domains.len())
--- a/crates/scaling/tests/new_holder.rs
+++ b/crates/scaling/tests/new_holder.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use platform::{Platform, SLOTS};
+use platform::{BOOT, Platform, SLOTS};
 
 /// Guards against a new holder that gives up servers which the list does not name yet.
 #[test]
@@ -49,3 +49,15 @@
     platform.run(Duration::from_secs(6), |_| {});
     assert_eq!(platform.counts(), (0, 90));
 }
+
+/// Guards against twice as many servers when the holder changes while both kinds serve.
+#[test]
+fn amid_exchange() {
+    let mut platform = Platform::new(&["a", "b", "c"], 30, 94);
+    platform.run(Duration::from_secs(6), |_| {});
+    platform.now += BOOT;
+    assert_eq!(platform.counts(), (90, 90));
+    platform.replace_holder(true);
+    platform.run(Duration::from_secs(30), |it| assert!(it.serving() >= 90));
+    assert_eq!(platform.counts(), (0, 90));
+}
