--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -24,6 +24,8 @@
     pub(crate) is_listed: bool,
     /// The servers that the domain is to have if all domains are available.
     pub(crate) share: u32,
+    /// The share before the demand changed it.
+    pub(crate) first_share: u32,
     /// The firm servers that are ordered.
     pub(crate) firm: u32,
     /// The spot servers that are ordered.
@@ -43,6 +45,7 @@
     pub(crate) fn new(now: Instant, listed: DomainServers, share: u32) -> Domain {
         Domain {
             share,
+            first_share: share,
             firm: listed.firm,
             spot: listed.spot + listed.spot_leaving,
             listed,
@@ -115,6 +118,7 @@
         let more = self.listed.firm.saturating_sub(self.firm);
         self.firm += more;
         self.share += more;
+        self.first_share += more;
     }
 
     /// Whether the firm servers that are ordered here serve or will do so.
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -294,8 +294,10 @@
         let firm: u32 = used().map(|it| it.firm).sum();
         let spot: u32 = used().map(|it| it.listed.spot).sum();
         let booting: u32 = used().map(|it| it.booting(now, boot)).sum();
+        // Firm servers are kept for what there was and what is needed, but not for growth and reserve.
+        let before: u32 = self.domains.values().map(|it| it.first_share).sum();
         let replaced = if self.may_lower { spot } else { 0 };
-        let kept = firm.min(wanted.saturating_sub(replaced));
+        let kept = firm.min(wanted.min(needed.max(before)).saturating_sub(replaced));
         let total = kept.max(needed.saturating_sub(spot + booting));
         // The places count both kinds, so that the sums become even.
         let mut places = self.places(|it| {
--- a/crates/scaling/tests/exchanged_kinds.rs
+++ b/crates/scaling/tests/exchanged_kinds.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use platform::Platform;
+use platform::{Platform, SLOTS};
 
 /// Guards against caches that are lost because fewer servers than before serve for a moment.
 #[test]
@@ -38,3 +38,18 @@
     let mut platform = Platform::new(&["a"], 10, 40);
     platform.run(Duration::from_secs(60), |it| assert_eq!(it.counts(), (10, 0)));
 }
+
+/// The demand grows while both kinds serve, and the limit leaves no room for more. Guards against firm servers
+/// that are kept for the reserve.
+#[test]
+fn amid_burst() {
+    for busy in [50, 110] {
+        let mut platform = Platform::new(&["a", "b", "c"], 47, 94);
+        platform.planner.took_over(platform.now, true);
+        platform.run(Duration::from_secs(2), |_| {});
+        platform.requests = Some(busy * SLOTS);
+        platform.run(Duration::from_secs(14), |it| assert!(it.serving() >= 3 * 47));
+        assert_eq!(platform.counts().0, 0, "{busy} servers are busy");
+        assert!(platform.counts().1 >= 3 * 47, "{:?}", platform.counts());
+    }
+}
