--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -254,6 +254,7 @@
     /// Orders spot servers while the list may not name all firm servers yet.
     fn choose_first_spot(&mut self, now: Instant) {
         self.domains.values_mut().for_each(Domain::adopt_firm);
+        self.resize(now);
         if self.uses_spot() {
             self.choose_spot(now);
         }
--- a/crates/scaling/tests/new_holder.rs
+++ b/crates/scaling/tests/new_holder.rs
@@ -61,3 +61,14 @@
     platform.run(Duration::from_secs(30), |it| assert!(it.serving() >= 90));
     assert_eq!(platform.counts(), (0, 90));
 }
+
+/// Guards against a first holder that does not follow a demand which begins at once.
+#[test]
+fn first_demand() {
+    let mut platform = Platform::new(&["a", "b", "c"], 30, 94);
+    platform.planner.took_over(platform.now, true);
+    platform.requests = Some(70 * SLOTS);
+    platform.run(Duration::from_secs(6), |it| assert!(it.serving() >= 90));
+    // 70 busy servers fill 0.6 of 117, and half as many are the reserve.
+    assert!(platform.counts().1 >= 175, "{:?}", platform.counts());
+}
