--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -8,6 +8,8 @@
 const REFUSAL_TTL: Duration = Duration::from_millis(2_500);
 /// The time after spot servers have left in which none are expected to be available.
 const LEFT_TTL: Duration = Duration::from_secs(2);
+/// The time without a refusal or servers that leave after which spot servers are likely to be available.
+const UNDISTURBED_TIME: Duration = Duration::from_secs(10);
 /// The time beyond the boot time that a server may take until the list names it.
 const LIST_DELAY: Duration = Duration::from_secs(2);
 /// The time for which a lower number must have been enough before it is ordered.
@@ -22,6 +24,8 @@
     pub(crate) is_listed: bool,
     /// The servers that the domain is to have if all domains are available.
     pub(crate) share: u32,
+    /// The share before the demand changed it.
+    pub(crate) first_share: u32,
     /// The firm servers that are ordered.
     pub(crate) firm: u32,
     /// The spot servers that are ordered.
@@ -30,15 +34,18 @@
     leaving_at: Option<Instant>,
     /// Since when the spot servers that do not serve yet have been expected.
     expected_since: Instant,
+    /// When firm servers were last added.
+    firm_added_at: Option<Instant>,
     /// Since when fewer spot servers than are ordered would be enough.
     lower_since: Option<Instant>,
 }
 
 impl Domain {
     /// A failure domain whose servers are kept as they are.
-    pub(crate) fn new(now: Instant, listed: DomainServers) -> Domain {
+    pub(crate) fn new(now: Instant, listed: DomainServers, share: u32) -> Domain {
         Domain {
-            share: listed.serving() + listed.spot_leaving,
+            share,
+            first_share: share,
             firm: listed.firm,
             spot: listed.spot + listed.spot_leaving,
             listed,
@@ -46,6 +53,7 @@
             refused_at: None,
             leaving_at: None,
             expected_since: now,
+            firm_added_at: None,
             lower_since: None,
         }
     }
@@ -74,10 +82,16 @@
     pub(crate) fn is_available(&self, now: Instant, boot: Duration) -> bool {
         let is_recent = |at: Option<Instant>, ttl| at.is_some_and(|it| now < it + ttl);
         let is_late = now >= self.expected_since + boot + LIST_DELAY;
-        self.is_listed
-            && !is_recent(self.refused_at, REFUSAL_TTL)
-            && !is_recent(self.leaving_at, LEFT_TTL)
-            && !(is_late && self.is_short())
+        let is_refused = is_recent(self.refused_at, REFUSAL_TTL);
+        let is_leaving = is_recent(self.leaving_at, LEFT_TTL);
+        let is_missing = is_late && self.is_short();
+        self.is_listed && !is_refused && !is_leaving && !is_missing
+    }
+
+    /// Whether spot servers have neither been refused nor left for a while.
+    pub(crate) fn is_undisturbed(&self, now: Instant) -> bool {
+        let last = self.refused_at.max(self.leaving_at);
+        last.is_none_or(|it| now >= it + UNDISTURBED_TIME)
     }
 
     /// Whether so many spot servers are missing that crashes alone are no likely reason.
@@ -99,6 +113,27 @@
         servers_max.saturating_sub(self.firm.max(self.listed.firm))
     }
 
+    /// Keeps firm servers that the list has not named before.
+    pub(crate) fn adopt_firm(&mut self) {
+        let more = self.listed.firm.saturating_sub(self.firm);
+        self.firm += more;
+        self.share += more;
+        self.first_share += more;
+    }
+
+    /// Whether the firm servers that are ordered here serve or will do so.
+    pub(crate) fn has_firm(&self, now: Instant, boot: Duration) -> bool {
+        self.is_listed || self.firm_added_at.is_some_and(|it| now < it + boot + LIST_DELAY)
+    }
+
+    /// Orders firm servers.
+    pub(crate) fn set_firm(&mut self, now: Instant, count: u32) {
+        if count > self.firm {
+            self.firm_added_at = Some(now);
+        }
+        self.firm = count;
+    }
+
     /// Orders spot servers: more at once, fewer only after a time.
     pub(crate) fn set_spot(&mut self, now: Instant, count: u32, count_max: u32) {
         let count = count.min(count_max);
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    Observation, ScalingSpec, Target,
+    DomainServers, Observation, ScalingSpec, Target,
     demand::DemandHistory,
     domain::Domain,
     spread::{self, Place},
@@ -18,8 +18,11 @@
 const SHRINK_STEP: Duration = Duration::from_secs(5);
 /// The part of the servers by which the number is reduced at a time.
 const SHRINK_DIVISOR: u32 = 20;
-/// A number that is too high by less than this part is kept.
-const KEPT_DIVISOR: u32 = 10;
+/// A number that is too high by less than this part is kept. An uneven demand of constant height varies
+/// by more than a tenth.
+const KEPT_DIVISOR: u32 = 5;
+/// The part of the limit of a failure domain that is given up at a time to make room for spot servers.
+const ROOM_DIVISOR: u32 = 10;
 /// The time beyond the boot time after which the list names all servers that an earlier holder has ordered.
 const LIST_DELAY: Duration = Duration::from_millis(500);
 
@@ -39,13 +42,19 @@
 pub struct Planner {
     spec: ScalingSpec,
     demand: DemandHistory,
-    /// When this VM began to plan; `None` while another one does.
-    planning_since: Option<Instant>,
+    /// When the list names all servers that an earlier holder has ordered.
+    known_at: Option<Instant>,
+    /// Whether no VM has ordered servers before, so that no spot servers are on their way.
+    is_first: bool,
     /// The failure domains, from when all servers that an earlier holder has ordered are known.
     domains: BTreeMap<String, Domain>,
+    /// The firm servers that each failure domain had before any spot server.
+    firm_before: BTreeMap<String, u32>,
     /// Since when fewer servers would have been enough, and when the last were given up.
     lower_since: Option<Instant>,
     shrunk_at: Option<Instant>,
+    /// Whether servers may be given up: not while the demand is unknown.
+    may_lower: bool,
     figures: Figures,
 }
 
@@ -56,10 +65,13 @@
         Planner {
             spec,
             demand: DemandHistory::default(),
-            planning_since: None,
+            known_at: None,
+            is_first: false,
             domains: BTreeMap::new(),
+            firm_before: BTreeMap::new(),
             lower_since: None,
             shrunk_at: None,
+            may_lower: false,
             figures: Figures::default(),
         }
     }
@@ -72,25 +84,40 @@
     /// Records the demand while another VM orders the servers.
     pub fn observe(&mut self, now: Instant, observation: &Observation) {
         self.record_demand(now, observation);
-        self.planning_since = None;
+        self.record_firm(observation);
+        self.known_at = None;
         self.domains.clear();
         (self.lower_since, self.shrunk_at) = (None, None);
     }
 
+    /// Records that this VM began to order at `since`, and whether no VM has ordered before.
+    pub fn took_over(&mut self, since: Instant, is_first: bool) {
+        self.known_at = Some(since + self.spec.boot + LIST_DELAY);
+        self.is_first = is_first;
+    }
+
     /// The numbers to order in each known failure domain. There are none until the list names all servers
     /// that an earlier holder may have ordered.
     pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
         self.record_demand(now, observation);
-        let since = *self.planning_since.get_or_insert(now);
-        if now < since + self.spec.boot + LIST_DELAY {
+        self.record_firm(observation);
+        let known_at = *self.known_at.get_or_insert(now + self.spec.boot + LIST_DELAY);
+        let is_known = now >= known_at;
+        if !is_known && !self.is_first {
             return Vec::new();
         }
         self.record_servers(now, observation);
-        self.resize(now);
-        self.choose_kinds(now);
+        self.may_lower = observation.demand.is_some() || self.demand.need() == 0;
+        match is_known {
+            true => {
+                self.resize(now);
+                self.choose_kinds(now);
+            }
+            false => self.choose_first_spot(now),
+        }
         let target = |(name, it): (&String, &Domain)| Target {
             failure_domain: name.clone(),
-            firm: it.firm,
+            firm: is_known.then_some(it.firm),
             spot: it.spot,
         };
         self.domains.iter().map(target).collect()
@@ -118,7 +145,8 @@
     fn record_servers(&mut self, now: Instant, observation: &Observation) {
         for (name, listed) in &observation.servers {
             if !self.domains.contains_key(name) {
-                self.domains.insert(name.clone(), Domain::new(now, listed.clone()));
+                let share = self.share_of(name, listed);
+                self.domains.insert(name.clone(), Domain::new(now, listed.clone(), share));
             }
         }
         for (name, domain) in &mut self.domains {
@@ -126,6 +154,26 @@
         }
     }
 
+    fn record_firm(&mut self, observation: &Observation) {
+        for (name, listed) in &observation.servers {
+            if listed.spot + listed.spot_leaving == 0 {
+                let firm = self.firm_before.entry(name.clone()).or_default();
+                *firm = listed.firm.max(*firm);
+            }
+        }
+    }
+
+    /// The servers that a failure domain is to keep. While one kind is exchanged for the other, it has more
+    /// servers than that.
+    fn share_of(&self, name: &str, listed: &DomainServers) -> u32 {
+        let spot = listed.spot + listed.spot_leaving;
+        let both = listed.firm + spot;
+        match self.firm_before.get(name) {
+            Some(firm) if listed.firm > 0 && spot > 0 => both.min(spot.max(*firm)),
+            _ => both,
+        }
+    }
+
     /// Whether the pool's servers are spot servers where available.
     fn uses_spot(&self) -> bool {
         self.spec.is_spot_cheaper(self.domains.len())
@@ -148,7 +196,11 @@
         if wanted >= total {
             spread::add(&mut places, wanted - total);
             self.lower_since = None;
-        } else if needed == 0 || is_disturbed || total - wanted <= total / KEPT_DIVISOR {
+        } else if needed == 0
+            || !self.may_lower
+            || is_disturbed
+            || total - wanted <= total / KEPT_DIVISOR
+        {
             self.lower_since = None;
         } else if self.may_shrink(now) {
             spread::remove(&mut places, (total / SHRINK_DIVISOR).clamp(1, total - wanted));
@@ -188,7 +240,7 @@
     fn choose_kinds(&mut self, now: Instant) {
         if !self.uses_spot() {
             for domain in self.domains.values_mut().filter(|it| it.is_listed) {
-                domain.firm = domain.share.saturating_sub(domain.listed.spot);
+                domain.set_firm(now, domain.share.saturating_sub(domain.listed.spot));
             }
             return;
         }
@@ -199,6 +251,15 @@
         }
     }
 
+    /// Orders spot servers while the list may not name all firm servers yet.
+    fn choose_first_spot(&mut self, now: Instant) {
+        self.domains.values_mut().for_each(Domain::adopt_firm);
+        self.resize(now);
+        if self.uses_spot() {
+            self.choose_spot(now);
+        }
+    }
+
     /// Orders spot servers for each share, and in the available failure domains also for those that are
     /// missing elsewhere.
     fn choose_spot(&mut self, now: Instant) {
@@ -221,26 +282,31 @@
         }
         for (domain, place) in self.domains.values_mut().zip(places) {
             let room = domain.room(servers_max);
-            domain.set_spot(now, place.count, room);
+            let count = if self.may_lower { place.count } else { place.count.max(domain.spot) };
+            domain.set_spot(now, count, room);
         }
     }
 
     /// Gives up firm servers as spot servers serve, and orders them where spot servers do not suffice.
     fn choose_firm(&mut self, now: Instant) {
         let Figures { needed, wanted, .. } = self.figures;
-        let listed = || self.domains.values().filter(|it| it.is_listed);
-        let firm: u32 = listed().map(|it| it.firm).sum();
-        let spot: u32 = listed().map(|it| it.listed.spot).sum();
-        let booting: u32 = listed().map(|it| it.booting(now, self.spec.boot)).sum();
-        let kept = firm.min(wanted.saturating_sub(spot));
+        let (boot, servers_max) = (self.spec.boot, self.spec.servers_max);
+        let used = || self.domains.values().filter(|it| it.has_firm(now, boot));
+        let firm: u32 = used().map(|it| it.firm).sum();
+        let spot: u32 = used().map(|it| it.listed.spot).sum();
+        let booting: u32 = used().map(|it| it.booting(now, boot)).sum();
+        // Firm servers are kept for what there was and what is needed, but not for growth and reserve.
+        let before: u32 = self.domains.values().map(|it| it.first_share).sum();
+        let replaced = if self.may_lower { spot } else { 0 };
+        let kept = firm.min(wanted.min(needed.max(before)).saturating_sub(replaced));
         let total = kept.max(needed.saturating_sub(spot + booting));
-        let servers_max = self.spec.servers_max;
         // The places count both kinds, so that the sums become even.
         let mut places = self.places(|it| {
-            let spot = it.listed.spot;
-            match it.is_listed {
-                true => (it.firm + spot, spot, servers_max.max(it.firm + spot)),
-                false => (it.firm, it.firm, it.firm),
+            let spot = it.listed.spot + it.booting(now, boot);
+            let both = it.firm + spot;
+            match it.has_firm(now, boot) {
+                true => (both, spot, servers_max.max(both)),
+                false => (both, both, both),
             }
         });
         if total >= firm {
@@ -249,8 +315,24 @@
             spread::remove(&mut places, firm - total);
         }
         for (domain, place) in self.domains.values_mut().zip(places) {
-            if domain.is_listed {
-                domain.firm = place.count.saturating_sub(domain.listed.spot);
+            let spot = domain.listed.spot + domain.booting(now, boot);
+            domain.set_firm(now, place.count.saturating_sub(spot));
+        }
+        self.make_room(now);
+    }
+
+    /// Gives up a few firm servers where the limit leaves no room for the spot servers that replace them.
+    fn make_room(&mut self, now: Instant) {
+        let servers_max = self.spec.servers_max;
+        let step = (servers_max / ROOM_DIVISOR).max(1);
+        if !self.may_lower || self.available(now) < self.domains.len() {
+            return;
+        }
+        for domain in self.domains.values_mut().filter(|it| it.firm > 0) {
+            let is_full = domain.firm + domain.listed.spot >= servers_max;
+            let is_settled = domain.firm == domain.listed.firm && domain.is_undisturbed(now);
+            if is_full && is_settled {
+                domain.set_firm(now, domain.firm - step.min(domain.firm));
             }
         }
     }
