Go by what servers state of their slowness

Servers of some deployments add to their load how long work takes on their VM at this moment, and the router dropped it. It now keeps the figure of each server, which fades within a second to a mean learned over the reports, and learns from answers how fast a pool reads prompts. Both enter the cost of a server. Classes with a first-token target of up to 500 ms avoid servers that are not expected to meet it, counting all unread tokens there.

--- a/crates/policy-bench/src/server.rs
+++ b/crates/policy-bench/src/server.rs
@@ -54,6 +54,7 @@
             waiting: load.waiting,
             batch_max: load.batch_max,
             kv_used_permille: load.kv_used_permille,
+            slowness_percent: None,
             age,
         }
     }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod poll;
 mod preempt;
 mod reach;
+mod speed;
 mod transitions;
 mod versions;
 
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -292,10 +292,11 @@
         let prompt = self.prompts.get(ticket);
         let to_try = self.server_to_try(ticket);
         let criteria = Criteria { prompt, own_side: &own_side, side, to_try, ..criteria };
+        let pool_speed = self.pool_speed(pool);
         let (backends, settings, recent_prefixes) =
             (&self.backends, &self.settings, &self.recent_prefixes);
-        let members = &self.pools[request.offer.pool].members;
-        let selector = Selector { backends, members, settings, recent_prefixes, now };
+        let members = &self.pools[pool].members;
+        let selector = Selector { backends, members, settings, recent_prefixes, pool_speed, now };
         selector.pick(&criteria, &mut self.rng)
     }
 
@@ -337,10 +338,11 @@
 
     /// A selector over all servers of a pool.
     pub(super) fn selector(&self, now: Instant, pool: PoolKey) -> Selector<'_> {
+        let pool_speed = self.pool_speed(pool);
         let members = &self.pools[pool].members;
         let (backends, settings, recent_prefixes) =
             (&self.backends, &self.settings, &self.recent_prefixes);
-        Selector { backends, members, settings, recent_prefixes, now }
+        Selector { backends, members, settings, recent_prefixes, pool_speed, now }
     }
 
     /// The criteria for a request without its prompt and its side of the partition.
@@ -352,12 +354,13 @@
         suspect_hosts: &'a [BackendKey],
     ) -> Criteria<'a> {
         let offer = &request.offer;
+        let class = &self.classes[offer.class].spec;
         Criteria {
             prefix_hash: offer.prefix_hash,
             prompt: None,
             own_side: &[],
             side: None,
-            priority: self.classes[offer.class].spec.priority,
+            priority: class.priority,
             tried: &request.tried,
             to_try: None,
             version: request.version,
@@ -366,7 +369,8 @@
             isolation: self.quarantine.isolation(now, offer.request_hash),
             suspect_hosts,
             ceiling: Ceiling::Full,
-            gap_limit_ms: self.classes[offer.class].spec.between_token_target_ms as f64,
+            gap_limit_ms: class.between_token_target_ms as f64,
+            first_token_target_ms: class.first_token_target_ms as f64,
         }
     }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -31,6 +31,7 @@
 use rand_chacha::ChaCha8Rng;
 use rpc::Link;
 use tables::{CallerLimits, Tables};
+use telemetry::Throttle;
 
 pub use self::components::{Components, Interface, Platform};
 use self::{
@@ -55,7 +56,7 @@
     quarantine_exchange::{self, RouterAdmin},
     readiness::{Readiness, RouterHealth},
     relay::Relay,
-    services::Services,
+    services::{Services, UNREADABLE_SLOWNESS_LOG_INTERVAL},
     settings::RouterSettings,
     shared_work::WorkMember,
     stop_deadline::{StopDeadline, StopSchedule},
@@ -392,6 +393,7 @@
             CounterId(components.seed),
             &components.clock,
         ),
+        unreadable_slowness: Throttle::new(UNREADABLE_SLOWNESS_LOG_INTERVAL),
         memory,
         peers: settings.peers.clone(),
         forwarder,
