Keep the weight of a prefill at the speed of the settings

The weights by which a prefill counts as a delay to others were chosen with `prefill_tokens_per_ms`. Divided by the measured speed they would shrink in fast pools, and requests would leave the servers that have cached their prefixes for smaller gains. The time to the first token goes on using the measured speed.

--- a/crates/policy/src/selection/cost.rs
+++ b/crates/policy/src/selection/cost.rs
@@ -4,7 +4,8 @@
 //! In pools whose servers state how slow they are, times are based on that and on the reading speed that the
 //! router has measured. Reading takes as long as the server needs now, streams as long as it needs in the long
 //! run. The delay that reading causes to others is the same everywhere: if slow servers were avoided for
-//! its sake, their slots would stay empty in a full pool.
+//! its sake, their slots would stay empty in a full pool. Its weights belong to the speed of the settings: at the
+//! measured one, a fast pool would give up its caches for smaller gains.
 
 use super::{Criteria, Selector, retain_unless_empty};
 use crate::{keys::BackendKey, partition::Side, prompt::Prompt};
@@ -69,7 +70,7 @@
             Some(speed) => {
                 let slowness = self.slowness(key);
                 let own_ms = (tokens + queued) / speed.prefill_tokens_per_ms;
-                let caused_ms = tokens * (weight - 1.0) / speed.prefill_tokens_per_ms;
+                let caused_ms = tokens * (weight - 1.0) / self.settings.prefill_tokens_per_ms;
                 own_ms * slowness.present + caused_ms + (batch_ms + over_ms) * slowness.lasting
             }
             None => {
