Decide on second attempts by learned delays and a limit

Hedges started after half of the first-token target, whatever the class usually takes, and were bounded by the retry budget alone. The delay is now the 95th percentile of the class's own times in its pool, the operator's limit (`hedge_permille`, 0 unless it is set) bounds hedges beside the retry budget, and a pool that is short of room, a suspected request or one that is out of attempts is not hedged. The router passes the decision to the request that waits for it; none does yet.

--- a/crates/policy-bench/src/policy_router.rs
+++ b/crates/policy-bench/src/policy_router.rs
@@ -90,13 +90,18 @@
 
     fn issue_command(&mut self, now: Instant, action: Action) -> Option<Command> {
         match action {
-            Action::Dispatch { ticket, backend } => self.send(now, ticket, backend),
+            Action::Dispatch { ticket, backend } => {
+                let command = self.send(now, ticket, backend);
+                self.scheduler.await_hedge(ticket, now);
+                command
+            }
             Action::Hedge { ticket, hedge, backend } => {
                 let job = self.ticket_states.get(&ticket)?.job;
                 self.ticket_states
                     .insert(hedge, TicketState { job, attempt: None, has_token: false });
                 self.send(now, hedge, backend)
             }
+            Action::HedgeRefused { .. } => None,
             Action::Refuse { ticket, .. } => {
                 let job = self.remove_ticket(ticket)?.job;
                 Some(Command::Refuse { job })
--- a/crates/policy-bench/src/sim.rs
+++ b/crates/policy-bench/src/sim.rs
@@ -42,6 +42,8 @@
     StrictPriority,
 }
 
+/// Hedges per thousand requests of the urgent class, if it hedges.
+const HEDGE_PERMILLE: u32 = 50;
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const REPORT_DELAY: Duration = Duration::from_secs(1);
 const REPORT_BYTES: u64 = 24;
@@ -206,6 +208,7 @@
         seed: workload.settings.seed * 1_000 + idx as u64,
         routers,
         pacing: workload.settings.pacing,
+        hedge_permille: HEDGE_PERMILLE,
         ..Settings::default()
     };
     match design {
--- a/crates/policy/src/class_queue.rs
+++ b/crates/policy/src/class_queue.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     estimate::{Ewma, Rate},
+    hedging::Hedging,
     keys::{Ticket, WorkspaceKey},
     retry::RetryBudget,
 };
@@ -46,6 +47,7 @@
     pub(crate) answer_tokens: Ewma,
     pub(crate) dispatch_rate: Rate,
     pub(crate) retries: RetryBudget,
+    pub(crate) hedging: Hedging,
     /// When the last request was admitted.
     pub(crate) last_arrival: Option<Instant>,
 }
@@ -72,6 +74,7 @@
             answer_tokens: Ewma::new(ANSWER_LENGTH_EWMA_WEIGHT),
             dispatch_rate: Rate::default(),
             retries: RetryBudget::default(),
+            hedging: Hedging::default(),
             last_arrival: None,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,10 +21,12 @@
 //! 5. For each dispatched ticket: [`Scheduler::dispatched`] once the request is written,
 //!    [`Scheduler::first_token`], [`Scheduler::tokens`] for each later chunk, and finally
 //!    [`Scheduler::finished`], or [`Scheduler::retry`] for a failed attempt that may be retried.
+//!    [`Scheduler::await_hedge`] follows where the router can race a second attempt against this one.
 //!    After [`RetryDecision::Retry`] the same ticket is dispatched again by an
 //!    [`Action::Dispatch`].
 //! 6. [`Scheduler::cancelled`] when the caller has disconnected; the router cancels the request at
-//!    the server.
+//!    the server. [`Scheduler::attempt_abandoned`] ends one of two attempts, and [`Scheduler::separate`]
+//!    comes before the report that one of them has failed.
 //! 7. [`Scheduler::connection_timed_out`] when an open connection receives nothing within its
 //!    timeout. Each [`Action::Probe`] is answered by [`Scheduler::probe_result`] from a new
 //!    connection.
@@ -44,6 +46,7 @@
 mod crash_log;
 mod estimate;
 mod failing;
+mod hedging;
 mod kept_connections;
 mod keys;
 pub mod leases;
@@ -69,6 +72,7 @@
 
 pub use backend::{BackendEntry, Health, LoadReport, PendingWork};
 pub use crash_log::{CrashLog, Proof};
+pub use hedging::HedgeRefusal;
 pub use kept_connections::KeptConnectionSettings;
 pub use keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey};
 pub use part_suspects::{PartChange, PartEntry, PartReport, PartSuspects};
--- a/crates/policy/src/part_suspects.rs
+++ b/crates/policy/src/part_suspects.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Whether one of the parts may have crashed a server since the last answer on it.
+    #[must_use]
+    pub fn has_suspect(&self, parts: &[u64]) -> bool {
+        parts.iter().filter_map(|it| self.records.get(it)).any(|it| !it.crashes.is_empty())
+    }
+
     /// Time until requests with one of the parts may be offered again, or `None` if none is refused.
     #[must_use]
     pub fn refusal(&self, now: Instant, parts: &[u64]) -> Option<Duration> {
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -46,6 +46,8 @@
     pub(crate) without_backend_since: Option<Instant>,
     /// When a server last answered a request of this router.
     pub(crate) last_answer: Option<Instant>,
+    /// When a server last rejected a request of this router for want of room.
+    pub(crate) last_rejection: Option<Instant>,
     /// Whether the last reported change was that no server can be reached.
     pub(crate) was_unreachable: bool,
     /// How long servers take for a request.
@@ -99,6 +101,7 @@
             saturated_since: None,
             without_backend_since: None,
             last_answer: None,
+            last_rejection: None,
             was_unreachable: false,
             work_time: WorkTime::default(),
             partition: Partition::default(),
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -100,6 +100,8 @@
     pub(crate) reservation: Reservation,
     /// The other attempt of a hedged request.
     pub(crate) other_attempt: Option<Ticket>,
+    /// Whether it began as a second attempt.
+    pub(crate) is_hedge: bool,
 }
 
 /// Whether a running request may be paused.
@@ -203,6 +205,7 @@
             phase: Phase::Waiting,
             reservation: Reservation::None,
             other_attempt: None,
+            is_hedge: true,
             ..*self
         }
     }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -7,6 +7,7 @@
 mod events;
 mod failing;
 mod fragile;
+mod hedging;
 mod limits;
 mod membership;
 mod outcomes;
@@ -29,6 +30,7 @@
 
 use crate::{
     backend::Backend,
+    hedging::HedgeRefusal,
     keys::{BackendKey, ClassKey, PoolKey, Ticket, WorkspaceKey},
     part_suspects::{PartChange, PartSuspects},
     pool::Pool,
@@ -89,6 +91,13 @@
         /// The server of the second attempt.
         backend: BackendKey,
     },
+    /// The request is slow, but gets no second attempt.
+    HedgeRefused {
+        /// The request.
+        ticket: Ticket,
+        /// The reason.
+        reason: HedgeRefusal,
+    },
     /// Cancel the attempt at the server, because the other attempt was faster; the ticket is
     /// closed.
     Cancel {
--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -337,6 +337,7 @@
         let class = &self.classes[offer.class].spec;
         let dispatch_deadline = now + class.deadline().saturating_sub(service);
         let (budget, burst) = (class.retry_budget_permille, self.settings.retry_burst);
+        let hedge_permille = self.settings.hedge_permille;
         let ticket = self.requests.insert(Request {
             offer,
             cost,
@@ -350,6 +351,7 @@
             preemption: Preemption::Pausable,
             reservation: Reservation::None,
             other_attempt: None,
+            is_hedge: false,
         });
         let weight = self.workspaces[offer.workspace].spec.weight;
         let pool = &mut self.pools[offer.pool];
@@ -358,6 +360,7 @@
         queue.push_back(offer.workspace, weight, QueuedRequest { ticket, cost });
         queue.last_arrival = Some(now);
         queue.retries.earn(budget, burst);
+        queue.hedging.earn(hedge_permille);
         self.dispatch_deadlines.insert((dispatch_deadline, ticket));
         ticket
     }
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -42,6 +42,7 @@
         self.release_reservation(ticket);
         self.finish_prefill(ticket);
         self.record_answer(now, ticket);
+        self.record_answer_time(now, ticket);
         let Some(request) = self.requests.get_mut(ticket) else { return };
         let (Phase::Running(attempt) | Phase::Paused(attempt)) = &mut request.phase else { return };
         attempt.tokens = attempt.tokens.max(1);
@@ -53,6 +54,7 @@
         self.backends[backend].clear_overload_backoff();
         self.pools[pool].throughput.add(now, 1);
         if let Some(other_attempt) = other_attempt {
+            self.record_unanswered(now, other_attempt);
             self.cancel_other_attempt(other_attempt);
         }
     }
--- a/crates/policy/src/scheduler/outcomes.rs
+++ b/crates/policy/src/scheduler/outcomes.rs
@@ -33,8 +33,10 @@
         }
         self.record_failure(ticket, now, failure);
         let cost = self.retry_cost(ticket, failure, execution, now);
-        if let Some(other_attempt) = self.requests[ticket].other_attempt {
-            return self.defer_to_other_attempt(ticket, other_attempt);
+        if self.requests[ticket].other_attempt.is_some() {
+            self.separate(ticket);
+            self.cancelled(ticket);
+            return RetryDecision::GiveUp(GiveUp::OtherAttemptRunning);
         }
         match self.spend_retry(ticket, execution, cost, now) {
             Ok(()) => self.schedule_retry(ticket, now),
@@ -52,6 +54,9 @@
         self.quarantine.record_completion(now, offer.request_hash, self.settings.quarantine_ttl);
         self.record_parts_answered(now, ticket);
         self.record_attempt_success(now, ticket);
+        if attempt.tokens == 0 {
+            self.record_answer_time(now, ticket);
+        }
         let duration = now.saturating_duration_since(attempt.sent_at);
         self.pools[offer.pool].work_time.add(duration, attempt.expected_turns);
         self.record_answer(now, ticket);
@@ -68,15 +73,6 @@
         }
     }
 
-    fn defer_to_other_attempt(&mut self, ticket: Ticket, other_attempt: Ticket) -> RetryDecision {
-        if let Some(other) = self.requests.get_mut(other_attempt) {
-            other.other_attempt = None;
-        }
-        self.requests[ticket].other_attempt = None;
-        self.cancelled(ticket);
-        RetryDecision::GiveUp(GiveUp::OtherAttemptRunning)
-    }
-
     /// Counts attempts of a request that has been offered which another router has made.
     pub fn count_prior_attempts(&mut self, ticket: Ticket, attempts: u32) {
         if let Some(request) = self.requests.get_mut(ticket) {
@@ -184,6 +180,7 @@
     fn record_failure(&mut self, ticket: Ticket, now: Instant, failure: Failure) {
         self.record_attempt_failure(now, ticket, failure);
         let Some(attempt) = self.requests.get(ticket).and_then(Request::attempt) else { return };
+        self.record_rejection(now, attempt.backend, failure);
         let is_current = self.backends[attempt.backend].incarnation == attempt.incarnation;
         if matches!(failure, Failure::Overloaded | Failure::Other) {
             // Most of these failures are whole answers.
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -252,7 +252,6 @@
         debug_assert_eq!(item.map(|it| it.ticket), Some(ticket));
         pool.waiting -= 1;
         self.start_attempt(now, ticket, backend, preemption);
-        self.schedule_hedge(now, ticket);
         self.actions.push(Action::Dispatch { ticket, backend });
         self.requests[ticket].cost
     }
--- a/crates/policy/src/scheduler/preempt.rs
+++ b/crates/policy/src/scheduler/preempt.rs
@@ -1,4 +1,4 @@
-//! Preemption of lower classes for urgent requests, and hedging of slow requests.
+//! Preemption of lower classes for urgent requests.
 
 use std::time::{Duration, Instant};
 
@@ -8,8 +8,8 @@
 use crate::{
     keys::{BackendKey, ClassKey, PoolKey, Ticket},
     pool::{Contender, Urgency},
-    request::{Phase, Preemption, Repeat, Request, Reservation},
-    spec::{Hedge, Pausing},
+    request::{Phase, Preemption, Request, Reservation},
+    spec::Pausing,
 };
 
 /// Requests that one router may send to a server beyond its slot limit.
@@ -18,8 +18,6 @@
 const LATE_FRACTION: f64 = 0.4;
 /// A request counts as queued inside the engine if it has no token this long after it was sent.
 const ENGINE_QUEUE_THRESHOLD: Duration = Duration::from_millis(100);
-/// A hedge starts after this fraction of the first-token target.
-const HEDGE_DELAY_FRACTION: f64 = 0.5;
 
 impl Scheduler {
     /// Pauses one stream of the lowest class for the most urgent pressing request, or sends a late
@@ -219,49 +217,4 @@
         self.free_slot(offer.request_hash, backend);
         self.actions.push(Action::Pause { ticket, backend });
     }
-
-    pub(super) fn schedule_hedge(&mut self, now: Instant, ticket: Ticket) {
-        let request = &self.requests[ticket];
-        let spec = &self.classes[request.offer.class].spec;
-        let may_repeat = request.offer.repeat == Repeat::Idempotent;
-        if spec.hedge == Hedge::On && may_repeat {
-            let at = now + spec.first_token_target().mul_f64(HEDGE_DELAY_FRACTION);
-            self.hedges.insert((at, ticket));
-        }
-    }
-
-    pub(super) fn hedge(&mut self, now: Instant) {
-        while let Some((at, ticket)) = self.hedges.first().copied()
-            && at <= now
-        {
-            self.hedges.pop_first();
-            self.start_hedge(now, ticket);
-        }
-    }
-
-    fn start_hedge(&mut self, now: Instant, ticket: Ticket) {
-        let Some(request) = self.requests.get(ticket) else { return };
-        let Phase::Running(attempt) = request.phase else { return };
-        if attempt.tokens > 0 || request.other_attempt.is_some() {
-            return;
-        }
-        if self.part_refusal(now, ticket).is_some() {
-            return;
-        }
-        let request = &mut self.requests[ticket];
-        request.record_tried(attempt.backend);
-        let (offer, cost) = (request.offer, request.cost);
-        let ceiling = self.ceiling(offer.pool, offer.class, cost);
-        let selected = self.select_server(now, ticket, ceiling);
-        let Some(backend) = selected.filter(|it| *it != attempt.backend) else { return };
-        if !self.pools[offer.pool].queue(offer.class).retries.spend() {
-            return;
-        }
-        let request = &self.requests[ticket];
-        let other_attempt = Request { other_attempt: Some(ticket), ..request.clone_for_hedge() };
-        let hedge = self.requests.insert(other_attempt);
-        self.requests[ticket].other_attempt = Some(hedge);
-        self.start_attempt(now, hedge, backend, Preemption::Protected);
-        self.actions.push(Action::Hedge { ticket, hedge, backend });
-    }
 }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -26,6 +26,8 @@
     pub quarantine_ttl: Duration,
     /// The initial and largest retry budget of a class in a pool, in retries.
     pub retry_burst: u32,
+    /// Second attempts of slow requests allowed per thousand first attempts of a class in a pool; 0 for none.
+    pub hedge_permille: u32,
     /// Upper bound of the random delay before a retry.
     pub retry_jitter: Duration,
     /// A stream whose remaining time is shorter than this is not paused.
@@ -88,6 +90,7 @@
             prefill_tokens_per_ms: 40.0,
             quarantine_ttl: Duration::from_secs(600),
             retry_burst: 10,
+            hedge_permille: 0,
             retry_jitter: Duration::from_millis(50),
             pause_min_remaining: Duration::from_millis(500),
             no_backend_grace: Duration::from_secs(2),
--- a/crates/policy/src/spec.rs
+++ b/crates/policy/src/spec.rs
@@ -66,7 +66,8 @@
     /// No request is hedged.
     #[default]
     Off,
-    /// A second attempt starts once half of the first-token target has passed without a token.
+    /// A second attempt starts once the first has gone without an answer for longer than nearly all of its class
+    /// in its pool, within the limit [`Settings::hedge_permille`](crate::Settings::hedge_permille).
     On,
 }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -29,7 +29,7 @@
 };
 use tables::{Revision, Tables};
 
-pub use self::lease::{Control, FailureReport, Lease, RetryResult};
+pub use self::lease::{Control, FailureReport, HedgeWait, Lease, RetryResult};
 use self::{pool_dispatcher::PoolDispatcher, reach::Reach};
 use crate::{identity::Workspaces, quarantine_report::QuarantineReport};
 
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -1,5 +1,7 @@
 //! A slot at a backend server, leased to one request from its admission to its end.
 
+mod hedge;
+
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use futures::channel::{mpsc, oneshot};
@@ -19,6 +21,8 @@
     reach::AttemptInFlight,
 };
 
+pub use self::hedge::HedgeWait;
+
 /// A slot at a backend server. Dropping the lease frees the slot and cancels the request, for
 /// example when the caller has disconnected.
 pub struct Lease {
@@ -344,7 +348,8 @@
                 monoio::spawn(telemetry::contain("crash_check", server.addr, ended));
             }
             None => {
-                self.dispatcher.apply_and_run(|scheduler, _| scheduler.cancelled(self.ticket));
+                self.dispatcher
+                    .apply_and_run(|scheduler, now| scheduler.attempt_abandoned(self.ticket, now));
             }
         }
     }
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -1,6 +1,7 @@
 //! The scheduler of one pool, the requests queued for it and its timers.
 
 mod exchange;
+mod hedging;
 
 use std::{
     cell::RefCell,
@@ -24,6 +25,7 @@
 };
 use tables::{Pool, Revision, Tables};
 
+pub(super) use self::hedging::HedgeDecision;
 use super::{
     Control, DispatchRequest, Lease, ProbeTarget, Prober, Server, UNKNOWN_REFUSAL, UsableServer,
     decision_log::log_changes, locality::Locality, pool_spec::pool_spec, reach::Reach,
@@ -50,6 +52,8 @@
     slots: u32,
     waiting: BTreeMap<Ticket, oneshot::Sender<Placement>>,
     controls: BTreeMap<Ticket, mpsc::UnboundedSender<Control>>,
+    /// The attempts that wait for a decision about a second one.
+    hedges: BTreeMap<Ticket, oneshot::Sender<HedgeDecision>>,
     servers: ServerList,
     locality: Locality,
     /// When the timer fires next.
@@ -80,6 +84,7 @@
             slots: 0,
             waiting: BTreeMap::new(),
             controls: BTreeMap::new(),
+            hedges: BTreeMap::new(),
             servers: ServerList::default(),
             locality: Locality::new(own_domain),
             armed: None,
@@ -335,10 +340,12 @@
             Action::Probe { backend } => state.probes.extend(state.servers.find_by_key(backend)),
             Action::Pause { ticket, .. } => state.send_control(ticket, Control::Pause),
             Action::Resume { ticket, .. } => state.send_control(ticket, Control::Resume),
-            // The classes are configured without hedging, so these actions do not occur.
-            Action::Hedge { .. } | Action::Cancel { .. } => {
-                tracing::warn!(pool = %state.pool, ?action, "action not supported");
+            Action::Hedge { ticket, hedge, backend } => {
+                self.start_hedge(state, ticket, hedge, backend);
             }
+            Action::HedgeRefused { ticket, reason } => state.refuse_hedge(ticket, reason),
+            // The race between the attempts ends this one.
+            Action::Cancel { .. } => {}
         }
     }
 
--- a/crates/router/src/dispatch/pool_spec.rs
+++ b/crates/router/src/dispatch/pool_spec.rs
@@ -1,6 +1,6 @@
 //! What the scheduler of a pool is told of the tables.
 
-use policy::{ClassSpec, Pausing, PoolSpec, Spec, WorkspaceSpec};
+use policy::{ClassSpec, Hedge, Pausing, PoolSpec, Spec, WorkspaceSpec};
 use tables::{Pool, PoolKind, Route, Tables};
 
 use super::revision_number;
@@ -56,6 +56,8 @@
         queue_limit: route.queue_max as usize,
         retry_budget_permille: route.retry_budget_permille,
         max_attempts: route.retries_max + 1,
+        // The setting of the router limits it.
+        hedge: Hedge::On,
         ..default
     }
 }
