Race a second attempt against a slow relayed one

Whole answers of requests that may be repeated, and streams that may be resumed, wait for the scheduler's decision beside their first attempt. The first to answer is relayed, and the connection of the other is closed at once. A failed attempt is reported on its own while the other goes on. `router_hedges_total`, `hedge` and `hedge_refused` lines and the attempt line tell what became of hedges.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,5 +1,7 @@
 //! One request from its queueing to its end, independent of the kind of its backend server.
 
+mod hedged;
+
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -27,6 +29,8 @@
     services::Services,
 };
 
+pub(crate) use self::hedged::CallSeed;
+
 /// The number of a prompt's parts that the log names.
 const LOGGED_PARTS_MAX: usize = 8;
 
@@ -51,12 +55,16 @@
     /// The longest time between two arrivals of tokens.
     longest_gap: Duration,
     is_attempt_in_flight: bool,
+    /// Whether the current attempt began beside another one, because that was slow.
+    is_hedge: bool,
+    /// Whether this attempt has failed and the one beside it is in flight.
+    is_hedge_in_flight: bool,
     /// Whether the request has been counted as begun by a server.
     is_metered: bool,
     span: TraceContext,
     started: Instant,
-    _permit: Permit,
-    _in_flight: InFlightGuard,
+    _permit: Rc<Permit>,
+    _in_flight: Rc<InFlightGuard>,
 }
 
 /// The inputs of the scheduler that do not follow from the route.
@@ -126,11 +134,13 @@
             last_tokens: None,
             longest_gap: Duration::ZERO,
             is_attempt_in_flight: false,
+            is_hedge: false,
+            is_hedge_in_flight: false,
             is_metered: false,
             span,
             started,
-            _permit: permit,
-            _in_flight: in_flight,
+            _permit: Rc::new(permit),
+            _in_flight: Rc::new(in_flight),
         };
         call.services
             .metrics
@@ -153,7 +163,7 @@
 
     /// What is known about the execution of the request, including the attempt in flight.
     pub(crate) fn known_outcome(&self) -> Outcome {
-        match self.is_attempt_in_flight {
+        match self.is_attempt_in_flight || self.is_hedge_in_flight {
             true => self.outcome.worse(Outcome::MayHaveRun),
             false => self.outcome,
         }
@@ -264,14 +274,8 @@
     /// If the request is not retried; the error is the answer to the caller.
     pub(crate) async fn retry(&mut self, error: AttemptError) -> Result<(), Failure> {
         self.log_attempt("failed", Some(&error));
-        if error.execution == Execution::Ran {
-            self.meter(self.started);
-        }
-        self.outcome = self.outcome.worse(error.outcome());
-        if error.execution != Execution::NotRun {
-            self.routed.attempts.set(self.routed.attempts.get() + 1);
-        }
-        self.is_attempt_in_flight = false;
+        self.record_failed(&error);
+        self.is_hedge = false;
         if error.execution != Execution::NotRun && self.needs_engine_cancel() {
             self.services.backends.cancel(self.lease.server().addr, &self.id);
         }
@@ -343,6 +347,7 @@
             fingerprint = %self.lease.fingerprint(),
             shared_parts = logged_parts(&self.lease.shared_parts()),
             number = self.attempts,
+            hedge = self.is_hedge.then_some(true),
             queued_ms = millis(queued),
             urgency = self.urgency,
             named_limit_per_s = self.named_limit.map(RequestRate::per_second),
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -336,6 +336,7 @@
         routers,
         permits,
         kept_connections,
+        hedge_permille: settings.hedge_permille,
         ..policy::Settings::default()
     };
     let policy = match settings.forward_listen {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -15,6 +15,7 @@
 pub struct Metrics {
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    hedges: IntCounterVec,
     forwarded: IntCounterVec,
     tokens: IntCounterVec,
     first_token: HistogramVec,
@@ -63,6 +64,12 @@
                 "Attempts at backend servers.",
                 &["class", "pool", "result"],
             )?,
+            hedges: counter(
+                registry,
+                "router_hedges_total",
+                "Second attempts beside slow ones: started, won, lost, failed, abandoned or refused.",
+                &["class", "pool", "result"],
+            )?,
             forwarded: counter(
                 registry,
                 "router_forwarded_total",
@@ -107,6 +114,11 @@
         self.attempts.with_label_values(&[labels.class, labels.pool, result]).inc();
     }
 
+    /// Counts what became of a second attempt beside a slow one.
+    pub fn record_hedge(&self, labels: Labels<'_>, result: &str) {
+        self.hedges.with_label_values(&[labels.class, labels.pool, result]).inc();
+    }
+
     /// Counts a request that another router was asked to serve.
     pub fn record_forwarded(&self, pool: &str, result: &str) {
         self.forwarded.with_label_values(&[pool, result]).inc();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 
 mod buffered;
 mod events;
+mod hedged;
 mod origin;
 mod relayed_call;
 
--- a/crates/router/src/relay/buffered.rs
+++ b/crates/router/src/relay/buffered.rs
@@ -1,10 +1,15 @@
 //! Relays an answer after it has arrived completely.
 
+use std::cell::RefCell;
+
 use http::{HeaderMap, StatusCode};
 use httpio::{Bytes, budget::SMALL_MESSAGE_BYTES, client::Response, server::Reply};
 use policy::{Execution, Failure as FailureKind};
 
-use super::relayed_call::RelayedCall;
+use super::{
+    hedged::{Raced, race},
+    relayed_call::RelayedCall,
+};
 use crate::{
     backends::AttemptError,
     deadline::{Completion, run_until_deadline},
@@ -25,8 +30,8 @@
 pub(super) async fn serve(mut relayed: RelayedCall) -> Result<Reply, Failure> {
     let disconnected = relayed.call.routed.arrival.request.disconnected.clone();
     let (stop, left) = (relayed.call.services.stop.clone(), relayed.time_left());
-    let mut failed = None;
-    let attempts = attempts(&mut relayed, &mut failed);
+    let failed = RefCell::default();
+    let attempts = attempts(&mut relayed, &failed);
     let completion = run_until_deadline(&disconnected, &stop, left, attempts).await;
     let result = match completion {
         Completion::Done(Ok(answer)) => Ok(answer),
@@ -35,7 +40,7 @@
             Err(refusals::deadline_passed(relayed.call.known_outcome()))
         }
     };
-    match (result, failed) {
+    match (result, failed.into_inner()) {
         (Ok(answer), _) => {
             relayed.call.finish(0);
             Ok(answer.into_reply())
@@ -53,27 +58,37 @@
 
 async fn attempts(
     relayed: &mut RelayedCall,
-    failed: &mut Option<Answer>,
+    failed: &RefCell<Option<Answer>>,
 ) -> Result<Answer, Failure> {
     loop {
-        let error = match attempt(relayed).await {
-            Ok(answer) if answer.status.is_server_error() && relayed.is_repeatable() => {
-                let detail = format!("the backend server answered {}", answer.status);
-                // A large one would keep the memory that the next attempt may wait for.
-                *failed = Some(answer).filter(|it| it.body.len() <= SMALL_MESSAGE_BYTES);
-                let (failure, execution) = (FailureKind::Other, Execution::MayHaveRun);
-                AttemptError { failure, execution, detail }
-            }
+        match race(relayed, async |it: &mut RelayedCall| attempt(it, failed).await).await {
             Ok(answer) => return Ok(answer),
-            Err(error) => error,
-        };
-        relayed.call.retry(error).await?;
+            Err(error) => relayed.call.retry(error).await?,
+        }
     }
 }
 
-async fn attempt(relayed: &mut RelayedCall) -> Result<Answer, AttemptError> {
+/// Makes one attempt. If it may be repeated, a server error fails it and is kept in `failed`.
+async fn attempt(
+    relayed: &mut RelayedCall,
+    failed: &RefCell<Option<Answer>>,
+) -> Result<Answer, AttemptError> {
     let response = relayed.send().await?;
-    Answer::collect(relayed, response).await
+    let answer = Answer::collect(relayed, response).await?;
+    if !answer.is_server_error() || !relayed.is_repeatable() {
+        return Ok(answer);
+    }
+    let detail = format!("the backend server answered {}", answer.status);
+    // A large one would keep the memory that the next attempt may wait for.
+    failed.replace(Some(answer).filter(|it| it.body.len() <= SMALL_MESSAGE_BYTES));
+    let (failure, execution) = (FailureKind::Other, Execution::MayHaveRun);
+    Err(AttemptError { failure, execution, detail })
+}
+
+impl Raced for Answer {
+    fn is_server_error(&self) -> bool {
+        self.status.is_server_error()
+    }
 }
 
 impl Answer {
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -13,7 +13,11 @@
 };
 use policy::{Execution, Failure as FailureKind};
 
-use super::{buffered::Answer, relayed_call::RelayedCall};
+use super::{
+    buffered::Answer,
+    hedged::{Raced, race},
+    relayed_call::RelayedCall,
+};
 use crate::{
     backends::AttemptError,
     deadline::{Completion, run_until_deadline},
@@ -36,6 +40,12 @@
     Stream(Box<Stream>),
 }
 
+impl Raced for Opened {
+    fn is_server_error(&self) -> bool {
+        matches!(self, Opened::Buffered(answer) if answer.is_server_error())
+    }
+}
+
 struct Stream {
     status: StatusCode,
     headers: HeaderMap,
@@ -92,7 +102,7 @@
 
 async fn open(relayed: &mut RelayedCall) -> Result<Opened, Failure> {
     loop {
-        match open_once(relayed).await {
+        match race(relayed, open_once).await {
             Ok(opened) => return Ok(opened),
             Err(error) => relayed.call.retry(error).await?,
         }
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -41,10 +41,10 @@
     /// The number of relayed events.
     pub(super) events: u32,
     /// The ID of the request that began the stream, if the caller has taken it up.
-    resumed_request: Option<String>,
+    pub(super) resumed_request: Option<String>,
     /// When the beginning of the stream was reported last.
-    reported_at: Option<Instant>,
-    id: HeaderValue,
+    pub(super) reported_at: Option<Instant>,
+    pub(super) id: HeaderValue,
 }
 
 impl RelayedCall {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -20,6 +20,8 @@
 const MEBIBYTES: &str = "a whole number of MiB, such as 256";
 const COUNT: &str = "a whole number";
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+/// The largest limit of hedges: repeats of all kinds are bounded by this part of the requests.
+const HEDGE_PERMILLE_MAX: u32 = 200;
 /// The duty of reporting usage.
 const METERING: &str = "metering";
 const FILE: &str = "the path of a file";
@@ -64,6 +66,8 @@
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
     pub platform_period_ms: u64,
+    /// Second attempts of slow requests allowed per thousand requests of a route; 0 for none.
+    pub hedge_permille: u32,
     /// The length of the windows by which usage is counted; `None` where it is not metered.
     pub usage_window: Option<Duration>,
     /// Limits of callers' connections.
@@ -135,6 +139,7 @@
             exchange_period_ms: 1_000,
             platform: None,
             platform_period_ms: 1_000,
+            hedge_permille: 0,
             usage_window: None,
             server: CallerListener::default(),
             backends: BackendSettings::default(),
@@ -210,6 +215,7 @@
             MILLISECONDS,
             default.platform_period_ms,
         ),
+        hedge_permille: read_hedge_permille(&mut reader),
         usage_window: read_usage_window(&mut reader),
         control: read_control(&mut reader),
         trust: reader.or_default("trust", "tokens or network", default.trust),
@@ -238,6 +244,21 @@
     settings
 }
 
+/// Reads the limit of second attempts; an empty value counts as not set.
+fn read_hedge_permille(reader: &mut SectionReader<'_>) -> u32 {
+    let value: String = reader.optional("hedge_permille", COUNT).unwrap_or_default();
+    let value = value.trim();
+    if value.is_empty() {
+        return 0;
+    }
+    let permille = value.parse().ok().filter(|it| *it <= HEDGE_PERMILLE_MAX);
+    permille.unwrap_or_else(|| {
+        let remedy = format!("write a whole number from 0 to {HEDGE_PERMILLE_MAX}");
+        reader.fault("hedge_permille", &format!("`{value}` does not fit"), &remedy);
+        0
+    })
+}
+
 /// Reads the length of the windows of usage, if metering is among the duties of the deployment.
 fn read_usage_window(reader: &mut SectionReader<'_>) -> Option<Duration> {
     let duties: Vec<String> = reader.list("duties", "metering or autoscale, separated by commas");
--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -98,3 +98,34 @@
         workspaces:5: south.colour: unknown key; use one of: in_flight_max, token, weight"#]]
     .assert_eq(&faults.to_string());
 }
+
+fn check_hedges(line: &str, expected: Expect) {
+    let text = format!(
+        "[router]\nvm = vm-1\nfailure_domain = fd-1\nroutes_file = a\npools_file = b\n{line}\n"
+    );
+    let shown = match RouterSettings::parse("router.ini", &text) {
+        Ok(settings) => settings.hedge_permille.to_string(),
+        Err(faults) => faults.to_string(),
+    };
+    expected.assert_eq(&shown);
+}
+
+/// Guards against hedges that nobody has asked for, and a limit above that of all repeats.
+#[test]
+fn hedge_limit() {
+    check_hedges("", expect!["0"]);
+    check_hedges("hedge_permille =", expect!["0"]);
+    check_hedges("hedge_permille = 20", expect!["20"]);
+    check_hedges(
+        "hedge_permille = 201",
+        expect![
+            "router.ini:6: router.hedge_permille: `201` does not fit; write a whole number from 0 to 200"
+        ],
+    );
+    check_hedges(
+        "hedge_permille = some",
+        expect![
+            "router.ini:6: router.hedge_permille: `some` does not fit; write a whole number from 0 to 200"
+        ],
+    );
+}
