--- a/crates/policy/tests/hedged_requests.rs
+++ b/crates/policy/tests/hedged_requests.rs
@@ -384,7 +384,7 @@
         let part = |id| PromptPart { id, tokens: 500 };
         Prompt { parts: vec![part(7), part(own)] }
     };
-    let mut begin_prompt = |fixture: &mut Fixture, own| {
+    let begin_prompt = |fixture: &mut Fixture, own| {
         let offer = fixture.new_offer("chat", "a");
         let offered = fixture.scheduler.offer_prompt(fixture.now, offer, prompt(own));
         let ticket = offered.expect("the queue has room");
