--- a/crates/router/tests/settings_faults.rs
+++ b/crates/router/tests/settings_faults.rs
@@ -119,6 +119,8 @@
     for window in [" 0", " -1", " soon"] {
         assert!(parse(" metering", window).is_err(), "{window}");
     }
+}
+
 fn check_hedges(line: &str, expected: Expect) {
     let text = format!(
         "[router]\nvm = vm-1\nfailure_domain = fd-1\nroutes_file = a\npools_file = b\n{line}\n"
