Bound the bytes of usage in a summary by a test

Cause: the capacity page had only a worked-out figure. Change: a test that holds a summary's usage to 12 bytes a count and 20 bytes beside them.

--- a/crates/wire-form/tests/own_extensions.rs
+++ b/crates/wire-form/tests/own_extensions.rs
@@ -62,3 +62,16 @@
         assert_eq!(Envelope::decode(&bytes), Ok(envelope), "{name}");
     }
 }
+
+/// Guards against usage that takes more of a control link than docs/CAPACITY.md says: 12 bytes a changed count
+/// and 20 bytes a summary.
+#[test]
+fn usage_bytes() {
+    let (_, summary) = samples::summaries().pop().expect("a brief summary");
+    let counts: Vec<_> = (100..124).map(|it| (format!("hule{it}"), it)).collect();
+    let windows = vec![WindowCounts { window: WindowId(353_445_120), counts }];
+    let usage = Some(UsageRows { counter: CounterId(u64::MAX), windows });
+    let without = encode_summary(&summary).len();
+    let bytes = encode_summary(&Summary { usage, ..summary }).len() - without;
+    assert!(bytes <= 24 * 12 + 20, "{bytes} bytes for 24 counts");
+}
