Bound the sum of the loads that a server states

Cause: a server that states more running and waiting requests than 32 bits hold ended a debug build, and looked idle in a release build. Change: the sum saturates. Measured: policy server_membership huge_load.

--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -364,7 +364,8 @@
             self.stated_slowness.record(now, percent, report.age);
         }
         self.other_waiting = report.waiting.saturating_sub(self.prefill_queue.requests);
-        self.other_requests = (report.running + report.waiting).saturating_sub(self.in_flight);
+        let requests = report.running.saturating_add(report.waiting);
+        self.other_requests = requests.saturating_sub(self.in_flight);
     }
 
     /// Requests that this router may have in flight on the server.
--- a/crates/policy/tests/server_membership.rs
+++ b/crates/policy/tests/server_membership.rs
@@ -117,3 +117,13 @@
     fixture.finish(ticket);
     assert_eq!(fixture.scheduler.in_flight(fixture.backends[0]), 0);
 }
+
+/// Guards against a router that ends because a server states loads whose sum does not fit.
+#[test]
+fn huge_load() {
+    let mut fixture = fixture();
+    let huge = LoadReport { waiting: u32::MAX, ..load_report(0, u32::MAX, 4) };
+    fixture.scheduler.load_report(fixture.now, fixture.backends[0], &huge);
+    fixture.offer("chat");
+    assert_eq!(fixture.poll_dispatches(), [], "the server is full");
+}
