--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -5,8 +5,10 @@
 
 mod caller;
 mod metering;
+mod metrics;
 mod ordering;
 mod pool_demand;
+mod report;
 mod scaling_gauges;
 mod shared_usage;
 
@@ -17,13 +19,16 @@
 use derive_more::{Display, Error};
 use dissemination::Hub;
 use httpio::{StatusCode, client::Request};
+use prometheus::Registry;
 use tables::TablesParser;
 
 use crate::{replica::Replica, server_feed::ServerFeed};
 
 pub(crate) use caller::DutyCaller;
-pub(crate) use metering::Metering;
+pub(crate) use metering::{Metering, Sharing};
+pub(crate) use metrics::DutyMetrics;
 pub(crate) use ordering::Ordering;
+pub(crate) use report::DutyReport;
 pub(crate) use scaling_gauges::ScalingGauges;
 pub(crate) use shared_usage::SharedUsage;
 
@@ -130,13 +135,18 @@
     pub(crate) clock: Rc<dyn Clock>,
 }
 
-/// Starts the tasks of the duties that the settings name.
-pub(crate) fn start(parts: DutyParts) {
-    let caller = Rc::new(DutyCaller::new(&parts));
+/// Starts the tasks of the duties that the settings name, and adds their metrics to `registry`.
+pub(crate) fn start(parts: DutyParts, registry: &Registry) -> anyhow::Result<()> {
+    if parts.settings.duties.is_empty() {
+        return Ok(());
+    }
+    let caller = Rc::new(DutyCaller::new(&parts, DutyMetrics::register(registry)?));
     if parts.settings.includes(Duty::Metering) {
+        monoio::spawn(Sharing::new(&parts).run());
         monoio::spawn(Metering::new(&parts, Rc::clone(&caller)).run());
     }
     if parts.settings.includes(Duty::Autoscaling) {
         monoio::spawn(Ordering::new(&parts, caller).run());
     }
+    Ok(())
 }
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -15,6 +15,7 @@
     keys::{BackendKey, ClassKey},
     pace::PaceTarget,
     partition::Partition,
+    reading_speed::ReadingSpeed,
     spec::{PoolSpec, WHOLE_PERMILLE},
     work_time::WorkTime,
 };
@@ -46,10 +47,14 @@
     pub(crate) without_backend_since: Option<Instant>,
     /// When a server last answered a request of this router.
     pub(crate) last_answer: Option<Instant>,
+    /// When a server last rejected a request of this router for want of room.
+    pub(crate) last_rejection: Option<Instant>,
     /// Whether the last reported change was that no server can be reached.
     pub(crate) was_unreachable: bool,
     /// How long servers take for a request.
     pub(crate) work_time: WorkTime,
+    /// How fast servers read prompts, if they state how slow they are.
+    pub(crate) reading_speed: ReadingSpeed,
     /// The division of the servers by the target between tokens.
     pub(crate) partition: Partition,
 }
@@ -99,8 +104,10 @@
             saturated_since: None,
             without_backend_since: None,
             last_answer: None,
+            last_rejection: None,
             was_unreachable: false,
             work_time: WorkTime::default(),
+            reading_speed: ReadingSpeed::default(),
             partition: Partition::default(),
         }
     }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -100,6 +100,8 @@
     pub(crate) reservation: Reservation,
     /// The other attempt of a hedged request.
     pub(crate) other_attempt: Option<Ticket>,
+    /// Whether it began as a second attempt.
+    pub(crate) is_hedge: bool,
 }
 
 /// Whether a running request may be paused.
@@ -149,6 +151,10 @@
     pub(crate) expected_turns: f64,
     /// Prompt tokens that the server is expected to prefill before the first token.
     pub(crate) prefill_tokens: u32,
+    /// How slow the server was when it was selected, if it states that.
+    pub(crate) slowness_percent: Option<u32>,
+    /// Whether the time to the first token tells how fast the server reads.
+    pub(crate) is_speed_sample: bool,
     /// `None` if the prompt is unknown.
     pub(crate) estimate: Option<PlacementEstimate>,
 }
@@ -203,6 +209,7 @@
             phase: Phase::Waiting,
             reservation: Reservation::None,
             other_attempt: None,
+            is_hedge: true,
             ..*self
         }
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -20,8 +20,12 @@
 const MEBIBYTES: &str = "a whole number of MiB, such as 256";
 const COUNT: &str = "a whole number";
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
+/// The largest limit of hedges: repeats of all kinds are bounded by this part of the requests.
+const HEDGE_PERMILLE_MAX: u32 = 200;
 /// The duty of reporting usage.
 const METERING: &str = "metering";
+/// The length of the windows of usage, which the control VMs use too where the settings name none.
+const USAGE_WINDOW: Duration = Duration::from_secs(5);
 const FILE: &str = "the path of a file";
 
 /// Settings of a router.
@@ -64,6 +68,8 @@
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
     pub platform_period_ms: u64,
+    /// Second attempts of slow requests allowed per thousand requests of a route; 0 for none.
+    pub hedge_permille: u32,
     /// The length of the windows by which usage is counted; `None` where it is not metered.
     pub usage_window: Option<Duration>,
     /// Limits of callers' connections.
@@ -135,6 +141,7 @@
             exchange_period_ms: 1_000,
             platform: None,
             platform_period_ms: 1_000,
+            hedge_permille: 0,
             usage_window: None,
             server: CallerListener::default(),
             backends: BackendSettings::default(),
@@ -210,6 +217,7 @@
             MILLISECONDS,
             default.platform_period_ms,
         ),
+        hedge_permille: read_hedge_permille(&mut reader),
         usage_window: read_usage_window(&mut reader),
         control: read_control(&mut reader),
         trust: reader.or_default("trust", "tokens or network", default.trust),
@@ -238,16 +246,32 @@
     settings
 }
 
+/// Reads the limit of second attempts; an empty value counts as not set.
+fn read_hedge_permille(reader: &mut SectionReader<'_>) -> u32 {
+    let value: String = reader.optional("hedge_permille", COUNT).unwrap_or_default();
+    let value = value.trim();
+    if value.is_empty() {
+        return 0;
+    }
+    let permille = value.parse().ok().filter(|it| *it <= HEDGE_PERMILLE_MAX);
+    permille.unwrap_or_else(|| {
+        let remedy = format!("write a whole number from 0 to {HEDGE_PERMILLE_MAX}");
+        reader.fault("hedge_permille", &format!("`{value}` does not fit"), &remedy);
+        0
+    })
+}
+
 /// Reads the length of the windows of usage, if metering is among the duties of the deployment.
 fn read_usage_window(reader: &mut SectionReader<'_>) -> Option<Duration> {
     let duties: Vec<String> = reader.list("duties", "metering or autoscale, separated by commas");
-    let seconds = reader.advisory("usage_window_s", SECONDS, 0.0);
-    let is_metered = duties.iter().any(|it| it == METERING);
-    let window = Duration::try_from_secs_f64(seconds).ok().filter(|it| !it.is_zero());
-    if is_metered && window.is_none() {
-        reader.fault("usage_window_s", "is missing although usage is metered", "write seconds");
+    let seconds = reader.optional_if_filled("usage_window_s", SECONDS);
+    let window = seconds.map_or(Ok(USAGE_WINDOW), Duration::try_from_secs_f64);
+    let window = window.ok().filter(|it| *it >= Duration::from_millis(1));
+    if window.is_none() {
+        let problem = "is no time of a millisecond or more";
+        reader.fault("usage_window_s", problem, &format!("write {SECONDS}"));
     }
-    window.filter(|_| is_metered)
+    window.filter(|_| duties.iter().any(|it| it == METERING))
 }
 
 /// Reads the time until a stopping process is killed.
