Bound callers' connections by the memory of the VM

3,500 callers that stopped within a head of 15 KiB took a router with 64 MB to 72 to 77 MB (88 MB at a load of 25): each connection took some 10 KiB beside its charged head, nothing bounded their number by memory, and buffers that doubled left gaps in the memory of the process.

The bound is now half of the memory less 12 MiB, at 10 KiB each, an eighth of them for other routers; connections_max stays an upper bound. A read takes 1 KiB until the peer sends more, an idle connection keeps no buffer, the states of answering and refusing are on the heap, and buffers grow by four. The allocated size of a head is charged, as a large message, so that stalled heads leave the part for small messages free.

--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -16,7 +16,14 @@
 
 use crate::Limits;
 
-const READ_BYTES: usize = 4 << 10;
+/// The size of a read of a connection that sends little, which its buffer takes also while it is idle.
+const READ_BYTES_MIN: usize = 1 << 10;
+/// The size of a read of a connection that sends much.
+const READ_BYTES_MAX: usize = 4 << 10;
+/// The bytes after the current request that are read ahead.
+const READ_AHEAD_BYTES: usize = 4 << 10;
+/// The growth of a buffer that is too small.
+const GROWTH_FACTOR: usize = 4;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// The result of one read.
@@ -41,32 +48,59 @@
 pub(crate) struct Inbound {
     half: OwnedReadHalf<TcpStream>,
     scratch: Vec<u8>,
+    /// The size of the next read.
+    read_bytes: usize,
     pub(crate) buffer: BytesMut,
 }
 
 impl Inbound {
     pub(crate) fn new(half: OwnedReadHalf<TcpStream>) -> Inbound {
-        Inbound { half, scratch: Vec::new(), buffer: BytesMut::new() }
+        Inbound { half, scratch: Vec::new(), read_bytes: READ_BYTES_MIN, buffer: BytesMut::new() }
     }
 
     /// Reads once and appends to the buffer. Dropping the future loses no data.
     pub(crate) async fn fill(&mut self) -> io::Result<Received> {
         let mut scratch = std::mem::take(&mut self.scratch);
         scratch.clear();
-        scratch.reserve(READ_BYTES);
+        scratch.reserve_exact(self.read_bytes);
         let (result, scratch) = self.half.read(scratch).await;
         let count = result?;
-        self.buffer.extend_from_slice(&scratch[..count]);
-        self.scratch = scratch;
+        self.append(&scratch[..count]);
+        if count < scratch.capacity() {
+            self.read_bytes = READ_BYTES_MIN;
+        } else {
+            self.read_bytes = (2 * self.read_bytes).min(READ_BYTES_MAX);
+        }
+        // A connection that waits for its next read keeps no more than that needs.
+        if scratch.capacity() <= self.read_bytes {
+            self.scratch = scratch;
+        }
         Ok(if count == 0 { Received::Eof } else { Received::Data })
     }
 
+    /// Grows the buffer in few large steps, as each step leaves a gap in the memory of the process.
+    fn append(&mut self, piece: &[u8]) {
+        let (needed, capacity) = (self.buffer.len() + piece.len(), self.buffer.capacity());
+        if needed > capacity {
+            let wanted = needed.max(GROWTH_FACTOR * capacity);
+            self.buffer.reserve(wanted - self.buffer.len());
+        }
+        self.buffer.extend_from_slice(piece);
+    }
+
+    /// Frees the memory of the buffer if it holds nothing.
+    pub(crate) fn release_empty_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Resolves when the peer closes the connection or the connection breaks.
     ///
-    /// Bytes of a pipelined request stay in the buffer. Once it holds `READ_BYTES`, the future
+    /// Bytes of a pipelined request stay in the buffer. Once it holds `READ_AHEAD_BYTES`, the future
     /// stops reading and never resolves, so that a peer cannot exhaust memory.
     pub(crate) async fn closed(&mut self) {
-        while self.buffer.len() < READ_BYTES {
+        while self.buffer.len() < READ_AHEAD_BYTES {
             match self.fill().await {
                 Ok(Received::Data) => {}
                 Ok(Received::Eof) | Err(_) => return,
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -16,9 +16,9 @@
 };
 use crate::{
     Limits,
-    budget::{ByteBudget, Charge, NoRoom},
+    budget::{ByteBudget, Charge, NoRoom, SMALL_MESSAGE_BYTES},
     framing::{self, BodyDecoder, BodyFault, Step},
-    held::{HeldBody, UNCHARGED_PIECE_BYTES},
+    held::HeldBody,
     inbound::{HeadFault, Inbound, Received},
     outbound::Outbound,
     signal::{Signal, signal},
@@ -26,6 +26,8 @@
 
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_BYTES_MAX: usize = 1 << 20;
+/// A head whose buffer is up to this size is not charged; the cost of a connection contains it.
+const UNCHARGED_HEAD_BYTES: usize = 4 << 10;
 /// The time for the rest of a body for which there is no memory. Its sender may read no answer before it
 /// has sent everything.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -78,7 +80,8 @@
     pub(super) async fn run(mut self) {
         loop {
             let end = match self.next_request().await {
-                Ok(request) => self.handle(request).await,
+                // The states of these futures take memory only while there is a request to answer.
+                Ok(request) => Box::pin(self.handle(request)).await,
                 Err(end) => Err(end),
             };
             match end {
@@ -87,7 +90,9 @@
                 Ok(()) if self.stop.closing.is_raised() => return,
                 Ok(()) => {}
                 Err(End::Close) => return,
-                Err(End::Refuse(status, remedy)) => return self.refuse(status, remedy).await,
+                Err(End::Refuse(status, remedy)) => {
+                    return Box::pin(self.refuse(status, remedy)).await;
+                }
             }
         }
     }
@@ -110,6 +115,7 @@
 
     /// Waits for a request on an idle connection. A shutdown or the keep-alive timeout closes it.
     async fn await_first_byte(&mut self) -> Result<(), End> {
+        self.inbound.release_empty_buffer();
         while self.inbound.buffer.is_empty() {
             let closing = closing_grace(&self.stop.closing, self.limits.closing_grace()).fuse();
             let idle = time::sleep(self.limits.keep_alive()).fuse();
@@ -132,7 +138,8 @@
     async fn read_head(&mut self) -> Result<(RequestHead, Charge), End> {
         let limits = self.limits;
         let inbound = &mut self.inbound;
-        let mut charge = self.memory.charge(None);
+        // Large heads are kept out of the part for small messages, which many stalled ones would use up.
+        let mut charge = self.memory.charge(Some(SMALL_MESSAGE_BYTES + 1));
         let head = async {
             loop {
                 if let Some(head) =
@@ -144,8 +151,9 @@
                     Ok(Received::Data) => {}
                     Ok(Received::Eof) | Err(_) => return Err(End::Close),
                 }
-                let large = inbound.buffer.len().saturating_sub(UNCHARGED_PIECE_BYTES);
-                charge.try_resize(large).map_err(memory_refusal)?;
+                // What is allocated is charged, not only what is filled.
+                let held = Some(inbound.buffer.capacity()).filter(|it| *it > UNCHARGED_HEAD_BYTES);
+                charge.try_resize(held.unwrap_or_default()).map_err(memory_refusal)?;
             }
         };
         let head: RequestHead = time::timeout(limits.head_timeout(), head)
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -203,7 +203,13 @@
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     monoio::spawn(services.memory.clone().log_refusals());
     let memory = services.memory.requests.clone();
-    let server_settings = ServerSettings { memory, ..settings.server.to_settings() };
+    let bounds = settings.connection_bounds();
+    let server_settings = ServerSettings {
+        limits: settings.server.limits.into(),
+        connections: bounds.callers,
+        memory,
+        ..ServerSettings::default()
+    };
     let follower = TablesFollower {
         services: Rc::clone(&services),
         tables: Rc::clone(&components.tables),
@@ -238,7 +244,9 @@
     let forwarded = listeners.forwarded.map(|listener| {
         let token = components.token.clone();
         let handler = Rc::new(ForwardListener { handler: handlers.forwarded, token });
-        server::serve(listener, server_settings.clone(), signals.clone(), handler)
+        let server_settings =
+            ServerSettings { connections: bounds.forwarded, ..server_settings.clone() };
+        server::serve(listener, server_settings, signals.clone(), handler)
     });
     let callers = server::serve(listeners.callers, server_settings, signals, handlers.callers);
     let served = async {
--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -1,7 +1,7 @@
 //! The memory of the VM, divided among what the router holds whole.
 //!
-//! A quarter is for the bodies of requests and a quarter for answers. The rest is for the program,
-//! its tables, connections with their heads and streams, and for what the allocator keeps back.
+//! A quarter is for the bodies and large heads of requests and a quarter for answers. The rest is for the
+//! program with its tables, and for connections, whose number is bounded by it.
 
 use std::time::Duration;
 
@@ -15,9 +15,23 @@
 /// The part of a budget that is for small messages only: one in so many.
 const SMALL_PART: usize = 8;
 const MEBIBYTE: usize = 1 << 20;
+/// What the program takes with its tables, its connections to servers and control VMs, and streams.
+const PROGRAM_BYTES: usize = 12 * MEBIBYTE;
+/// What an open connection takes beside what is charged to a budget: its task, its read buffer, the
+/// uncharged part of a head, and what the allocator keeps back (measured by the test `stalled_heads`).
+const CONNECTION_BYTES: usize = 10 << 10;
+/// The connections that a router accepts however little memory there is.
+const CONNECTIONS_MIN: usize = 256;
 /// The interval at which refusals for lack of memory are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The number of open connections for which there is room in the memory of a VM.
+pub(crate) fn connections_fitting(memory_mb: usize) -> usize {
+    let bytes = memory_mb.saturating_mul(MEBIBYTE);
+    let left = (bytes - 2 * (bytes / BODIES_PART)).saturating_sub(PROGRAM_BYTES);
+    (left / CONNECTION_BYTES).max(CONNECTIONS_MIN)
+}
+
 /// The largest bodies that a router accepts.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LargestBodies {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,15 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use httpio::{
-    Limits,
-    client::PoolSettings,
-    server::{ConnectionBound, ServerSettings},
-};
+use httpio::{Limits, client::PoolSettings, server::ConnectionBound};
 use ini_settings::{Document, Fault, Faults, SectionReader};
 use rpc::Trust;
 
-use crate::{backends::BackendSettings, services::Timeouts};
+use crate::{backends::BackendSettings, memory::connections_fitting, services::Timeouts};
 
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 2000";
 const SECONDS: &str = "a number of seconds, such as 8 or 7.5";
@@ -22,6 +18,8 @@
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.5:8080";
 /// The duty of reporting usage.
 const METERING: &str = "metering";
+/// The part of the connections that is for other routers, which keep few open: one in so many.
+const FORWARDED_PART: usize = 8;
 const FILE: &str = "the path of a file";
 
 /// Settings of a router.
@@ -94,7 +92,7 @@
 pub struct CallerListener {
     /// Limits of each connection.
     pub limits: Limits,
-    /// The maximum number of open connections.
+    /// The maximum number of open connections; there are fewer if the memory of the VM demands it.
     pub connections_max: usize,
 }
 
@@ -104,15 +102,6 @@
     }
 }
 
-impl CallerListener {
-    /// Converts to the settings of the HTTP server.
-    #[must_use]
-    pub fn to_settings(&self) -> ServerSettings {
-        let connections = ConnectionBound(self.connections_max);
-        ServerSettings { limits: self.limits.into(), connections, ..ServerSettings::default() }
-    }
-}
-
 impl Default for RouterSettings {
     fn default() -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -144,7 +133,31 @@
     }
 }
 
+/// The bounds on the connections of the listeners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionBounds {
+    /// Of callers.
+    pub callers: ConnectionBound,
+    /// Of other routers.
+    pub forwarded: ConnectionBound,
+}
+
 impl RouterSettings {
+    /// The bounds on connections that follow from the memory of the VM and from the settings.
+    #[must_use]
+    pub fn connection_bounds(&self) -> ConnectionBounds {
+        let fitting = connections_fitting(self.memory_mb);
+        let forwarded = match self.forward_listen {
+            Some(_) => fitting / FORWARDED_PART,
+            None => 0,
+        };
+        let configured = self.server.connections_max;
+        ConnectionBounds {
+            callers: ConnectionBound(configured.min(fitting - forwarded)),
+            forwarded: ConnectionBound(configured.min(forwarded)),
+        }
+    }
+
     /// Parses settings; `name` is the name of the file in faults.
     ///
     /// # Errors
