--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -17,8 +17,8 @@
 const MEBIBYTE: usize = 1 << 20;
 /// What the program takes with its tables, its connections to servers and control VMs, and streams.
 const PROGRAM_BYTES: usize = 12 * MEBIBYTE;
-/// What an open connection takes beside what is charged to a budget: its task, its read buffer, the
-/// uncharged part of a head, and what the allocator keeps back (measured by the test `stalled_heads`).
+/// What an open connection is assumed to take beside what is charged to a budget: its task, its read buffer,
+/// the uncharged part of a head, and what the allocator keeps back.
 const CONNECTION_BYTES: usize = 10 << 10;
 /// The connections that a router accepts however little memory there is.
 const CONNECTIONS_MIN: usize = 256;
