Clarify comments and error texts of duties, scaling, hedging and speed

Several comments were unclear or wrong to a new reader: the default price of a failure domain was said to be 1 in a field of thousandths, two constants named LIST_DELAY in one crate had different values, the limit of hedges was said to be by route, and design notes had long, elliptic sentences.

State what each of them means in plain words, rename the private constant in the planner to TAKEOVER_DELAY, and let the error texts of scaling and window settings name the accepted values. Behaviour is unchanged.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -79,7 +79,7 @@
 pub struct Platform {
     /// The API served on the operators' listener.
     pub operator_api: Rc<dyn OperatorApi>,
-    /// The notation of the calls that are a duty of one VM at a time.
+    /// The notation of the calls that only one VM may make at a time.
     pub duty_api: Rc<dyn DutyApi>,
     /// The notation of the platform's server list.
     pub directory: Rc<dyn Directory>,
--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -87,7 +87,7 @@
     pub vm: String,
     /// The duties of the deployment.
     pub duties: Vec<Duty>,
-    /// The time within which the calls of two holders must not alternate.
+    /// The time that a new holder waits before its first call if another VM has held the duties.
     pub lease: Duration,
     /// The length of the windows of usage.
     pub usage_window: Duration,
--- a/crates/control/src/duties/metering.rs
+++ b/crates/control/src/duties/metering.rs
@@ -15,18 +15,18 @@
 use super::{DutyCaller, DutyParts, SharedUsage};
 use crate::replica::Replica;
 
-/// The interval at which new counts are told to the other control VMs and windows are looked at.
+/// The interval at which new counts are sent to the other control VMs, and windows are checked.
 const PERIOD: Duration = Duration::from_millis(250);
 /// The time after the end of a window in which routers and control VMs report the rest of its counts. A router
 /// notices after 3.5 s that its control VM is silent, and then reports to another one.
 const SETTLE_DELAY: Duration = Duration::from_secs(5);
 /// The times after the end of a window at which the control VMs repeat its counts to one another.
 const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(1_500), Duration::from_millis(4_000)];
-/// The time for which a new leader waits for the counts of routers that have to find it first.
+/// A new leader settles nothing for this long, as routers have to find it before they send their counts.
 const LEAD_DELAY: Duration = Duration::from_secs(3);
 /// The time for which a new leader settles only what would be late otherwise.
 const FRESH_LEAD: Duration = Duration::from_secs(6);
-/// The part of the time until a report is due that a new leader leaves for the report itself.
+/// Within [`FRESH_LEAD`], a window is settled only this long before its report is due.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 /// The time after which a window's usage is given up.
 const REPORT_AGE_MAX: Duration = Duration::from_secs(60);
--- a/crates/control/src/duties/ordering.rs
+++ b/crates/control/src/duties/ordering.rs
@@ -21,9 +21,9 @@
 use super::{DutyCaller, DutyParts, ScalingGauges, pool_demand::ListedServers};
 use crate::{replica::Replica, server_feed::ServerFeed};
 
-/// The interval at which the demand is looked at, which is that of the routers' exchanges.
+/// The interval at which the demand is read; routers report their work as often.
 const PERIOD: Duration = Duration::from_millis(250);
-/// Nothing is ordered by an older list.
+/// Nothing is ordered while the newest list is older than this.
 const LIST_AGE_MAX: Duration = Duration::from_secs(3);
 /// The timeout of the confirmation that the state here is the newest.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Learns whether this VM leads, and whether another one has before.
+    /// Updates whether this VM leads, and whether another one has led before.
     async fn update_lead(&self) {
         if !self.caller.leads() {
             let mut state = self.state.borrow_mut();
--- a/crates/control/src/server_feed.rs
+++ b/crates/control/src/server_feed.rs
@@ -51,7 +51,7 @@
 struct State {
     stamp: u64,
     servers: Vec<u8>,
-    /// The same list, decoded; the last one if the newest cannot be decoded.
+    /// The newest list that could be decoded.
     decoded: Rc<[ListedVm]>,
     /// When the list was read from the platform, by this or by another control VM.
     read_at: Option<Instant>,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -273,7 +273,7 @@
     match Duration::try_from_secs_f64(seconds) {
         Ok(time) if time >= Duration::from_millis(1) => time,
         _ => {
-            reader.fault(key, "is no time of a millisecond or more", &format!("write {SECONDS}"));
+            reader.fault(key, "is not a time of at least 1 ms", &format!("write {SECONDS}"));
             default
         }
     }
--- a/crates/directory/src/list.rs
+++ b/crates/directory/src/list.rs
@@ -9,11 +9,11 @@
 
 use crate::parse_array;
 
-/// In an encoded list, the entries of spot servers.
+/// The extension of an encoded list that marks its spot servers.
 const SPOT: ExtensionId = ExtensionId(1);
 
-/// The precision of the remaining times in an encoded list: each list that differs from the one before is sent
-/// to all routers.
+/// The precision of the remaining times in an encoded list. A finer one would make more lists differ from the one
+/// before, and each of these is sent to all routers.
 const LEAVES_STEP_MS: u64 = 1_000;
 
 /// One backend server in the platform's list.
@@ -50,7 +50,7 @@
     pub leaves_in_ms: Option<u64>,
 }
 
-/// The fields of a spot server that the base of the encoded list does not have.
+/// The fields of a spot server that are not part of the base form of a list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 struct SpotRow {
--- a/crates/duties/src/calls.rs
+++ b/crates/duties/src/calls.rs
@@ -47,7 +47,7 @@
     pub pool: String,
     /// The failure domain.
     pub failure_domain: String,
-    /// The kind of the servers; each kind is counted for itself.
+    /// The kind of the servers; the kinds are counted separately.
     pub kind: ServerKind,
     /// The number of servers.
     pub count: u32,
@@ -60,8 +60,8 @@
     Accepted,
     /// Another holder has used a higher token, or no such servers are available.
     Conflict,
-    /// The platform refuses calls for now.
+    /// The platform did not carry it out because it limits the rate of calls.
     Busy,
-    /// There was no answer: the call may be carried out later.
+    /// No answer told the outcome: the call may have been carried out, or may be later.
     Unanswered,
 }
--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -10,8 +10,8 @@
 /// Settings of a holder.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HolderSettings {
-    /// The time that a new holder waits after another VM has held the duty, so that their calls do not
-    /// alternate within it.
+    /// The time that a new holder waits if another VM has held the duties. Within it, the platform must not get
+    /// calls of one holder, then of another, then of the first again.
     pub lease: Duration,
 }
 
@@ -38,9 +38,9 @@
     settings: HolderSettings,
     /// The newest token, while this VM leads.
     token: Option<u64>,
-    /// No call before this.
+    /// The end of the wait after another VM has held the duties; no call is made before it.
     ready_at: Option<Instant>,
-    /// The tokens that must not be used again, by subject.
+    /// The highest token of each subject that must not be used again for it.
     spent: BTreeMap<Subject, u64>,
 }
 
--- a/crates/duties/src/true_time.rs
+++ b/crates/duties/src/true_time.rs
@@ -1,10 +1,10 @@
-//! An estimate of the true time that follows no short step of the wall clock.
+//! An estimate of the true time that ignores short steps of the wall clock.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The time for which a step of the wall clock must last before it is followed: it may be set back.
+/// A step of the wall clock is followed only after it has lasted this long, as the clock may be set back.
 const STEP_TIME_MIN: Duration = Duration::from_secs(20);
-/// Differences up to this are no step.
+/// Smaller differences from the estimate are no step.
 const STEP_MIN: Duration = Duration::from_millis(250);
 
 /// The wall clock of a VM, carried on by its monotonic clock.
@@ -12,13 +12,16 @@
 pub struct TrueTime {
     /// The same moment on both clocks.
     anchor: (Instant, Duration),
-    /// Since when the wall clock has differed from the estimate, and what both showed then.
+    /// The step of the wall clock that is not followed yet.
     step: Option<Step>,
 }
 
+/// A difference between the wall clock and the estimate.
 #[derive(Debug, Clone, Copy)]
 struct Step {
+    /// When it was first seen.
     since: Instant,
+    /// What the wall clock showed then.
     wall: Duration,
 }
 
@@ -49,7 +52,7 @@
 }
 
 impl Step {
-    /// Whether the wall clock has gone on from the step without another one.
+    /// Whether the wall clock has run normally since the step.
     fn explains(&self, now: Instant, wall: Duration) -> bool {
         let expected = self.wall + now.saturating_duration_since(self.since);
         expected.abs_diff(wall) < STEP_MIN
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -39,13 +39,13 @@
 #[serde(transparent)]
 pub struct CounterId(pub u64);
 
-/// The counts of one window that a router has raised.
+/// The counts of one window that have changed at a router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct WindowCounts {
     /// The window.
     pub window: WindowId,
-    /// The whole counts so far of the workspaces that have changed.
+    /// The current totals, not the differences, of the workspaces whose counts have changed.
     pub counts: Vec<(String, u64)>,
 }
 
@@ -89,7 +89,7 @@
         counts.insert(workspace.to_owned(), Count { requests, change: self.last_change });
     }
 
-    /// The number of the last change.
+    /// The number of the last change; each recorded request is one.
     #[must_use]
     pub fn last_change(&self) -> u64 {
         self.last_change
@@ -155,7 +155,7 @@
         rows.collect()
     }
 
-    /// How many requests of a settled report's window it lacks.
+    /// How many of the requests counted here are missing from a settled report.
     #[must_use]
     pub fn missing_from(&self, report: &UsageReport) -> u64 {
         let totals = self.totals(report.window).into_iter();
--- a/crates/policy/src/hedging.rs
+++ b/crates/policy/src/hedging.rs
@@ -9,7 +9,7 @@
 
 /// The latest times from which the delay is learned.
 const SAMPLES_MAX: usize = 256;
-/// No request is hedged before so many times are known: fewer give no such quantile.
+/// No request is hedged before so many times are known: fewer do not determine the quantile.
 const SAMPLES_MIN: usize = 64;
 /// The quantile is computed again after so many further times.
 const SAMPLES_PER_UPDATE: usize = 16;
--- a/crates/policy/src/reading_speed.rs
+++ b/crates/policy/src/reading_speed.rs
@@ -7,7 +7,7 @@
 
 /// Shorter prompts say little, as the connection and the first step of the engine take some time too.
 pub(crate) const SAMPLE_TOKENS_MIN: u32 = 2_000;
-/// A sample may have this part of its tokens queued before it.
+/// The tokens queued before a sample, at most, as a fraction of its own.
 pub(crate) const QUEUED_PART_MAX: f64 = 0.25;
 /// The latest samples, of which the median is used.
 const SAMPLES_MAX: usize = 63;
--- a/crates/policy/src/selection/cost.rs
+++ b/crates/policy/src/selection/cost.rs
@@ -2,10 +2,10 @@
 //! others.
 //!
 //! In pools whose servers state how slow they are, times are based on that and on the reading speed that the
-//! router has measured. Reading takes as long as the server needs now, streams as long as it needs in the long
-//! run. The delay that reading causes to others is the same everywhere: if slow servers were avoided for
-//! its sake, their slots would stay empty in a full pool. Its weights belong to the speed of the settings: at the
-//! measured one, a fast pool would give up its caches for smaller gains.
+//! router has measured. Reading is expected at the server's present speed, streams at its lasting one. The delay
+//! that reading causes to others does not depend on the server: otherwise the slots of slow servers would stay
+//! empty in a full pool. It is computed with the reading speed of the settings, for which its weights were chosen:
+//! with the measured one, a fast pool would leave servers that have cached a prefix for small gains.
 
 use super::{Criteria, Selector, retain_unless_empty};
 use crate::{keys::BackendKey, partition::Side, prompt::Prompt};
--- a/crates/policy/src/stated_slowness.rs
+++ b/crates/policy/src/stated_slowness.rs
@@ -1,7 +1,7 @@
 //! How slow a server is by its own statements.
 //!
 //! A statement describes one moment and changes many times a second, so it counts for about a second only.
-//! What is left after that is the mean of all statements, which differs among servers as their VMs do.
+//! After that the mean of all statements counts, which differs among servers as their VMs do.
 //! Logarithms are averaged, so that a short peak does not outweigh many usual figures.
 
 use std::time::{Duration, Instant};
@@ -11,11 +11,12 @@
 const USUAL_PERCENT: f64 = 100.0;
 /// Time in which the difference between a statement and the mean halves.
 const HALF_LIFE: Duration = Duration::from_millis(250);
-/// The server counts as having stated so many times that it is as usual.
+/// The mean starts as if the server had stated the usual time this many times.
 const PRIOR_STATEMENTS: u32 = 2;
 /// Each statement moves the mean by at least this fraction of its difference.
 const MEAN_WEIGHT_MIN: f64 = 0.05;
-/// Statements within this time of the last one that moved the mean belong to the same moment.
+/// Statements within this time after the last one that moved the mean do not move it: they belong to the same
+/// moment.
 const MOMENT: Duration = Duration::from_millis(100);
 /// Time in which the mean comes halfway back to the usual without statements. A server that was slow and is
 /// therefore not chosen is tried again in this way.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -24,7 +24,7 @@
 const HEDGE_PERMILLE_MAX: u32 = 200;
 /// The duty of reporting usage.
 const METERING: &str = "metering";
-/// The length of the windows of usage, which the control VMs use too where the settings name none.
+/// The length of the windows of usage unless the settings name one; equal to the default of the control VMs.
 const USAGE_WINDOW: Duration = Duration::from_secs(5);
 const FILE: &str = "the path of a file";
 
@@ -68,7 +68,7 @@
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
     pub platform_period_ms: u64,
-    /// Second attempts of slow requests allowed per thousand requests of a route; 0 for none.
+    /// Second attempts of slow requests allowed per thousand requests of a class in a pool; 0 for none.
     pub hedge_permille: u32,
     /// The length of the windows by which usage is counted; `None` where it is not metered.
     pub usage_window: Option<Duration>,
@@ -268,7 +268,7 @@
     let window = seconds.map_or(Ok(USAGE_WINDOW), Duration::try_from_secs_f64);
     let window = window.ok().filter(|it| *it >= Duration::from_millis(1));
     if window.is_none() {
-        let problem = "is no time of a millisecond or more";
+        let problem = "is not a time of at least 1 ms";
         reader.fault("usage_window_s", problem, &format!("write {SECONDS}"));
     }
     window.filter(|_| duties.iter().any(|it| it == METERING))
--- a/crates/scaling/src/demand.rs
+++ b/crates/scaling/src/demand.rs
@@ -14,11 +14,11 @@
 const SMOOTHING: Duration = Duration::from_millis(1_000);
 /// The time for which a peak counts.
 const PEAK_WINDOW: Duration = Duration::from_secs(60);
-/// Peaks are kept by steps of this length.
+/// One peak is kept for each step of this length.
 const PEAK_STEP: Duration = Duration::from_secs(1);
 /// The growth of the demand is extrapolated to the time at which new servers serve, up to this factor.
 const FORECAST_MAX: f64 = 1.5;
-/// The distance of the two values from which the growth is computed.
+/// The time between the two values from which the growth is computed.
 const SLOPE_SPAN: Duration = Duration::from_secs(2);
 /// A server's unread tokens at which it reads prompts about half of its time, while one prompt follows another.
 const UNREAD_HALF: f64 = 4_000.0;
@@ -33,12 +33,12 @@
     unread_per_server: f64,
     /// Earlier values of `requests`, for the growth.
     recent: VecDeque<(Instant, f64)>,
-    /// The highest needs, by when their step began.
+    /// The highest need of each step, with the beginning of the step.
     peaks: VecDeque<(Instant, u32)>,
 }
 
 impl DemandHistory {
-    /// Records the demand while so many servers serve.
+    /// Records the demand while `serving` servers serve, which run `slots` requests each at once.
     pub(crate) fn record(
         &mut self,
         now: Instant,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// The servers needed for the highest demand of the last time; 0 before any demand.
+    /// The servers needed for the highest demand within [`PEAK_WINDOW`]; 0 before any demand.
     pub(crate) fn need(&self) -> u32 {
         self.peaks.iter().map(|it| it.1).max().unwrap_or(0)
     }
--- a/crates/scaling/src/domain.rs
+++ b/crates/scaling/src/domain.rs
@@ -8,7 +8,7 @@
 const REFUSAL_TTL: Duration = Duration::from_millis(2_500);
 /// The time after spot servers have left in which none are expected to be available.
 const LEFT_TTL: Duration = Duration::from_secs(2);
-/// The time without a refusal or servers that leave after which spot servers are likely to be available.
+/// Spot servers are likely to be available after this time without a refusal or a departure.
 const UNDISTURBED_TIME: Duration = Duration::from_secs(10);
 /// The time beyond the boot time that a server may take until the list names it.
 const LIST_DELAY: Duration = Duration::from_secs(2);
@@ -62,7 +62,8 @@
     pub(crate) fn observe(&mut self, now: Instant, listed: Option<&DomainServers>) {
         self.is_listed = listed.is_some();
         self.listed = listed.cloned().unwrap_or_default();
-        // Single servers leave when their number is reduced or their software is replaced.
+        // Only the departure of most servers counts: single ones also leave when their number is reduced or
+        // their software is replaced.
         if self.listed.spot_leaving > self.listed.spot {
             self.leaving_at = Some(now);
             self.expected_since = now;
@@ -113,7 +114,7 @@
         servers_max.saturating_sub(self.firm.max(self.listed.firm))
     }
 
-    /// Keeps firm servers that the list has not named before.
+    /// Adds the firm servers that the list names for the first time.
     pub(crate) fn adopt_firm(&mut self) {
         let more = self.listed.firm.saturating_sub(self.firm);
         self.firm += more;
@@ -126,7 +127,7 @@
         self.is_listed || self.firm_added_at.is_some_and(|it| now < it + boot + LIST_DELAY)
     }
 
-    /// Orders firm servers.
+    /// Sets the number of firm servers to order.
     pub(crate) fn set_firm(&mut self, now: Instant, count: u32) {
         if count > self.firm {
             self.firm_added_at = Some(now);
@@ -134,7 +135,7 @@
         self.firm = count;
     }
 
-    /// Orders spot servers: more at once, fewer only after a time.
+    /// Sets the number of spot servers to order: raises it at once, and lowers it after [`LOWER_AFTER`].
     pub(crate) fn set_spot(&mut self, now: Instant, count: u32, count_max: u32) {
         let count = count.min(count_max);
         if count > self.spot {
--- a/crates/scaling/src/order_book.rs
+++ b/crates/scaling/src/order_book.rs
@@ -19,7 +19,7 @@
 const FAILED_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// The pause before an order that could not be sent is tried again.
 const UNSENT_PAUSE: Duration = Duration::from_millis(200);
-/// The pause before an accepted order is repeated whose servers do not serve, beyond the boot time.
+/// An accepted order is repeated if its servers do not serve this long after the boot time.
 const REPEAT_PAUSE: Duration = Duration::from_secs(6);
 
 /// An order that is to be sent now.
@@ -85,7 +85,7 @@
         domain.firm.target = target.firm;
         let was_leaving = std::mem::replace(&mut domain.spot_leaving, listed.spot_leaving) > 0;
         if was_leaving != (listed.spot_leaving > 0) {
-            // The platform may take the number as it was before the servers left.
+            // The platform may have applied the number to the servers as they were before this change.
             domain.spot.accepted = None;
         }
         domain.spot.repeat_if_short(now, listed.spot, boot);
--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -24,7 +24,7 @@
 /// The part of the limit of a failure domain that is given up at a time to make room for spot servers.
 const ROOM_DIVISOR: u32 = 10;
 /// The time beyond the boot time after which the list names all servers that an earlier holder has ordered.
-const LIST_DELAY: Duration = Duration::from_millis(500);
+const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
 
 /// The figures that led to the last targets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -48,7 +48,7 @@
     is_first: bool,
     /// The failure domains, from when all servers that an earlier holder has ordered are known.
     domains: BTreeMap<String, Domain>,
-    /// The firm servers that each failure domain had before any spot server.
+    /// The most firm servers that each failure domain has had while it had no spot servers.
     firm_before: BTreeMap<String, u32>,
     /// Since when fewer servers would have been enough, and when the last were given up.
     lower_since: Option<Instant>,
@@ -92,7 +92,7 @@
 
     /// Records that this VM began to order at `since`, and whether no VM has ordered before.
     pub fn took_over(&mut self, since: Instant, is_first: bool) {
-        self.known_at = Some(since + self.spec.boot + LIST_DELAY);
+        self.known_at = Some(since + self.spec.boot + TAKEOVER_DELAY);
         self.is_first = is_first;
     }
 
@@ -101,7 +101,7 @@
     pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
         self.record_demand(now, observation);
         self.record_firm(observation);
-        let known_at = *self.known_at.get_or_insert(now + self.spec.boot + LIST_DELAY);
+        let known_at = *self.known_at.get_or_insert(now + self.spec.boot + TAKEOVER_DELAY);
         let is_known = now >= known_at;
         if !is_known && !self.is_first {
             return Vec::new();
@@ -213,6 +213,7 @@
         self.figures = Figures { needed, wanted, domains_available };
     }
 
+    /// Whether a reduction is due; it then counts as made.
     fn may_shrink(&mut self, now: Instant) -> bool {
         let since = *self.lower_since.get_or_insert(now);
         let may =
--- a/crates/scaling/src/types.rs
+++ b/crates/scaling/src/types.rs
@@ -20,7 +20,7 @@
 }
 
 impl ScalingSpec {
-    /// The price of a server of a failure domain; 1 if the configuration has none.
+    /// The price of a server of a failure domain; 1,000 if the configuration has none.
     pub(crate) fn price_permille(&self, failure_domain: &str) -> u32 {
         self.domain_prices_permille.get(failure_domain).copied().unwrap_or(1_000)
     }
