Give up no firm servers before the list has settled

Cause: where no VM has ordered before, the holder took the first lists for complete. Change: servers are given up only once the list has named no further ones for three seconds.

--- a/crates/scaling/src/planner.rs
+++ b/crates/scaling/src/planner.rs
@@ -25,6 +25,9 @@
 const ROOM_DIVISOR: u32 = 10;
 /// The time beyond the boot time after which the list names all servers that an earlier holder has ordered.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(500);
+/// The list counts as complete once it has named no further servers for this long: it lags, and names servers
+/// that start together one after the other.
+const LIST_SETTLING: Duration = Duration::from_secs(3);
 
 /// The figures that led to the last targets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -50,6 +53,8 @@
     domains: BTreeMap<String, Domain>,
     /// The most firm servers that each failure domain has had while it had no spot servers.
     firm_before: BTreeMap<String, u32>,
+    /// When the list named further firm servers of them for the last time.
+    firm_grew_at: Option<Instant>,
     /// Since when fewer servers would have been enough, and when the last were given up.
     lower_since: Option<Instant>,
     shrunk_at: Option<Instant>,
@@ -69,6 +74,7 @@
             is_first: false,
             domains: BTreeMap::new(),
             firm_before: BTreeMap::new(),
+            firm_grew_at: None,
             lower_since: None,
             shrunk_at: None,
             may_lower: false,
@@ -84,7 +90,7 @@
     /// Records the demand while another VM orders the servers.
     pub fn observe(&mut self, now: Instant, observation: &Observation) {
         self.record_demand(now, observation);
-        self.record_firm(observation);
+        self.record_firm(now, observation);
         self.known_at = None;
         self.domains.clear();
         (self.lower_since, self.shrunk_at) = (None, None);
@@ -100,9 +106,10 @@
     /// that an earlier holder may have ordered.
     pub fn plan(&mut self, now: Instant, observation: &Observation) -> Vec<Target> {
         self.record_demand(now, observation);
-        self.record_firm(observation);
+        self.record_firm(now, observation);
         let known_at = *self.known_at.get_or_insert(now + self.spec.boot + TAKEOVER_DELAY);
-        let is_known = now >= known_at;
+        let is_settled = self.firm_grew_at.is_none_or(|it| now >= it + LIST_SETTLING);
+        let is_known = now >= known_at && is_settled;
         if !is_known && !self.is_first {
             return Vec::new();
         }
@@ -154,11 +161,12 @@
         }
     }
 
-    fn record_firm(&mut self, observation: &Observation) {
+    fn record_firm(&mut self, now: Instant, observation: &Observation) {
         for (name, listed) in &observation.servers {
-            if listed.spot + listed.spot_leaving == 0 {
-                let firm = self.firm_before.entry(name.clone()).or_default();
-                *firm = listed.firm.max(*firm);
+            let firm = self.firm_before.entry(name.clone()).or_default();
+            if listed.spot + listed.spot_leaving == 0 && listed.firm > *firm {
+                *firm = listed.firm;
+                self.firm_grew_at = Some(now);
             }
         }
     }
@@ -344,6 +352,6 @@
     match domains {
         0 => 0,
         1 => needed,
-        _ => (needed * domains).div_ceil(domains - 1),
+        _ => needed.saturating_mul(domains).div_ceil(domains - 1),
     }
 }
--- a/crates/scaling/tests/new_holder.rs
+++ b/crates/scaling/tests/new_holder.rs
@@ -50,6 +50,18 @@
     assert_eq!(platform.counts(), (0, 90));
 }
 
+/// Guards against servers that are given up because a list that grows step by step names them only after the
+/// boot time.
+#[test]
+fn growing_list() {
+    let mut platform = Platform::new(&["a", "b", "c"], 30, 94);
+    platform.start_firm("b", 20, BOOT - Duration::from_secs(1));
+    platform.start_firm("c", 20, BOOT + Duration::from_secs(1));
+    platform.planner.took_over(platform.now, true);
+    platform.run(Duration::from_secs(20), |_| {});
+    assert_eq!(platform.counts(), (0, 90));
+}
+
 /// Guards against twice as many servers when the holder changes while both kinds serve.
 #[test]
 fn amid_exchange() {
