--- a/crates/policy/tests/server_speeds.rs
+++ b/crates/policy/tests/server_speeds.rs
@@ -182,8 +182,7 @@
 /// reading alone exceeds their target, and against refusing them when there is one everywhere.
 #[test]
 fn beside_long_prompts() {
-    // At 40 tokens a ms this takes 400 ms, less than the delay by which another prefill of the prefix counts.
-    let long = PendingWork { requests: 1, unread_tokens: 16_000 };
+    let long = PendingWork { requests: 1, unread_tokens: 50_000 };
     let mut fixture = fixture(1, 8);
     state_all(&mut fixture, |_| 100);
     let note = || prompt(7, 6_000, 500);
