--- a/crates/policy-bench/src/lib.rs
+++ b/crates/policy-bench/src/lib.rs
@@ -10,7 +10,6 @@
 mod router;
 mod server;
 mod sim;
-mod speeds;
 mod workload;
 
 pub use baselines::{Balancing, Direct, StrictPriority};
@@ -19,5 +18,4 @@
 pub use report::{ClassResult, Results};
 pub use router::{AttemptFailure, AttemptId, Command, Job, RetryOutcome, Router};
 pub use sim::{Design, run};
-pub use speeds::Speeds;
 pub use workload::{Arrival, Deployment, Fault, FaultKind, Traffic, Workload, WorkloadSettings};
--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
 use policy::{Admission, Hedge, Pacing};
 use policy_bench::{
-    Deployment, Design, Fault, FaultKind, Results, Speeds, Traffic, Workload, WorkloadSettings, run,
+    Deployment, Design, Fault, FaultKind, Results, Traffic, Workload, WorkloadSettings, run,
 };
 
 const DESIGNS: [Design; 6] = [
@@ -69,13 +69,6 @@
         .arg(flag("straggler", "Slow one server down to a fifth"))
         .arg(flag("crash", "Crash one server"))
         .arg(flag("lost-router", "Lose one router"))
-        .arg(
-            Arg::new("speeds")
-                .long("speeds")
-                .value_parser(["alike", "unlike", "stated"])
-                .default_value("alike")
-                .help("Speeds of the servers: alike, unlike with noise, the same and stated"),
-        )
         .arg(flag("json", "Print JSON"))
 }
 
@@ -109,11 +102,6 @@
         traffic: if matches.get_flag("by-class") { Traffic::ByClass } else { Traffic::Uneven },
         urgent_between_token_ms: number("urgent-between"),
         pacing: if matches.get_flag("no-pacing") { Pacing::Off } else { Pacing::Adaptive },
-        speeds: match matches.get_one::<String>("speeds").map(String::as_str) {
-            Some("unlike") => Speeds::Unlike,
-            Some("stated") => Speeds::Stated,
-            _ => Speeds::Alike,
-        },
         ..WorkloadSettings::default()
     }
 }
@@ -152,14 +140,13 @@
     );
     for class in &results.classes {
         println!(
-            "  {:13} attained {:5.1}% of {:5} ({:5.1}% after faults), between {:5.1}%, first token p99 {:.0} ms, refused {}, late {}, lost {}, \
+            "  {:13} attained {:5.1}% of {:5} ({:5.1}% after faults), between {:5.1}%, refused {}, late {}, lost {}, \
              share {:.1}%",
             class.name,
             class.attainment * 100.0,
             class.offered,
             class.attainment_after_fault * 100.0,
             class.between_attainment * 100.0,
-            class.first_token_p99_ms,
             class.refused,
             class.late,
             class.lost,
--- a/crates/policy-bench/src/report.rs
+++ b/crates/policy-bench/src/report.rs
@@ -57,8 +57,6 @@
     pub attainment_after_fault: f64,
     /// Fraction of the complete answers whose mean inter-token latency met its target.
     pub between_attainment: f64,
-    /// The time from arrival to the first token that 99 % of the answers that began met.
-    pub first_token_p99_ms: f64,
     /// Requests refused on arrival or from the queue.
     pub refused: usize,
     /// Requests ended by the caller's deadline.
@@ -185,7 +183,6 @@
             attainment: ratio(attained, requests.len()),
             attainment_after_fault: ratio(attained_after_fault, after_fault.len()),
             between_attainment: ratio(between_attained, complete),
-            first_token_p99_ms: first_token_p99_ms(&requests),
             refused: count(JobEnd::Refused),
             late: count(JobEnd::Late),
             lost: count(JobEnd::Lost),
@@ -221,14 +218,6 @@
     }
 }
 
-fn first_token_p99_ms(requests: &[(&Arrival, &JobRecord)]) -> f64 {
-    let waits = requests.iter().filter_map(|(arrival, job)| Some(job.first_token? - arrival.at));
-    let mut waits: Vec<_> = waits.collect();
-    waits.sort_unstable();
-    let last = waits.len().saturating_sub(1);
-    waits.get(last * 99 / 100).map_or(0.0, |it| it.as_secs_f64() * 1e3)
-}
-
 fn ratio(count: usize, total: usize) -> f64 {
     count as f64 / total.max(1) as f64
 }
--- a/crates/policy-bench/src/server.rs
+++ b/crates/policy-bench/src/server.rs
@@ -54,7 +54,6 @@
             waiting: load.waiting,
             batch_max: load.batch_max,
             kv_used_permille: load.kv_used_permille,
-            slowness_percent: None,
             age,
         }
     }
--- a/crates/policy-bench/src/sim/engines.rs
+++ b/crates/policy-bench/src/sim/engines.rs
@@ -1,22 +1,15 @@
 //! Events at servers: requests, pauses, cancellations and engine steps.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::BTreeMap;
 
 use engine_model::{Priority, RequestId, RequestSpec, StepReport};
-use policy::LoadReport;
 
 use super::{Event, Sim, ToRouter, ToServer};
 use crate::{
     router::{AttemptFailure, AttemptId},
     server::ServerState,
-    speeds::{Speeds, slowdown_permille},
 };
 
-const PERMILLE_PER_PERCENT: u64 = 10;
-
 impl Sim<'_> {
     pub(super) fn handle_server_message(&mut self, server: usize, message: ToServer) {
         let is_up = self.servers[server].state == ServerState::Up;
@@ -75,12 +68,7 @@
     }
 
     fn start_step(&mut self, server: usize) {
-        let settings = &self.workload.settings;
         let entry = &mut self.servers[server];
-        if settings.speeds != Speeds::Alike {
-            let slowdown = slowdown_permille(settings.seed, server, self.now);
-            entry.engine.set_slowdown_permille(slowdown);
-        }
         if entry.step.is_some() || entry.engine.is_idle() || entry.state == ServerState::Down {
             return;
         }
@@ -91,34 +79,13 @@
         self.schedule_after(duration, Event::StepEnd { server, seq });
     }
 
-    /// Sends the load of a server of unlike speed to the routers whose answers begin.
-    fn report_with_answers(&mut self, server: usize, routers: BTreeSet<usize>) {
-        let settings = &self.workload.settings;
-        let slowdown = slowdown_permille(settings.seed, server, self.now);
-        let slowness_percent = match settings.speeds {
-            Speeds::Alike => return,
-            Speeds::Unlike => None,
-            Speeds::Stated => Some((slowdown / PERMILLE_PER_PERCENT) as u32),
-        };
-        let report = self.servers[server].report(Duration::ZERO);
-        let report = LoadReport { slowness_percent, ..report };
-        for router in routers {
-            let message = ToRouter::Report(server, report);
-            self.schedule_after(self.workload.latency, Event::RouterMessage(router, message));
-        }
-    }
-
-    fn send_tokens(&mut self, server: usize, step: StepReport) {
+    fn send_tokens(&mut self, _server: usize, step: StepReport) {
         let in_window = self.metrics.in_window(self.now);
         let mut by_router: BTreeMap<usize, (Vec<_>, Vec<_>)> = BTreeMap::new();
-        let mut began_for = BTreeSet::new();
         for emitted in step.tokens {
             self.metrics.generated_tokens += u64::from(emitted.count);
             let attempt = AttemptId(emitted.id.0);
             let Some(state) = self.attempts.get_mut(&attempt) else { continue };
-            if state.produced_tokens == 0 {
-                began_for.insert(state.router);
-            }
             state.produced_tokens += emitted.count;
             state.window_tokens += u64::from(emitted.count) * u64::from(in_window);
             by_router.entry(state.router).or_default().0.push((attempt, emitted.count));
@@ -128,7 +95,6 @@
             let Some(state) = self.attempts.get(&attempt) else { continue };
             by_router.entry(state.router).or_default().1.push(attempt);
         }
-        self.report_with_answers(server, began_for);
         for (router, (tokens, finished)) in by_router {
             let message = ToRouter::Tokens(tokens, finished);
             self.schedule_after(self.workload.latency, Event::RouterMessage(router, message));
--- a/crates/policy-bench/src/workload.rs
+++ b/crates/policy-bench/src/workload.rs
@@ -7,8 +7,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::speeds::Speeds;
-
 const WORKSPACES: usize = 10;
 const LARGE_WORKSPACES: usize = 2;
 const LARGE_WORKSPACES_FRACTION: f64 = 0.6;
@@ -59,8 +57,6 @@
     pub pacing: Pacing,
     /// How requests are distributed over the routers.
     pub traffic: Traffic,
-    /// How fast the servers are.
-    pub speeds: Speeds,
     /// The faults to inject.
     pub faults: Vec<Fault>,
 }
@@ -90,7 +86,6 @@
             urgent_between_token_ms: 100,
             pacing: Pacing::Adaptive,
             traffic: Traffic::Uneven,
-            speeds: Speeds::Alike,
             faults: Vec::new(),
         }
     }
--- a/crates/policy/src/backend.rs
+++ b/crates/policy/src/backend.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state of one backend server: health, capacity and speed.
 
 use std::{
+    collections::BTreeMap,
     ops::AddAssign,
     time::{Duration, Instant},
 };
@@ -10,17 +11,15 @@
 use crate::{
     estimate::Ewma,
     failing::FailureRecord,
-    hash::mix,
     kept_connections::KeptConnections,
     keys::PoolKey,
     pace::{Ceiling, Pace},
     path_proof::PathProof,
-    prefill_queue::PrefillQueue,
     rate_limit::ServerLimit,
     scheduler::DownReport,
+    selection::mix,
     settings::{OtherLoad, Settings},
     software::VersionHash,
-    stated_slowness::StatedSlowness,
 };
 
 const GAP_EWMA_WEIGHT: f64 = 0.1;
@@ -71,9 +70,6 @@
     pub batch_max: u32,
     /// KV cache memory in use.
     pub kv_used_permille: u32,
-    /// How long work takes at the server at this moment, in percent of the usual time, if the server
-    /// states it.
-    pub slowness_percent: Option<u32>,
     /// Age of the report when it arrived.
     pub age: Duration,
 }
@@ -146,8 +142,6 @@
     pub(crate) slowness: f64,
     /// The same with times of at least [`COMPARED_TIME_MIN_MS`].
     compared_slowness: f64,
-    /// How slow the server is by its own statements.
-    pub(crate) stated_slowness: StatedSlowness,
     /// The number of gaps in `gap_ms`.
     gap_count: u32,
     /// The latest incarnation whose crash was recorded.
@@ -179,6 +173,44 @@
     others_work: Option<(PendingWork, Instant)>,
 }
 
+/// Prompt tokens that a server still has to prefill, by the priority of their requests.
+#[derive(Debug, Default)]
+pub(crate) struct PrefillQueue {
+    requests: u32,
+    tokens: BTreeMap<u8, u64>,
+}
+
+impl PrefillQueue {
+    /// The fraction of lower-priority prompt tokens that delays a request, because engines
+    /// interleave the chunks of several prompts.
+    const LOWER_PRIORITY_WEIGHT: f64 = 0.25;
+
+    pub(crate) fn add(&mut self, priority: u8, tokens: u32) {
+        self.requests += 1;
+        *self.tokens.entry(priority).or_default() += u64::from(tokens);
+    }
+
+    pub(crate) fn remove(&mut self, priority: u8, tokens: u32) {
+        self.requests = self.requests.saturating_sub(1);
+        if let Some(queued) = self.tokens.get_mut(&priority) {
+            *queued = queued.saturating_sub(u64::from(tokens));
+        }
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens.values().sum()
+    }
+
+    /// The expected number of tokens that are prefilled before a request of this priority.
+    pub(crate) fn tokens_ahead_of(&self, priority: u8) -> f64 {
+        let weigh = |(other, tokens): (&u8, &u64)| match *other >= priority {
+            true => *tokens as f64,
+            false => *tokens as f64 * Self::LOWER_PRIORITY_WEIGHT,
+        };
+        self.tokens.iter().map(weigh).sum()
+    }
+}
+
 /// A time in which a server that refused a request is sent no others.
 #[derive(Debug, Clone, Copy)]
 struct OverloadBackoff {
@@ -219,7 +251,6 @@
             pace: Pace::default(),
             slowness: 1.0,
             compared_slowness: 1.0,
-            stated_slowness: StatedSlowness::default(),
             gap_count: 0,
             crashed_incarnation: None,
             overload_backoff: None,
@@ -250,7 +281,6 @@
         self.overload_backoff = None;
         self.failures = FailureRecord::default();
         self.reset_speed();
-        self.stated_slowness = StatedSlowness::default();
         self.other_requests = 0;
     }
 
@@ -360,9 +390,6 @@
         if report.batch_max > 0 {
             self.reported_slots = Some(report.batch_max);
         }
-        if let Some(percent) = report.slowness_percent.filter(|it| *it > 0) {
-            self.stated_slowness.record(now, percent, report.age);
-        }
         self.other_waiting = report.waiting.saturating_sub(self.prefill_queue.requests);
         let requests = report.running.saturating_add(report.waiting);
         self.other_requests = requests.saturating_sub(self.in_flight);
--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -6,7 +6,7 @@
 
 use std::cmp::Reverse;
 
-use crate::{hash::mix, spec::WHOLE_PERMILLE};
+use crate::{selection::mix, spec::WHOLE_PERMILLE};
 
 /// The share of a server's slots that is divided equally.
 const EQUAL_PERMILLE: u32 = 100;
--- a/crates/policy/src/partition.rs
+++ b/crates/policy/src/partition.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::{backend::Backend, hash::mix, keys::BackendKey};
+use crate::{backend::Backend, keys::BackendKey, selection::mix};
 
 /// A side of the partition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -15,7 +15,6 @@
     keys::{BackendKey, ClassKey},
     pace::PaceTarget,
     partition::Partition,
-    reading_speed::ReadingSpeed,
     spec::{PoolSpec, WHOLE_PERMILLE},
     work_time::WorkTime,
 };
@@ -53,8 +52,6 @@
     pub(crate) was_unreachable: bool,
     /// How long servers take for a request.
     pub(crate) work_time: WorkTime,
-    /// How fast servers read prompts, if they state how slow they are.
-    pub(crate) reading_speed: ReadingSpeed,
     /// The division of the servers by the target between tokens.
     pub(crate) partition: Partition,
 }
@@ -107,7 +104,6 @@
             last_rejection: None,
             was_unreachable: false,
             work_time: WorkTime::default(),
-            reading_speed: ReadingSpeed::default(),
             partition: Partition::default(),
         }
     }
--- a/crates/policy/src/prompt.rs
+++ b/crates/policy/src/prompt.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{hash::mix, keys::BackendKey};
+use crate::{keys::BackendKey, selection::mix};
 
 /// Time for which a prefix that was sent to a server is assumed to be cached there. It is short, so
 /// that a prefix returns to the home server that all routers agree on once a burst is over.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -151,10 +151,6 @@
     pub(crate) expected_turns: f64,
     /// Prompt tokens that the server is expected to prefill before the first token.
     pub(crate) prefill_tokens: u32,
-    /// How slow the server was when it was selected, if it states that.
-    pub(crate) slowness_percent: Option<u32>,
-    /// Whether the time to the first token tells how fast the server reads.
-    pub(crate) is_speed_sample: bool,
     /// `None` if the prompt is unknown.
     pub(crate) estimate: Option<PlacementEstimate>,
 }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -16,7 +16,6 @@
 mod poll;
 mod preempt;
 mod reach;
-mod speed;
 mod transitions;
 mod versions;
 
--- a/crates/policy/src/scheduler/events.rs
+++ b/crates/policy/src/scheduler/events.rs
@@ -41,7 +41,6 @@
     pub fn first_token(&mut self, ticket: Ticket, now: Instant) {
         self.release_reservation(ticket);
         self.finish_prefill(ticket);
-        self.record_reading_speed(now, ticket);
         self.record_answer(now, ticket);
         self.record_answer_time(now, ticket);
         let Some(request) = self.requests.get_mut(ticket) else { return };
--- a/crates/policy/src/scheduler/poll.rs
+++ b/crates/policy/src/scheduler/poll.rs
@@ -291,11 +291,10 @@
         let prompt = self.prompts.get(ticket);
         let to_try = self.server_to_try(ticket);
         let criteria = Criteria { prompt, own_side: &own_side, side, to_try, ..criteria };
-        let pool_speed = self.pool_speed(pool);
         let (backends, settings, recent_prefixes) =
             (&self.backends, &self.settings, &self.recent_prefixes);
-        let members = &self.pools[pool].members;
-        let selector = Selector { backends, members, settings, recent_prefixes, pool_speed, now };
+        let members = &self.pools[request.offer.pool].members;
+        let selector = Selector { backends, members, settings, recent_prefixes, now };
         selector.pick(&criteria, &mut self.rng)
     }
 
@@ -337,11 +336,10 @@
 
     /// A selector over all servers of a pool.
     pub(super) fn selector(&self, now: Instant, pool: PoolKey) -> Selector<'_> {
-        let pool_speed = self.pool_speed(pool);
         let members = &self.pools[pool].members;
         let (backends, settings, recent_prefixes) =
             (&self.backends, &self.settings, &self.recent_prefixes);
-        Selector { backends, members, settings, recent_prefixes, pool_speed, now }
+        Selector { backends, members, settings, recent_prefixes, now }
     }
 
     /// The criteria for a request without its prompt and its side of the partition.
@@ -353,13 +351,12 @@
         suspect_hosts: &'a [BackendKey],
     ) -> Criteria<'a> {
         let offer = &request.offer;
-        let class = &self.classes[offer.class].spec;
         Criteria {
             prefix_hash: offer.prefix_hash,
             prompt: None,
             own_side: &[],
             side: None,
-            priority: class.priority,
+            priority: self.classes[offer.class].spec.priority,
             tried: &request.tried,
             to_try: None,
             version: request.version,
@@ -368,8 +365,7 @@
             isolation: self.quarantine.isolation(now, offer.request_hash),
             suspect_hosts,
             ceiling: Ceiling::Full,
-            gap_limit_ms: class.between_token_target_ms as f64,
-            first_token_target_ms: class.first_token_target_ms as f64,
+            gap_limit_ms: self.classes[offer.class].spec.between_token_target_ms as f64,
         }
     }
 
--- a/crates/policy/src/scheduler/transitions.rs
+++ b/crates/policy/src/scheduler/transitions.rs
@@ -70,8 +70,7 @@
         }
         self.backends[backend].kept.take();
         self.count_for_trials(self.requests[ticket].offer.pool, backend);
-        let slowness_percent = self.slowness_percent(now, backend);
-        let (estimate, is_speed_sample) = self.record_prefill(now, ticket, backend).unzip();
+        let estimate = self.record_prefill(now, ticket, backend);
         let request = &mut self.requests[ticket];
         let attempt = Attempt {
             backend,
@@ -85,8 +84,6 @@
             longest_pause: Duration::ZERO,
             expected_turns: self.backends[backend].expected_turns(now),
             prefill_tokens: estimate.map_or(0, |it| it.prefill_tokens),
-            slowness_percent,
-            is_speed_sample: is_speed_sample.unwrap_or(false),
             estimate,
         };
         request.phase = Phase::Running(attempt);
@@ -102,14 +99,14 @@
         queue.dispatch_rate.add(now, u64::from(cost));
     }
 
-    /// Records the prefill that the request causes at the server, and returns what was known before
-    /// and whether the attempt measures the server's speed; `None` if the prompt is unknown.
+    /// Records the prefill that the request causes at the server, and returns what was known before;
+    /// `None` if the prompt is unknown.
     fn record_prefill(
         &mut self,
         now: Instant,
         ticket: Ticket,
         backend: BackendKey,
-    ) -> Option<(PlacementEstimate, bool)> {
+    ) -> Option<PlacementEstimate> {
         let prompt = self.prompts.get(ticket)?;
         let request = &self.requests[ticket];
         let offer = request.offer;
@@ -125,11 +122,10 @@
             queued_tokens: server.prefill_queue.tokens() + other_tokens as u64,
             server_requests: server.in_flight + other_requests as u32,
         };
-        let is_speed_sample = self.is_speed_sample(now, backend, prompt, &estimate);
         self.recent_prefixes.record(now, prompt, backend);
         let priority = self.classes[offer.class].spec.priority;
         self.backends[backend].prefill_queue.add(priority, uncached);
-        Some((estimate, is_speed_sample))
+        Some(estimate)
     }
 
     /// Removes the request's prefill from the server's queue, after it finished or the attempt
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -5,8 +5,6 @@
 //! loaded of two random servers is used. Random pairs keep routers that hold the same outdated load
 //! reports from all selecting the same server.
 
-mod cost;
-
 use std::time::Instant;
 
 use rand::RngExt;
@@ -15,7 +13,6 @@
 
 use crate::{
     backend::{Backend, Health},
-    hash::mix,
     keys::BackendKey,
     pace::Ceiling,
     partition::Side,
@@ -31,6 +28,28 @@
 /// The fraction of a shared prefix that its first and second home server are assumed to have
 /// cached, since all routers prefer these two.
 const HOME_CACHED_FRACTIONS: [f64; 2] = [1.0, 0.2];
+/// Weight of a prompt token to prefill relative to a token that is already queued, in an idle pool
+/// and in a full one. Prefill delays the running and later requests of the server, and in a full
+/// pool the requests of all other servers too.
+const PREFILL_WEIGHTS: [f64; 2] = [5.0, 80.0];
+/// Cost of one more running request for all streams of a server together, at 0.1 ms per step.
+const BATCH_COST_MS: f64 = 8.0;
+/// Cost of each request beyond the server's slots.
+const OVER_SLOTS_COST_MS: f64 = 100.0;
+/// A pool counts as full once this fraction of its slots is in use, as prompts queue by then.
+const FULL_POOL_FRACTION: f64 = 0.5;
+/// Cost of a server of the lenient side for a strict request.
+const LENIENT_SERVER_COST_MS: f64 = 80.0;
+/// Cost of a server of the strict side for a lenient request; it is high because a long prompt
+/// stalls all strict streams of a server.
+const STRICT_SERVER_COST_MS: f64 = 3_000.0;
+/// Gain of using a permit for a server with a rate limit, which would expire unused. It outweighs the
+/// prefill of a short prompt and not that of a long one.
+const PERMIT_GAIN_MS: f64 = 100.0;
+/// Cost of a new connection, for the request and for the server.
+const CONNECT_COST_MS: f64 = 24.0;
+/// The same for requests without a prompt, as a fraction of a server's slots.
+const CONNECT_LOAD: f64 = 0.1;
 /// The servers of a kind that are compared for a request without a prompt.
 const COMPARED_SERVERS: usize = 2;
 /// The servers of each side of the partition that are compared for a prompt though the router has no reason
@@ -41,6 +60,9 @@
 /// One in so many requests without a prompt does not prefer servers with a kept connection, so that a router
 /// learns how the others do.
 const EXPLORE_EVERY: u32 = 4;
+/// Upper bound of the slowness factor, as gaps between tokens also differ by the running requests.
+const SLOWNESS_MAX: f64 = 1.5;
+
 /// What restricts and guides the selection of a server for one request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Criteria<'a> {
@@ -68,8 +90,6 @@
     pub(crate) suspect_hosts: &'a [BackendKey],
     /// A straggler is eligible only if its gap between tokens is at most this.
     pub(crate) gap_limit_ms: f64,
-    /// The target of the request's class for the time to the first token.
-    pub(crate) first_token_target_ms: f64,
     pub(crate) ceiling: Ceiling,
 }
 
@@ -79,20 +99,9 @@
     pub(crate) members: &'a [BackendKey],
     pub(crate) settings: &'a Settings,
     pub(crate) recent_prefixes: &'a RecentPrefixes,
-    /// `None` if the servers of the pool do not state how slow they are.
-    pub(crate) pool_speed: Option<PoolSpeed>,
     pub(crate) now: Instant,
 }
 
-/// What the router has measured of the speed of a pool.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct PoolSpeed {
-    /// Prompt tokens that a server reads in a millisecond when work takes as long as usual.
-    pub(crate) prefill_tokens_per_ms: f64,
-    /// The median time between two tokens of a stream.
-    pub(crate) gap_ms: Option<f64>,
-}
-
 impl Selector<'_> {
     /// The best eligible server with a free slot, if there is one.
     pub(crate) fn pick(&self, criteria: &Criteria<'_>, rng: &mut ChaCha8Rng) -> Option<BackendKey> {
@@ -172,10 +181,10 @@
         if !candidates.contains(&key) {
             return None;
         }
-        let sum: f64 = candidates.iter().map(|it| self.weighted_load(*it)).sum();
+        let sum: f64 = candidates.iter().map(|it| self.load(*it)).sum();
         let mean = sum / candidates.len() as f64;
         let bound = mean * self.settings.affinity_bound + AFFINITY_LOAD_SLACK;
-        (self.weighted_load(key) <= bound).then_some(key)
+        (self.load(key) <= bound).then_some(key)
     }
 
     /// The server with the lowest cost: the expected time to the first token and the delay that the
@@ -191,13 +200,11 @@
     ) -> Option<BackendKey> {
         let prompt = criteria.prompt?;
         let homes = self.homes(prompt, criteria.own_side);
-        let mut candidates = candidates.to_vec();
-        self.retain_in_time(&mut candidates, criteria, prompt, &homes);
-        let candidates = self.compared(&candidates, prompt, &homes, criteria.own_side, rng);
+        let candidates = self.compared(candidates, prompt, &homes, criteria.own_side, rng);
         let weight = self.prefill_weight();
         let cost = |it: &BackendKey| {
-            let tokens = f64::from(self.uncached_tokens(*it, prompt, &homes));
-            (*it, self.cost_ms(*it, tokens, weight, criteria))
+            let weighted_tokens = f64::from(self.uncached_tokens(*it, prompt, &homes)) * weight;
+            (*it, self.cost_ms(*it, weighted_tokens, criteria))
         };
         let costs = candidates.iter().map(cost);
         costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|it| it.0)
@@ -230,6 +237,41 @@
         compared
     }
 
+    /// The weight of a token to prefill, by the fraction of the pool's slots in use.
+    fn prefill_weight(&self) -> f64 {
+        let usable = self.members.iter().map(|it| &self.backends[*it]).filter(|it| it.is_usable());
+        let (mut used, mut slots) = (0.0, 0.0);
+        for backend in usable {
+            used += f64::from(backend.in_flight) + backend.other_routers_load(self.now).0;
+            slots += f64::from(backend.slots());
+        }
+        let used_fraction = (used / f64::max(slots * FULL_POOL_FRACTION, 1.0)).min(1.0);
+        let [idle, full] = PREFILL_WEIGHTS;
+        idle + (full - idle) * used_fraction * used_fraction
+    }
+
+    /// The cost of a request on a server, given its weighted tokens to prefill.
+    fn cost_ms(&self, key: BackendKey, weighted_tokens: f64, criteria: &Criteria<'_>) -> f64 {
+        let backend = &self.backends[key];
+        let (others, other_tokens) = backend.other_routers_load(self.now);
+        let queued = backend.prefill_queue.tokens_ahead_of(criteria.priority) + other_tokens;
+        let prefill_ms = (weighted_tokens + queued) / self.settings.prefill_tokens_per_ms;
+        let batch = f64::from(backend.in_flight) + others;
+        let over = (batch - f64::from(backend.slots())).max(0.0);
+        let slowness = backend.slowness.clamp(1.0, SLOWNESS_MAX);
+        let is_own = criteria.own_side.contains(&key);
+        let partition_ms = match criteria.side {
+            Some(Side::Strict) if !is_own => LENIENT_SERVER_COST_MS,
+            Some(Side::Lenient) if !is_own => STRICT_SERVER_COST_MS,
+            _ => 0.0,
+        };
+        let permit_ms = if self.is_limited(key) { PERMIT_GAIN_MS } else { 0.0 };
+        let connect_ms = if self.has_connection(key) { 0.0 } else { CONNECT_COST_MS };
+        (prefill_ms + batch * BATCH_COST_MS + over * OVER_SLOTS_COST_MS) * slowness + partition_ms
+            - permit_ms
+            + connect_ms
+    }
+
     /// The tokens of a prompt that a server is expected to prefill.
     pub(crate) fn uncached_tokens(
         &self,
@@ -281,6 +323,15 @@
         lowest(compared, |it| self.score(it) + self.connect_load(it))
     }
 
+    fn score(&self, key: BackendKey) -> f64 {
+        let backend = &self.backends[key];
+        self.load(key) * backend.slowness.max(1.0)
+    }
+
+    fn connect_load(&self, key: BackendKey) -> f64 {
+        if self.has_connection(key) { 0.0 } else { CONNECT_LOAD }
+    }
+
     /// Whether an idle connection to the server is kept.
     fn has_connection(&self, key: BackendKey) -> bool {
         self.backends[key].kept.has_one(self.now, &self.settings.kept_connections)
@@ -304,3 +355,10 @@
         candidates.retain(|it| holds(*it));
     }
 }
+
+/// Spreads the bits of a combined hash (the finaliser of SplitMix64).
+pub(crate) fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/crates/policy/tests/support/fixture.rs
+++ b/crates/policy/tests/support/fixture.rs
@@ -145,7 +145,6 @@
         waiting: 0,
         batch_max,
         kv_used_permille: 0,
-        slowness_percent: None,
         age: Duration::from_secs(1),
     }
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -355,7 +355,6 @@
             prefill_tokens = estimate.map(|it| it.prefill_tokens),
             queued_tokens = estimate.map(|it| it.queued_tokens),
             server_requests = estimate.map(|it| it.server_requests),
-            slowness_percent = self.lease.slowness_percent(),
             first_ms = self.first_token.map(millis),
             pause_ms = self.first_token.map(|_| millis(self.longest_gap)),
             took_ms = millis(self.services.clock.now().saturating_duration_since(self.started)),
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -31,7 +31,6 @@
 use rand_chacha::ChaCha8Rng;
 use rpc::Link;
 use tables::{CallerLimits, Tables};
-use telemetry::Throttle;
 
 pub use self::components::{Components, Interface, Platform};
 use self::{
@@ -56,7 +55,7 @@
     quarantine_exchange::{self, RouterAdmin},
     readiness::{Readiness, RouterHealth},
     relay::Relay,
-    services::{Services, UNREADABLE_SLOWNESS_LOG_INTERVAL},
+    services::Services,
     settings::RouterSettings,
     shared_work::WorkMember,
     stop_deadline::{StopDeadline, StopSchedule},
@@ -402,7 +401,6 @@
             CounterId(components.seed),
             &components.clock,
         ),
-        unreadable_slowness: Throttle::new(UNREADABLE_SLOWNESS_LOG_INTERVAL),
         memory,
         peers: settings.peers.clone(),
         forwarder,
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -99,20 +99,6 @@
     pub waiting: u32,
     /// The maximum number of concurrently running requests.
     pub slots: u32,
-    /// How long work takes at the server at this moment.
-    pub slowness: SlownessNotice,
-}
-
-/// What a server says about how long work takes there at this moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum SlownessNotice {
-    /// It says nothing.
-    #[default]
-    Unstated,
-    /// It says how long, in percent of the usual time; never zero.
-    Percent(u32),
-    /// It says something that cannot be read.
-    Unreadable,
 }
 
 /// The header conventions of one platform's callers and backend servers.
--- a/crates/router/src/dispatch/lease.rs
+++ b/crates/router/src/dispatch/lease.rs
@@ -147,12 +147,6 @@
         self.dispatcher.apply(|scheduler, _| scheduler.placement_estimate(self.ticket))
     }
 
-    /// How slow the server of the current attempt was when it was selected, in percent of the usual time; `None`
-    /// if it has not stated it.
-    pub(crate) fn slowness_percent(&self) -> Option<u32> {
-        self.dispatcher.apply(|scheduler, _| scheduler.attempt_slowness_percent(self.ticket))
-    }
-
     /// The ids of the parts of the prompt that other requests may share, for logs.
     pub(crate) fn shared_parts(&self) -> Vec<u64> {
         let prompt =
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -187,7 +187,6 @@
         waiting: load.waiting.into(),
         batch_max: row.slots.into(),
         kv_used_permille: u32::from(load.kv_used_64ths) * PERMILLE / KV_UNITS,
-        slowness_percent: None,
         age: Duration::from_secs(1),
     }
 }
--- a/crates/router/src/load_reports.rs
+++ b/crates/router/src/load_reports.rs
@@ -86,7 +86,6 @@
         waiting: parsed.waiting,
         batch_max: parsed.batch_max,
         kv_used_permille: parsed.kv_used_permille,
-        slowness_percent: None,
         age: Duration::from_millis(parsed.age_ms),
     };
     services.dispatcher.report_load(&pool, &server, &report);
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -17,7 +17,7 @@
     deadline::{Completion, run_until_deadline},
     dialect::{
         AnswerMetadata, AttemptMetadata, Dialect, NotStarted, RateLimitNotice, RequestMetadata,
-        ServerLoad, SlownessNotice,
+        ServerLoad,
     },
     identity::Caller,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
@@ -174,9 +174,6 @@
             self.call.lease.report_pause(pause);
         }
         if let Some(load) = answer.load {
-            if load.slowness == SlownessNotice::Unreadable {
-                self.log_unreadable_slowness();
-            }
             self.call.lease.report_load(&load_report(load));
         }
         if let Some(refusal) = answer.refusal {
@@ -188,18 +185,6 @@
         Ok(response)
     }
 
-    fn log_unreadable_slowness(&self) {
-        let services = &self.call.services;
-        if let Some(suppressed) = services.unreadable_slowness.record(services.clock.now()) {
-            tracing::info!(
-                event = "slowness_unreadable",
-                server = %self.call.lease.server().addr,
-                suppressed,
-                remedy = "send one whole number of percent above 0",
-            );
-        }
-    }
-
     fn record_rate_limit(&mut self, answer: &AnswerMetadata) {
         if answer.refusal == Some(NotStarted::OtherServer) {
             return;
@@ -297,10 +282,6 @@
         waiting: load.waiting,
         batch_max: load.slots,
         kv_used_permille: 0,
-        slowness_percent: match load.slowness {
-            SlownessNotice::Percent(percent) => Some(percent),
-            SlownessNotice::Unstated | SlownessNotice::Unreadable => None,
-        },
         age: Duration::ZERO,
     }
 }
--- a/crates/router/src/services.rs
+++ b/crates/router/src/services.rs
@@ -10,7 +10,6 @@
 use clock::Clock;
 use control_client::Domain;
 use http::HeaderValue;
-use telemetry::Throttle;
 
 use crate::{
     arrival::{IdGenerator, RequestId},
@@ -26,9 +25,6 @@
     usage::Usage,
 };
 
-/// The time between two log lines about servers that state unreadably how slow they are.
-pub(crate) const UNREADABLE_SLOWNESS_LOG_INTERVAL: Duration = Duration::from_secs(60);
-
 /// Timeouts within a request, and the limit of resumes after them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timeouts {
@@ -98,8 +94,6 @@
     pub(crate) streams: StreamOrigins,
     /// The requests that backend servers have begun.
     pub(crate) usage: Usage,
-    /// Bounds the log lines about servers that state unreadably how slow they are.
-    pub(crate) unreadable_slowness: Throttle,
     /// The admin listeners of the other routers of the failure domain.
     pub peers: Vec<SocketAddr>,
     /// The memory for requests and answers.
