Mend two tests that the merges broke

Cause: large heads are charged like large messages since, so that the part of the budget for small messages stays free, while heads_charged still waited for the whole budget to be held; huge_load sent its report under an incarnation that the server does not have, so that it was not applied. Change: heads_charged waits for the part for large messages and asserts that heads never take more than that, a tighter bound than before; huge_load sends a report without an incarnation.

--- a/crates/httpio/tests/memory_budget.rs
+++ b/crates/httpio/tests/memory_budget.rs
@@ -256,11 +256,13 @@
         for _ in 0..count {
             streams.push(server.send_part(head.clone().into_bytes()).await);
         }
-        server.wait_until(|held| held >= SIZE.bytes_max - head.len()).await;
+        // Large heads leave the part for small messages free.
+        let large_bytes_max = SIZE.bytes_max - SIZE.small_bytes;
+        server.wait_until(|held| held >= large_bytes_max - head.len()).await;
         while server.memory.usage().refused == 0 {
             time::sleep(POLL_INTERVAL).await;
         }
-        assert!(server.held() <= SIZE.bytes_max);
+        assert!(server.held() <= large_bytes_max);
         assert_eq!(server.post(0).await, "200 OK: kept", "a small head needs no room");
         drop(streams);
         server.wait_until(|held| held == 0).await;
--- a/crates/policy/tests/server_membership.rs
+++ b/crates/policy/tests/server_membership.rs
@@ -122,7 +122,8 @@
 #[test]
 fn huge_load() {
     let mut fixture = fixture();
-    let huge = LoadReport { waiting: u32::MAX, ..load_report(0, u32::MAX, 4) };
+    let report = load_report(0, u32::MAX, 4);
+    let huge = LoadReport { incarnation: None, waiting: u32::MAX, ..report };
     fixture.scheduler.load_report(fixture.now, fixture.backends[0], &huge);
     fixture.offer("chat");
     assert_eq!(fixture.poll_dispatches(), [], "the server is full");
