--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,8 @@
         system.Replica(site, f"i-{idx}", "books")
     first = system.route("read", "/read/", "books")
     later = system.route("later", "/later/", "books")
-    second = {"name": "anonymous" if has_trouble else "visitors", "api_keys": ["key-second"], "priority": 1}
+    name = {"": "anonymous", "twice": NORTH["name"]}[os.environ.get("VARIANT", "")] if has_trouble else "visitors"
+    second = {"name": name, "api_keys": ["key-second"], "priority": 1}
     try:
         await site.start()
         await site.put(system.config(3, [first], ["books"], [NORTH]))
