--- a/review/9/case.py
+++ b/review/9/case.py
@@ -25,8 +25,7 @@
         if before.status != 200:
             raise system.CouldNotRun(f"orders are not served: {before}")
         if has_trouble:
-            for replica in replicas:
-                replica.cut(site.routers[0].pid)
+            system.cut_all(replicas, site.routers[0].pid)
             site.record.add(f"{site.routers[0].name} is cut off from all replicas for {CUT_S} s")
         end, false_successes, count = site.record.now() + CUT_S, 0, 0
         while site.record.now() < end:
--- a/review/common-2/site_of.py
+++ b/review/common-2/site_of.py
@@ -179,7 +179,7 @@
 
 
 class Listener:
-    """A listener of this process that counts its connections by the process that opened them."""
+    """A listener of this process, with its open connections."""
 
     def __init__(self, ip, taken):
         self.addr = (ip, free_port([ip], taken))
@@ -221,7 +221,7 @@
         }
 
     async def serve(self, reader, writer):
-        if self.is_cut(writer):
+        if await self.is_cut(writer):
             # What a partition that resets looks like to the side that opens the connection.
             reset(writer)
             return
@@ -234,11 +234,12 @@
             else:
                 await self.handle(writer, method, path, fields, body)
 
-    def is_cut(self, writer):
+    async def is_cut(self, writer):
         """Whether the path of the process that opened the connection is cut now."""
-        if not self.cut_pids:
-            return False
-        return any(is_owner(pid, writer) for pid in self.cut_pids)
+        for pid in self.cut_pids:
+            if is_owner(writer, await self.site.sockets_now(pid)):
+                return True
+        return False
 
     async def handle(self, writer, method, path, fields, body):
         request = fields.get("x-request-id")
@@ -264,14 +265,21 @@
         writer.write(f"HTTP/1.1 {status} X\r\n{head}content-length: {len(body)}\r\n\r\n".encode() + body)
         await writer.drain()
 
-    def cut(self, pid):
+    def cut(self, pid, sockets):
         """Cuts the path from a process: its connections are reset, and new ones too."""
         self.cut_pids[pid] = True
         for writer in list(self.writers):
-            if is_owner(pid, writer):
+            if is_owner(writer, sockets):
                 reset(writer)
 
 
+def cut_all(replicas, pid):
+    """Cuts the paths from a process to all of these replicas."""
+    sockets = Sockets(pid)
+    for replica in replicas:
+        replica.cut(pid, sockets)
+
+
 def reset(writer):
     """Closes a connection with a reset."""
     sock = writer.get_extra_info("socket")
@@ -283,50 +291,37 @@
     writer.transport.abort()
 
 
-def sockets_of(pid):
-    """The inodes of the sockets that a process holds."""
-    found = set()
-    try:
-        descriptors = os.listdir(f"/proc/{pid}/fd")
-    except OSError:
-        return found
-    for descriptor in descriptors:
+class Sockets:
+    """The TCP connections that a process holds at a moment, by their local and remote addresses."""
+
+    def __init__(self, pid):
+        own = set()
         try:
-            target = os.readlink(f"/proc/{pid}/fd/{descriptor}")
+            for descriptor in os.listdir(f"/proc/{pid}/fd"):
+                try:
+                    own.add(os.readlink(f"/proc/{pid}/fd/{descriptor}"))
+                except OSError:
+                    continue
         except OSError:
-            continue
-        if target.startswith("socket:["):
-            found.add(target[len("socket:["):-1])
-    return found
-
-
-def tcp_rows():
-    """The local address, the remote address, the state and the inode of each TCP socket."""
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        rows = [line.split() for line in table]
-    return [(it[1], it[2], it[3], it[9]) for it in rows if len(it) > 9 and ":" in it[1]]
+            pass
+        self.ends = set()
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            for line in table:
+                columns = line.split(None, 10)
+                if len(columns) > 9 and f"socket:[{columns[9]}]" in own:
+                    self.ends.add((columns[1], columns[2]))
 
 
 def table_form(addr):
     return "%08X:%04X" % (int.from_bytes(socket.inet_aton(addr[0]), "little"), addr[1])
 
 
-def has_connection(pid, addr):
-    """Whether a process holds an established connection to an address."""
-    own = sockets_of(pid)
-    return any(remote == table_form(addr) and state == "01" and inode in own
-               for _, remote, state, inode in tcp_rows())
-
-
-def is_owner(pid, writer):
-    """Whether a process holds the other end of a connection to this process."""
+def is_owner(writer, sockets):
+    """Whether the other end of a connection to this process is one of a process's sockets."""
     peer, own = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
     if peer is None or own is None:
         return False
-
-    own_sockets = sockets_of(pid)
-    return any(local == table_form(peer) and remote == table_form(own) and inode in own_sockets
-               for local, remote, _, inode in tcp_rows())
+    return (table_form(peer), table_form(own)) in sockets.ends
 
 
 class PlatformList(Listener):
@@ -420,6 +415,7 @@
         self.control_ips = [f"127.0.0.{11 + idx}" for idx in range(controls)]
         self.router_ips = [f"127.0.0.{31 + idx}" for idx in range(routers)]
         self.links = {}
+        self.readings = {}
         ips = self.control_ips + self.router_ips + [f"127.0.0.{51 + idx}" for idx in behind_link]
         self.first_port = free_port(ips, self.taken)
         self.admin_port = free_port(ips, self.taken)
@@ -480,6 +476,17 @@
         for process in self.controls + self.routers:
             process.start()
 
+    async def sockets_now(self, pid):
+        """The sockets of a process, read after this call; calls that come together share one reading."""
+        if pid not in self.readings:
+            async def read():
+                await asyncio.sleep(0)
+                del self.readings[pid]
+                return Sockets(pid)
+
+            self.readings[pid] = asyncio.create_task(read())
+        return await self.readings[pid]
+
     async def put(self, config, control=None, timeout=20.0):
         """Sends a configuration to any control VM, as the operator does, until it is acknowledged."""
         self.version = config["version"]
