--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -128,6 +128,8 @@
     class_names: BTreeMap<String, ClassKey>,
     pool_names: BTreeMap<String, PoolKey>,
     workspace_names: BTreeMap<String, WorkspaceKey>,
+    /// The workspace of all callers that have none, whatever the names of the others are.
+    anonymous: WorkspaceKey,
     backend_names: BTreeMap<String, BackendKey>,
     requests: SlotMap<Ticket, Request>,
     /// The queued requests by their dispatch deadline.
@@ -171,9 +173,17 @@
     retired: bool,
 }
 
+impl Workspace {
+    fn new(spec: WorkspaceSpec) -> Workspace {
+        Workspace { spec, in_flight: 0, retired: false }
+    }
+}
+
 impl Scheduler {
     /// Creates a scheduler without classes, pools or servers.
     pub fn new(settings: Settings) -> Self {
+        let mut workspaces = SlotMap::default();
+        let anonymous = workspaces.insert(Workspace::new(WorkspaceSpec::default()));
         Self {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             // Routers begin at different servers.
@@ -183,11 +193,12 @@
             classes: SlotMap::default(),
             order: Vec::new(),
             pools: SlotMap::default(),
-            workspaces: SlotMap::default(),
+            workspaces,
             backends: SlotMap::default(),
             class_names: BTreeMap::new(),
             pool_names: BTreeMap::new(),
             workspace_names: BTreeMap::new(),
+            anonymous,
             backend_names: BTreeMap::new(),
             requests: SlotMap::default(),
             dispatch_deadlines: BTreeSet::new(),
@@ -224,6 +235,7 @@
         self.classes.values_mut().for_each(|it| it.retired = true);
         self.pools.values_mut().for_each(|it| it.retired = true);
         self.workspaces.values_mut().for_each(|it| it.retired = true);
+        self.workspaces[self.anonymous].retired = false;
         spec.classes.into_iter().for_each(|it| self.put_class(it));
         spec.pools.into_iter().for_each(|it| self.put_pool(it));
         spec.workspaces.into_iter().for_each(|it| self.put_workspace(it));
@@ -252,6 +264,11 @@
         self.workspace_names.get(name).copied().filter(|it| !self.workspaces[*it].retired)
     }
 
+    /// The key of the workspace of all callers that have none.
+    pub fn anonymous(&self) -> WorkspaceKey {
+        self.anonymous
+    }
+
     /// The key of a server that was listed at any time.
     pub fn backend(&self, name: &str) -> Option<BackendKey> {
         self.backend_names.get(name).copied()
@@ -296,7 +313,7 @@
             }
             None => {
                 let name = spec.name.clone();
-                let key = self.workspaces.insert(Workspace { spec, in_flight: 0, retired: false });
+                let key = self.workspaces.insert(Workspace::new(spec));
                 self.workspace_names.insert(name, key);
             }
         }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -21,7 +21,6 @@
     dispatch::{DispatchRequest, Lease, RetryResult},
     fields::millis,
     fingerprint::Fingerprint,
-    identity::Caller,
     metrics::{InFlightGuard, Labels},
     outcome::{Code, Failure, Outcome},
     quarantine_exchange, refusals,
@@ -95,7 +94,7 @@
         let dispatch_request = DispatchRequest {
             pool: &routed.pool().name,
             class: &routed.route().class,
-            workspace: routed.caller.name(),
+            workspace: routed.caller.workspace(),
             prefix_hash: hints.prefix_hash,
             request_hash: fingerprint.0,
             max_tokens: hints.max_tokens,
@@ -189,7 +188,7 @@
     /// Counts the request as begun by a server; further attempts do not count again.
     fn meter(&mut self, began: Instant) {
         let is_metered = std::mem::replace(&mut self.is_metered, true);
-        if let (false, Caller::Workspace(name)) = (is_metered, &self.routed.caller) {
+        if let (false, Some(name)) = (is_metered, self.routed.caller.workspace()) {
             self.services.usage.record(name, began);
         }
     }
--- a/crates/router/src/class_limits.rs
+++ b/crates/router/src/class_limits.rs
@@ -5,6 +5,7 @@
 use http::StatusCode;
 
 use crate::{
+    identity::Caller,
     outcome::{Code, Failure},
     routing::Routed,
 };
@@ -15,7 +16,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Key {
-    workspace: String,
+    caller: Caller,
     class: String,
 }
 
@@ -38,8 +39,7 @@
     /// # Errors
     /// If the limit is reached.
     pub fn apply(&self, routed: &Routed) -> Result<Permit, Failure> {
-        let key =
-            Key { workspace: routed.caller.name().to_owned(), class: routed.route().class.clone() };
+        let key = Key { caller: routed.caller.clone(), class: routed.route().class.clone() };
         let mut counts = self.counts.borrow_mut();
         let count = counts.entry(key.clone()).or_default();
         if *count >= routed.route().workspace_in_flight_max {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -65,8 +65,8 @@
     pub pool: &'a str,
     /// Its request class.
     pub class: &'a str,
-    /// The workspace of the caller.
-    pub workspace: &'a str,
+    /// The workspace of the caller; `None` for an anonymous one.
+    pub workspace: Option<&'a str>,
     /// Hash of the prompt's prefix; zero for none.
     pub prefix_hash: u64,
     /// The fingerprint of the request; a resend has the same.
--- a/crates/router/src/dispatch/pool_dispatcher.rs
+++ b/crates/router/src/dispatch/pool_dispatcher.rs
@@ -166,9 +166,13 @@
 
     fn to_offer(&self, request: &DispatchRequest<'_>) -> Result<Offer, Refusal> {
         let scheduler = &self.state.borrow().scheduler;
+        let workspace = match request.workspace {
+            Some(name) => scheduler.workspace(name).ok_or(UNKNOWN_REFUSAL)?,
+            None => scheduler.anonymous(),
+        };
         Ok(Offer {
             class: scheduler.class(request.class).ok_or(UNKNOWN_REFUSAL)?,
-            workspace: scheduler.workspace(request.workspace).ok_or(UNKNOWN_REFUSAL)?,
+            workspace,
             pool: scheduler.pool(request.pool).ok_or(UNKNOWN_REFUSAL)?,
             prefix_hash: request.prefix_hash,
             request_hash: request.request_hash,
--- a/crates/router/src/engine_urgency.rs
+++ b/crates/router/src/engine_urgency.rs
@@ -34,7 +34,7 @@
             Some(ranks) if Rc::ptr_eq(&ranks.tables, &routed.tables) => ranks,
             _ => Ranks::new(&routed.tables),
         };
-        let workspace = ranks.workspaces.get(routed.caller.name()).copied();
+        let workspace = routed.caller.workspace().and_then(|it| ranks.workspaces.get(it).copied());
         let route = routed.route().priority.0;
         Some(latest.insert(ranks).scale.urgency(RequestPriority { workspace, route }))
     }
--- a/crates/router/src/fingerprint.rs
+++ b/crates/router/src/fingerprint.rs
@@ -15,10 +15,7 @@
 
 impl Fingerprint {
     pub(crate) fn new(caller: &Caller, target: &str, body: &[u8]) -> Fingerprint {
-        let caller = match caller {
-            Caller::Workspace(name) => Some(name),
-            Caller::Anonymous => None,
-        };
+        let caller = caller.workspace();
         let mut hasher = Xxh3::new();
         hasher.update(&[u8::from(caller.is_some())]);
         for part in [caller.map_or(&[][..], |it| it.as_bytes()), target.as_bytes(), body] {
--- a/crates/router/src/identity.rs
+++ b/crates/router/src/identity.rs
@@ -14,7 +14,8 @@
     outcome::{Code, Failure},
 };
 
-/// The name of all callers without a token.
+/// The name of all callers without a token, for logs and for the routes that admit them. A workspace of the
+/// tables may have the same name, so it identifies no caller.
 pub const ANONYMOUS: &str = "anonymous";
 
 /// The sender of a request.
@@ -29,14 +30,20 @@
 }
 
 impl Caller {
-    /// The name under which the caller's limits and shares are counted.
+    /// The name of the workspace; `None` for a caller without a token.
     #[must_use]
-    pub fn name(&self) -> &str {
+    pub fn workspace(&self) -> Option<&str> {
         match self {
-            Caller::Workspace(name) => name,
-            Caller::Anonymous => ANONYMOUS,
+            Caller::Workspace(name) => Some(name),
+            Caller::Anonymous => None,
         }
     }
+
+    /// The name to show.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        self.workspace().unwrap_or(ANONYMOUS)
+    }
 }
 
 /// One workspace of the workspaces file.
--- a/crates/router/src/relay/relayed_call.rs
+++ b/crates/router/src/relay/relayed_call.rs
@@ -19,7 +19,6 @@
         AnswerMetadata, AttemptMetadata, Dialect, NotStarted, RateLimitNotice, RequestMetadata,
         ServerLoad,
     },
-    identity::Caller,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
     refusals,
     routing::Routed,
@@ -123,7 +122,7 @@
         let attempt = AttemptMetadata {
             server: &label,
             time_left,
-            workspace: self.workspace(),
+            workspace: self.call.routed.caller.workspace(),
             urgency: self.call.urgency,
             last_event: self.last_event,
         };
@@ -152,13 +151,6 @@
         self.check_response(response)
     }
 
-    fn workspace(&self) -> Option<&str> {
-        match &self.call.routed.caller {
-            Caller::Workspace(name) => Some(name),
-            Caller::Anonymous => None,
-        }
-    }
-
     fn check_response(&mut self, response: Response) -> Result<Response, AttemptError> {
         self.call.lease.heard();
         let answer = self.dialect.read_answer(&response.head);
--- a/crates/router/tests/shared_probes.rs
+++ b/crates/router/tests/shared_probes.rs
@@ -44,7 +44,7 @@
     let request = DispatchRequest {
         pool: "svc",
         class: "lookup",
-        workspace: "anonymous",
+        workspace: None,
         prefix_hash: 0,
         request_hash,
         max_tokens: None,
