Tell pings among routers from the requests of callers

Cause: a router asks another one whether it still answers with a request on that path, and the other one told it from a forwarded request by the path alone, which callers choose. Answers of servers bore no mark, so that of the router passed for one. The mark of a failure was believed from a server, too (502 for a request that had run).

Change: only a request without an ID is a ping; each forwarded one has an ID, also from earlier builds. Answers of servers are marked, fields of the hop from callers and servers are removed, and an answer without a mark on that path (an earlier build's) counts as not run, so the next router is asked.

Of forwarding_marks four of five tests failed without the change (200 "here" twice, 502, 200 from an earlier build) and all pass with it, as do forwarded_requests, broken_hops, cut_off_orders and cut_off_routers.

--- a/crates/router/src/forwarding/hop.rs
+++ b/crates/router/src/forwarding/hop.rs
@@ -1,5 +1,8 @@
-//! The header fields that a forwarded request carries from one router to the other, besides those of its
-//! caller.
+//! The header fields that a forwarded request and its answer carry from one router to the other, besides those
+//! of the caller and the backend server.
+//!
+//! Callers and servers may send fields of these names, too. They are removed before a router adds its own, so
+//! that what a router reads here was written by a router.
 
 use std::{rc::Rc, time::Duration};
 
@@ -8,13 +11,16 @@
 
 use crate::fields::{millis, traceparent};
 
+const PREFIX: &str = "x-forwarding-";
 const ROUTER: HeaderName = HeaderName::from_static("x-forwarding-router");
 const TIME_LEFT_MS: HeaderName = HeaderName::from_static("x-forwarding-time-left-ms");
 const ATTEMPTS: HeaderName = HeaderName::from_static("x-forwarding-attempts");
 const TRACE: HeaderName = HeaderName::from_static("x-forwarding-trace");
 const TOKEN: HeaderName = HeaderName::from_static("x-forwarding-token");
 /// Marks the answer to a request that failed at the other router; its body is the failure.
-pub(super) const FAILURE: HeaderName = HeaderName::from_static("x-forwarding-failure");
+const FAILURE: HeaderName = HeaderName::from_static("x-forwarding-failure");
+/// Marks the answer to a request that was served at the other router. Earlier builds do not send it.
+const SERVED: HeaderName = HeaderName::from_static("x-forwarding-served");
 
 /// What a router knows about a request that it forwards.
 #[derive(Debug, Clone)]
@@ -32,6 +38,7 @@
 impl Hop {
     /// Adds the fields to those of the caller.
     pub(super) fn write(&self, headers: &mut HeaderMap, token: Option<&str>) {
+        remove_fields(headers);
         // The settings do not check that the name of a VM is a valid header value.
         let router = HeaderValue::try_from(&*self.router);
         headers.insert(ROUTER, router.unwrap_or(HeaderValue::from_static("unnamed")));
@@ -50,6 +57,7 @@
         let mut take = |name| headers.remove(name)?.to_str().ok().map(str::to_owned);
         let (router, time_left) = (take(ROUTER), take(TIME_LEFT_MS));
         let (attempts, trace) = (take(ATTEMPTS), take(TRACE));
+        remove_fields(headers);
         Some(Hop {
             router: router?.into(),
             time_left: Duration::from_millis(time_left?.parse().ok()?),
@@ -59,6 +67,50 @@
     }
 }
 
+/// What a router says about the answer that it sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerMark {
+    /// The request was served, and this is the answer of the server.
+    Served,
+    /// The request failed; the body is the failure.
+    Failure,
+    /// It says nothing: the answer to a ping, or any answer but a failure of an earlier build.
+    Unmarked,
+}
+
+impl AnswerMark {
+    /// Marks an answer.
+    pub(super) fn write(self, headers: &mut HeaderMap) {
+        remove_fields(headers);
+        let name = match self {
+            AnswerMark::Served => SERVED,
+            AnswerMark::Failure => FAILURE,
+            AnswerMark::Unmarked => return,
+        };
+        headers.insert(name, HeaderValue::from_static("1"));
+    }
+
+    /// Removes the mark from an answer.
+    pub(super) fn take(headers: &mut HeaderMap) -> AnswerMark {
+        let mark = match (headers.contains_key(SERVED), headers.contains_key(FAILURE)) {
+            (true, _) => AnswerMark::Served,
+            (false, true) => AnswerMark::Failure,
+            (false, false) => AnswerMark::Unmarked,
+        };
+        remove_fields(headers);
+        mark
+    }
+}
+
+/// Removes all fields that only routers may set.
+fn remove_fields(headers: &mut HeaderMap) {
+    let names: Vec<_> =
+        headers.keys().filter(|it| it.as_str().starts_with(PREFIX)).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
 /// Removes the token of a forwarded request.
 pub(super) fn take_token(headers: &mut HeaderMap) -> Option<String> {
     headers.remove(TOKEN)?.to_str().ok().map(str::to_owned)
--- a/crates/router/src/forwarding/listener.rs
+++ b/crates/router/src/forwarding/listener.rs
@@ -3,20 +3,20 @@
 use std::rc::Rc;
 
 use futures::{FutureExt, future::LocalBoxFuture};
-use http::{HeaderValue, StatusCode};
+use http::StatusCode;
 use httpio::{
     Bytes,
     server::{Handler, Reply, Request},
 };
 use telemetry::Secret;
 
-use super::hop::{self, Hop};
+use super::hop::{self, AnswerMark, Hop};
 use crate::{
-    outcome::{Code, Failure},
+    outcome::{Code, Failure, REQUEST_ID_HEADER},
     refusals,
 };
 
-/// The path by which a router asks whether another one still answers.
+/// The path by which a router asks whether another one still answers. Callers may use it for their requests.
 pub(super) const PING_PATH: &str = "/forwarding/ping";
 
 /// Serves forwarded requests.
@@ -45,7 +45,7 @@
             let failure = Failure::not_run(StatusCode::FORBIDDEN, Code::UnknownToken, message);
             return async move { failure_reply(&failure) }.boxed_local();
         }
-        if request.uri.path() == PING_PATH {
+        if is_ping(&request) {
             let reply = Reply::typed(StatusCode::OK, "text/plain", Bytes::from_static(b"here\n"));
             return async { reply }.boxed_local();
         }
@@ -55,7 +55,16 @@
             return async move { failure_reply(&failure) }.boxed_local();
         };
         let served = self.handler.call_forwarded(request, hop);
-        async move { served.await.unwrap_or_else(|failure| failure_reply(&failure)) }.boxed_local()
+        async move {
+            match served.await {
+                Ok(mut reply) => {
+                    AnswerMark::Served.write(&mut reply.headers);
+                    reply
+                }
+                Err(failure) => failure_reply(&failure),
+            }
+        }
+        .boxed_local()
     }
 
     fn refuse(&self, status: StatusCode, remedy: &str) -> Reply {
@@ -63,8 +72,13 @@
     }
 }
 
+/// Whether a router asks if this one still answers. A request that it forwards has an ID, whatever its path.
+fn is_ping(request: &Request) -> bool {
+    request.uri.path() == PING_PATH && !request.headers.contains_key(REQUEST_ID_HEADER)
+}
+
 fn failure_reply(failure: &Failure) -> Reply {
     let mut reply = failure.to_reply();
-    reply.headers.insert(hop::FAILURE, HeaderValue::from_static("1"));
+    AnswerMark::Failure.write(&mut reply.headers);
     reply
 }
--- a/crates/router/src/forwarding/peer_client.rs
+++ b/crates/router/src/forwarding/peer_client.rs
@@ -22,7 +22,7 @@
 use policy::Repeat;
 use telemetry::Secret;
 
-use super::{Hop, hop, listener::PING_PATH};
+use super::{Hop, hop::AnswerMark, listener::PING_PATH};
 use crate::{
     deadline::run_until_deadline,
     outcome::{Failure, Outcome, REQUEST_ID_HEADER},
@@ -114,7 +114,7 @@
         let mut heard = self.clock.now();
         let exchange = self.exchange(peer, routed, time_left).fuse();
         pin_mut!(exchange);
-        let response = loop {
+        let mut response = loop {
             let silence = time::sleep(SILENCE).fuse();
             pin_mut!(silence);
             select_biased! {
@@ -129,8 +129,14 @@
                 return Err(PeerError { outcome: Outcome::MayHaveRun, detail });
             }
         };
-        if response.head.headers.contains_key(hop::FAILURE) {
-            return read_failure(response).await.map(Err);
+        match AnswerMark::take(&mut response.head.headers) {
+            AnswerMark::Failure => return read_failure(response).await.map(Err),
+            // An earlier build answers any request on this path itself.
+            AnswerMark::Unmarked if routed.arrival.request.uri.path() == PING_PATH => {
+                let detail = "another router took the request for a ping".to_owned();
+                return Err(PeerError { outcome: Outcome::NotRun, detail });
+            }
+            AnswerMark::Served | AnswerMark::Unmarked => {}
         }
         let disconnected = routed.arrival.request.disconnected.clone();
         let left = deadline.saturating_duration_since(self.clock.now());
