Save which software version began each stream

Cause: the versions that began streams were in the memory of routers and control VMs alone. The history of versions on the disks of the control VMs tells it only where there has been one version.

Change: each control VM appends what its hub has learned of streams to a synced file every 0.25 s and tells its hub of it at the next start; a record torn by a loss of power is left out, and what is missing is refused as before. Not only while several versions serve: the list shows a release too late for that. `SaveLog` and `unix_ms` serve both files beside the log; the tests of kept versions have a file of their own, as one test process has addresses for four fleets only.

Without the keeper in the daemon kept_versions two_versions had 0 of 24 streams go on and saved_streams all_killed never saw a save; with it 24 of 24, none of two versions, and all tests of saved_streams, append_file, rejoined_streams, shared_streams and version_history pass. One stream takes 27 bytes on disk, a further one 6.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -35,6 +35,7 @@
     hub_broadcast::HubBroadcast,
     peers::Peers,
     replica::{self, Replica},
+    saved_streams::StreamKeeper,
     server_feed::{ListSource, ServerFeed},
     snapshot_pace::SnapshotPace,
     state_machine::StateMachine,
@@ -208,6 +209,8 @@
     let admin_settings = ::daemon::admin_server();
     monoio::spawn(server::serve(listeners.admin, admin_settings, StopSignals::default(), admin));
     let versions = VersionKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
+    let streams = StreamKeeper::start(&settings.data_dir, hub.clone(), parts.clock.clone());
+    monoio::spawn(streams.keep_saved());
     let usage = Rc::new(SharedUsage::default());
     let servers = Rc::new(ServerFeed::new(epoch, parts.clock.clone(), versions));
     if let (Some(platform), Some(addr)) = (&parts.platform, settings.platform) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,8 @@
 mod log_state;
 mod peers;
 mod replica;
+mod save_log;
+mod saved_streams;
 mod server_feed;
 mod settings;
 mod snapshot_pace;
@@ -25,6 +27,7 @@
 mod status;
 mod tables_feed;
 mod version_history;
+mod wall_time;
 
 pub use address_book::{AddressBook, node_id_of};
 pub use bootstrap::{FormatMode, format};
--- a/crates/control/src/version_history.rs
+++ b/crates/control/src/version_history.rs
@@ -12,7 +12,7 @@
     rc::Rc,
     sync::mpsc,
     thread,
-    time::{Duration, Instant, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use clock::Clock;
@@ -22,6 +22,8 @@
 use serde::{Deserialize, Serialize};
 use storage::StateFile;
 
+use crate::{save_log::SaveLog, wall_time::unix_ms};
+
 const FILE_NAME: &str = "versions";
 
 /// By how much the wall clock may step between two reads of the list, or across a restart.
@@ -180,17 +182,8 @@
 
 /// Saves each history that comes, until the keeper is gone.
 fn save_all(file: &StateFile, histories: mpsc::Receiver<VersionHistory>) {
-    let mut was_saved = true;
+    let mut log = SaveLog::new("versions_saved");
     for history in histories {
-        let result = file.write(&history);
-        if result.is_ok() != was_saved {
-            was_saved = result.is_ok();
-            let error = result.err().map(|it| it.to_string());
-            tracing::warn!(event = "versions_saved", is_saved = was_saved, error);
-        }
+        log.record(&file.write(&history));
     }
 }
-
-fn unix_ms(clock: &dyn Clock) -> u64 {
-    clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -27,6 +27,7 @@
 
 pub(crate) use files::Start;
 
+const STREAMS_FILE: &str = "streams";
 const FINISHED: &str = "finished: every voter is synced";
 
 pub(crate) const TOKEN: &str = "command-token";
@@ -155,6 +156,16 @@
         fs::write(self.data_dir(node).join("log.redb"), []).expect("the test folder is writable");
     }
 
+    /// The file in which a node saves the streams that have begun, if there is one.
+    pub(crate) fn saved_streams(&self, node: usize) -> Option<Vec<u8>> {
+        fs::read(self.data_dir(node).join(STREAMS_FILE)).ok()
+    }
+
+    pub(crate) fn replace_saved_streams(&self, node: usize, bytes: &[u8]) {
+        let path = self.data_dir(node).join(STREAMS_FILE);
+        fs::write(path, bytes).expect("the test folder is writable");
+    }
+
     /// The size of all files in a node's data folder.
     pub(crate) fn disk_bytes(&self, node: usize) -> u64 {
         let files = fs::read_dir(self.data_dir(node)).expect("the data folder is readable");
--- a/crates/dissemination/src/hub.rs
+++ b/crates/dissemination/src/hub.rs
@@ -262,6 +262,16 @@
         }
     }
 
+    /// The number of the last stream that was recorded.
+    pub fn last_stream(&self) -> u64 {
+        self.streams.last_record()
+    }
+
+    /// The streams that were recorded after the one with the number `known`.
+    pub fn streams_since(&self, known: u64) -> Vec<BegunStreams> {
+        self.streams.since(known)
+    }
+
     fn find_streams(&self, now: Instant, streams: &[StreamHash]) -> Vec<BegunStreams> {
         let found = streams.iter().filter_map(|it| Some((*it, self.streams.version(now, *it)?)));
         BegunStreams::group(found)
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -6,12 +6,14 @@
 //! acknowledged. All calls block until the disk has synced, so the caller runs them on a thread of
 //! their own.
 
+mod append_file;
 mod folder;
 mod log_file;
 mod record;
 mod settings;
 mod state_file;
 
+pub use append_file::{AppendFile, Appender};
 pub use folder::{ReplacedDisk, format, format_bootstrap_member, is_formatted, replace_damaged};
 pub use log_file::LogFile;
 pub use settings::{CommitPhases, Settings};
--- a/crates/storage/src/state_file.rs
+++ b/crates/storage/src/state_file.rs
@@ -58,18 +58,20 @@
         let corrupt = |detail| StorageError::Corrupt { path: self.path.clone(), detail };
         let mut bytes = FORMAT.to_le_bytes().to_vec();
         bytes.extend(record::encode(u64::from(FORMAT), value).map_err(corrupt)?);
-        self.replace(&bytes).map_err(|err| StorageError::from_io(&self.path, &err))
+        replace(&self.path, &bytes).map_err(|err| StorageError::from_io(&self.path, &err))?;
+        Ok(())
     }
+}
 
-    fn replace(&self, bytes: &[u8]) -> io::Result<()> {
-        let temporary = self.path.with_extension("unfinished");
-        let mut file = File::create(&temporary)?;
-        file.write_all(bytes)?;
-        file.sync_data()?;
-        fs::rename(&temporary, &self.path)?;
-        match self.path.parent() {
-            Some(folder) => File::open(folder)?.sync_all(),
-            None => Ok(()),
-        }
+/// Replaces the content of a file and returns the open file. A crash leaves the old content or the new one.
+pub(crate) fn replace(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    let temporary = path.with_extension("unfinished");
+    let mut file = File::create(&temporary)?;
+    file.write_all(bytes)?;
+    file.sync_data()?;
+    fs::rename(&temporary, path)?;
+    if let Some(folder) = path.parent() {
+        File::open(folder)?.sync_all()?;
     }
+    Ok(file)
 }
