Charge begun chunks and events of answers

Cause: answers are held within a budget, but the decoder of chunks and the splitter of events buffer up to 256 KiB of each answer in front of it.

Change: the size of a chunk is read by httparse, and its bytes are passed on as they come. `HeldEvents` charges an event above 4 KiB from its first byte, in relayed streams and in those of engines; where there is no room the router stops reading. The charge goes with the event, as two charges of one stream would wait for each other.

--- a/crates/httpio/src/framing.rs
+++ b/crates/httpio/src/framing.rs
@@ -1,15 +1,14 @@
 //! Determines where a message body ends and rejects messages whose length is ambiguous.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use derive_more::Display;
 use http::{HeaderMap, Method, StatusCode, header};
-use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
 use crate::{Limits, UnsizedBody};
 
-/// Buffer space for the size line and the line ends of a chunk.
-const CHUNK_OVERHEAD_BYTES: usize = 32;
+/// The longest line with the size of a chunk that is read.
+const SIZE_LINE_BYTES_MAX: usize = 32;
+const LINE_END: &[u8] = b"\r\n";
 
 /// Why the length of a body cannot be determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -134,8 +133,12 @@
 
 enum State {
     Fixed(usize),
-    ChunkStart(ChunkedBodyDecoder),
-    InChunk(ChunkedBodyDecoder),
+    ChunkSize,
+    InChunk(usize),
+    /// In front of the line end after a chunk.
+    ChunkEnd,
+    /// In front of the empty line after the last chunk.
+    BodyEnd,
     UntilClose,
     Done,
 }
@@ -147,20 +150,32 @@
             Framing::Empty => State::Done,
             Framing::Fixed(length) if length > limits.body_bytes => return Err(BodyFault::TooBig),
             Framing::Fixed(length) => State::Fixed(length),
-            Framing::Chunked => State::ChunkStart(ChunkedBodyDecoder::default()),
+            Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
         Ok(BodyDecoder { state, bytes_left: limits.body_bytes, chunk_bytes: limits.chunk_bytes })
     }
 
-    /// Decodes the next piece from `buffer`.
+    /// Decodes the next piece from `buffer`. A chunk is decoded as its bytes come, so that the buffer stays small.
     pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
-        match std::mem::replace(&mut self.state, State::Done) {
-            State::Done => Ok(Step::End),
-            State::Fixed(left) => Ok(self.decode_fixed(left, buffer)),
-            State::ChunkStart(decoder) => self.start_chunk(decoder, buffer),
-            State::InChunk(decoder) => self.decode_chunk(decoder, buffer),
-            State::UntilClose => self.decode_until_close(buffer),
+        loop {
+            let next = match self.state {
+                State::Done => return Ok(Step::End),
+                State::Fixed(left) => {
+                    return Ok(self.decode_data(left, buffer, State::Fixed, State::Done));
+                }
+                State::InChunk(left) => {
+                    return Ok(self.decode_data(left, buffer, State::InChunk, State::ChunkEnd));
+                }
+                State::UntilClose => return self.decode_until_close(buffer),
+                State::ChunkSize => self.decode_size(buffer)?,
+                State::ChunkEnd => take_line_end(buffer)?.then_some(State::ChunkSize),
+                State::BodyEnd => take_line_end(buffer)?.then_some(State::Done),
+            };
+            match next {
+                Some(next) => self.state = next,
+                None => return Ok(Step::NeedsData),
+            }
         }
     }
 
@@ -170,7 +185,6 @@
     }
 
     fn decode_until_close(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
-        self.state = State::UntilClose;
         if buffer.is_empty() {
             return Ok(Step::NeedsData);
         }
@@ -178,58 +192,61 @@
         Ok(Step::Data(buffer.split().freeze()))
     }
 
-    fn decode_fixed(&mut self, left: usize, buffer: &mut BytesMut) -> Step {
+    /// Takes what there is of `left` bytes. The state is then `rest` of what is still missing, or `end`.
+    fn decode_data(
+        &mut self,
+        left: usize,
+        buffer: &mut BytesMut,
+        rest: fn(usize) -> State,
+        end: State,
+    ) -> Step {
         if buffer.is_empty() {
-            self.state = State::Fixed(left);
             return Step::NeedsData;
         }
         let data = buffer.split_to(buffer.len().min(left)).freeze();
-        if data.len() < left {
-            self.state = State::Fixed(left - data.len());
-        }
+        self.state = if data.len() < left { rest(left - data.len()) } else { end };
         Step::Data(data)
     }
 
-    fn start_chunk(
-        &mut self,
-        decoder: ChunkedBodyDecoder,
-        buffer: &mut BytesMut,
-    ) -> Result<Step, BodyFault> {
-        let Some(first) = buffer.first() else {
-            self.state = State::ChunkStart(decoder);
-            return Ok(Step::NeedsData);
-        };
-        // The codec decodes an empty size line as the last chunk, so that a truncated body would
-        // look complete.
-        if !first.is_ascii_hexdigit() {
+    /// Decodes the line with the size of a chunk; `None` while it is incomplete.
+    fn decode_size(&mut self, buffer: &mut BytesMut) -> Result<Option<State>, BodyFault> {
+        let line = &buffer[..buffer.len().min(SIZE_LINE_BYTES_MAX)];
+        if !may_be_size_line(line) {
             return Err(BodyFault::Malformed);
         }
-        self.decode_chunk(decoder, buffer)
+        let (line_bytes, size) = match httparse::parse_chunk_size(line) {
+            Ok(httparse::Status::Complete(found)) => found,
+            Ok(httparse::Status::Partial) if line.len() < SIZE_LINE_BYTES_MAX => return Ok(None),
+            Ok(httparse::Status::Partial) | Err(_) => return Err(BodyFault::Malformed),
+        };
+        let size = usize::try_from(size).map_err(|_| BodyFault::ChunkTooBig)?;
+        if size > self.chunk_bytes {
+            return Err(BodyFault::ChunkTooBig);
+        }
+        self.bytes_left = self.bytes_left.checked_sub(size).ok_or(BodyFault::TooBig)?;
+        buffer.advance(line_bytes);
+        Ok(Some(if size == 0 { State::BodyEnd } else { State::InChunk(size) }))
     }
+}
 
-    fn decode_chunk(
-        &mut self,
-        mut decoder: ChunkedBodyDecoder,
-        buffer: &mut BytesMut,
-    ) -> Result<Step, BodyFault> {
-        match decoder.decode(buffer).map_err(|_| BodyFault::Malformed)? {
-            Decoded::Some(None) => Ok(Step::End),
-            Decoded::Some(Some(data)) if data.len() > self.chunk_bytes => {
-                Err(BodyFault::ChunkTooBig)
-            }
-            Decoded::Some(Some(data)) => {
-                let left = self.bytes_left.checked_sub(data.len()).ok_or(BodyFault::TooBig)?;
-                self.bytes_left = left;
-                self.state = State::ChunkStart(decoder);
-                Ok(Step::Data(data))
-            }
-            _ if buffer.len() > self.chunk_bytes + CHUNK_OVERHEAD_BYTES => {
-                Err(BodyFault::ChunkTooBig)
-            }
-            _ => {
-                self.state = State::InChunk(decoder);
-                Ok(Step::NeedsData)
-            }
-        }
+/// Whether a line with the size of a chunk may begin like this. Extensions of chunks are refused, and so is a line
+/// without a size, with which a body that was cut short would look complete.
+fn may_be_size_line(line: &[u8]) -> bool {
+    let digits = line.iter().take_while(|it| it.is_ascii_hexdigit()).count();
+    let (size, rest) = line.split_at(digits);
+    let has_size = !size.is_empty() || rest.is_empty();
+    has_size && (LINE_END.starts_with(rest) || rest.starts_with(LINE_END))
+}
+
+/// Takes a line end from the buffer; returns false while it is incomplete.
+fn take_line_end(buffer: &mut BytesMut) -> Result<bool, BodyFault> {
+    let found = &buffer[..buffer.len().min(LINE_END.len())];
+    if !LINE_END.starts_with(found) {
+        return Err(BodyFault::Malformed);
+    }
+    let is_complete = found == LINE_END;
+    if is_complete {
+        buffer.advance(LINE_END.len());
     }
+    Ok(is_complete)
 }
--- a/crates/httpio/src/held.rs
+++ b/crates/httpio/src/held.rs
@@ -88,7 +88,12 @@
     }
     let mut charge = budget.charge(Some(piece.len()));
     charge.resize(piece.len()).await;
-    Bytes::from_owner(Charged { data: piece, _charge: charge })
+    charged(piece, charge)
+}
+
+/// Bytes whose charge ends when the last user of them drops them.
+pub(crate) fn charged(data: Bytes, charge: Charge) -> Bytes {
+    Bytes::from_owner(Charged { data, _charge: charge })
 }
 
 /// Bytes with their charge.
--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -19,7 +19,7 @@
 /// The size of a read of a connection that sends little, which its buffer takes also while it is idle.
 const READ_BYTES_MIN: usize = 1 << 10;
 /// The size of a read of a connection that sends much.
-const READ_BYTES_MAX: usize = 4 << 10;
+pub(crate) const READ_BYTES_MAX: usize = 4 << 10;
 /// The bytes after the current request that are read ahead.
 const READ_AHEAD_BYTES: usize = 4 << 10;
 /// The growth of a buffer that is too small.
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client and server over monoio-http, with size limits and timeouts around its codec.
 //!
-//! monoio-http decodes heads and chunks. This crate limits how much it may read, rejects messages
+//! monoio-http decodes heads, and httparse the sizes of chunks. This crate limits how much it may read, rejects messages
 //! whose length is ambiguous, and reports at which stage an exchange failed. It has no knowledge of
 //! routing, pools of backend servers or request outcomes.
 
@@ -9,6 +9,7 @@
 mod fields;
 mod framing;
 mod held;
+mod held_events;
 mod inbound;
 mod limits;
 mod outbound;
@@ -23,5 +24,6 @@
     fields::end_to_end,
     framing::FramingFault,
     held::{UNCHARGED_PIECE_BYTES, hold_piece},
+    held_events::HeldEvents,
     limits::{Limits, UnsizedBody},
 };
--- a/crates/httpio/src/sse.rs
+++ b/crates/httpio/src/sse.rs
@@ -64,6 +64,22 @@
         Ok(None)
     }
 
+    /// The capacity that the buffer needs for a further chunk, if that is more than it has.
+    pub(crate) fn needed_capacity(&self, chunk_bytes: usize) -> Option<usize> {
+        let (needed, capacity) = (self.buffer.len() + chunk_bytes, self.buffer.capacity());
+        (needed > capacity).then_some(needed.max(2 * capacity))
+    }
+
+    /// Grows the buffer to this capacity.
+    pub(crate) fn grow(&mut self, capacity: usize) {
+        self.buffer.reserve(capacity - self.buffer.len());
+    }
+
+    /// Moves what is buffered to memory of its own, which the events taken so far do not share.
+    pub(crate) fn detach(&mut self) {
+        self.buffer = BytesMut::from(&self.buffer[..]);
+    }
+
     /// Whether the buffer holds a part of an event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/router/src/engine_stream.rs
+++ b/crates/router/src/engine_stream.rs
@@ -75,7 +75,10 @@
         let silence = self.call.services.timeouts.first_silence();
         let sent = self.call.services.backends.send(attempt);
         match probe_on_silence(sent, silence, &self.call.lease, Remedy::Resume).await {
-            Ok(response) => self.stream = Some(TokenStream::new(response?, &self.call.id)?),
+            Ok(response) => {
+                let memory = &self.call.services.memory.answers;
+                self.stream = Some(TokenStream::new(response?, &self.call.id, memory)?);
+            }
             Err(silent) => self.recover_from_silence(silent).await?,
         }
         self.next_event().await
@@ -226,6 +229,6 @@
         let sent = services.backends.send_fresh(attempt);
         let response =
             time::timeout(services.timeouts.engine_call_timeout(), sent).await.ok()?.ok()?;
-        TokenStream::new(response, &self.call.id).ok()
+        TokenStream::new(response, &self.call.id, &services.memory.answers).ok()
     }
 }
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -5,11 +5,11 @@
 
 use http::{HeaderMap, StatusCode, header};
 use httpio::{
-    Bytes,
+    Bytes, HeldEvents,
+    budget::ByteBudget,
     client::{Body, Response},
-    hold_piece,
     server::{Reply, StreamSender},
-    sse::{self, Splitter},
+    sse,
 };
 use policy::{Execution, Failure as FailureKind};
 
@@ -56,7 +56,7 @@
 /// The events of one attempt.
 struct EventSource {
     body: Body,
-    splitter: Splitter,
+    events: HeldEvents,
     /// Whether the end of the connection would break the stream: only that marks the end of the events, and
     /// none has come yet.
     awaits_event: bool,
@@ -116,7 +116,7 @@
     }
     let status = response.head.status;
     let headers = relayed.dialect.answer_headers(&response.head.headers);
-    let mut source = EventSource::new(response);
+    let mut source = EventSource::new(response, &relayed.call.services.memory.answers);
     let first = relayed.next_event(&mut source).await?;
     if first.is_some() {
         relayed.call.record_first_token();
@@ -168,7 +168,6 @@
     loop {
         match next {
             Ok(Some(event)) => {
-                let event = hold_piece(&relayed.call.services.memory.answers, event).await;
                 if sender.send(event).await.is_err() {
                     return RelayEnd::CallerDisconnected;
                 }
@@ -208,7 +207,7 @@
                     server = %relayed.call.lease.server().addr,
                     last_event = relayed.last_event.unwrap_or_default(),
                 );
-                return Ok(EventSource::new(response));
+                return Ok(EventSource::new(response, &relayed.call.services.memory.answers));
             }
             Ok(response) => {
                 let status = response.head.status;
@@ -271,17 +270,17 @@
 }
 
 impl EventSource {
-    fn new(response: Response) -> EventSource {
+    fn new(response: Response, memory: &ByteBudget) -> EventSource {
         EventSource {
             awaits_event: response.body.ends_with_connection(),
             body: response.body,
-            splitter: Splitter::new(EVENT_BYTES_MAX),
+            events: HeldEvents::new(memory, EVENT_BYTES_MAX),
         }
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, AttemptError> {
         loop {
-            match self.splitter.next_event() {
+            match self.events.next_event() {
                 Ok(Some(event)) if sse::is_event(&event) => {
                     self.awaits_event = self.awaits_event && sse::field(&event, "data").is_none();
                     return Ok(Some(event));
@@ -290,10 +289,11 @@
                 Ok(None) => {}
                 Err(error) => return Err(AttemptError::in_doubt(error.to_string())),
             }
+            self.events.reserve().await;
             match self.body.next().await {
-                Some(Ok(data)) => self.splitter.push(&data),
+                Some(Ok(data)) => self.events.push(&data),
                 Some(Err(error)) => return Err(error.into()),
-                None if self.splitter.has_partial_event() => {
+                None if self.events.has_partial_event() => {
                     return Err(truncated("the answer ended within an event"));
                 }
                 None if self.awaits_event => {
--- a/crates/router/src/token_stream.rs
+++ b/crates/router/src/token_stream.rs
@@ -2,9 +2,10 @@
 
 use http::{HeaderValue, StatusCode, header};
 use httpio::{
-    Bytes,
+    Bytes, HeldEvents,
+    budget::ByteBudget,
     client::{Body, Response},
-    sse::{self, Splitter},
+    sse,
 };
 use policy::{Execution, Failure};
 
@@ -44,7 +45,7 @@
 #[derive(Debug)]
 pub(crate) struct TokenStream {
     body: Body,
-    splitter: Splitter,
+    events: HeldEvents,
     id: String,
     progress: Progress,
     usage: Option<Usage>,
@@ -61,11 +62,15 @@
 }
 
 impl TokenStream {
-    /// Reads the answer to the attempt `id`.
+    /// Reads the answer to the attempt `id`, whose events are held within `memory`.
     ///
     /// # Errors
     /// If the answer is not an event stream.
-    pub(crate) fn new(response: Response, id: &HeaderValue) -> Result<TokenStream, AttemptError> {
+    pub(crate) fn new(
+        response: Response,
+        id: &HeaderValue,
+        memory: &ByteBudget,
+    ) -> Result<TokenStream, AttemptError> {
         let status = response.head.status;
         let content_type = response.head.headers.get(header::CONTENT_TYPE);
         let is_stream =
@@ -83,7 +88,7 @@
         }
         Ok(TokenStream {
             body: response.body,
-            splitter: Splitter::new(EVENT_BYTES_MAX),
+            events: HeldEvents::new(memory, EVENT_BYTES_MAX),
             id: id.to_str().unwrap_or_default().to_owned(),
             progress: Progress::Open,
             usage: None,
@@ -99,7 +104,7 @@
             if self.progress == Progress::Done {
                 return None;
             }
-            match self.splitter.next_event() {
+            match self.events.next_event() {
                 Ok(Some(raw)) if !sse::is_event(&raw) => {
                     let detail = "the engine's stream holds bytes that are no event";
                     return Some(Err(AttemptError::in_doubt(detail)));
@@ -112,8 +117,9 @@
                 Ok(None) => {}
                 Err(error) => return Some(Err(AttemptError::in_doubt(error.to_string()))),
             }
+            self.events.reserve().await;
             match self.body.next().await {
-                Some(Ok(data)) => self.splitter.push(&data),
+                Some(Ok(data)) => self.events.push(&data),
                 Some(Err(error)) => return Some(Err(error.into())),
                 None => return Some(Err(truncated())),
             }
