Read and replace files with a format in one place

Cause: `StateFile` and the new `AppendFile` each read the number of their format and replaced a file by themselves.

Change: `formatted_file` does both; the files on disk stay as they are (landed_file of `control`, damaged_value and torn_write of `storage` hold their forms).

Measured: all tests of `storage` pass; the linter is clean.

--- a/crates/storage/src/append_file.rs
+++ b/crates/storage/src/append_file.rs
@@ -1,7 +1,7 @@
 //! A small file beside the log to which values are appended.
 
 use std::{
-    fs::{self, File},
+    fs::File,
     io::{self, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
 };
@@ -10,13 +10,12 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
+    formatted_file::{self, FORMAT_BYTES, corrupt},
     record::{self, RecordError},
-    state_file,
 };
 
-/// The format of the files, at their start; the records follow, each behind its length.
+/// The format of the files; the records follow its number, each behind its length.
 const FORMAT: u32 = 1;
-const FORMAT_BYTES: usize = size_of::<u32>();
 const LENGTH_BYTES: usize = size_of::<u32>();
 
 /// A file that holds values in the order in which they were appended.
@@ -47,19 +46,10 @@
     /// # Errors
     /// Fails if the file cannot be read, or is of a later format.
     pub fn read<T: DeserializeOwned>(&self) -> Result<Vec<T>, StorageError> {
-        let bytes = match fs::read(&self.path) {
-            Ok(bytes) => bytes,
-            Err(err) if err.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
-            Err(err) => return Err(StorageError::from_io(&self.path, &err)),
+        let Some(records) = formatted_file::read(&self.path, FORMAT)? else {
+            return Ok(Vec::new());
         };
-        let Some((format, records)) = bytes.split_first_chunk::<FORMAT_BYTES>() else {
-            let detail = "the file has no format".to_owned();
-            return Err(StorageError::Corrupt { path: self.path.clone(), detail });
-        };
-        match u32::from_le_bytes(*format) {
-            FORMAT => read_records(records).map_err(|err| err.of_file(&self.path)),
-            format => Err(StorageError::LaterFormat { path: self.path.clone(), format }),
-        }
+        read_records(&records).map_err(|err| err.of_file(&self.path))
     }
 
     /// Replaces all values by `first`; after `Ok` it survives a crash, which leaves the old values or this one.
@@ -67,11 +57,10 @@
     /// # Errors
     /// Fails if the file cannot be written.
     pub fn begin<T: Serialize>(&self, first: &T) -> Result<Appender, StorageError> {
-        let mut bytes = FORMAT.to_le_bytes().to_vec();
-        bytes.extend(frame(FORMAT_BYTES as u64, first).map_err(|it| corrupt(&self.path, it))?);
-        let file = state_file::replace(&self.path, &bytes)
-            .map_err(|err| StorageError::from_io(&self.path, &err))?;
-        Ok(Appender { path: self.path.clone(), file, end: bytes.len() as u64 })
+        let offset = FORMAT_BYTES as u64;
+        let frame = frame(offset, first).map_err(|it| corrupt(&self.path, it))?;
+        let file = formatted_file::replace(&self.path, FORMAT, &frame)?;
+        Ok(Appender { path: self.path.clone(), file, end: offset + frame.len() as u64 })
     }
 }
 
@@ -119,7 +108,3 @@
     }
     Ok(values)
 }
-
-fn corrupt(path: &Path, detail: String) -> StorageError {
-    StorageError::Corrupt { path: path.to_owned(), detail }
-}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod append_file;
 mod folder;
+mod formatted_file;
 mod log_file;
 mod record;
 mod settings;
--- a/crates/storage/src/state_file.rs
+++ b/crates/storage/src/state_file.rs
@@ -1,19 +1,14 @@
 //! A small piece of state beside the log, which is replaced as a whole.
 
-use std::{
-    fs::{self, File},
-    io::{self, Write},
-    path::{Path, PathBuf},
-};
+use std::path::{Path, PathBuf};
 
 use consensus::StorageError;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::record;
+use crate::{formatted_file, record};
 
-/// The format of the files, at their start; the record follows.
+/// The format of the files; the record follows its number.
 const FORMAT: u32 = 1;
-const FORMAT_BYTES: usize = size_of::<u32>();
 
 /// A file that holds one value.
 #[derive(Debug, Clone)]
@@ -33,21 +28,9 @@
     /// # Errors
     /// Fails if the file cannot be read, is damaged, or is of a later format.
     pub fn read<T: DeserializeOwned>(&self) -> Result<Option<T>, StorageError> {
-        let bytes = match fs::read(&self.path) {
-            Ok(bytes) => bytes,
-            Err(err) if err.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(err) => return Err(StorageError::from_io(&self.path, &err)),
-        };
-        let corrupt = |detail| StorageError::Corrupt { path: self.path.clone(), detail };
-        let Some((format, record)) = bytes.split_first_chunk::<FORMAT_BYTES>() else {
-            return Err(corrupt("the file has no format".to_owned()));
-        };
-        match u32::from_le_bytes(*format) {
-            FORMAT => record::decode(u64::from(FORMAT), record)
-                .map(Some)
-                .map_err(|err| err.of_file(&self.path)),
-            format => Err(StorageError::LaterFormat { path: self.path.clone(), format }),
-        }
+        let Some(record) = formatted_file::read(&self.path, FORMAT)? else { return Ok(None) };
+        let value = record::decode(u64::from(FORMAT), &record);
+        value.map(Some).map_err(|err| err.of_file(&self.path))
     }
 
     /// Replaces the value; after `Ok` it survives a crash, which leaves the old value or the new one.
@@ -55,23 +38,9 @@
     /// # Errors
     /// Fails if the file cannot be written.
     pub fn write<T: Serialize>(&self, value: &T) -> Result<(), StorageError> {
-        let corrupt = |detail| StorageError::Corrupt { path: self.path.clone(), detail };
-        let mut bytes = FORMAT.to_le_bytes().to_vec();
-        bytes.extend(record::encode(u64::from(FORMAT), value).map_err(corrupt)?);
-        replace(&self.path, &bytes).map_err(|err| StorageError::from_io(&self.path, &err))?;
+        let record = record::encode(u64::from(FORMAT), value);
+        let record = record.map_err(|it| formatted_file::corrupt(&self.path, it))?;
+        formatted_file::replace(&self.path, FORMAT, &record)?;
         Ok(())
     }
 }
-
-/// Replaces the content of a file and returns the open file. A crash leaves the old content or the new one.
-pub(crate) fn replace(path: &Path, bytes: &[u8]) -> io::Result<File> {
-    let temporary = path.with_extension("unfinished");
-    let mut file = File::create(&temporary)?;
-    file.write_all(bytes)?;
-    file.sync_data()?;
-    fs::rename(&temporary, path)?;
-    if let Some(folder) = path.parent() {
-        File::open(folder)?.sync_all()?;
-    }
-    Ok(file)
-}
