Count the saves of streams that failed

Cause, found on the last reading: the flag for a failed save could be cleared by a round whose own save did not reach the thread of the disk, so that the streams of the failed one were missing from the file for up to 30 s.

Change: the thread counts failures, and the keeper begins the file anew until it has handed over a save after the last one it knows of.

The race itself was not played.

--- a/crates/control/src/saved_streams.rs
+++ b/crates/control/src/saved_streams.rs
@@ -12,7 +12,7 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicU64, Ordering},
         mpsc,
     },
     thread,
@@ -61,8 +61,10 @@
     last_saved: Cell<u64>,
     /// When the file was begun; `None` if it holds what an earlier run saved.
     begun_at: Cell<Option<Instant>>,
-    /// Set by the thread of the disk when a save has failed.
-    has_failed: Arc<AtomicBool>,
+    /// How many saves have failed in the thread of the disk.
+    failures: Arc<AtomicU64>,
+    /// The failures after which the file was begun anew.
+    handled_failures: Cell<u64>,
 }
 
 impl StreamKeeper {
@@ -77,16 +79,17 @@
         restore(&file, &mut hub.borrow_mut(), &*clock);
         let last_saved = Cell::new(hub.borrow().last_stream());
         let (saves, incoming) = mpsc::sync_channel(1);
-        let has_failed = Arc::new(AtomicBool::new(false));
+        let failures = Arc::new(AtomicU64::new(0));
         let keeper = StreamKeeper {
             hub,
             clock,
             saves,
             last_saved,
             begun_at: Cell::default(),
-            has_failed: Arc::clone(&has_failed),
+            failures: Arc::clone(&failures),
+            handled_failures: Cell::default(),
         };
-        thread::spawn(move || save_all(&file, incoming, &has_failed));
+        thread::spawn(move || save_all(&file, incoming, &failures));
         keeper
     }
 
@@ -100,7 +103,8 @@
 
     fn save_new(&self) {
         let last = self.hub.borrow().last_stream();
-        let has_failed = self.has_failed.load(Ordering::Relaxed);
+        let failures = self.failures.load(Ordering::Relaxed);
+        let has_failed = failures != self.handled_failures.get();
         if last == self.last_saved.get() && !has_failed {
             return;
         }
@@ -111,12 +115,11 @@
         let begun_streams = self.hub.borrow().streams_since(known);
         let streams = SavedStreams { saved_ms: unix_ms(&*self.clock), begun_streams };
         let save = if is_appended { Save::Append(streams) } else { Save::Begin(streams) };
-        self.has_failed.store(false, Ordering::Relaxed);
         // While the disk has not finished earlier saves, the next round tries again.
         if self.saves.try_send(save).is_err() {
-            self.has_failed.store(has_failed, Ordering::Relaxed);
             return;
         }
+        self.handled_failures.set(failures);
         self.last_saved.set(last);
         if !is_appended {
             self.begun_at.set(Some(now));
@@ -141,13 +144,13 @@
 }
 
 /// Saves what comes until the keeper is gone.
-fn save_all(file: &AppendFile, saves: mpsc::Receiver<Save>, has_failed: &AtomicBool) {
+fn save_all(file: &AppendFile, saves: mpsc::Receiver<Save>, failures: &AtomicU64) {
     let mut log = SaveLog::new("streams_saved");
     let mut appender = None;
     for save in saves {
         let result = save_one(file, &mut appender, &save);
         if result.is_err() {
-            has_failed.store(true, Ordering::Relaxed);
+            failures.fetch_add(1, Ordering::Relaxed);
         }
         log.record(&result);
     }
--- a/crates/control/tests/saved_streams.rs
+++ b/crates/control/tests/saved_streams.rs
@@ -92,3 +92,25 @@
     NODES.for_each(|it| cluster.run(it));
     check_known(&cluster, &[1]);
 }
+
+/// What could not be saved is saved once that works again, although no further stream begins.
+#[test]
+fn failed_saves() {
+    let mut cluster = Cluster::start(3);
+    cluster.block_saved_streams(1);
+    for number in [1, 2] {
+        let begun_streams = begun(number);
+        let told = Summary { begun_streams, ..MemberState::new("router-1").empty_summary() };
+        let saved_before = cluster.saved_streams(2);
+        wait_until("a report", || cluster.exchange(1, &told));
+        wait_until("a save at another node", || {
+            (cluster.saved_streams(2) != saved_before).then_some(())
+        });
+    }
+    assert_eq!(cluster.saved_streams(1), None);
+    cluster.unblock_saved_streams(1);
+    wait_until("a save", || cluster.saved_streams(1));
+    cluster.kill(1);
+    cluster.run(1);
+    check_known(&cluster, &[1, 2]);
+}
--- a/crates/control/tests/support.rs
+++ b/crates/control/tests/support.rs
@@ -161,6 +161,17 @@
         fs::read(self.data_dir(node).join(STREAMS_FILE)).ok()
     }
 
+    /// Makes each save of streams fail, by a folder in the place of their file.
+    pub(crate) fn block_saved_streams(&self, node: usize) {
+        let path = self.data_dir(node).join(STREAMS_FILE);
+        fs::create_dir(path).expect("the node has saved no streams yet");
+    }
+
+    pub(crate) fn unblock_saved_streams(&self, node: usize) {
+        let path = self.data_dir(node).join(STREAMS_FILE);
+        fs::remove_dir(path).expect("the saves were blocked");
+    }
+
     pub(crate) fn replace_saved_streams(&self, node: usize, bytes: &[u8]) {
         let path = self.data_dir(node).join(STREAMS_FILE);
         fs::write(path, bytes).expect("the test folder is writable");
