Let small event buffers grow with what comes

Cause: room for a whole piece of 4 KiB was reserved before each read of a stream, also for events of a few bytes.

Change: a buffer is only grown in advance once it is so large that it is charged.

Measured: buffered_parts passes.

--- a/crates/httpio/src/held_events.rs
+++ b/crates/httpio/src/held_events.rs
@@ -31,10 +31,11 @@
     /// Waits until there is room for the next piece of the stream's body. Dropping the future loses no data.
     pub async fn reserve(&mut self) {
         let Some(capacity) = self.splitter.needed_capacity(READ_BYTES_MAX) else { return };
+        // A small buffer grows with what comes.
         if capacity > 2 * UNCHARGED_PIECE_BYTES {
             self.charge.resize(capacity).await;
+            self.splitter.grow(capacity);
         }
-        self.splitter.grow(capacity);
     }
 
     /// Appends the piece for which room was reserved.
