Print the failures of tests once more at the end

Change: `xtask test` passes the output of the test programs on and keeps their reports of failed tests, which it prints again behind all others.

Result: in a scratch workspace of two packages with a failing test each both reports, with what the tests printed and where they panicked, stand in the last 30 lines.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Development tasks of the repository that cargo has no command for.
 
 mod codegen;
+mod failure_report;
 mod known_red;
 mod side_by_side;
 mod tests;
--- a/xtask/src/tests.rs
+++ b/xtask/src/tests.rs
@@ -1,10 +1,15 @@
 //! Runs the tests of the workspace, except those listed in KNOWN-RED.txt.
 
-use std::{collections::BTreeMap, env, path::Path, process::Command};
+use std::{
+    collections::BTreeMap,
+    env, io,
+    path::Path,
+    process::{Command, Stdio},
+};
 
 use anyhow::{Context, ensure};
 
-use crate::known_red;
+use crate::{failure_report::FailureReport, known_red};
 
 /// Runs the tests and prints the entries of those that were skipped.
 pub(crate) fn run() -> anyhow::Result<()> {
@@ -14,14 +19,16 @@
         ensure_listed(&entry.package, &entry.test)?;
         skipped_tests.entry(&entry.package).or_default().push(&entry.test);
     }
-    let mut all_passed = run_other_packages(skipped_tests.keys())?;
+    let mut failures = FailureReport::default();
+    let mut all_passed = run_other_packages(skipped_tests.keys(), &mut failures)?;
     for (package, tests) in &skipped_tests {
-        all_passed &= run_package(package, tests)?;
+        all_passed &= run_package(package, tests, &mut failures)?;
     }
     for entry in &known_faults {
         println!("known red, not run: {}", entry.line);
     }
-    ensure!(all_passed, "some tests failed: read the lines marked FAILED above");
+    failures.print();
+    ensure!(all_passed, "some tests failed: they are listed above and in the errors of cargo");
     Ok(())
 }
 
@@ -43,24 +50,39 @@
 }
 
 /// Runs all tests of the packages that have no skipped test; returns whether they passed.
-fn run_other_packages<'a>(excluded: impl Iterator<Item = &'a &'a str>) -> anyhow::Result<bool> {
+fn run_other_packages<'a>(
+    excluded: impl Iterator<Item = &'a &'a str>,
+    failures: &mut FailureReport,
+) -> anyhow::Result<bool> {
     let mut command = cargo_test();
     command.args(["--workspace", "--no-fail-fast"]);
     for package in excluded {
         command.args(["--exclude", package]);
     }
-    Ok(command.status()?.success())
+    run_tests(command, failures)
 }
 
 /// Runs the tests of a package except those with exactly the given names; returns whether they
 /// passed.
-fn run_package(package: &str, skipped: &[&str]) -> anyhow::Result<bool> {
+fn run_package(
+    package: &str,
+    skipped: &[&str],
+    failures: &mut FailureReport,
+) -> anyhow::Result<bool> {
     let mut command = cargo_test();
     command.args(["--package", package, "--no-fail-fast", "--", "--exact"]);
     for test in skipped {
         command.args(["--skip", test]);
     }
-    Ok(command.status()?.success())
+    run_tests(command, failures)
+}
+
+/// Runs test programs, and keeps what they report of failed tests; returns whether all passed.
+fn run_tests(mut command: Command, failures: &mut FailureReport) -> anyhow::Result<bool> {
+    let mut child = command.stdout(Stdio::piped()).spawn()?;
+    let output = child.stdout.take().context("the output is piped")?;
+    failures.collect(io::BufReader::new(output), io::stdout())?;
+    Ok(child.wait()?.success())
 }
 
 fn cargo_test() -> Command {
