--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -6,7 +6,7 @@
 mod manual;
 mod system;
 
-use std::time::{Instant, SystemTime};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub use manual::ManualClock;
 pub use system::SystemClock;
@@ -18,4 +18,9 @@
 
     /// The wall-clock time, for logs and for dates sent to other systems.
     fn wall(&self) -> SystemTime;
+
+    /// The wall-clock time in milliseconds since the Unix epoch; 0 before it.
+    fn unix_ms(&self) -> u64 {
+        self.wall().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,7 +27,6 @@
 mod status;
 mod tables_feed;
 mod version_history;
-mod wall_time;
 
 pub use address_book::{AddressBook, node_id_of};
 pub use bootstrap::{FormatMode, format};
--- a/crates/control/src/replica/repair.rs
+++ b/crates/control/src/replica/repair.rs
@@ -1,11 +1,7 @@
 //! Repairs the membership: nodes announce themselves and their disks, and the leader makes the next
 //! safe membership change.
 
-use std::{
-    collections::BTreeSet,
-    rc::Rc,
-    time::{Duration, UNIX_EPOCH},
-};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use consensus::{Peer, RepairInput, RepairStep, next_repair_step};
 use control_state::{Command, encode_command};
@@ -93,8 +89,7 @@
         if !is_due || !self.leads() {
             return;
         }
-        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let command = Command::AdvanceTime { now_ms: since_epoch.as_millis() as u64 };
+        let command = Command::AdvanceTime { now_ms: self.clock.unix_ms() };
         let now = self.clock.now();
         // A leader that has just lost its lease cannot propose; the next leader advances the clock.
         let _ = self.core.borrow_mut().node.propose(now, encode_command(&command));
--- a/crates/control/src/saved_streams.rs
+++ b/crates/control/src/saved_streams.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use storage::{AppendFile, Appender};
 
-use crate::{save_log::SaveLog, wall_time::unix_ms};
+use crate::save_log::SaveLog;
 
 const FILE_NAME: &str = "streams";
 
@@ -113,7 +113,7 @@
         let is_appended = is_current && !has_failed;
         let known = if is_appended { self.last_saved.get() } else { 0 };
         let begun_streams = self.hub.borrow().streams_since(known);
-        let streams = SavedStreams { saved_ms: unix_ms(&*self.clock), begun_streams };
+        let streams = SavedStreams { saved_ms: self.clock.unix_ms(), begun_streams };
         let save = if is_appended { Save::Append(streams) } else { Save::Begin(streams) };
         // While the disk has not finished earlier saves, the next round tries again.
         if self.saves.try_send(save).is_err() {
@@ -133,7 +133,7 @@
         tracing::warn!(event = "streams_unreadable", %error);
         Vec::new()
     });
-    let (now, now_ms) = (clock.now(), unix_ms(clock));
+    let (now, now_ms) = (clock.now(), clock.unix_ms());
     let is_remembered = |it: &&SavedStreams| {
         u128::from(now_ms.saturating_sub(it.saved_ms)) < StreamHash::TTL.as_millis()
     };
--- a/crates/control/src/version_history.rs
+++ b/crates/control/src/version_history.rs
@@ -22,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 use storage::StateFile;
 
-use crate::{save_log::SaveLog, wall_time::unix_ms};
+use crate::save_log::SaveLog;
 
 const FILE_NAME: &str = "versions";
 
@@ -123,7 +123,7 @@
     folder: &Path,
     clock: &dyn Clock,
 ) -> Result<(), consensus::StorageError> {
-    StateFile::new(folder, FILE_NAME).write(&VersionHistory::beginning(unix_ms(clock)))
+    StateFile::new(folder, FILE_NAME).write(&VersionHistory::beginning(clock.unix_ms()))
 }
 
 /// Keeps the history up to date with the list, on disk and at the hub.
@@ -157,7 +157,7 @@
 
     /// Records a read of the list; `None` if it is the same as at the read before.
     pub(crate) fn list_read(&self, list: Option<&[ListedVm]>) {
-        let now_ms = unix_ms(&*self.clock);
+        let now_ms = self.clock.unix_ms();
         let has_changed = self.history.borrow_mut().record(now_ms, list);
         self.save_if_due(has_changed);
         let history = self.history.borrow();
--- a/crates/load/src/cli/run.rs
+++ b/crates/load/src/cli/run.rs
@@ -1,6 +1,6 @@
 //! Sends a plan and prints the report.
 
-use std::{path::PathBuf, rc::Rc, time::UNIX_EPOCH};
+use std::{path::PathBuf, rc::Rc};
 
 use anyhow::{anyhow, bail};
 use clap::{ArgMatches, Command};
@@ -96,6 +96,5 @@
 /// A run name derived from the current time. It must differ between runs, because routers
 /// deduplicate orders by keys that contain it.
 fn run_name_from_time() -> String {
-    let since_epoch = SystemClock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    format!("run{:x}", since_epoch.as_millis())
+    format!("run{:x}", SystemClock.unix_ms())
 }
--- a/crates/router/src/control/ledger.rs
+++ b/crates/router/src/control/ledger.rs
@@ -3,10 +3,7 @@
 //! A refusal by the log proves that the claim was not made. Without an answer the claim is in
 //! doubt; the caller of the ledger then does not send the order and releases the claim.
 
-use std::{
-    rc::Rc,
-    time::{Duration, UNIX_EPOCH},
-};
+use std::{rc::Rc, time::Duration};
 
 use clock::Clock;
 use control_client::{CommandError, submit};
@@ -64,11 +61,6 @@
     fn record(&self, command: Command) -> LocalBoxFuture<'static, Result<(), LedgerError>> {
         self.clone().submit(command).map(|it| it.map(|_| ())).boxed_local()
     }
-
-    fn unix_ms(&self) -> u64 {
-        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-        since_epoch.as_millis() as u64
-    }
 }
 
 impl OrderLedger for ControlLedger {
@@ -82,7 +74,7 @@
         claim: ClaimId,
         body: BodyHash,
     ) -> LocalBoxFuture<'static, Result<ClaimResult, LedgerError>> {
-        let at_ms = self.unix_ms();
+        let at_ms = self.clock.unix_ms();
         let command = Command::ClaimOrder(ClaimOrder {
             order: to_log_key(key),
             body_hash: body.0,
