Save state beside the log by one thread function

Cause: the keepers of streams and of versions each started a thread that takes values from a channel of one, saves them and logs when that begins to fail; only the log was shared.

The count of failed saves of streams is kept in the function that saves them. No behaviour changes: same files, same log lines.

--- a/crates/control/src/saved_streams.rs
+++ b/crates/control/src/saved_streams.rs
@@ -15,7 +15,6 @@
         atomic::{AtomicU64, Ordering},
         mpsc,
     },
-    thread,
     time::{Duration, Instant},
 };
 
@@ -25,7 +24,7 @@
 use serde::{Deserialize, Serialize};
 use storage::{AppendFile, Appender};
 
-use crate::save_log::SaveLog;
+use crate::saver;
 
 const FILE_NAME: &str = "streams";
 
@@ -78,19 +77,17 @@
         let file = AppendFile::new(folder, FILE_NAME);
         restore(&file, &mut hub.borrow_mut(), &*clock);
         let last_saved = Cell::new(hub.borrow().last_stream());
-        let (saves, incoming) = mpsc::sync_channel(1);
         let failures = Arc::new(AtomicU64::new(0));
-        let keeper = StreamKeeper {
+        let saves = saver::start("streams_saved", save_to(file, Arc::clone(&failures)));
+        StreamKeeper {
             hub,
             clock,
             saves,
             last_saved,
             begun_at: Cell::default(),
-            failures: Arc::clone(&failures),
+            failures,
             handled_failures: Cell::default(),
-        };
-        thread::spawn(move || save_all(&file, incoming, &failures));
-        keeper
+        }
     }
 
     /// Saves new streams at a fixed interval for the lifetime of the process.
@@ -143,16 +140,18 @@
     tracing::info!(event = "streams_read", count = hub.last_stream());
 }
 
-/// Saves what comes until the keeper is gone.
-fn save_all(file: &AppendFile, saves: mpsc::Receiver<Save>, failures: &AtomicU64) {
-    let mut log = SaveLog::new("streams_saved");
+/// Saves to the file, and counts what fails.
+fn save_to(
+    file: AppendFile,
+    failures: Arc<AtomicU64>,
+) -> impl FnMut(Save) -> Result<(), StorageError> {
     let mut appender = None;
-    for save in saves {
-        let result = save_one(file, &mut appender, &save);
+    move |save| {
+        let result = save_one(&file, &mut appender, &save);
         if result.is_err() {
             failures.fetch_add(1, Ordering::Relaxed);
         }
-        log.record(&result);
+        result
     }
 }
 
--- a/crates/control/src/version_history.rs
+++ b/crates/control/src/version_history.rs
@@ -11,7 +11,6 @@
     path::Path,
     rc::Rc,
     sync::mpsc,
-    thread,
     time::{Duration, Instant},
 };
 
@@ -22,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use storage::StateFile;
 
-use crate::save_log::SaveLog;
+use crate::saver;
 
 const FILE_NAME: &str = "versions";
 
@@ -149,8 +148,7 @@
             None
         });
         tracing::info!(event = "versions_read", is_known = saved.is_some());
-        let (saves, incoming) = mpsc::sync_channel(1);
-        thread::spawn(move || save_all(&file, incoming));
+        let saves = saver::start("versions_saved", move |it| file.write(&it));
         let history = RefCell::new(saved.unwrap_or_default());
         VersionKeeper { history, hub, clock, saves, saved_at: Cell::new(None) }
     }
@@ -179,11 +177,3 @@
         self.saved_at.set(is_queued.then_some(now));
     }
 }
-
-/// Saves each history that comes, until the keeper is gone.
-fn save_all(file: &StateFile, histories: mpsc::Receiver<VersionHistory>) {
-    let mut log = SaveLog::new("versions_saved");
-    for history in histories {
-        log.record(&file.write(&history));
-    }
-}
