--- a/crates/control/tests/saved_streams.rs
+++ b/crates/control/tests/saved_streams.rs
@@ -19,17 +19,22 @@
     BegunStreams::group([(stream, VersionHash(number))])
 }
 
-/// Tells a node of a stream, and waits until each node has saved it.
-fn tell_all(cluster: &Cluster, node: usize, number: u32) {
-    let saved_before = NODES.map(|it| cluster.saved_streams(it)).collect::<Vec<_>>();
+/// Tells a node of a stream, and waits until the nodes `savers` have saved it.
+fn tell(cluster: &Cluster, node: usize, number: u32, savers: impl Iterator<Item = usize>) {
+    let saved_before: Vec<_> = savers.map(|it| (it, cluster.saved_streams(it))).collect();
     let told =
         Summary { begun_streams: begun(number), ..MemberState::new("router-1").empty_summary() };
     wait_until("a report", || cluster.exchange(node, &told));
-    for (node, before) in NODES.zip(saved_before) {
-        wait_until("a save", || (cluster.saved_streams(node) != before).then_some(()));
+    for (saver, before) in saved_before {
+        wait_until("a save", || (cluster.saved_streams(saver) != before).then_some(()));
     }
 }
 
+/// Tells a node of a stream, and waits until each node has saved it.
+fn tell_all(cluster: &Cluster, node: usize, number: u32) {
+    tell(cluster, node, number, NODES);
+}
+
 fn check_known(cluster: &Cluster, numbers: &[u32]) {
     for node in NODES {
         for number in numbers {
@@ -99,13 +104,7 @@
     let mut cluster = Cluster::start(3);
     cluster.block_saved_streams(1);
     for number in [1, 2] {
-        let begun_streams = begun(number);
-        let told = Summary { begun_streams, ..MemberState::new("router-1").empty_summary() };
-        let saved_before = cluster.saved_streams(2);
-        wait_until("a report", || cluster.exchange(1, &told));
-        wait_until("a save at another node", || {
-            (cluster.saved_streams(2) != saved_before).then_some(())
-        });
+        tell(&cluster, 1, number, [2].into_iter());
     }
     assert_eq!(cluster.saved_streams(1), None);
     cluster.unblock_saved_streams(1);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -83,6 +83,25 @@
     pub prior_attempts: u32,
 }
 
+impl Default for DispatchRequest<'_> {
+    /// A request of an anonymous caller of which nothing is known, so it must not run more than once.
+    fn default() -> Self {
+        static UNKNOWN_PROMPT: Prompt = Prompt { parts: Vec::new() };
+        Self {
+            pool: "",
+            class: "",
+            workspace: None,
+            prefix_hash: 0,
+            request_hash: 0,
+            max_tokens: None,
+            prompt: &UNKNOWN_PROMPT,
+            repeat: Repeat::AtMostOnce,
+            version: None,
+            prior_attempts: 0,
+        }
+    }
+}
+
 /// Dispatches the requests of all pools, each pool with a scheduler of its own.
 pub struct Dispatcher {
     dispatchers: RefCell<BTreeMap<String, Rc<PoolDispatcher>>>,
--- a/crates/router/tests/shared_probes.rs
+++ b/crates/router/tests/shared_probes.rs
@@ -9,7 +9,7 @@
     FutureExt,
     future::{LocalBoxFuture, join_all},
 };
-use policy::{Execution, Failure, ProbeResult, Prompt, Repeat};
+use policy::{Execution, Failure, ProbeResult, Repeat};
 use router::{
     dispatch::{DispatchRequest, Dispatcher, Lease, ProbeTarget, Prober, RetryResult},
     identity::Workspaces,
@@ -44,14 +44,9 @@
     let request = DispatchRequest {
         pool: "svc",
         class: "lookup",
-        workspace: None,
-        prefix_hash: 0,
         request_hash,
-        max_tokens: None,
-        prompt: &Prompt::default(),
         repeat: Repeat::Idempotent,
-        version: None,
-        prior_attempts: 0,
+        ..DispatchRequest::default()
     };
     dispatcher.dispatch(request).await.expect("a server is up")
 }
--- a/crates/router/tests/split_shares.rs
+++ b/crates/router/tests/split_shares.rs
@@ -6,23 +6,15 @@
 use std::rc::Rc;
 
 use clock::SystemClock;
-use futures::{FutureExt, future::LocalBoxFuture};
-use policy::{ProbeResult, Prompt, Repeat};
+use futures::FutureExt;
+use policy::Repeat;
 use router::{
-    dispatch::{DispatchRequest, Dispatcher, ProbeTarget, Prober},
+    dispatch::{DispatchRequest, Dispatcher},
     identity::Workspaces,
 };
-use support::run;
+use support::{listed::NoProber, run};
 use tables::{Revision, TablesText};
 
-struct SilentProber;
-
-impl Prober for SilentProber {
-    fn probe(&self, _: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
-        futures::future::pending().boxed_local()
-    }
-}
-
 const POOLS: &str = "[a]\nkind = service\nservers = 127.0.0.1:9@fd-1\n\
                      [b]\nkind = service\nservers = 127.0.0.1:9@fd-1\n";
 const ROUTES: &str = "[lookup]\npath = /lookup\npriority = 1\npool = a\nsplit = a:1, b:1\n\
@@ -37,21 +29,16 @@
         let tables =
             tables::check(Revision(1), &text).expect("each pool is the own one of a route");
         let settings = policy::Settings::default();
-        let prober = Rc::new(SilentProber);
+        let prober = Rc::new(NoProber);
         let dispatcher = Dispatcher::new(Rc::new(SystemClock), prober, settings, "fd-1");
         dispatcher.configure(&tables, &Workspaces::default());
         for (pool, class) in [("a", "lookup"), ("b", "lookup"), ("b", "report")] {
             let request = DispatchRequest {
                 pool,
                 class,
-                workspace: None,
-                prefix_hash: 0,
                 request_hash: 1,
-                max_tokens: None,
-                prompt: &Prompt::default(),
                 repeat: Repeat::Idempotent,
-                version: None,
-                prior_attempts: 0,
+                ..DispatchRequest::default()
             };
             let lease = dispatcher.dispatch(request).now_or_never();
             assert!(matches!(lease, Some(Ok(_))), "{class} in {pool}");
--- a/crates/router/tests/support/listed.rs
+++ b/crates/router/tests/support/listed.rs
@@ -16,7 +16,8 @@
 /// The pool.
 pub(crate) const POOL: &str = "svc";
 
-struct NoProber;
+/// A prober whose probes find every server alive.
+pub(crate) struct NoProber;
 
 impl Prober for NoProber {
     fn probe(&self, _: &ProbeTarget) -> LocalBoxFuture<'static, ProbeResult> {
--- a/crates/storage/tests/append_file.rs
+++ b/crates/storage/tests/append_file.rs
@@ -41,22 +41,8 @@
     assert_eq!(read(&folder), Ok(vec![vec![7]]));
 }
 
-#[test]
-fn torn_write() {
-    let folder = TempDir::new().unwrap();
-    let lengths = write(&folder);
-    let path = folder.path().join(NAME);
-    let whole = fs::read(&path).unwrap();
-    let all = read(&folder).unwrap();
-    for end in lengths[0]..whole.len() {
-        fs::write(&path, &whole[..end]).unwrap();
-        let count = lengths.iter().filter(|it| **it <= end).count();
-        assert_eq!(read(&folder).unwrap(), all[..count], "cut after {end} bytes");
-    }
-}
-
-#[test]
-fn damaged_write() {
+/// Damages the file from each of its bytes behind the first value on, and checks that the values before are read.
+fn check_damage(damage: impl Fn(&mut Vec<u8>, usize)) {
     let folder = TempDir::new().unwrap();
     let lengths = write(&folder);
     let path = folder.path().join(NAME);
@@ -64,13 +50,23 @@
     let all = read(&folder).unwrap();
     for at in lengths[0]..whole.len() {
         let mut bytes = whole.clone();
-        bytes[at] ^= 1;
+        damage(&mut bytes, at);
         fs::write(&path, bytes).unwrap();
         let count = lengths.iter().filter(|it| **it <= at).count();
-        assert_eq!(read(&folder).unwrap(), all[..count], "byte {at} is not checked");
+        assert_eq!(read(&folder).unwrap(), all[..count], "damaged from byte {at} on");
     }
 }
 
+#[test]
+fn torn_write() {
+    check_damage(|bytes, at| bytes.truncate(at));
+}
+
+#[test]
+fn damaged_write() {
+    check_damage(|bytes, at| bytes[at] ^= 1);
+}
+
 #[test]
 fn later_format() {
     let folder = TempDir::new().unwrap();
