Read from connections by turns

What callers saw: while 300 clients send bodies in chunks of one byte, no ordinary caller of a router, of a health listener or of the operators' API is answered, and for some seconds after; the process hangs.

Cause: a task whose socket always has more to read goes on reading without a turn for others, and the runtime runs its timers only once no task is ready. With enough such clients no timer runs at all: no deadline, no timeout, no election. Beside that, each chunk cost an own piece of the body, with a charge and reference counts.

Connections are accepted in turns, too. All chunks in a buffer are decoded to one piece in place.

--- a/crates/httpio/src/client/connection.rs
+++ b/crates/httpio/src/client/connection.rs
@@ -2,7 +2,6 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use futures::FutureExt;
 use http::{HeaderValue, Method, StatusCode, Version, header};
 use monoio::{io::Splitable, net::TcpStream, time};
 use monoio_http::{common::response::ResponseHead, h1::codec::decoder::ResponseHeadDecoder};
@@ -13,6 +12,7 @@
     framing::{self, BodyDecoder},
     inbound::{HeadFault, Inbound, Received},
     outbound::Outbound,
+    turns::ReadTurns,
 };
 
 /// A connection that carries one exchange at a time.
@@ -34,6 +34,15 @@
     /// # Errors
     /// With [`Stage::NotConnected`] when the connection is refused or times out.
     pub async fn open(addr: SocketAddr, limits: Limits) -> Result<Connection, ClientError> {
+        Connection::open_with(addr, limits, ReadTurns::default()).await
+    }
+
+    /// Opens a connection that shares turns to read with others.
+    pub(super) async fn open_with(
+        addr: SocketAddr,
+        limits: Limits,
+        turns: ReadTurns,
+    ) -> Result<Connection, ClientError> {
         let fail = |kind| Err(ClientError { stage: Stage::NotConnected, kind, reused: false });
         let stream =
             match time::timeout(limits.connect_timeout(), TcpStream::connect_addr(addr)).await {
@@ -44,7 +53,7 @@
         // A failure to disable Nagle's algorithm costs latency only.
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
-        let inbound = Inbound::new(read);
+        let inbound = Inbound::new(read, turns);
         let outbound = Outbound::new(write, limits.write_timeout());
         Ok(Connection {
             inbound,
@@ -144,7 +153,7 @@
     /// Whether an idle connection can be used again: no bytes are unread and the server has not
     /// closed it.
     pub(super) fn is_reusable(&mut self) -> bool {
-        self.inbound.buffer.is_empty() && self.inbound.fill().now_or_never().is_none()
+        self.inbound.is_silent()
     }
 }
 
--- a/crates/httpio/src/client/pool.rs
+++ b/crates/httpio/src/client/pool.rs
@@ -11,7 +11,7 @@
 use clock::Clock;
 
 use super::{ClientError, Connection, Request, Response};
-use crate::Limits;
+use crate::{Limits, turns::ReadTurns};
 
 /// The fraction of a server's idle timeout during which a connection is reused. A request sent
 /// close to the end of the timeout may reach the server after it has closed the connection.
@@ -38,6 +38,8 @@
 #[derive(Clone)]
 pub struct Pool {
     settings: PoolSettings,
+    /// Of all connections of the pool.
+    turns: ReadTurns,
     idle: Rc<Idle>,
 }
 
@@ -45,7 +47,12 @@
     /// Creates an empty pool.
     #[must_use]
     pub fn new(settings: PoolSettings, clock: Rc<dyn Clock>) -> Pool {
-        Pool { settings, idle: Rc::new(Idle { settings, clock, stacks: RefCell::default() }) }
+        let turns = ReadTurns::default();
+        Pool {
+            settings,
+            turns,
+            idle: Rc::new(Idle { settings, clock, stacks: RefCell::default() }),
+        }
     }
 
     /// Sends a request on an idle connection, or on a new one if none is idle.
@@ -69,7 +76,8 @@
         addr: SocketAddr,
         request: Request,
     ) -> Result<Response, ClientError> {
-        let connection = Connection::open(addr, self.settings.limits).await?;
+        let turns = self.turns.clone();
+        let connection = Connection::open_with(addr, self.settings.limits, turns).await?;
         self.send_on(connection, request).await
     }
 
--- a/crates/httpio/src/framing.rs
+++ b/crates/httpio/src/framing.rs
@@ -158,23 +158,12 @@
 
     /// Decodes the next piece from `buffer`. A chunk is decoded as its bytes come, so that the buffer stays small.
     pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
-        loop {
-            let next = match self.state {
-                State::Done => return Ok(Step::End),
-                State::Fixed(left) => {
-                    return Ok(self.decode_data(left, buffer, State::Fixed, State::Done));
-                }
-                State::InChunk(left) => {
-                    return Ok(self.decode_data(left, buffer, State::InChunk, State::ChunkEnd));
-                }
-                State::UntilClose => return self.decode_until_close(buffer),
-                State::ChunkSize => self.decode_size(buffer)?,
-                State::ChunkEnd => take_line_end(buffer)?.then_some(State::ChunkSize),
-                State::BodyEnd => take_line_end(buffer)?.then_some(State::Done),
-            };
-            match next {
-                Some(next) => self.state = next,
-                None => return Ok(Step::NeedsData),
+        match self.state {
+            State::Done => Ok(Step::End),
+            State::Fixed(left) => Ok(self.decode_fixed(left, buffer)),
+            State::UntilClose => self.decode_until_close(buffer),
+            State::ChunkSize | State::InChunk(_) | State::ChunkEnd | State::BodyEnd => {
+                self.decode_chunks(buffer)
             }
         }
     }
@@ -192,29 +181,74 @@
         Ok(Step::Data(buffer.split().freeze()))
     }
 
-    /// Takes what there is of `left` bytes. The state is then `rest` of what is still missing, or `end`.
-    fn decode_data(
-        &mut self,
-        left: usize,
-        buffer: &mut BytesMut,
-        rest: fn(usize) -> State,
-        end: State,
-    ) -> Step {
+    fn decode_fixed(&mut self, left: usize, buffer: &mut BytesMut) -> Step {
         if buffer.is_empty() {
             return Step::NeedsData;
         }
         let data = buffer.split_to(buffer.len().min(left)).freeze();
-        self.state = if data.len() < left { rest(left - data.len()) } else { end };
+        self.state = match left - data.len() {
+            0 => State::Done,
+            left => State::Fixed(left),
+        };
         Step::Data(data)
     }
 
+    /// Decodes all chunks in the buffer. Their data becomes one piece, so that a piece costs about the same however
+    /// small the chunks are.
+    fn decode_chunks(&mut self, buffer: &mut BytesMut) -> Result<Step, BodyFault> {
+        // The data is moved to the front of the buffer; what is not decoded yet begins at `next`.
+        let (mut data_bytes, mut next) = (0, 0);
+        let decoded = loop {
+            match self.decode_part(&buffer[next..]) {
+                Ok(Some(Part { bytes, state })) => {
+                    if let State::InChunk(_) = self.state {
+                        buffer.copy_within(next..next + bytes, data_bytes);
+                        data_bytes += bytes;
+                    }
+                    next += bytes;
+                    self.state = state;
+                }
+                Ok(None) => break Ok(()),
+                Err(fault) => break Err(fault),
+            }
+        };
+        let data = buffer.split_to(data_bytes).freeze();
+        buffer.advance(next - data_bytes);
+        if !data.is_empty() {
+            // A fault behind the data is found again by the next call.
+            return Ok(Step::Data(data));
+        }
+        decoded.map(|()| match self.state {
+            State::Done => Step::End,
+            _ => Step::NeedsData,
+        })
+    }
+
+    /// Decodes the next part of a chunked body; `None` while it is incomplete and behind the end.
+    fn decode_part(&mut self, rest: &[u8]) -> Result<Option<Part>, BodyFault> {
+        match self.state {
+            State::ChunkSize => self.decode_size(rest),
+            State::InChunk(left) => {
+                let bytes = rest.len().min(left);
+                let state = match left - bytes {
+                    0 => State::ChunkEnd,
+                    left => State::InChunk(left),
+                };
+                Ok((bytes > 0).then_some(Part { bytes, state }))
+            }
+            State::ChunkEnd => decode_line_end(rest, State::ChunkSize),
+            State::BodyEnd => decode_line_end(rest, State::Done),
+            State::Fixed(_) | State::UntilClose | State::Done => Ok(None),
+        }
+    }
+
     /// Decodes the line with the size of a chunk; `None` while it is incomplete.
-    fn decode_size(&mut self, buffer: &mut BytesMut) -> Result<Option<State>, BodyFault> {
-        let line = &buffer[..buffer.len().min(SIZE_LINE_BYTES_MAX)];
+    fn decode_size(&mut self, rest: &[u8]) -> Result<Option<Part>, BodyFault> {
+        let line = &rest[..rest.len().min(SIZE_LINE_BYTES_MAX)];
         if !may_be_size_line(line) {
             return Err(BodyFault::Malformed);
         }
-        let (line_bytes, size) = match httparse::parse_chunk_size(line) {
+        let (bytes, size) = match httparse::parse_chunk_size(line) {
             Ok(httparse::Status::Complete(found)) => found,
             Ok(httparse::Status::Partial) if line.len() < SIZE_LINE_BYTES_MAX => return Ok(None),
             Ok(httparse::Status::Partial) | Err(_) => return Err(BodyFault::Malformed),
@@ -224,11 +258,18 @@
             return Err(BodyFault::ChunkTooBig);
         }
         self.bytes_left = self.bytes_left.checked_sub(size).ok_or(BodyFault::TooBig)?;
-        buffer.advance(line_bytes);
-        Ok(Some(if size == 0 { State::BodyEnd } else { State::InChunk(size) }))
+        let state = if size == 0 { State::BodyEnd } else { State::InChunk(size) };
+        Ok(Some(Part { bytes, state }))
     }
 }
 
+/// A decoded part of a chunked body.
+struct Part {
+    bytes: usize,
+    /// The state behind it.
+    state: State,
+}
+
 /// Whether a line with the size of a chunk may begin like this. Extensions of chunks are refused, and so is a line
 /// without a size, with which a body that was cut short would look complete.
 fn may_be_size_line(line: &[u8]) -> bool {
@@ -238,15 +279,12 @@
     has_size && (LINE_END.starts_with(rest) || rest.starts_with(LINE_END))
 }
 
-/// Takes a line end from the buffer; returns false while it is incomplete.
-fn take_line_end(buffer: &mut BytesMut) -> Result<bool, BodyFault> {
-    let found = &buffer[..buffer.len().min(LINE_END.len())];
+/// Decodes a line end, behind which the state is `state`; `None` while it is incomplete.
+fn decode_line_end(rest: &[u8], state: State) -> Result<Option<Part>, BodyFault> {
+    let found = &rest[..rest.len().min(LINE_END.len())];
     if !LINE_END.starts_with(found) {
         return Err(BodyFault::Malformed);
     }
-    let is_complete = found == LINE_END;
-    if is_complete {
-        buffer.advance(LINE_END.len());
-    }
-    Ok(is_complete)
+    let is_complete = found.len() == LINE_END.len();
+    Ok(is_complete.then_some(Part { bytes: LINE_END.len(), state }))
 }
--- a/crates/httpio/src/inbound.rs
+++ b/crates/httpio/src/inbound.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use derive_more::Display;
+use futures::FutureExt;
 use monoio::{
     io::{AsyncReadRent, OwnedReadHalf},
     net::TcpStream,
@@ -14,7 +15,10 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::DecodeError;
 
-use crate::Limits;
+use crate::{
+    Limits,
+    turns::{ReadTurns, Turn},
+};
 
 /// The size of a read of a connection that sends little, which its buffer takes also while it is idle.
 const READ_BYTES_MIN: usize = 1 << 10;
@@ -22,6 +26,8 @@
 pub(crate) const READ_BYTES_MAX: usize = 4 << 10;
 /// The bytes after the current request that are read ahead.
 const READ_AHEAD_BYTES: usize = 4 << 10;
+/// The bytes for which the work for a message counts in the turn of its connection, beside its own.
+const MESSAGE_COST_BYTES: usize = 1 << 10;
 /// The growth of a buffer that is too small.
 const GROWTH_FACTOR: usize = 4;
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -50,21 +56,44 @@
     scratch: Vec<u8>,
     /// The size of the next read.
     read_bytes: usize,
+    turn: Turn,
     pub(crate) buffer: BytesMut,
 }
 
 impl Inbound {
-    pub(crate) fn new(half: OwnedReadHalf<TcpStream>) -> Inbound {
-        Inbound { half, scratch: Vec::new(), read_bytes: READ_BYTES_MIN, buffer: BytesMut::new() }
+    pub(crate) fn new(half: OwnedReadHalf<TcpStream>, turns: ReadTurns) -> Inbound {
+        Inbound {
+            half,
+            scratch: Vec::new(),
+            read_bytes: READ_BYTES_MIN,
+            turn: Turn::first(turns),
+            buffer: BytesMut::new(),
+        }
     }
 
-    /// Reads once and appends to the buffer. Dropping the future loses no data.
+    /// Reads once in the turn of this connection, and appends to the buffer. Dropping the future loses no data.
     pub(crate) async fn fill(&mut self) -> io::Result<Received> {
+        self.turn.wait().await;
+        self.read().await
+    }
+
+    /// Whether the peer has neither sent anything nor closed the connection.
+    pub(crate) fn is_silent(&mut self) -> bool {
+        self.buffer.is_empty() && self.read().now_or_never().is_none()
+    }
+
+    /// Counts the work for one message, however few bytes it has.
+    pub(crate) fn spend_turn(&mut self) {
+        self.turn.spend(MESSAGE_COST_BYTES);
+    }
+
+    async fn read(&mut self) -> io::Result<Received> {
         let mut scratch = std::mem::take(&mut self.scratch);
         scratch.clear();
         scratch.reserve_exact(self.read_bytes);
         let (result, scratch) = self.half.read(scratch).await;
         let count = result?;
+        self.turn.spend(count);
         self.append(&scratch[..count]);
         if count < scratch.capacity() {
             self.read_bytes = READ_BYTES_MIN;
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod server;
 pub mod signal;
 pub mod sse;
+mod turns;
 
 pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -32,7 +32,7 @@
     reply::{CallerDisconnected, Reply, StreamSender},
     request::Request,
 };
-use crate::{Limits, budget::ByteBudget, signal::Signal};
+use crate::{Limits, budget::ByteBudget, signal::Signal, turns::ReadTurns};
 
 /// The pause between a failed accept and the next one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -162,10 +162,12 @@
 ) {
     let mut slots = Slots::new(settings.connections, settings.open);
     let ServerSettings { limits, memory, .. } = settings;
-    let server = Server { limits, memory, stop: stop.clone(), handler };
+    let turns = ReadTurns::default();
+    let server = Server { limits, memory, turns, stop: stop.clone(), handler };
+    let accept_turns = ReadTurns::default();
     let closing = stop.closing.raised().fuse();
     pin_mut!(closing);
-    while let Some(accepted) = accept(&mut slots, &listener, &mut closing).await {
+    while let Some(accepted) = accept(&mut slots, &accept_turns, &listener, &mut closing).await {
         match accepted {
             Ok((stream, peer)) => server.spawn(stream, peer, slots.acquire()),
             // When the process is out of file descriptors, accept fails immediately. Without the
@@ -184,11 +186,13 @@
 /// Accepts the next connection, or returns `None` once `closing` has resolved.
 async fn accept(
     slots: &mut Slots,
+    turns: &ReadTurns,
     listener: &TcpListener,
     mut closing: &mut (impl FusedFuture<Output = ()> + Unpin),
 ) -> Option<io::Result<(TcpStream, SocketAddr)>> {
     let accepted = async {
         slots.wait_for_free().await;
+        turns.next().await;
         listener.accept().await
     }
     .fuse();
@@ -202,20 +206,14 @@
 struct Server {
     limits: LiveLimits,
     memory: ByteBudget,
+    turns: ReadTurns,
     stop: StopSignals,
     handler: Rc<dyn Handler>,
 }
 
 impl Server {
     fn spawn(&self, stream: TcpStream, peer: SocketAddr, slot: Slot) {
-        let connection = Connection::new(
-            stream,
-            peer,
-            self.limits.clone(),
-            self.memory.clone(),
-            self.stop.clone(),
-            Rc::clone(&self.handler),
-        );
+        let connection = Connection::new(stream, peer, self);
         monoio::spawn(async move {
             // The slot is released and the connection closed whether or not the task panics.
             let _ = telemetry::contain("connection", peer, connection.run()).await;
--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -10,7 +10,7 @@
 use monoio_http::{common::request::RequestHead, h1::codec::decoder::RequestHeadDecoder};
 
 use super::{
-    Handler, LiveLimits, Reply, Request, StopSignals,
+    Handler, LiveLimits, Reply, Request, Server, StopSignals,
     receiving::until_refusing,
     reply::{Part, ReplyBody},
 };
@@ -52,28 +52,21 @@
 }
 
 impl Connection {
-    pub(super) fn new(
-        stream: TcpStream,
-        peer: SocketAddr,
-        live_limits: LiveLimits,
-        memory: ByteBudget,
-        stop: StopSignals,
-        handler: Rc<dyn Handler>,
-    ) -> Connection {
+    pub(super) fn new(stream: TcpStream, peer: SocketAddr, server: &Server) -> Connection {
         // Nagle's algorithm would delay a small chunk until the previous one is acknowledged. A
         // failure to disable it costs latency only.
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
-        let limits = live_limits.get();
+        let limits = server.limits.get();
         Connection {
-            inbound: Inbound::new(read),
+            inbound: Inbound::new(read, server.turns.clone()),
             outbound: Outbound::new(write, limits.write_timeout()),
             peer,
-            live_limits,
+            live_limits: server.limits.clone(),
             limits,
-            memory,
-            stop,
-            handler,
+            memory: server.memory.clone(),
+            stop: server.stop.clone(),
+            handler: Rc::clone(&server.handler),
         }
     }
 
@@ -106,6 +99,7 @@
 
     async fn receive(&mut self) -> Result<RequestHeadAndBody, End> {
         let (head, head_charge) = self.read_head().await?;
+        self.inbound.spend_turn();
         check_host(&head)?;
         let body = time::timeout(self.limits.body_timeout(), self.read_body(&head))
             .await
--- a/crates/httpio/tests/support.rs
+++ b/crates/httpio/tests/support.rs
@@ -85,6 +85,11 @@
 pub(crate) async fn raw_exchange(addr: SocketAddr, bytes: impl Into<Vec<u8>>) -> String {
     let mut stream = TcpStream::connect_addr(addr).await.expect("the server listens");
     stream.write_all(bytes.into()).await.0.expect("the request is written");
+    read_to_end(stream).await
+}
+
+/// Reads until the server closes the connection.
+pub(crate) async fn read_to_end(mut stream: TcpStream) -> String {
     let mut all = Vec::new();
     loop {
         let (result, chunk) = stream.read(Vec::with_capacity(4096)).await;
