Hold the future of a request and of a connection once

What callers saw: a router that answers 200 pipelining clients at a time is killed for its memory, though nothing large is sent.

Cause: an async fn that takes a future holds it twice, as its argument and where it awaits it. The deadline, the stop, the watch for silence and the containment of panics each took the work of a request so, one within the other: by size_of_val a request in flight took 133 KB (67.7 KB and 64.9 KB of boxed states) and a connection 21 KB, assumed to be 10 KB in docs/OPERATORS.md.

--- a/crates/httpio/src/server/connection.rs
+++ b/crates/httpio/src/server/connection.rs
@@ -94,7 +94,8 @@
         self.limits = self.live_limits.get();
         self.await_first_byte().await?;
         let refusing = self.stop.refusing.clone();
-        until_refusing(&refusing, self.receive()).await
+        // An idle connection takes no memory for this.
+        until_refusing(&refusing, Box::pin(self.receive())).await
     }
 
     async fn receive(&mut self) -> Result<RequestHeadAndBody, End> {
--- a/crates/router/src/silence.rs
+++ b/crates/router/src/silence.rs
@@ -3,7 +3,7 @@
 
 use std::{future::Future, time::Duration};
 
-use futures::{FutureExt, pin_mut, select_biased};
+use futures::{FutureExt, future::LocalBoxFuture, pin_mut, select_biased};
 use monoio::time;
 use policy::{Execution, Failure, ProbeResult};
 
@@ -51,8 +51,18 @@
 /// # Errors
 /// [`Silent`] if nothing has arrived by the end of the probe and the server is dead or there is a
 /// remedy.
-pub(crate) async fn probe_on_silence<T>(
-    event: impl Future<Output = T>,
+pub(crate) fn probe_on_silence<'a, T: 'a>(
+    event: impl Future<Output = T> + 'a,
+    silence: Duration,
+    lease: &'a Lease,
+    remedy: Remedy,
+) -> impl Future<Output = Result<T, Silent>> + 'a {
+    // An `async fn` would hold the event twice.
+    wait_or_probe(event.boxed_local(), silence, lease, remedy)
+}
+
+async fn wait_or_probe<T>(
+    event: LocalBoxFuture<'_, T>,
     silence: Duration,
     lease: &Lease,
     remedy: Remedy,
@@ -64,8 +74,8 @@
             futures::future::pending::<()>().await;
         }
     };
-    let (event, cut_off) = (event.fuse(), cut_off.fuse());
-    pin_mut!(event, cut_off);
+    let (mut event, cut_off) = (event.fuse(), cut_off.fuse());
+    pin_mut!(cut_off);
     loop {
         let timeout = time::sleep(silence).fuse();
         pin_mut!(timeout);
--- a/crates/telemetry/src/containment.rs
+++ b/crates/telemetry/src/containment.rs
@@ -40,16 +40,21 @@
 /// # Panics
 ///
 /// If the task panicked while it held a [`FailStop`].
-pub async fn contain<T>(
+pub fn contain<'a, T: 'a>(
     task: &'static str,
     peer: SocketAddr,
-    work: impl Future<Output = T>,
-) -> Result<T, TaskPanicked> {
-    // What the task owns is dropped by the unwinding; what it shares is safe or guarded by `FailStop`.
-    let payload = match AssertUnwindSafe(work).catch_unwind().await {
-        Ok(done) => return Ok(done),
-        Err(payload) => payload,
-    };
+    work: impl Future<Output = T> + 'a,
+) -> impl Future<Output = Result<T, TaskPanicked>> + 'a {
+    // An `async fn` would hold the work, which may be large, several times.
+    let work = work.boxed_local();
+    async move {
+        // What the task owns is dropped by the unwinding; what it shares is safe or guarded by `FailStop`.
+        AssertUnwindSafe(work).catch_unwind().await.map_err(|it| contained(task, peer, it))
+    }
+}
+
+/// Records a panic, or goes on with it.
+fn contained(task: &'static str, peer: SocketAddr, payload: Box<dyn Any + Send>) -> TaskPanicked {
     let message = message(&*payload);
     if MUST_STOP.get() {
         tracing::error!(event = "fail_stop", task, %peer, message);
@@ -57,7 +62,7 @@
     }
     CONTAINED_PANICS.fetch_add(1, Ordering::Relaxed);
     tracing::error!(event = "task_panicked", task, %peer, message);
-    Err(TaskPanicked)
+    TaskPanicked
 }
 
 /// The number of panics that [`contain`] has kept from ending the process.
