Bound what the system keeps of a connection until it is read

What callers saw: a router is killed for its memory while clients send faster than it reads: 48 to 54 MB of 48, of which half had arrived but was not read, in every test with endless or small chunks, and more now that connections read by turns.

Cause: the receive buffer of an accepted connection grows by itself (here up to 33 MB), also of one that is not accepted yet, and the pages count what has arrived unread as memory of the process. 1,024 connections could wait to be accepted. Ruled out by endless_memory: a queue of 128, which 300 callers at once overflow.

Change: listeners bound the receive buffer to 16 KiB and the queue to 512 connections; both daemons bind all listeners by this function.

--- a/crates/httpio/src/server.rs
+++ b/crates/httpio/src/server.rs
@@ -34,6 +34,13 @@
 };
 use crate::{Limits, budget::ByteBudget, signal::Signal, turns::ReadTurns};
 
+/// The memory in which the system keeps what has arrived on a connection and is not read yet. Without this bound, it
+/// grows to megabytes for a connection whose peer sends faster than it is read.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+
+/// The connections to a listener that may wait until it accepts them. Each may have bytes that are not read yet.
+const WAITING_CONNECTIONS_MAX: i32 = 512;
+
 /// The pause between a failed accept and the next one.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -149,8 +156,11 @@
 pub fn bind(addr: SocketAddr) -> Result<TcpListener, BindError> {
     // With port reuse, monoio's default, two daemons started on the same port by mistake would
     // share its connections without an error.
-    TcpListener::bind_with_config(addr, &ListenerOpts::new().reuse_port(false))
-        .map_err(|error| BindError { addr, error })
+    let opts = ListenerOpts::new()
+        .reuse_port(false)
+        .recv_buf_size(RECEIVE_BUFFER_BYTES)
+        .backlog(WAITING_CONNECTIONS_MAX);
+    TcpListener::bind_with_config(addr, &opts).map_err(|error| BindError { addr, error })
 }
 
 /// Serves until `stop.closing` is raised and all connections have ended.
