Derive what a control VM holds for its clients from its memory

What operators saw: a control VM with 48 MB takes 52 to 112 MB while 200 clients send bodies of 1 MiB to the operators' listener, whole, in pieces or in chunks; by hand on 199 MB of 256 with bodies of 4 MB.

Cause: its settings did not name the memory of its VM; bodies of 40 MiB together were kept, each of which takes up to three times its size until it is answered, and 1,024 and 256 connections were accepted whatever the memory and the descriptors.

Change: memory_mb and descriptors_max in [control], filled in by the template. An eighth of the memory is for bodies, of which each takes a sixteenth at most, and an eighth for connections. With 256 MB a body may have 8 MiB, as before, and all together 32.

Result (debug, x86-64): the 7 operators' tests that were listed hold; 39 MB of 48 at most, in whole_bodies. calls::idle_connections: 65 descriptors of 300, 617 before. operator_memory (256 MB) holds.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -16,7 +16,7 @@
 use dissemination::{Hub, HubSettings};
 use futures::{FutureExt, Stream, StreamExt, pin_mut, select_biased};
 use httpio::Limits;
-use httpio::budget::{BudgetSize, ByteBudget};
+use httpio::budget::ByteBudget;
 use httpio::server::{self, BindError, ConnectionBound, ServerSettings, StopSignals};
 use monoio::{LegacyDriver, RuntimeBuilder, net::TcpListener};
 use prometheus::Registry;
@@ -33,6 +33,7 @@
     handler::{Handler, Tokens, unreadable_throttle},
     health::ControlHealth,
     hub_broadcast::HubBroadcast,
+    memory,
     peers::Peers,
     replica::{self, Replica},
     saved_streams::StreamKeeper,
@@ -47,13 +48,6 @@
 /// synced learner takes its vote.
 const VOTER_TIMEOUT_ELECTIONS: u32 = 2;
 
-/// The maximum size of a request body on the operators' listener.
-const OPERATOR_BODY_BYTES_MAX: usize = 8 << 20;
-
-/// The maximum size of all request bodies on the operators' listener together. Until a change is answered,
-/// its command and the message that replicates it take about as much again each.
-const OPERATOR_BODIES: BudgetSize = BudgetSize { bytes_max: 40 << 20, small_bytes: 4 << 20 };
-
 /// The role that the log names.
 const ROLE: &str = "control";
 
@@ -234,8 +228,7 @@
     }
     let operators = listeners.operators.zip(parts.platform).map(|(listener, platform)| {
         let handler = platform.operator_api.handler(Documents::new(replica.clone()));
-        let settings = operator_server(settings.operator_connections_max);
-        OperatorServer::start(listener, settings, handler)
+        OperatorServer::start(listener, operator_server(&settings), handler)
     });
     let broadcast = HubBroadcast {
         replica: replica.clone(),
@@ -258,7 +251,9 @@
         clock: parts.clock,
         unreadable: unreadable_throttle(),
     };
-    monoio::spawn(rpc::serve(listeners.rpc, Rc::new(handler), feed.counters().clone()));
+    let (handler, counters) = (Rc::new(handler), feed.counters().clone());
+    let connections_max = settings.connection_bounds().rpc;
+    monoio::spawn(rpc::serve_at_most(connections_max, listeners.rpc, handler, counters));
     tracing::info!(event = "serving", member = %me, failure_domain = %settings.failure_domain);
 
     let disk_fault = replica.clone().handle_save_results(saved).fuse();
@@ -275,12 +270,13 @@
     }
 }
 
-fn operator_server(connections_max: usize) -> ServerSettings {
-    let limits = Limits { body_bytes: OPERATOR_BODY_BYTES_MAX, ..Limits::default() };
+fn operator_server(settings: &Settings) -> ServerSettings {
+    let body_bytes = memory::body_bytes_max(settings.memory_mb);
     ServerSettings {
-        limits: limits.into(),
-        connections: ConnectionBound(connections_max),
-        memory: ByteBudget::new(OPERATOR_BODIES),
+        limits: Limits { body_bytes, ..Limits::default() }.into(),
+        connections: ConnectionBound(settings.connection_bounds().operators),
+        memory: ByteBudget::new(memory::bodies(settings.memory_mb)),
+        request_bytes: memory::CALL_BYTES,
         ..ServerSettings::default()
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -8,15 +8,19 @@
     time::Duration,
 };
 
+use ::daemon::client_connections_fitting;
 use anyhow::Context;
 use consensus::NodeId;
 use ini_settings::{Document, Fault, Faults, SectionReader};
 use rpc::Trust;
 
-use crate::{Duty, DutySettings, FormatMode, address_book::node_id_of};
+use crate::{
+    Duty, DutySettings, FormatMode, address_book::node_id_of, memory::connections_fitting,
+};
 
 const SECTIONS: [&str; 2] = ["control", "peers"];
 const SECONDS: &str = "a number of seconds, such as 5 or 2.5";
+const MEBIBYTES: &str = "a whole number of MiB, such as 256";
 const MILLISECONDS: &str = "a whole number of milliseconds, such as 250";
 /// The minimum number of heartbeat intervals in an election timeout, so that the loss of one or two
 /// heartbeats does not cause an election.
@@ -40,6 +44,10 @@
     pub operators_listen: Option<SocketAddr>,
     /// The maximum number of connections to the operators' API.
     pub operator_connections_max: usize,
+    /// The memory of the VM, in MiB. What the control VM holds for its clients is bounded by it.
+    pub memory_mb: usize,
+    /// The file descriptors that the control VM may open, if that is less than the system allows.
+    pub descriptors_max: Option<usize>,
     /// The address from which the platform's server list is read, if there is one.
     pub platform: Option<SocketAddr>,
     /// The interval between two reads of that list.
@@ -93,6 +101,8 @@
             data_dir: PathBuf::new(),
             operators_listen: None,
             operator_connections_max: 256,
+            memory_mb: 256,
+            descriptors_max: None,
             platform: None,
             platform_period_ms: 1_000,
             duties: DutySettings::default(),
@@ -111,7 +121,28 @@
     }
 }
 
+/// The bounds on the connections of the listeners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionBounds {
+    /// Of routers, other control VMs and operators' commands.
+    pub rpc: usize,
+    /// Of the operators' API.
+    pub operators: usize,
+}
+
 impl Settings {
+    /// The bounds on connections that follow from the memory of the VM, from its descriptors and from the settings.
+    #[must_use]
+    pub fn connection_bounds(&self) -> ConnectionBounds {
+        let fitting = connections_fitting(self.memory_mb)
+            .min(client_connections_fitting(self.descriptors_max));
+        // Calls of operators lead to no connection of this process.
+        ConnectionBounds {
+            rpc: fitting.min(rpc::CONNECTIONS_MAX),
+            operators: fitting.min(self.operator_connections_max),
+        }
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -169,6 +200,8 @@
             "a whole number, such as 256",
             defaults.operator_connections_max,
         ),
+        memory_mb: reader.advisory("memory_mb", MEBIBYTES, defaults.memory_mb),
+        descriptors_max: read_descriptors_max(&mut reader),
         platform: reader.optional("platform", ADDRESS),
         platform_period_ms: reader.or_default(
             "platform_period_ms",
@@ -217,6 +250,12 @@
     settings
 }
 
+/// A limit that cannot be read counts as none, like one that a template had no value for.
+fn read_descriptors_max(reader: &mut SectionReader<'_>) -> Option<usize> {
+    let max = reader.advisory("descriptors_max", "a whole number", usize::MAX);
+    Some(max).filter(|it| *it < usize::MAX)
+}
+
 /// The node's number, or the id derived from its address where nodes have no numbers.
 fn read_node(
     reader: &mut SectionReader<'_>,
