Hold back messages to control VMs until there is memory for them

What operators saw: 200 connections that each begin a message of 50 MB and send 4 MB of it take a control VM to 4,037 MB (48 allowed); 600 connections on which nothing is sent keep routers and operators from it.

Cause: Cap'n Proto allocates and clears a message of the declared size, up to 64 MB, as soon as its head has come; nothing bounded what all of them take, nothing ended a message that does not come or a connection without any.

Change: a reader in front of Cap'n Proto keeps back the head of a message until the whole of it has been charged to a budget: an eighth of the memory, which one message at a time may exceed up to a quarter. A connection ends when nothing comes for 3 s within a message or before the first, or when its message has waited 10 s. The budget of bytes is a crate of its own now, as rpc uses it, too.

--- a/crates/httpio/src/budget.rs
+++ b/crates/byte-budget/src/lib.rs
@@ -133,7 +133,8 @@
     }
 
     /// The size that the message states in advance.
-    pub(crate) fn declared_bytes(&self) -> Option<usize> {
+    #[must_use]
+    pub fn declared_bytes(&self) -> Option<usize> {
         self.declared_bytes
     }
 
--- a/crates/control-client/tests/document_watch.rs
+++ b/crates/control-client/tests/document_watch.rs
@@ -52,7 +52,7 @@
             controls: Rc::default(),
         };
         let handler = Rc::new(control.clone());
-        monoio::spawn(rpc::serve(listener, handler, ByteCounters::default()));
+        monoio::spawn(rpc::serve(Default::default(), listener, handler, ByteCounters::default()));
         control
     }
 }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -252,8 +252,11 @@
         unreadable: unreadable_throttle(),
     };
     let (handler, counters) = (Rc::new(handler), feed.counters().clone());
-    let connections_max = settings.connection_bounds().rpc;
-    monoio::spawn(rpc::serve_at_most(connections_max, listeners.rpc, handler, counters));
+    let rpc_settings = rpc::ServerSettings {
+        connections_max: settings.connection_bounds().rpc,
+        messages: memory::messages(settings.memory_mb),
+    };
+    monoio::spawn(rpc::serve(rpc_settings, listeners.rpc, handler, counters));
     tracing::info!(event = "serving", member = %me, failure_domain = %settings.failure_domain);
 
     let disk_fault = replica.clone().handle_save_results(saved).fuse();
--- a/crates/httpio/src/lib.rs
+++ b/crates/httpio/src/lib.rs
@@ -4,7 +4,6 @@
 //! whose length is ambiguous, and reports at which stage an exchange failed. It has no knowledge of
 //! routing, pools of backend servers or request outcomes.
 
-pub mod budget;
 pub mod client;
 mod fields;
 mod framing;
@@ -19,6 +18,7 @@
 pub mod sse;
 mod turns;
 
+pub use byte_budget as budget;
 pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri, header};
 
--- a/crates/load/tests/light_routers.rs
+++ b/crates/load/tests/light_routers.rs
@@ -46,7 +46,12 @@
         });
         let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
         let addr = listener.local_addr().expect("a bound listener");
-        monoio::spawn(serve(listener, Rc::clone(&fake) as Rc<_>, ByteCounters::default()));
+        monoio::spawn(serve(
+            Default::default(),
+            listener,
+            Rc::clone(&fake) as Rc<_>,
+            ByteCounters::default(),
+        ));
         (fake, LoopbackAddr::checked(addr).expect("a loopback port"))
     }
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -13,6 +13,7 @@
 mod dial;
 mod error;
 mod link;
+mod message_reader;
 mod server;
 mod trust;
 
@@ -23,7 +24,8 @@
 pub use dial::{Connection, dial};
 pub use error::RpcError;
 pub use link::{Link, LinkSettings};
-pub use server::{CONNECTIONS_MAX, ControlHandler, PeerHandler, serve, serve_at_most};
+pub use message_reader::MessageLimits;
+pub use server::{CONNECTIONS_MAX, ControlHandler, PeerHandler, ServerSettings, serve};
 pub use trust::Trust;
 
 /// The response to a request for tables newer than the client's.
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -17,6 +17,7 @@
     connections::Connections,
     control_capnp::{control, document_update, peer, submit_result, tables_update},
     counting_stream::CountingStream,
+    message_reader::{MessageLimits, MessageReader},
 };
 
 /// The pause after a failed accept. Without it, the accept loop would spin when the process is out
@@ -75,23 +76,34 @@
     fn read_index(&self) -> Option<u64>;
 }
 
-/// The maximum number of open connections of [`serve`]: routers, other control VMs and operators. At 28 KB a
+/// The maximum number of open connections of a server unless it is set: routers, other control VMs and operators. At 28 KB a
 /// router, they take 29 MB.
 pub const CONNECTIONS_MAX: usize = 1_024;
 
-/// Accepts connections until the future is dropped, at most [`CONNECTIONS_MAX`] at a time.
-pub async fn serve(listener: TcpListener, handler: Rc<dyn ControlHandler>, counters: ByteCounters) {
-    serve_at_most(CONNECTIONS_MAX, listener, handler, counters).await;
+/// What a server accepts.
+#[derive(Debug, Clone)]
+pub struct ServerSettings {
+    /// The maximum number of open connections.
+    pub connections_max: usize,
+    /// What messages may hold.
+    pub messages: MessageLimits,
 }
 
-/// Accepts connections until the future is dropped. While `connections_max` are open, further ones wait until
+impl Default for ServerSettings {
+    fn default() -> Self {
+        ServerSettings { connections_max: CONNECTIONS_MAX, messages: MessageLimits::default() }
+    }
+}
+
+/// Accepts connections until the future is dropped. While as many are open as allowed, further ones wait until
 /// one closes; their clients try another control VM meanwhile.
-pub async fn serve_at_most(
-    connections_max: usize,
+pub async fn serve(
+    settings: ServerSettings,
     listener: TcpListener,
     handler: Rc<dyn ControlHandler>,
     counters: ByteCounters,
 ) {
+    let ServerSettings { connections_max, messages } = settings;
     let connections = Connections::new(connections_max);
     let full = Throttle::new(FULL_LOG_INTERVAL);
     loop {
@@ -103,7 +115,8 @@
         connections.wait_for_room().await;
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let connection = serve_connection(stream, handler.clone(), counters.clone());
+                let (handler, counters) = (handler.clone(), counters.clone());
+                let connection = serve_connection(stream, messages.clone(), handler, counters);
                 let open = connections.open();
                 monoio::spawn(async move {
                     // A panic in one of its calls closes the connection, by which the client learns of it.
@@ -118,6 +131,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    messages: MessageLimits,
     handler: Rc<dyn ControlHandler>,
     counters: ByteCounters,
 ) {
@@ -131,6 +145,7 @@
     }
     let stream = CountingStream::new(TcpStreamCompat::new(stream).compat(), counters);
     let (reader, writer) = stream.split();
+    let reader = MessageReader::new(reader, messages);
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
     let client: control::Client = capnp_rpc::new_client(ControlServer { handler });
     // An error means that the connection broke, which the client detects by itself.
--- a/crates/rpc/tests/bounded_connections.rs
+++ b/crates/rpc/tests/bounded_connections.rs
@@ -7,7 +7,7 @@
 
 use fixed_control::{FixedHandler, run};
 use monoio::net::TcpListener;
-use rpc::{ByteCounters, Connection, dial, serve_at_most};
+use rpc::{ByteCounters, Connection, ServerSettings, dial, serve};
 
 const CONNECTIONS_MAX: usize = 2;
 /// Far above what an answer takes.
@@ -23,7 +23,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let (handler, counters) = (Rc::new(FixedHandler), ByteCounters::default());
-        monoio::spawn(serve_at_most(CONNECTIONS_MAX, listener, handler, counters));
+        let settings = ServerSettings { connections_max: CONNECTIONS_MAX, ..Default::default() };
+        monoio::spawn(serve(settings, listener, handler, counters));
         let open = async || -> Connection {
             dial(addr, TIMEOUT, &ByteCounters::default()).await.expect("the system accepts")
         };
--- a/crates/rpc/tests/contained_panics.rs
+++ b/crates/rpc/tests/contained_panics.rs
@@ -63,7 +63,12 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
-        monoio::spawn(serve(listener, Rc::new(Panicking), ByteCounters::default()));
+        monoio::spawn(serve(
+            Default::default(),
+            listener,
+            Rc::new(Panicking),
+            ByteCounters::default(),
+        ));
         let links = [(); 2]
             .map(|()| Link::start(LinkSettings { addrs: vec![addr], ..LinkSettings::default() }));
         let failing = wait_until_connected(&links[0]).await;
--- a/crates/rpc/tests/restarted_control.rs
+++ b/crates/rpc/tests/restarted_control.rs
@@ -58,7 +58,12 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let relay = Relay::start(listener.local_addr().expect("an address"));
-        monoio::spawn(serve(listener, Rc::new(FixedHandler), ByteCounters::default()));
+        monoio::spawn(serve(
+            Default::default(),
+            listener,
+            Rc::new(FixedHandler),
+            ByteCounters::default(),
+        ));
         let link = Link::start(LinkSettings {
             addrs: vec![relay.addr],
             heartbeat_interval_ms: NO_HEARTBEAT_MS,
--- a/crates/rpc/tests/unresponsive_address.rs
+++ b/crates/rpc/tests/unresponsive_address.rs
@@ -21,7 +21,12 @@
         let (unresponsive, _listener) = unresponsive_listener();
         let healthy = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let healthy_addr = healthy.local_addr().expect("an address");
-        monoio::spawn(serve(healthy, Rc::new(FixedHandler), ByteCounters::default()));
+        monoio::spawn(serve(
+            Default::default(),
+            healthy,
+            Rc::new(FixedHandler),
+            ByteCounters::default(),
+        ));
         let link = Link::start(LinkSettings {
             addrs: vec![unresponsive, healthy_addr],
             connect_timeout_ms: 50,
