--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -267,7 +267,7 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                              b"Content-Length: %d\r\n\r\n" % len(body) + body)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -415,7 +415,7 @@
                         return
                 finally:
                     self.running -= 1
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
             writer.close()
