--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -425,10 +425,9 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def run_case(folder, play):
+def run_case(folder, play, has_trouble):
     """Plays a case and exits with its result."""
     record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {'yes' if has_trouble else 'no'}")
 
     async def limited():
